--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 	$(BIN)/flake8 src standins tests benchmarks
 
 format: $(VENV)/ready
+	$(BIN)/ruff check --select I --fix .
 	$(BIN)/ruff format .
 
 bench: $(VENV)/ready
--- a/src/citronvalve/model/missing.py
+++ b/src/citronvalve/model/missing.py
@@ -3,7 +3,8 @@
 Expected failures are returned as one of these instead of being raised.
 """
 
-from typing import Any, NoReturn
+from typing import Any
+from typing import NoReturn
 
 from citronvalve.model import errors
 
--- a/src/citronvalve/platform/rows.py
+++ b/src/citronvalve/platform/rows.py
@@ -1,6 +1,7 @@
 """Records of the platform's transactional table service."""
 
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
 from citronvalve.model import missing
 
