--- /dev/null
+++ b/src/citronvalve/platform/httpvms.py
@@ -0,0 +1,35 @@
+"""The list of VMs over HTTP."""
+
+import urllib.parse
+
+import msgspec
+
+from citronvalve.model import missing
+from citronvalve.platform import client
+from citronvalve.platform import vmlist
+
+
+class HttpVms(vmlist.VmList):
+    """The platform's lagging list.
+
+    :param platform: the client to send calls by.
+    """
+
+    def __init__(self, platform: client.PlatformClient) -> None:
+        self._platform = platform
+
+    def vms(
+        self, datacentre: str
+    ) -> tuple[vmlist.VmRecord, ...] | missing.Unavailable:
+        query = urllib.parse.urlencode({"datacentre": datacentre})
+        answer = self._platform.read(f"/vms?{query}")
+        if missing.is_missing(answer):
+            return answer
+        if answer.status != 200:
+            return missing.Unavailable(f"status {answer.status}", datacentre)
+        try:
+            return msgspec.json.decode(
+                answer.body, type=tuple[vmlist.VmRecord, ...]
+            )
+        except msgspec.MsgspecError as error:
+            return missing.Unavailable(str(error), datacentre)
