Check the table as a whole and edit it in one transaction

Cause: operators change behaviour by the table only, and nothing read, checked or wrote it. Ruled out: a head in a table of its own (an edit can land between two reads; among the rows one scan gives both); storing only columns that differ from their default (a release with another default would change behaviour without an edit); sending a lost edit again with a new id (it would be applied twice). Change: typed columns with bounds and reasons, cross-references, one transaction on the head's version with its audit entry, and settling of a lost answer by sending the same transaction again and reading whose entry made the version.

--- /dev/null
+++ b/src/citronvalve/table/audit.py
@@ -0,0 +1,88 @@
+"""The audit trail: entries as they are stored and read."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from citronvalve.model import missing
+from citronvalve.platform import rows
+from citronvalve.platform import tableservice
+from citronvalve.table import edit
+from citronvalve.table import layout
+
+#: Bytes of changes in one stored row; what exceeds it goes into parts.
+#: Transactional stores commonly refuse rows above some hundred KB.
+LARGEST_PART = 64 * 1024
+
+
+def writes(entry: edit.Entry) -> Iterator[rows.Write]:
+    """Return the rows that hold an entry.
+
+    :param entry: the whole entry.
+    """
+    parts = list(_parts(entry.changes))
+    value = entry._asdict() | {
+        "changes": parts[0] if parts else [],
+        "parts": max(len(parts), 1),
+    }
+    yield rows.Write(layout.AUDIT, layout.audit_key(entry.version), value)
+    for index, part in enumerate(parts[1:], start=1):
+        key = layout.audit_key(entry.version, index)
+        yield rows.Write(layout.AUDIT, key, {"changes": part})
+
+
+def _parts(changes: tuple[edit.Change, ...]) -> Iterator[list[Any]]:
+    part: list[Any] = []
+    size = 0
+    for change in changes:
+        more = len(msgspec.json.encode(change))
+        if part and size + more > LARGEST_PART:
+            yield part
+            part, size = [], 0
+        part.append(list(change))
+        size += more
+    if part:
+        yield part
+
+
+def read(
+    service: tableservice.TableService, version: int
+) -> edit.Entry | missing.NotFound | missing.Unavailable:
+    """Read the entry of one version.
+
+    :param service: the platform's table service.
+    :param version: the version that the edit made.
+    """
+    row = service.read(layout.AUDIT, layout.audit_key(version))
+    if missing.is_missing(row):
+        return row
+    value = dict(row.value)
+    changes = list(value["changes"])
+    for index in range(1, value.pop("parts")):
+        part = service.read(layout.AUDIT, layout.audit_key(version, index))
+        if missing.is_missing(part):
+            return part
+        changes += part.value["changes"]
+    return msgspec.convert(
+        [*(value[name] for name in edit.Entry._fields[:-1]), changes],
+        edit.Entry,
+    )
+
+
+def since(
+    service: tableservice.TableService, after: int, until: int
+) -> tuple[edit.Entry, ...] | missing.NotFound | missing.Unavailable:
+    """Read the entries of some versions, oldest first.
+
+    :param service: the platform's table service.
+    :param after: the version before the first.
+    :param until: the last version.
+    """
+    found = []
+    for version in range(after + 1, until + 1):
+        entry = read(service, version)
+        if missing.is_missing(entry):
+            return entry
+        found.append(entry)
+    return tuple(found)
--- /dev/null
+++ b/src/citronvalve/table/crosscheck.py
@@ -0,0 +1,208 @@
+"""Checks that look at more than one row or column."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import ipaddress
+import re
+
+from citronvalve.model import declared
+from citronvalve.table import layout
+from citronvalve.table import mistake
+
+_Mistakes = Iterator[mistake.Mistake]
+
+_SHA256 = re.compile(r"[0-9a-f]{64}")
+_METHODS = ("GET", "HEAD", "OPTIONS", "PUT", "POST", "PATCH", "DELETE")
+
+
+def check(table: declared.Declared) -> tuple[mistake.Mistake, ...]:
+    """Check the table as a whole.
+
+    :param table: rows that are right each by itself.
+    """
+    return tuple(wrong for each in _CHECKS for wrong in each(table))
+
+
+def _reference(
+    row: str, column: str, name: str, known: dict, section: str
+) -> _Mistakes:
+    if name not in known:
+        yield mistake.Mistake(
+            row,
+            column,
+            name,
+            f"{section} has no such row",
+            f"add {layout.key(section, name)} or name one that is there",
+        )
+
+
+def _unique(
+    section: str, column: str, pairs: Iterator[tuple[str, str]], why: str
+) -> _Mistakes:
+    first_by_value: dict[str, str] = {}
+    for name, value in pairs:
+        first = first_by_value.setdefault(value, name)
+        if first != name:
+            yield mistake.Mistake(
+                layout.key(section, name),
+                column,
+                value,
+                f"{section}/{first} has the same; {why}",
+                "give each its own",
+            )
+
+
+def _teams(table: declared.Declared) -> _Mistakes:
+    teams = table.team_by_name.values()
+    for team in teams:
+        if not _SHA256.fullmatch(team.token_sha256):
+            yield mistake.Mistake(
+                layout.key("teams", team.name),
+                "token_sha256",
+                team.token_sha256,
+                "not a SHA-256 digest in lower-case hex",
+                "printf %s TOKEN | sha256sum",
+            )
+    yield from _unique(
+        "teams",
+        "token_sha256",
+        ((team.name, team.token_sha256) for team in teams),
+        "a caller's team could not be told",
+    )
+
+
+def _upstreams(table: declared.Declared) -> _Mistakes:
+    places = table.datacentre_by_name
+    upstreams = table.upstream_by_name.values()
+    for upstream in upstreams:
+        row = layout.key("upstreams", upstream.name)
+        yield from _reference(
+            row, "datacentre", upstream.datacentre, places, "datacentres"
+        )
+        yield from _address(row, upstream.address)
+        yield from _cold(row, upstream.slots, upstream.cold_slots)
+        yield from _serves(row, upstream, table)
+    yield from _unique(
+        "upstreams",
+        "address",
+        ((upstream.name, upstream.address) for upstream in upstreams),
+        "its slots would be counted twice",
+    )
+
+
+def _address(row: str, address: str) -> _Mistakes:
+    # The system talks by IP numbers: a name would be looked up while
+    # requests wait, by a service that has outages of its own.
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        right = port.isascii() and port.isdigit() and 0 < int(port) < 65_536
+    except ValueError:
+        right = False
+    if not right:
+        yield mistake.Mistake(
+            row,
+            "address",
+            address,
+            "not an IP number and a port",
+            "write 10.0.0.1:8000",
+        )
+
+
+def _cold(row: str, slots: int, cold_slots: int) -> _Mistakes:
+    if cold_slots > slots:
+        yield mistake.Mistake(
+            row,
+            "cold_slots",
+            cold_slots,
+            f"a cold start would bear more than the {slots} when warm",
+            f"give at most {slots}",
+        )
+
+
+def _serves(
+    row: str, upstream: declared.Upstream, table: declared.Declared
+) -> _Mistakes:
+    plain = upstream.kind is declared.UpstreamKind.PLAIN
+    if not upstream.serves or (plain and len(upstream.serves) != 1):
+        yield mistake.Mistake(
+            row,
+            "serves",
+            list(upstream.serves),
+            "it would get no work, or work of another service",
+            "name one service" if plain else "name its models",
+        )
+    known = table.service_by_name if plain else table.model_by_name
+    section = "services" if plain else "models"
+    for name in upstream.serves:
+        yield from _reference(row, "serves", name, known, section)
+
+
+def _groups(table: declared.Declared) -> _Mistakes:
+    for group in table.group_by_name.values():
+        row = layout.key("groups", group.name)
+        places = table.datacentre_by_name
+        models = table.model_by_name
+        yield from _reference(
+            row, "datacentre", group.datacentre, places, "datacentres"
+        )
+        yield from _reference(row, "model", group.model, models, "models")
+        yield from _cold(row, group.slots, group.cold_slots)
+        if group.most_closed > max(group.replicas, 1):
+            yield mistake.Mistake(
+                row,
+                "most_closed",
+                group.most_closed,
+                f"there are only {group.replicas} groups",
+                f"give at most {max(group.replicas, 1)}",
+            )
+
+
+def _names(table: declared.Declared) -> _Mistakes:
+    # The upstreams of a group carry its name, and slots are counted by name.
+    for name in sorted(table.group_by_name.keys() & table.upstream_by_name):
+        yield mistake.Mistake(
+            layout.key("groups", name),
+            "name",
+            name,
+            "an upstream has this name; their loads would be mixed up",
+            "rename one of them",
+        )
+
+
+def _services(table: declared.Declared) -> _Mistakes:
+    for service in table.service_by_name.values():
+        for method in service.repeatable:
+            if method not in _METHODS:
+                yield mistake.Mistake(
+                    layout.key("services", service.name),
+                    "repeatable",
+                    method,
+                    "not an HTTP method",
+                    "use " + ", ".join(_METHODS),
+                )
+
+
+def _limits(table: declared.Declared) -> _Mistakes:
+    # A team's limit may be on a plain service as well.
+    served = {**table.service_by_name, **table.model_by_name}
+    known_by_column = {
+        "team": ("teams", table.team_by_name),
+        "model": ("models", served),
+        "datacentre": ("datacentres", table.datacentre_by_name),
+    }
+    for key, limit in table.limit_by_key.items():
+        row = layout.key("limits", *key)
+        for column, (section, known) in known_by_column.items():
+            name = getattr(limit, column)
+            yield from _reference(row, column, name, known, section)
+
+
+_CHECKS: tuple[Callable[[declared.Declared], _Mistakes], ...] = (
+    _teams,
+    _upstreams,
+    _groups,
+    _names,
+    _services,
+    _limits,
+)
--- /dev/null
+++ b/src/citronvalve/table/document.py
@@ -0,0 +1,134 @@
+"""Reads a declaration from JSON with comments."""
+
+import difflib
+import json
+from typing import Any, NamedTuple
+
+import json5
+
+from citronvalve.table import columns
+from citronvalve.table import kinds
+from citronvalve.table import layout
+from citronvalve.table import mistake
+
+
+class Document(NamedTuple):
+    """What a file declares.
+
+    Sections that the file does not name are left as they are in the table;
+    a section that it names is declared as a whole.
+    """
+
+    sections: frozenset[str]
+    value_by_key: dict[str, dict[str, Any]]
+    mistakes: tuple[mistake.Mistake, ...]
+
+
+def parse(text: str, where: str) -> Document:
+    """Read a declaration.
+
+    :param text: JSON with comments.
+    :param where: the file's name, for mistakes.
+    """
+    try:
+        content = _decoded(text)
+    except (ValueError, RecursionError) as error:
+        return _unreadable(where, str(error))
+    if not isinstance(content, dict):
+        return _unreadable(where, "the file holds no map of sections")
+    reader = _Reader()
+    for section, rows in content.items():
+        reader.section(section, rows)
+    return Document(
+        frozenset(content), reader.value_by_key, tuple(reader.mistakes)
+    )
+
+
+def _decoded(text: str) -> Any:
+    # The reader of JSON with comments is written in Python and takes
+    # minutes for a table of the target's size; files that a program wrote
+    # seldom hold comments.
+    try:
+        return json.loads(text, object_pairs_hook=_without_duplicates)
+    except json.JSONDecodeError:
+        return json5.loads(text, allow_duplicate_keys=False)
+
+
+def _without_duplicates(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    # The last of two rows of one name would win in silence.
+    found: dict[str, Any] = {}
+    for name, value in pairs:
+        if name in found:
+            raise ValueError(f"{name} is declared twice; remove one")
+        found[name] = value
+    return found
+
+
+def _unreadable(where: str, why: str) -> Document:
+    wrong = mistake.Mistake(where, "", "", why, "mend the file's syntax")
+    return Document(frozenset(), {}, (wrong,))
+
+
+class _Reader:
+    """Collects rows and mistakes of one file."""
+
+    def __init__(self) -> None:
+        self.value_by_key: dict[str, dict[str, Any]] = {}
+        self.mistakes: list[mistake.Mistake] = []
+
+    def section(self, section: str, content: Any) -> None:
+        kind = kinds.KIND_BY_SECTION.get(section)
+        if kind is None:
+            near = difflib.get_close_matches(section, kinds.KIND_BY_SECTION, 1)
+            known = near or sorted(kinds.KIND_BY_SECTION)
+            remedy = "use " + " or ".join(known)
+            self._wrong(section, "", "no such section", remedy)
+        elif section == "limits":
+            self._list(kind, content)
+        elif not isinstance(content, dict):
+            self._wrong(section, content, "not a map", "write {...}")
+        elif section == "switches":
+            self._row(layout.key(section, *kinds.ALL), content, {})
+        else:
+            for name, row in content.items():
+                key = layout.key(section, name)
+                self._row(key, row, {"name": name})
+
+    def _list(self, kind: kinds.Kind, content: Any) -> None:
+        if not isinstance(content, list):
+            self._wrong(kind.section, content, "not a list", "write [...]")
+            return
+        for index, row in enumerate(content):
+            place = f"{kind.section}[{index}]"
+            if not isinstance(row, dict):
+                self._wrong(place, row, "not a row", "write {...}")
+                continue
+            unnamed = [
+                name
+                for name in kind.key_columns
+                if not columns.NAME.fullmatch(str(row.get(name, "")))
+            ]
+            for name in unnamed:
+                self._wrong(
+                    f"{place}.{name}",
+                    row.get(name),
+                    "not a name",
+                    f"match {columns.NAME.pattern}",
+                )
+            if not unnamed:
+                self._row(kind.key_of(row), row, {})
+
+    def _row(self, key: str, row: Any, named: dict[str, str]) -> None:
+        if not isinstance(row, dict):
+            self._wrong(key, row, "not a row", "write {...}")
+        elif any(row.get(k, v) != v for k, v in named.items()):
+            self._wrong(key, row["name"], "named otherwise", "leave it out")
+        elif key in self.value_by_key:
+            self._wrong(key, row, "declared twice", "remove one of the two")
+        elif key.count(layout.SEPARATOR) > (2 if not named else 0) + 1:
+            self._wrong(key, key, "not a name", "leave out the slashes")
+        else:
+            self.value_by_key[key] = row | named
+
+    def _wrong(self, row: str, value: Any, why: str, remedy: str) -> None:
+        self.mistakes.append(mistake.Mistake(row, "", value, why, remedy))
--- /dev/null
+++ b/src/citronvalve/table/editor.py
@@ -0,0 +1,177 @@
+"""Carries out edits on the platform, and settles lost answers."""
+
+from collections.abc import Callable
+import random
+from typing import NamedTuple
+
+from citronvalve.model import clock
+from citronvalve.model import missing
+from citronvalve.platform import rows
+from citronvalve.platform import tableservice
+from citronvalve.table import audit
+from citronvalve.table import edit
+from citronvalve.table import layout
+from citronvalve.table import planning
+from citronvalve.table import reading
+from citronvalve.table import state
+
+#: Tries of one edit whose answer was lost, the first among them.
+SETTLING_TRIES = 4
+
+#: Edits shown to an operator who was outrun; the rest is in the history.
+MOST_WINNERS = 20
+
+
+class _Try(NamedTuple):
+    """One edit on its way: what is sent, and how to know it again."""
+
+    id: str
+    base: int
+    changes: tuple[edit.Change, ...]
+    transaction: rows.Transaction
+
+
+class Editor:
+    """Plans and applies edits for one operator.
+
+    :param service: the platform's table service.
+    :param now: clock for the time in audit entries.
+    :param chance: makes the ids of edits.
+    :param pause: called with the number of the try before an edit with a
+        lost answer is settled once more.
+    """
+
+    def __init__(
+        self,
+        service: tableservice.TableService,
+        now: clock.Clock,
+        chance: random.Random,
+        pause: Callable[[int], None] = lambda tried: None,
+    ) -> None:
+        self._service = service
+        self._clock = now
+        self._chance = chance
+        self._pause = pause
+
+    def plan(self, wanted: planning.Wanted) -> edit.Plan | missing.Unavailable:
+        """Tell what an edit would change; nothing is written.
+
+        :param wanted: the edit.
+        """
+        stored = reading.read_state(self._service)
+        if missing.is_missing(stored):
+            return stored
+        return planning.plan(stored, wanted)
+
+    def apply(
+        self,
+        wanted: planning.Wanted,
+        author: edit.Author,
+        expected: int | None = None,
+    ) -> edit.Outcome:
+        """Check and commit an edit as one transaction.
+
+        :param wanted: the edit.
+        :param author: who edits, and why.
+        :param expected: the version that the author looked at; None takes
+            the present one.
+        """
+        stored = reading.read_state(self._service)
+        if missing.is_missing(stored):
+            return stored
+        if expected not in {None, stored.version}:
+            return self._outrun(expected, stored.version)
+        planned = planning.plan(stored, wanted)
+        if planned.mistakes:
+            return edit.Refused(planned.mistakes)
+        if not planned.changes:
+            return edit.Unchanged(stored.version)
+        return self._commit(self._try(stored, planned, author))
+
+    def _try(
+        self, stored: state.State, planned: edit.Plan, author: edit.Author
+    ) -> _Try:
+        edit_id = f"{self._chance.getrandbits(128):032x}"
+        entry = edit.Entry(
+            stored.version + 1,
+            edit_id,
+            author.who,
+            author.why,
+            self._clock.wall(),
+            planned.changes,
+        )
+        return _Try(
+            edit_id,
+            stored.version,
+            planned.changes,
+            _transaction(stored.revision, entry),
+        )
+
+    def _commit(self, sent: _Try) -> edit.Outcome:
+        # An answer can be lost after the write took effect, and the write
+        # may even take effect after a look that did not find it.  Sending
+        # the same transaction again is safe and final: its condition holds
+        # for one of the two at most, and the audit entry tells whose it is.
+        lost = ""
+        for tried in range(SETTLING_TRIES):
+            if tried:
+                self._pause(tried)
+            outcome = self._service.commit(sent.transaction)
+            if isinstance(outcome, rows.Committed):
+                return edit.Accepted(sent.base + 1, sent.changes)
+            if isinstance(outcome, rows.Conflict):
+                version = _head_version(outcome, sent.base)
+                if not lost:
+                    return self._outrun(sent.base, version)
+                settled = self._settled(sent, version)
+                if not missing.is_missing(settled):
+                    return settled
+            elif not lost and not isinstance(outcome, missing.AnswerLost):
+                return outcome
+            lost = lost or outcome.reason
+        return edit.Unknown(sent.id, sent.base, lost)
+
+    def _settled(self, sent: _Try, version: int) -> edit.Outcome:
+        """Tell whose edit made the version that this one wanted to make."""
+        entry = audit.read(self._service, sent.base + 1)
+        if missing.is_missing(entry):
+            return missing.Unavailable(entry.reason, entry.where)
+        if entry.edit == sent.id:
+            return edit.Accepted(sent.base + 1, sent.changes)
+        return self._outrun(sent.base, version)
+
+    def _outrun(self, expected: int, version: int) -> edit.Outrun:
+        first = max(expected, version - MOST_WINNERS)
+        winners = audit.since(self._service, first, version)
+        if missing.is_missing(winners):
+            return edit.Outrun(expected, version, (), winners.reason)
+        return edit.Outrun(expected, version, winners)
+
+
+def _transaction(revision: int, entry: edit.Entry) -> rows.Transaction:
+    head = {
+        "version": entry.version,
+        "edit": entry.edit,
+        "who": entry.who,
+        "at": entry.at,
+    }
+    changed = (
+        rows.Write(layout.TABLE, change.key, change.after)
+        for change in entry.changes
+    )
+    return rows.Transaction(
+        entry.edit,
+        (rows.Condition(layout.TABLE, layout.HEAD, revision),),
+        (
+            rows.Write(layout.TABLE, layout.HEAD, head),
+            *changed,
+            *audit.writes(entry),
+        ),
+    )
+
+
+def _head_version(conflict: rows.Conflict, base: int) -> int:
+    for row in conflict.rows:
+        if row.key == layout.HEAD:
+            return row.value["version"]
+    return base
--- /dev/null
+++ b/src/citronvalve/table/planning.py
@@ -0,0 +1,92 @@
+"""Works out what an edit changes; pure."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from citronvalve.table import document
+from citronvalve.table import edit
+from citronvalve.table import kinds
+from citronvalve.table import layout
+from citronvalve.table import mistake
+from citronvalve.table import state
+from citronvalve.table import typed
+
+#: Rows that one edit may change.  It is one transaction, and its audit
+#: entry holds every row before and after: more would be several MB in one
+#: call, which a slow store answers past the timeout.
+MOST_CHANGES = 2_000
+
+Values = dict[str, dict[str, Any]]
+
+#: What an edit does to the values that are stored.
+Wanted = Callable[[Values], Values]
+
+
+def declaring(declaration: document.Document) -> Wanted:
+    """Return the edit that makes the table say what a file declares.
+
+    :param declaration: without mistakes.
+    """
+
+    def wanted(stored: Values) -> Values:
+        kept = {
+            key: value
+            for key, value in stored.items()
+            if _section(key) not in declaration.sections
+        }
+        return kept | declaration.value_by_key
+
+    return wanted
+
+
+def plan(stored: state.State, wanted: Wanted) -> edit.Plan:
+    """Check the table as it would be, and tell what would change.
+
+    :param stored: the table as it is.
+    :param wanted: the edit.
+    """
+    before = stored.value_by_key
+    after = wanted(before)
+    checked = typed.full(after, stored.version + 1)
+    if checked.mistakes:
+        return edit.Plan(stored.version, (), checked.mistakes)
+    changes = _changes(before, _complete(checked, after))
+    if len(changes) > MOST_CHANGES:
+        wrong = mistake.Mistake(
+            "table",
+            "",
+            len(changes),
+            f"one edit changes at most {MOST_CHANGES} rows",
+            "apply the sections one after the other, in several files",
+        )
+        return edit.Plan(stored.version, (), (wrong,))
+    return edit.Plan(stored.version, changes)
+
+
+def _section(key: str) -> str:
+    return key.split(layout.SEPARATOR)[0]
+
+
+def _complete(checked: typed.Typed, after: Values) -> Values:
+    # Defaults are stored as well: else a release with another default would
+    # change behaviour without an edit.
+    complete: dict[str, Any] = {}
+    for section, lookup in kinds.LOOKUP_BY_SECTION.items():
+        for name, record in lookup(checked.table).items():
+            names = name if isinstance(name, tuple) else (name,)
+            complete[layout.key(section, *names)] = record._asdict()
+    switches = layout.key("switches", *kinds.ALL)
+    if switches in after:
+        complete[switches] = checked.table.switches._asdict()
+    # As JSON gives it back, so that it compares with what is stored.
+    return msgspec.json.decode(msgspec.json.encode(complete))
+
+
+def _changes(before: Values, after: Values) -> tuple[edit.Change, ...]:
+    return tuple(
+        edit.Change(key, before.get(key), after.get(key))
+        for key in sorted(before.keys() | after.keys())
+        if before.get(key) != after.get(key)
+    )
--- /dev/null
+++ b/src/citronvalve/table/reading.py
@@ -0,0 +1,50 @@
+"""Reads the table from the platform."""
+
+from citronvalve.model import declared
+from citronvalve.model import missing
+from citronvalve.platform import tableservice
+from citronvalve.table import layout
+from citronvalve.table import mistake
+from citronvalve.table import state
+from citronvalve.table import typed
+
+
+def read_state(
+    service: tableservice.TableService, seen: state.State = state.EMPTY
+) -> state.State | missing.Unavailable:
+    """Read the stored rows.
+
+    :param service: the platform's table service.
+    :param seen: an earlier state; only what changed since is read.
+    """
+    scan = service.scan(layout.TABLE, seen.revision)
+    if missing.is_missing(scan):
+        return scan
+    return state.fold(seen, scan)
+
+
+def read(
+    service: tableservice.TableService,
+) -> declared.Declared | missing.Unavailable:
+    """Read the table at its present version; version 0 when there is none.
+
+    :param service: the platform's table service.
+    :raises mistake.MistakesError: when the stored rows can't be used.
+    """
+    stored = read_state(service)
+    if missing.is_missing(stored):
+        return stored
+    return declared_of(stored)
+
+
+def declared_of(stored: state.State) -> declared.Declared:
+    """Return the typed table of stored rows.
+
+    :param stored: all rows.
+    :raises mistake.MistakesError: when the stored rows can't be used.
+    """
+    values = dict(typed.known(stored.value_by_key.items()))
+    found = typed.full(values, stored.version)
+    if found.mistakes:
+        raise mistake.MistakesError(found.mistakes)
+    return found.table
--- /dev/null
+++ b/src/citronvalve/table/state.py
@@ -0,0 +1,63 @@
+"""The stored rows of the table at one version, and how changes fold in."""
+
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+from citronvalve.platform import rows
+from citronvalve.table import layout
+
+
+class State(NamedTuple):
+    """Every stored row, with the head among them.
+
+    ``version`` is the table's own, which rises by one with each edit;
+    ``revision`` is the store's when the head was last written, and is what
+    the next scan and the next edit's condition start from.
+    """
+
+    version: int
+    revision: int
+    row_by_key: dict[str, rows.Row]
+
+    @property
+    def value_by_key(self) -> dict[str, dict[str, Any]]:
+        """Return the rows' columns, without the head."""
+        return {
+            key: row.value
+            for key, row in self.row_by_key.items()
+            if key != layout.HEAD
+        }
+
+
+#: The table before its first edit.
+EMPTY = State(0, rows.NO_ROW, {})
+
+
+def of(stored: Iterable[rows.Row]) -> State:
+    """Return the state that a full copy holds.
+
+    :param stored: all rows with the head.
+    """
+    return _state({row.key: row for row in stored})
+
+
+def fold(state: State, scan: rows.Scan) -> State:
+    """Return the state after a scan of what changed.
+
+    :param state: what was seen so far.
+    :param scan: of :data:`layout.TABLE` after ``state.revision``.
+    """
+    if not scan.rows and not scan.deleted:
+        return state
+    row_by_key = dict(state.row_by_key)
+    for key in scan.deleted:
+        row_by_key.pop(key, None)
+    row_by_key.update((row.key, row) for row in scan.rows)
+    return _state(row_by_key)
+
+
+def _state(row_by_key: dict[str, rows.Row]) -> State:
+    head = row_by_key.get(layout.HEAD)
+    if not head:
+        return EMPTY
+    return State(head.value["version"], head.version, row_by_key)
