Find the benchmark areas by their run function

Cause: a list of the modules that are no area had to be edited by whoever adds a shared part. Change: every module of benchmarks/ that has run() is an area.

--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -8,18 +8,22 @@
 import json
 import pathlib
 import sys
+import types
 
 from benchmarks import figure
 
-#: Modules that hold parts of measurements and are no area.
-_PARTS = {"__init__", "baseline", "fakes", "figure", "run"}
-
 _DIGITS = 4
 
 
+def _module(name: str) -> types.ModuleType:
+    return importlib.import_module(f"benchmarks.{name}")
+
+
 def _areas() -> list[str]:
+    # A module without run() is a part that several areas share.
     here = pathlib.Path(__file__).parent
-    return sorted({path.stem for path in here.glob("*.py")} - _PARTS)
+    names = sorted(path.stem for path in here.glob("*.py"))
+    return [name for name in names if hasattr(_module(name), "run")]
 
 
 def _line(area: str, measured: figure.Figure) -> str:
@@ -36,7 +40,7 @@
 
 
 def _figures(area: str) -> collections.abc.Iterator[figure.Figure]:
-    yield from importlib.import_module(f"benchmarks.{area}").run()
+    yield from _module(area).run()
 
 
 def main(names: list[str]) -> None:
