Decide how an answer goes on after its stream broke

Cause: a broken stream must resume at its offset within the deadline or end in a typed error; asked without a limit, each caller of a lost upstream would press on the ones that are left. Refusal could not be imported at all: its field 'ran' hid the module of that name while the class body was read.

Ruled out: asking the same upstream first. Its place is often gone with it, and an engine that contradicted itself would do so again.

Change: upstreams.resumption gives whom to ask for the rest, the refusal, or leave to go on reading: 3 resumes in a row without text, 8 in all, none after the deadline. The refusal never says 'ran: no' once text was relayed. model.refusal names the type before the field hides it.

--- a/src/citronvalve/model/refusal.py
+++ b/src/citronvalve/model/refusal.py
@@ -46,6 +46,10 @@
 }
 
 
+# The field ``ran`` hides the module of that name within the class body.
+_Ran = ran.Ran
+
+
 class Refusal(NamedTuple):
     """A typed refusal.
 
@@ -55,7 +59,7 @@
     kind: RefusalKind
     detail: str
     remedy: str
-    ran: ran.Ran = ran.Ran.NO
+    ran: _Ran = _Ran.NO
     retry_after: clock.Ms = 0
 
     @property
--- /dev/null
+++ b/src/citronvalve/upstreams/resumption.py
@@ -0,0 +1,88 @@
+"""Decides how an answer goes on after its stream broke."""
+
+from citronvalve.model import clock
+from citronvalve.model import ran
+from citronvalve.model import refusal
+from citronvalve.upstreams import ask
+from citronvalve.upstreams import assembler
+from citronvalve.upstreams import trouble
+
+#: Resumes in a row that brought no text.  Made for an upstream lost at
+#: full load: one resume finds another upstream, the second a slot there.
+#: More of them would turn each lost upstream into a burst on the others.
+MOST_FRUITLESS = 3
+
+#: Resumes of one answer in all.  An engine that breaks after each token
+#: makes progress each time, and would otherwise be asked once a token
+#: until the deadline.
+MOST_IN_ALL = 8
+
+
+class Resumption:
+    """The resumes of one answer so far.
+
+    :param answer: the answer that is put together.
+    :param deadline: monotonic time in ms that the answer is due by.
+    """
+
+    def __init__(
+        self, answer: assembler.Assembler, deadline: clock.Ms
+    ) -> None:
+        self._answer = answer
+        self._deadline = deadline
+        self._resumes = 0
+        self._fruitless = 0
+        self._reached = 0
+        self._never: list[str] = []
+        self._avoid: list[str] = []
+
+    def after(
+        self, wrong: trouble.Trouble, upstream: str, now: clock.Ms
+    ) -> ask.Ask | refusal.Refusal | None:
+        """Decide what follows a piece that was not passed on.
+
+        :param wrong: the trouble.
+        :param upstream: name of the upstream that it came from.
+        :param now: monotonic time in ms.
+        :return: whom to ask for the rest, why the caller gets no whole
+            answer, or None to go on reading.
+        """
+        if wrong.cure is trouble.Cure.IGNORE:
+            return None
+        self._blame(wrong.cure, upstream)
+        self._count()
+        if now >= self._deadline:
+            return self._refusal(refusal.RefusalKind.DEADLINE_PASSED, wrong)
+        if self._resumes > MOST_IN_ALL or self._fruitless > MOST_FRUITLESS:
+            return self._refusal(refusal.RefusalKind.UPSTREAM_FAILED, wrong)
+        return ask.Ask(
+            self._answer.resume_at, tuple(self._never), tuple(self._avoid)
+        )
+
+    def _blame(self, cure: trouble.Cure, upstream: str) -> None:
+        blamed = (
+            self._never
+            if cure is trouble.Cure.RESUME_ELSEWHERE
+            else self._avoid
+        )
+        if upstream not in blamed:
+            blamed.append(upstream)
+
+    def _count(self) -> None:
+        grown = self._answer.offset > self._reached
+        self._reached = self._answer.offset
+        self._fruitless = 1 if grown else self._fruitless + 1
+        self._resumes += 1
+
+    def _refusal(
+        self, kind: refusal.RefusalKind, wrong: trouble.Trouble
+    ) -> refusal.Refusal:
+        # What was relayed was generated, so that "no" would be untrue; an
+        # answer of a model may be asked for again.
+        return refusal.Refusal(
+            kind,
+            f"the answer broke off at {self._answer.offset} characters"
+            f" ({wrong.kind}: {wrong.reason})",
+            "drop what was streamed and send the request again",
+            ran.Ran.YES if self._answer.offset else ran.Ran.UNKNOWN,
+        )
