Give operators a tool to plan and apply the table

Cause: an edit could be made only from Python. Ruled out: reading the table again and overwriting when the version moved (the second operator would undo the first in silence).

--- /dev/null
+++ b/src/citronvalve/cli/changes.py
@@ -0,0 +1,44 @@
+"""Shows changes of rows as a table."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from typing import Any
+
+from citronvalve.cli import report
+from citronvalve.table import edit
+
+_HEADS = ("", "row", "column", "before", "after")
+
+
+def grid(changes: Iterable[edit.Change]) -> str:
+    """Return the changes as text; ``+`` is new, ``-`` gone, ``~`` changed.
+
+    :param changes: of one edit.
+    """
+    return report.grid(_HEADS, (line for c in changes for line in _lines(c)))
+
+
+def body(changes: Iterable[edit.Change]) -> list[dict[str, Any]]:
+    """Return the changes for programs.
+
+    :param changes: of one edit.
+    """
+    return [change._asdict() for change in changes]
+
+
+def _lines(change: edit.Change) -> Iterator[tuple]:
+    if change.before is None:
+        yield ("+", change.key, "", "no row", _short(change.after))
+    elif change.after is None:
+        yield ("-", change.key, "", _short(change.before), "no row")
+    else:
+        columns = sorted(change.before.keys() | change.after.keys())
+        for column in columns:
+            before = change.before.get(column)
+            after = change.after.get(column)
+            if before != after:
+                yield ("~", change.key, column, before, after)
+
+
+def _short(row: dict[str, Any]) -> str:
+    return " ".join(f"{k}={v}" for k, v in row.items() if k != "name")
--- /dev/null
+++ b/src/citronvalve/cli/main.py
@@ -0,0 +1,74 @@
+"""The operators' tool."""
+
+from collections.abc import Callable
+import functools
+import inspect
+import sys
+
+import defopt
+import msgspec
+
+from citronvalve.cli import checking
+from citronvalve.cli import editing
+from citronvalve.cli import looking
+from citronvalve.cli import report
+
+_JSON_DOC = "\n:param json: print one JSON object for programs.\n"
+
+
+def _command(run: Callable[..., report.Report]) -> Callable:
+    """Add ``--json`` to a command."""
+
+    @functools.wraps(run)
+    def command(*args, json: bool = False, **options) -> int:
+        return _tell(run(*args, **options), json)
+
+    signature = inspect.signature(run)
+    option = inspect.Parameter(
+        "json",
+        inspect.Parameter.KEYWORD_ONLY,
+        default=False,
+        annotation=bool,
+    )
+    command.__signature__ = signature.replace(
+        parameters=[*signature.parameters.values(), option],
+        return_annotation=int,
+    )
+    command.__annotations__ = {**run.__annotations__, "json": bool}
+    command.__doc__ = inspect.cleandoc(run.__doc__ or "") + _JSON_DOC
+    del command.__wrapped__
+    return command
+
+
+def _tell(done: report.Report, as_json: bool) -> int:
+    code = int(done.code)
+    if as_json:
+        body = {"exit_code": code, **done.body}
+        if done.remedy:
+            body["remedy"] = done.remedy
+        print(msgspec.json.encode(body).decode())
+        return code
+    print(done.text, file=sys.stderr if code else sys.stdout)
+    if done.remedy:
+        print(f"remedy: {done.remedy}", file=sys.stderr)
+    return code
+
+
+_COMMANDS = {
+    "plan": _command(editing.plan),
+    "apply": _command(editing.apply),
+    "table": {"show": _command(looking.show)},
+    "settings": {"check": _command(checking.check)},
+}
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Run one command and exit with its code.
+
+    :param argv: words after the program's name; None takes the process's.
+    """
+    sys.exit(defopt.run(_COMMANDS, argv=argv, no_negated_flags=True))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/citronvalve/cli/moments.py
@@ -0,0 +1,16 @@
+"""Writes moments for people."""
+
+import datetime
+
+from citronvalve.model import clock
+
+
+def text(at: clock.Ms) -> str:
+    """Return a moment in UTC, to the second.
+
+    :param at: ms since the epoch.
+    """
+    moment = datetime.datetime.fromtimestamp(
+        at // clock.SECOND, datetime.timezone.utc
+    )
+    return moment.strftime("%Y-%m-%d %H:%M:%SZ")
--- /dev/null
+++ b/src/citronvalve/cli/outcomes.py
@@ -0,0 +1,144 @@
+"""Tells operators what came of an edit or a read."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from citronvalve.cli import changes
+from citronvalve.cli import exitcode
+from citronvalve.cli import moments
+from citronvalve.cli import report
+from citronvalve.model import missing
+from citronvalve.table import edit
+from citronvalve.table import mistake
+
+_Code = exitcode.ExitCode
+
+
+def of(outcome: edit.Outcome) -> report.Report:
+    """Return the report of an edit.
+
+    :param outcome: what the editor returned.
+    """
+    for kind, tell in _TELL_BY_KIND.items():
+        if isinstance(outcome, kind):
+            return tell(outcome)
+    raise TypeError(f"no report for {outcome!r}")
+
+
+def mistakes(found: Iterable[mistake.Mistake]) -> report.Report:
+    """Return the report of a declaration that is wrong.
+
+    :param found: everything that is wrong with it.
+    """
+    found = tuple(found)
+    heads = ("row", "column", "value", "why", "remedy")
+    text = report.grid(
+        heads, (m[:2] + (repr(m.value),) + m[3:] for m in found)
+    )
+    return report.Report(
+        _Code.BAD_INPUT,
+        f"{len(found)} mistakes; nothing was changed\n{text}",
+        {"outcome": "mistakes", "mistakes": [m._asdict() for m in found]},
+        "mend the rows above and run it again",
+    )
+
+
+def unavailable(lost: missing.Missing) -> report.Report:
+    """Return the report of a platform that could not be asked.
+
+    :param lost: what came back instead of an answer.
+    """
+    return report.Report(
+        _Code.UNAVAILABLE,
+        f"the platform could not be asked: {lost.reason} ({lost.where})",
+        {"outcome": "unavailable", "reason": lost.reason, "at": lost.where},
+        "nothing was changed; check --platform and run it again",
+    )
+
+
+def entry_body(entry: edit.Entry) -> dict[str, Any]:
+    """Return an audit entry for programs.
+
+    :param entry: as read.
+    """
+    return entry._asdict() | {"changes": changes.body(entry.changes)}
+
+
+def _accepted(outcome: edit.Accepted) -> report.Report:
+    return report.Report(
+        _Code.OK,
+        f"{changes.grid(outcome.changes)}\n"
+        f"committed as version {outcome.version}; `citronvalve status` shows "
+        "when it is in force everywhere",
+        {
+            "outcome": "accepted",
+            "version": outcome.version,
+            "changes": changes.body(outcome.changes),
+        },
+    )
+
+
+def _unchanged(outcome: edit.Unchanged) -> report.Report:
+    return report.Report(
+        _Code.OK,
+        f"no change: version {outcome.version} already says this",
+        {"outcome": "unchanged", "version": outcome.version},
+    )
+
+
+def _refused(outcome: edit.Refused) -> report.Report:
+    return mistakes(outcome.mistakes)
+
+
+def _outrun(outcome: edit.Outrun) -> report.Report:
+    lines = [
+        f"conflict: the edit was made for version {outcome.expected}, the "
+        f"table is at {outcome.version}; nothing was changed"
+    ]
+    for entry in outcome.winners:
+        lines.append(
+            f"version {entry.version} by {entry.who} at "
+            f"{moments.text(entry.at)}: {entry.why}"
+        )
+        lines.append(changes.grid(entry.changes))
+    if outcome.lost:
+        lines.append(f"who changed it could not be read: {outcome.lost}")
+    return report.Report(
+        _Code.CONFLICT,
+        "\n".join(lines),
+        {
+            "outcome": "conflict",
+            "expected": outcome.expected,
+            "version": outcome.version,
+            "winners": [entry_body(entry) for entry in outcome.winners],
+        },
+        "look at `citronvalve plan` again, then apply with "
+        f"--expect {outcome.version}",
+    )
+
+
+def _unknown(outcome: edit.Unknown) -> report.Report:
+    return report.Report(
+        _Code.UNKNOWN,
+        f"the edit {outcome.edit} on version {outcome.base} may or may not "
+        f"be in the table: {outcome.reason}",
+        {
+            "outcome": "unknown",
+            "edit": outcome.edit,
+            "base": outcome.base,
+            "reason": outcome.reason,
+        },
+        f"once the platform answers, look whether `citronvalve audit "
+        f"{outcome.base + 1}` shows this edit; if not, run it again with "
+        f"--expect {outcome.base}: only one of the two can take effect",
+    )
+
+
+_TELL_BY_KIND = {
+    edit.Accepted: _accepted,
+    edit.Unchanged: _unchanged,
+    edit.Refused: _refused,
+    edit.Outrun: _outrun,
+    edit.Unknown: _unknown,
+    missing.Missing: unavailable,
+}
--- /dev/null
+++ b/src/citronvalve/cli/report.py
@@ -0,0 +1,46 @@
+"""What a command tells: text for people, a body for programs."""
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+from typing import Any, NamedTuple
+
+from citronvalve.cli import exitcode
+
+#: Characters of one cell; a longer value is cut, --json gives it whole.
+WIDEST_CELL = 60
+
+
+class Report(NamedTuple):
+    """The end of a command; ``remedy`` says what to do about a failure."""
+
+    code: exitcode.ExitCode
+    text: str
+    body: dict[str, Any]
+    remedy: str = ""
+
+
+def grid(heads: Sequence[str], lines: Iterable[Sequence[Any]]) -> str:
+    """Return a table with aligned columns.
+
+    :param heads: one name a column.
+    :param lines: as many cells in each.
+    """
+    cells = [[_cell(each) for each in line] for line in lines]
+    table = [list(heads), *cells]
+    widths = [max(map(len, column)) for column in zip(*table, strict=True)]
+    ruled = [table[0], ["-" * width for width in widths], *cells]
+    return "\n".join(
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in ruled
+    )
+
+
+def _cell(value: Any) -> str:
+    if isinstance(value, (list, tuple)):
+        value = ", ".join(map(str, value))
+    if isinstance(value, bool):
+        value = "yes" if value else "no"
+    text = "-" if value is None else str(value)
+    return text if len(text) <= WIDEST_CELL else text[: WIDEST_CELL - 1] + "…"
--- a/src/citronvalve/table/document.py
+++ b/src/citronvalve/table/document.py
@@ -33,9 +33,9 @@
     try:
         content = _decoded(text)
     except (ValueError, RecursionError) as error:
-        return _unreadable(where, str(error))
+        return unreadable(where, str(error))
     if not isinstance(content, dict):
-        return _unreadable(where, "the file holds no map of sections")
+        return unreadable(where, "the file holds no map of sections")
     reader = _Reader()
     for section, rows in content.items():
         reader.section(section, rows)
@@ -64,7 +64,12 @@
     return found
 
 
-def _unreadable(where: str, why: str) -> Document:
+def unreadable(where: str, why: str) -> Document:
+    """Return the document of a file that can't be read.
+
+    :param where: the file's name.
+    :param why: what is wrong with it.
+    """
     wrong = mistake.Mistake(where, "", "", why, "mend the file's syntax")
     return Document(frozenset(), {}, (wrong,))
 
