--- /dev/null
+++ b/src/citronvalve/daemon/daemon.py
@@ -0,0 +1,129 @@
+"""Wires the tasks of one daemon together and ends them in order."""
+
+import os
+import random
+import signal
+
+import eventlet
+import eventlet.event
+import logbook
+
+from citronvalve.daemon import firstfit
+from citronvalve.daemon import listener
+from citronvalve.daemon import loadtask
+from citronvalve.daemon import operators
+from citronvalve.daemon import settings as settings_
+from citronvalve.daemon import tabletask
+from citronvalve.entry import app
+from citronvalve.entry import chat
+from citronvalve.entry import environment as environments
+from citronvalve.entry import metrics
+from citronvalve.entry import plain
+from citronvalve.entry import progress as progresses
+from citronvalve.entry import view as views
+from citronvalve.model import clock
+from citronvalve.model import invariant
+from citronvalve.platform import client as platform_client
+from citronvalve.platform import httptable
+from citronvalve.upstreams import engineclient
+from citronvalve.upstreams import loadclient
+from citronvalve.upstreams import plainclient
+from citronvalve.upstreams import pools
+
+_DRAIN_LOOK: clock.Ms = 20
+_OPERATORS_TIMEOUT: clock.Ms = 10_000
+
+
+class Daemon:
+    """One process between callers and upstreams.
+
+    :param settings: checked settings.
+    :raises errors.SettingsError: when an address can't be listened at.
+    """
+
+    def __init__(self, settings: settings_.Settings) -> None:
+        self._settings = settings
+        self._env = _environment(settings)
+        self._stop = eventlet.event.Event()
+        self._progress = progresses.Progress()
+        self._view = views.View(self._env.clock, self._env.invariants)
+        kept = pools.Pools()
+        self._tasks = self._make_tasks(kept)
+        self._callers = listener.Listener(
+            settings.callers, self._make_app(kept), settings.write_timeout
+        )
+        self._operators = listener.Listener(
+            settings.operators,
+            operators.Operators(
+                settings, self._env, self._view, self._progress
+            ),
+            _OPERATORS_TIMEOUT,
+        )
+
+    def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, then end what is in progress."""
+        signal.signal(signal.SIGTERM, self._on_signal)
+        signal.signal(signal.SIGINT, self._on_signal)
+        for task in self._tasks:
+            eventlet.spawn(task.run)
+        self._operators.start()
+        self._callers.start()
+        self._env.log.info("serving", extra={"at": self._settings.callers})
+        self._stop.wait()
+        self._drain()
+
+    def _on_signal(self, *_: object) -> None:
+        # A signal handler must not switch tasks.
+        eventlet.hubs.get_hub().schedule_call_global(0, self._ask_to_stop)
+
+    def _ask_to_stop(self) -> None:
+        if not self._stop.ready():
+            self._stop.send()
+
+    def _drain(self) -> None:
+        self._progress.stopping = True
+        self._env.log.info(
+            "stopping", extra={"in_progress": self._progress.count}
+        )
+        # The balancer sends new connections until it has seen that this
+        # daemon is not ready; closing at once would refuse those.
+        eventlet.sleep(self._settings.stop_notice / clock.SECOND)
+        self._progress.closed = True
+        self._callers.close()
+        while self._progress.count:
+            eventlet.sleep(_DRAIN_LOOK / clock.SECOND)
+        self._env.log.info("stopped")
+
+    def _make_tasks(self, kept: pools.Pools) -> list:
+        platform = platform_client.PlatformClient(self._settings.platform)
+        table = httptable.HttpTable(platform)
+        loads = loadclient.LoadClient(kept, self._env.clock)
+        return [
+            tabletask.TableTask(self._env, self._view, table),
+            loadtask.LoadTask(self._view, loads),
+        ]
+
+    def _make_app(self, kept: pools.Pools) -> app.App:
+        dispatch = firstfit.FirstFit(self._env, self._view)
+        engines = engineclient.EngineClient(kept)
+        services = plainclient.PlainClient(kept)
+        return app.App(
+            self._env,
+            self._view,
+            chat.Chat(self._env, dispatch, engines),
+            plain.Plain(self._env, dispatch, services),
+            self._progress,
+        )
+
+
+def _environment(settings: settings_.Settings) -> environments.Environment:
+    return environments.Environment(
+        settings.name,
+        settings.datacentre,
+        clock.SystemClock(),
+        random.Random(os.urandom(16)),
+        logbook.Logger("citronvalve"),
+        metrics.Metrics(),
+        invariant.Invariants(),
+        environments.Bounds(body=settings.body),
+    )
--- /dev/null
+++ b/src/citronvalve/daemon/listener.py
@@ -0,0 +1,64 @@
+"""A listening socket and the WSGI server on it."""
+
+from collections.abc import Callable
+
+import eventlet
+import eventlet.wsgi
+
+from citronvalve.model import clock
+from citronvalve.model import errors
+
+#: At the target a daemon holds some 16 requests/s of tens of seconds each;
+#: this is several times that, at about 30 KB a connection.
+MOST_CONNECTIONS = 2_048
+
+#: An idle kept connection is closed after this; the balancer opens another.
+_KEEPALIVE_SECONDS = 75
+
+
+class Listener:
+    """Serves an application until it is closed.
+
+    :param address: host:port.
+    :param app: the WSGI application.
+    :param timeout: ms that a peer may neither send nor take a byte.
+    :raises errors.SettingsError: when the address can't be listened at.
+    """
+
+    def __init__(self, address: str, app: Callable, timeout: clock.Ms) -> None:
+        host, _, port = address.rpartition(":")
+        self._app = app
+        self._timeout = timeout
+        try:
+            self._socket = eventlet.listen(
+                (host.strip("[]"), int(port)), reuse_port=False, backlog=512
+            )
+        except OSError as error:
+            raise errors.SettingsError(
+                str(error),
+                where=address,
+                remedy="free the address or give another one",
+            ) from error
+        self._task: eventlet.greenthread.GreenThread | None = None
+
+    def start(self) -> None:
+        """Accept connections from now on."""
+        self._task = eventlet.spawn(self._serve)
+
+    def close(self) -> None:
+        """Accept none any more; requests in progress go on."""
+        if self._task is not None:
+            self._task.kill()
+
+    def _serve(self) -> None:
+        eventlet.wsgi.server(
+            self._socket,
+            self._app,
+            max_size=MOST_CONNECTIONS,
+            # The server would hold small pieces back until it has more.
+            minimum_chunk_size=0,
+            keepalive=_KEEPALIVE_SECONDS,
+            socket_timeout=self._timeout / clock.SECOND,
+            log_output=False,
+            debug=False,
+        )
--- /dev/null
+++ b/src/citronvalve/daemon/main.py
@@ -0,0 +1,42 @@
+"""``citronvalved``: the serving program."""
+
+import sys
+
+import defopt
+
+from citronvalve.daemon import green
+from citronvalve.model import errors
+
+#: Exit code for settings that can't be used.
+BAD_SETTINGS = 2
+
+
+def serve(*, settings: str) -> None:
+    """Serve callers until SIGTERM.
+
+    :param settings: file of JSON with comments.
+    """
+    # Imported after the patch, or they would hold the blocking sockets.
+    from citronvalve.daemon import daemon
+    from citronvalve.daemon import logs
+    from citronvalve.daemon import settings as settings_
+
+    try:
+        read = settings_.load(settings)
+        handler = logs.JsonHandler(read.name, read.datacentre, read.log_level)
+        handler.push_application()
+        made = daemon.Daemon(read)
+    except errors.SettingsError as error:
+        print(f"citronvalved: {error}", file=sys.stderr)
+        sys.exit(BAD_SETTINGS)
+    made.run()
+
+
+def main() -> None:
+    """Patch, read the command line, serve; exit with 0 after SIGTERM."""
+    green.patch()
+    defopt.run(serve)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/citronvalve/daemon/operators.py
@@ -0,0 +1,107 @@
+"""The operators' port: health, readiness, status and metrics."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+from citronvalve.daemon import settings as settings_
+from citronvalve.entry import environment as environments
+from citronvalve.entry import progress as progresses
+from citronvalve.entry import view as views
+from citronvalve.model import clock
+
+_JSON = "application/json"
+_TEXT = "text/plain; version=0.0.4"
+
+
+class Operators:
+    """A WSGI application for operators and the balancer.
+
+    :param settings: the daemon's settings.
+    :param env: the daemon's environment.
+    :param view: the table and the loads.
+    :param progress: requests in progress.
+    """
+
+    def __init__(
+        self,
+        settings: settings_.Settings,
+        env: environments.Environment,
+        view: views.View,
+        progress: progresses.Progress,
+    ) -> None:
+        self._settings = settings
+        self._env = env
+        self._view = view
+        self._progress = progress
+        self._answer_by_path = {
+            "/healthz": self._health,
+            "/readyz": self._ready,
+            "/status": self._status,
+            "/metrics": self._metrics,
+        }
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable
+    ) -> Iterable[bytes]:
+        answer = self._answer_by_path.get(environ["PATH_INFO"], self._nothing)
+        status, kind, body = answer()
+        start_response(status, [("Content-Type", kind)])
+        return [body]
+
+    def _health(self) -> tuple[str, str, bytes]:
+        return "200 OK", _JSON, b'{"alive":true}'
+
+    def _ready(self) -> tuple[str, str, bytes]:
+        reasons = []
+        if not self._view.table:
+            reasons.append(self._view.table.reason)
+        if self._progress.stopping:
+            reasons.append("stopping")
+        status = "503 Service Unavailable" if reasons else "200 OK"
+        body = {"ready": not reasons, "reasons": reasons}
+        return status, _JSON, msgspec.json.encode(body)
+
+    def _status(self) -> tuple[str, str, bytes]:
+        return "200 OK", _JSON, msgspec.json.encode(self.status())
+
+    def status(self) -> dict[str, Any]:
+        """Return what this daemon knows of itself and the upstreams."""
+        now = self._env.clock.now()
+        return {
+            "name": self._env.name,
+            "datacentre": self._env.datacentre,
+            "table_version": self._view.version,
+            "table_age_ms": self._view.age,
+            "stopping": self._progress.stopping,
+            "in_progress": self._progress.count,
+            "upstreams": [
+                {
+                    "name": report.upstream,
+                    "running": report.running,
+                    "queued": report.queued,
+                    "bears": report.bears,
+                    "age_ms": now - report.seen_at,
+                    "vms_missing": list(report.vms_missing),
+                }
+                for _, report in sorted(self._view.load_by_upstream.items())
+            ],
+            "invariants": self._env.invariants.count_by_name,
+        }
+
+    def _metrics(self) -> tuple[str, str, bytes]:
+        show = self._env.metrics.show
+        show("in_progress", "Requests in progress.", self._progress.count)
+        show("table_version", "Table version in force.", self._view.version)
+        show(
+            "table_age_seconds",
+            "Time since the version was known to be the newest.",
+            self._view.age / clock.SECOND,
+        )
+        return "200 OK", _TEXT, self._env.metrics.text()
+
+    def _nothing(self) -> tuple[str, str, bytes]:
+        paths = b", ".join(path.encode() for path in self._answer_by_path)
+        return "404 Not Found", "text/plain", b"use one of " + paths
--- /dev/null
+++ b/src/citronvalve/daemon/settings.py
@@ -0,0 +1,204 @@
+"""One daemon's settings: JSON with comments, checked as a whole."""
+
+from collections.abc import Callable
+import pathlib
+import re
+from typing import Any
+from typing import NamedTuple
+
+import json5
+
+from citronvalve.model import clock
+from citronvalve.model import errors
+
+
+class Settings(NamedTuple):
+    """All that a daemon learns before it speaks to anyone.
+
+    Addresses are ``host:port`` with an IP number.  ``seeds`` are peers'
+    addresses, in this data centre and in others.  ``body`` is the most
+    bytes a caller may send, ``stop_notice`` ms between turning not ready
+    and closing the listener, for the balancer to notice, ``write_timeout``
+    ms that a caller may take no byte of its answer.  The keys are CURVE
+    keys in Z85, all three or none.
+    """
+
+    name: str
+    datacentre: str
+    callers: str
+    operators: str
+    peers: str
+    platform: str
+    seeds: tuple[str, ...] = ()
+    body: int = 1_048_576
+    stop_notice: clock.Ms = 1_000
+    write_timeout: clock.Ms = 30_000
+    peer_public_key: str = ""
+    peer_secret_key: str = ""
+    fleet_public_keys: tuple[str, ...] = ()
+    log_level: str = "INFO"
+
+
+class Field(NamedTuple):
+    """How one setting is checked; the remedy says what it takes."""
+
+    fits: Callable[[Any], bool]
+    remedy: str
+
+
+_ADDRESS = re.compile(r"(\d{1,3}\.){3}\d{1,3}:\d{1,5}|\[[0-9a-fA-F:]+\]:\d+")
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+_KEY_LENGTH = 40
+_LEVELS = ("TRACE", "DEBUG", "INFO", "NOTICE", "WARNING", "ERROR")
+_MOST_BODY = 64 * 1024 * 1024
+_HIGHEST_PORT = 65_535
+
+
+def _address(value: Any) -> bool:
+    if not isinstance(value, str) or not _ADDRESS.fullmatch(value):
+        return False
+    return 0 < int(value.rpartition(":")[2]) <= _HIGHEST_PORT
+
+
+def _name(value: Any) -> bool:
+    return isinstance(value, str) and bool(_NAME.fullmatch(value))
+
+
+def _number(low: int, high: int) -> Callable[[Any], bool]:
+    return lambda value: type(value) is int and low <= value <= high
+
+
+def _key(value: Any) -> bool:
+    return isinstance(value, str) and len(value) in (0, _KEY_LENGTH)
+
+
+def _list_of(fits: Callable[[Any], bool]) -> Callable[[Any], bool]:
+    return lambda value: isinstance(value, list) and all(map(fits, value))
+
+
+_HOST_PORT = "give an IP number and a port, such as '10.0.0.1:8080'"
+_WORD = "give a name of letters, digits, dots, dashes, 63 at most"
+_Z85 = "give a CURVE key of 40 characters, or leave it out"
+
+_FIELD_BY_NAME: dict[str, Field] = {
+    "name": Field(_name, _WORD),
+    "datacentre": Field(_name, _WORD),
+    "callers": Field(_address, _HOST_PORT),
+    "operators": Field(_address, _HOST_PORT),
+    "peers": Field(_address, _HOST_PORT),
+    "platform": Field(_address, _HOST_PORT),
+    "seeds": Field(_list_of(_address), f"list addresses; {_HOST_PORT}"),
+    "body": Field(
+        _number(1_024, _MOST_BODY), f"give bytes from 1024 to {_MOST_BODY}"
+    ),
+    "stop_notice": Field(_number(0, 60_000), "give ms from 0 to 60000"),
+    "write_timeout": Field(
+        _number(100, 600_000), "give ms from 100 to 600000"
+    ),
+    "peer_public_key": Field(_key, _Z85),
+    "peer_secret_key": Field(_key, _Z85),
+    "fleet_public_keys": Field(_list_of(_key), f"list keys; {_Z85}"),
+    "log_level": Field(_LEVELS.__contains__, f"give one of {_LEVELS}"),
+}
+
+_REQUIRED = tuple(
+    name for name in Settings._fields if name not in Settings._field_defaults
+)
+
+
+def load(path: str) -> Settings:
+    """Read and check a file.
+
+    :param path: of a JSON file, comments allowed.
+    :raises errors.SettingsError: naming every mistake, one a line, with
+        its path in the file, the value seen and the remedy.
+    """
+    try:
+        read = json5.loads(pathlib.Path(path).read_text())
+    except (OSError, ValueError) as error:
+        raise errors.SettingsError(
+            str(error), where=path, remedy="give a file of JSON with comments"
+        ) from error
+    if not isinstance(read, dict):
+        raise errors.SettingsError(
+            f"it holds a {type(read).__name__}",
+            where=path,
+            remedy="give an object of settings",
+        )
+    return check(read, path)
+
+
+def check(read: dict[str, Any], path: str) -> Settings:
+    """Check settings that were read.
+
+    :param read: names to values.
+    :param path: where they came from, for the error.
+    :raises errors.SettingsError: naming every mistake.
+    """
+    mistakes = [
+        *_unknown(read, path),
+        *_absent(read, path),
+        *_unfit(read, path),
+        *_unpaired(read, path),
+    ]
+    if mistakes:
+        raise errors.SettingsError("\n".join(map(str, mistakes)))
+    lists = {k: tuple(v) for k, v in read.items() if isinstance(v, list)}
+    return Settings(**(read | lists))
+
+
+def _unknown(read: dict[str, Any], path: str) -> list[errors.SettingsError]:
+    return [
+        errors.SettingsError(
+            f"there is no such setting (it is {value!r})",
+            where=f"{path}: {name}",
+            remedy=f"remove it, or use one of {', '.join(_FIELD_BY_NAME)}",
+        )
+        for name, value in read.items()
+        if name not in _FIELD_BY_NAME
+    ]
+
+
+def _absent(read: dict[str, Any], path: str) -> list[errors.SettingsError]:
+    return [
+        errors.SettingsError(
+            "it is missing",
+            where=f"{path}: {name}",
+            remedy=_FIELD_BY_NAME[name].remedy,
+        )
+        for name in _REQUIRED
+        if name not in read
+    ]
+
+
+def _unfit(read: dict[str, Any], path: str) -> list[errors.SettingsError]:
+    return [
+        errors.SettingsError(
+            f"it is {_shown(name, read[name])}",
+            where=f"{path}: {name}",
+            remedy=field.remedy,
+        )
+        for name, field in _FIELD_BY_NAME.items()
+        if name in read and not field.fits(read[name])
+    ]
+
+
+def _unpaired(read: dict[str, Any], path: str) -> list[errors.SettingsError]:
+    names = ("peer_public_key", "peer_secret_key", "fleet_public_keys")
+    given = [name for name in names if read.get(name)]
+    if not given or len(given) == len(names):
+        return []
+    # With one key of a pair a daemon would speak in the clear and look
+    # as if it did not.
+    return [
+        errors.SettingsError(
+            f"only {', '.join(given)} given",
+            where=f"{path}: peer keys",
+            remedy=f"give all of {', '.join(names)}, or none",
+        )
+    ]
+
+
+def _shown(name: str, value: Any) -> str:
+    # A mistyped secret must not end in a log.
+    return "not shown" if "secret" in name else repr(value)
--- /dev/null
+++ b/src/citronvalve/entry/app.py
@@ -0,0 +1,121 @@
+"""The callers' WSGI application: finds the handler and writes the answer."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+from typing import Any
+
+from citronvalve.entry import call as calls
+from citronvalve.entry import environment as environments
+from citronvalve.entry import handler as handlers
+from citronvalve.entry import identity
+from citronvalve.entry import plain
+from citronvalve.entry import progress as progresses
+from citronvalve.entry import requestlog
+from citronvalve.entry import response as responses
+from citronvalve.entry import streambody
+from citronvalve.entry import view as views
+from citronvalve.model import clock
+from citronvalve.model import refusal
+
+_CHAT = "/v1/chat/completions"
+_RETRY_UNREADY: clock.Ms = 2_000
+
+
+class App:
+    """One application for all callers.
+
+    :param env: the daemon's environment.
+    :param view: the table in force.
+    :param chat: answers chat requests.
+    :param services: answers calls to plain services.
+    :param progress: counts requests in progress.
+    """
+
+    def __init__(
+        self,
+        env: environments.Environment,
+        view: views.View,
+        chat: handlers.Handler,
+        services: handlers.Handler,
+        progress: progresses.Progress,
+    ) -> None:
+        self._env = env
+        self._view = view
+        self._chat = chat
+        self._services = services
+        self._progress = progress
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable
+    ) -> Iterator[bytes]:
+        call = self._call(environ)
+        self._progress.begin()
+        log = requestlog.RequestLog(self._env, self._progress, call)
+        try:
+            response = self._answer(call, log)
+        except BaseException:
+            log.end("fault")
+            raise
+        start_response(response.status, self._headers(response, call))
+        if not response.streamed:
+            log.end(response.outcome)
+            return response.body
+        return streambody.StreamBody(response.body, log)
+
+    def _call(self, environ: dict[str, Any]) -> calls.Call:
+        fresh = f"{self._env.chance.getrandbits(96):024x}"
+        request = calls.request_id(environ, fresh)
+        return calls.Call(request, self._env.clock.now(), environ)
+
+    def _answer(
+        self, call: calls.Call, log: requestlog.RequestLog
+    ) -> responses.Response:
+        table = self._view.table
+        if self._progress.closed or not table:
+            return responses.refused(self._unready(), call.request)
+        handler = self._find(call)
+        if handler is None:
+            return responses.refused(_no_path(call), call.request)
+        log.path = handler.path
+        team = identity.team(call, self._view)
+        if isinstance(team, refusal.Refusal):
+            return responses.refused(team, call.request)
+        log.team = team.name
+        return handler.answer(call, team, table)
+
+    def _find(self, call: calls.Call) -> handlers.Handler | None:
+        if call.path == _CHAT and call.method == "POST":
+            return self._chat
+        if call.path.startswith(plain.PREFIX):
+            return self._services
+        return None
+
+    def _headers(
+        self, response: responses.Response, call: calls.Call
+    ) -> list[tuple[str, str]]:
+        made = [*response.headers, ("X-Request-Id", call.request)]
+        if self._progress.stopping:
+            # The balancer's kept connections must not bring more work.
+            made.append(("Connection", "close"))
+        return made
+
+    def _unready(self) -> refusal.Refusal:
+        why = (
+            "this daemon is stopping"
+            if self._progress.closed
+            else "this daemon has no table yet"
+        )
+        return refusal.Refusal(
+            refusal.RefusalKind.STOPPING,
+            why,
+            "send it again; the balancer knows other daemons",
+            retry_after=_RETRY_UNREADY,
+        )
+
+
+def _no_path(call: calls.Call) -> refusal.Refusal:
+    return refusal.Refusal(
+        refusal.RefusalKind.NOT_FOUND,
+        f"there is nothing at {call.method} {call.path[:80]}",
+        f"use POST {_CHAT} or {plain.PREFIX}NAME/...",
+    )
--- /dev/null
+++ b/src/citronvalve/entry/chat.py
@@ -0,0 +1,216 @@
+"""Answers ``POST /v1/chat/completions``."""
+
+from collections.abc import Iterator
+
+from citronvalve.entry import broken
+from citronvalve.entry import call as calls
+from citronvalve.entry import chatbody
+from citronvalve.entry import chunk
+from citronvalve.entry import dispatch as dispatches
+from citronvalve.entry import environment as environments
+from citronvalve.entry import handler
+from citronvalve.entry import presence
+from citronvalve.entry import problem
+from citronvalve.entry import relay as relays
+from citronvalve.entry import response as responses
+from citronvalve.entry import work as works
+from citronvalve.model import clock
+from citronvalve.model import declared
+from citronvalve.model import ran
+from citronvalve.model import refusal
+from citronvalve.upstreams import engineclient
+from citronvalve.upstreams import heartbeat
+
+_DEFAULT_TOKENS = 256
+
+
+class Chat(handler.Handler):
+    """Checks the body, relays the answer, streamed or whole.
+
+    :param env: the daemon's environment.
+    :param dispatch: decides where each try goes.
+    :param client: asks the engines.
+    """
+
+    path = "chat"
+
+    def __init__(
+        self,
+        env: environments.Environment,
+        dispatch: dispatches.Dispatch,
+        client: engineclient.EngineClient,
+    ) -> None:
+        self._env = env
+        self._dispatch = dispatch
+        self._client = client
+
+    def answer(
+        self,
+        call: calls.Call,
+        team: declared.Team,
+        table: declared.Declared,
+    ) -> responses.Response:
+        understood = self._understand(call, team, table)
+        if isinstance(understood, refusal.Refusal):
+            return responses.refused(understood, call.request)
+        work, body = understood
+        relay = relays.Relay(
+            self._env, self._dispatch, self._client, work, body["messages"]
+        )
+        if body.get("stream", False):
+            return self._stream(call, work, relay)
+        return self._collect(call, work, relay)
+
+    def _understand(
+        self,
+        call: calls.Call,
+        team: declared.Team,
+        table: declared.Declared,
+    ) -> tuple[works.Work, chatbody.ChatBody] | refusal.Refusal:
+        deadline = call.deadline(
+            table.switches.default_deadline, self._env.bounds.deadline
+        )
+        if isinstance(deadline, refusal.Refusal):
+            return deadline
+        raw = call.body(self._env.bounds.body)
+        if isinstance(raw, refusal.Refusal):
+            return raw
+        body = chatbody.read(raw)
+        if isinstance(body, refusal.Refusal):
+            return body
+        model = table.model_by_name.get(body["model"])
+        if model is None:
+            return _no_model(body["model"])
+        return self._work(call, team, model, deadline, body)
+
+    def _work(
+        self,
+        call: calls.Call,
+        team: declared.Team,
+        model: declared.Model,
+        deadline: clock.Ms,
+        body: chatbody.ChatBody,
+    ) -> tuple[works.Work, chatbody.ChatBody] | refusal.Refusal:
+        prompt = chatbody.text(body)
+        if len(prompt) > self._env.bounds.prompt:
+            return calls.malformed(
+                f"the messages have {len(prompt)} characters, the most is "
+                f"{self._env.bounds.prompt}"
+            )
+        asked = body.get("max_tokens", min(_DEFAULT_TOKENS, model.max_tokens))
+        if asked > model.max_tokens:
+            return calls.malformed(
+                f"max_tokens is {asked}, the most is {model.max_tokens}"
+            )
+        work = works.Work(
+            call.request,
+            team.name,
+            model.name,
+            call.arrived,
+            deadline,
+            len(prompt) // chatbody.CHARACTERS_A_TOKEN + 1,
+            asked,
+            chatbody.fingerprint(body),
+            chatbody.prefixes(prompt),
+        )
+        return work, body
+
+    def _collect(
+        self, call: calls.Call, work: works.Work, relay: relays.Relay
+    ) -> responses.Response:
+        parts: list[str] = []
+        items = iter(relay)
+        for item in items:
+            if isinstance(item, refusal.Refusal):
+                return responses.refused(item, call.request)
+            if isinstance(item, str):
+                parts.append(item)
+            elif presence.gone(call.environ):
+                items.close()
+                return responses.refused(_left(), call.request)
+        self._env.metrics.relayed(len(parts))
+        body = chunk.whole(
+            work.request,
+            work.target,
+            self._env.clock.wall() // clock.SECOND,
+            "".join(parts),
+            relay.finish,
+        )
+        return responses.whole(body)
+
+    def _stream(
+        self, call: calls.Call, work: works.Work, relay: relays.Relay
+    ) -> responses.Response:
+        items = iter(relay)
+        first = self._first(call, items)
+        if isinstance(first, refusal.Refusal):
+            return responses.refused(first, call.request)
+        made = [
+            ("Content-Type", responses.EVENTS),
+            ("Cache-Control", "no-store"),
+        ]
+        body = self._chunks(work, relay, first, items)
+        return responses.Response(responses.OK, made, body, "", True)
+
+    def _first(
+        self, call: calls.Call, items: Iterator[relays.Item]
+    ) -> str | refusal.Refusal:
+        # The status is not sent before there is text: a refusal that comes
+        # until then still gets its own status and Retry-After.
+        for item in items:
+            if item is not heartbeat.HEARTBEAT:
+                if isinstance(item, str):
+                    took = self._env.clock.now() - call.arrived
+                    self._env.metrics.first_token(took)
+                return item
+            if presence.gone(call.environ):
+                items.close()
+                return _left()
+        return ""
+
+    def _chunks(
+        self,
+        work: works.Work,
+        relay: relays.Relay,
+        first: str,
+        items: Iterator[relays.Item],
+    ) -> Iterator[bytes]:
+        created = self._env.clock.wall() // clock.SECOND
+        chunks = chunk.Chunks(work.request, work.target, created)
+        pieces = 1
+        try:
+            yield chunks.text(first)
+            for item in items:
+                if isinstance(item, str):
+                    pieces += 1
+                    yield chunks.text(item)
+                elif isinstance(item, refusal.Refusal):
+                    yield chunk.error(problem.body(item, work.request))
+                    raise broken.AnswerBroken(
+                        str(item.kind),
+                        where=work.request,
+                        remedy="see the error event of the answer",
+                    )
+                else:
+                    yield chunk.HEARTBEAT
+            yield chunks.end(relay.finish)
+        finally:
+            items.close()
+            self._env.metrics.relayed(pieces)
+
+
+def _no_model(name: str) -> refusal.Refusal:
+    return refusal.Refusal(
+        refusal.RefusalKind.NOT_FOUND,
+        f"there is no model {name[:80]!r}",
+        "name a model that the table declares",
+    )
+
+
+def _left() -> refusal.Refusal:
+    return refusal.Refusal(
+        refusal.RefusalKind.CALLER_LEFT,
+        "the caller closed its connection",
+        "send the request again",
+        ran.Ran.UNKNOWN,
+    )
--- /dev/null
+++ b/src/citronvalve/entry/chatbody.py
@@ -0,0 +1,76 @@
+"""The body of a chat request, checked."""
+
+from typing import Annotated
+from typing import NotRequired
+from typing import TypedDict
+
+import msgspec
+import xxhash
+
+from citronvalve.entry import call as calls
+from citronvalve.model import refusal
+from citronvalve.upstreams import order
+
+#: Characters a token, roughly; lengths are measured in tokens only by the
+#: engines, and this is near enough to predict service times by.
+CHARACTERS_A_TOKEN = 4
+
+#: A prompt's beginning is digested at these many characters; engines cache
+#: prefixes in blocks of about this size.
+_PREFIX_BLOCK = 1_024
+_MOST_PREFIXES = 16
+
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+
+
+class ChatBody(TypedDict):
+    """What clients of this HTTP shape send; other members are passed over."""
+
+    model: _Name
+    messages: Annotated[
+        list[order.Message], msgspec.Meta(min_length=1, max_length=1_000)
+    ]
+    stream: NotRequired[bool]
+    max_tokens: NotRequired[Annotated[int, msgspec.Meta(ge=1)]]
+
+
+_DECODER = msgspec.json.Decoder(ChatBody)
+
+
+def read(raw: bytes) -> ChatBody | refusal.Refusal:
+    """Decode and check a body.
+
+    :param raw: as it arrived.
+    """
+    try:
+        return _DECODER.decode(raw)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return calls.malformed(f"the body is not a chat request: {error}")
+
+
+def text(body: ChatBody) -> str:
+    """Return all that the engine will read.
+
+    :param body: a checked body.
+    """
+    return "\0".join(f"{m['role']}\0{m['content']}" for m in body["messages"])
+
+
+def fingerprint(body: ChatBody) -> str:
+    """Return a digest that is equal for requests an engine can't tell apart.
+
+    :param body: a checked body.
+    """
+    return xxhash.xxh3_128_hexdigest(f"{body['model']}\0{text(body)}".encode())
+
+
+def prefixes(prompt: str) -> tuple[str, ...]:
+    """Return digests of ever longer beginnings of a prompt.
+
+    :param prompt: all its text.
+    """
+    most = min(len(prompt) // _PREFIX_BLOCK, _MOST_PREFIXES)
+    return tuple(
+        xxhash.xxh3_64_hexdigest(prompt[: (n + 1) * _PREFIX_BLOCK].encode())
+        for n in range(most)
+    )
--- /dev/null
+++ b/src/citronvalve/entry/chunk.py
@@ -0,0 +1,83 @@
+"""Answers to chat requests in the shape that clients know."""
+
+import msgspec
+
+DONE = b"data: [DONE]\n\n"
+HEARTBEAT = b": heartbeat\n\n"
+
+_encode = msgspec.json.encode
+
+
+class Chunks:
+    """Encodes the chunks of one streamed answer.
+
+    All but the text is encoded once: a token's share of a daemon's time
+    is some tens of microseconds.
+
+    :param request: the request's id.
+    :param model: the model's name.
+    :param created: seconds since the epoch.
+    """
+
+    __slots__ = ("_head", "_tail")
+
+    def __init__(self, request: str, model: str, created: int) -> None:
+        whole = _encode(
+            {
+                "id": request,
+                "object": "chat.completion.chunk",
+                "created": created,
+                "model": model,
+            }
+        )
+        choice = b',"choices":[{"index":0,"delta":{"content":'
+        self._head = b"data: " + whole[:-1] + choice
+        self._tail = b'},"finish_reason":null}]}\n\n'
+
+    def text(self, piece: str) -> bytes:
+        """Return the chunk that brings a piece of text.
+
+        :param piece: the text.
+        """
+        return self._head + _encode(piece) + self._tail
+
+    def end(self, finish: str) -> bytes:
+        """Return the last chunk and the end mark.
+
+        :param finish: the engine's reason.
+        """
+        reason = b'},"finish_reason":' + _encode(finish) + b"}]}\n\n"
+        return self._head + b'""' + reason + DONE
+
+
+def whole(
+    request: str, model: str, created: int, content: str, finish: str
+) -> bytes:
+    """Return an answer that is not streamed.
+
+    :param request: the request's id.
+    :param model: the model's name.
+    :param created: seconds since the epoch.
+    :param content: the whole text.
+    :param finish: the engine's reason.
+    """
+    message = {"role": "assistant", "content": content}
+    return _encode(
+        {
+            "id": request,
+            "object": "chat.completion",
+            "created": created,
+            "model": model,
+            "choices": [
+                {"index": 0, "message": message, "finish_reason": finish}
+            ],
+        }
+    )
+
+
+def error(problem: bytes) -> bytes:
+    """Return the event that tells a caller its answer broke off.
+
+    :param problem: the refusal's body.
+    """
+    return b"event: error\ndata: " + problem + b"\n\n"
--- /dev/null
+++ b/src/citronvalve/entry/dispatch.py
@@ -0,0 +1,56 @@
+"""The decisions that a handler asks for, and what it reports back."""
+
+import abc
+import enum
+from typing import NamedTuple
+
+from citronvalve.entry import work as works
+from citronvalve.model import refusal
+
+
+class Ending(enum.StrEnum):
+    """How a try on an upstream ended, as the decisions need to know it."""
+
+    WHOLE = "whole"
+    #: Proved not to have run there.
+    NOT_RUN = "not-run"
+    #: The connection broke: the upstream may have crashed of it.
+    BROKEN = "broken"
+    #: The upstream fell silent.
+    SILENT = "silent"
+    #: It answered something that could not be passed on.
+    WRONG = "wrong"
+    #: The caller left, or its deadline passed.
+    ABANDONED = "abandoned"
+
+
+class Placement(NamedTuple):
+    """One try: which upstream runs the work."""
+
+    work: works.Work
+    upstream: str
+    address: str
+    fence: int = 0
+    priority: int = 0
+
+
+class Dispatch(abc.ABC):
+    """Places work; each placement must be released exactly once."""
+
+    @abc.abstractmethod
+    def place(
+        self, work: works.Work, tried: tuple[str, ...] = ()
+    ) -> Placement | refusal.Refusal:
+        """Choose an upstream, after waiting in the queue if need be.
+
+        :param work: what to place.
+        :param tried: upstreams it was on before; none for a first try.
+        """
+
+    @abc.abstractmethod
+    def release(self, placement: Placement, ending: Ending) -> None:
+        """Report how a try ended.
+
+        :param placement: as it was given.
+        :param ending: how it ended.
+        """
--- /dev/null
+++ b/src/citronvalve/entry/identity.py
@@ -0,0 +1,35 @@
+"""Which team a caller belongs to."""
+
+import hashlib
+
+from citronvalve.entry import call as calls
+from citronvalve.entry import view as views
+from citronvalve.model import declared
+from citronvalve.model import refusal
+
+_SCHEME = "bearer "
+
+
+def team(
+    call: calls.Call, view: views.View
+) -> declared.Team | refusal.Refusal:
+    """Find the team by the call's bearer token.
+
+    :param call: carries the ``Authorization`` header.
+    :param view: holds the teams in force.
+    """
+    given = call.header("Authorization")
+    if given[: len(_SCHEME)].lower() != _SCHEME:
+        return _unknown("the Authorization header has no bearer token")
+    token = given[len(_SCHEME) :].strip()
+    # Looked up by digest, so that the time taken tells nothing of a token.
+    found = view.team(hashlib.sha256(token.encode()).hexdigest())
+    return found or _unknown("no team has this token")
+
+
+def _unknown(detail: str) -> refusal.Refusal:
+    return refusal.Refusal(
+        refusal.RefusalKind.UNKNOWN_TOKEN,
+        detail,
+        "send 'Authorization: Bearer' with the token of a declared team",
+    )
--- /dev/null
+++ b/src/citronvalve/entry/plain.py
@@ -0,0 +1,188 @@
+"""Answers ``/v1/services/{name}/...``."""
+
+import http
+import urllib.parse
+
+import xxhash
+
+from citronvalve.entry import call as calls
+from citronvalve.entry import dispatch as dispatches
+from citronvalve.entry import environment as environments
+from citronvalve.entry import handler
+from citronvalve.entry import response as responses
+from citronvalve.entry import work as works
+from citronvalve.model import clock
+from citronvalve.model import declared
+from citronvalve.model import ran
+from citronvalve.model import refusal
+from citronvalve.upstreams import plaincall
+from citronvalve.upstreams import plainclient
+from citronvalve.upstreams import trouble
+
+PREFIX = "/v1/services/"
+
+_ENDING_BY_KIND = {
+    trouble.TroubleKind.UNREACHED: dispatches.Ending.NOT_RUN,
+    trouble.TroubleKind.REFUSED: dispatches.Ending.NOT_RUN,
+    trouble.TroubleKind.SILENT: dispatches.Ending.SILENT,
+}
+
+
+class Plain(handler.Handler):
+    """Passes a call on and its whole answer back.
+
+    :param env: the daemon's environment.
+    :param dispatch: decides where each try goes.
+    :param client: calls the services.
+    """
+
+    path = "service"
+
+    def __init__(
+        self,
+        env: environments.Environment,
+        dispatch: dispatches.Dispatch,
+        client: plainclient.PlainClient,
+    ) -> None:
+        self._env = env
+        self._dispatch = dispatch
+        self._client = client
+
+    def answer(
+        self,
+        call: calls.Call,
+        team: declared.Team,
+        table: declared.Declared,
+    ) -> responses.Response:
+        name, _, rest = call.path[len(PREFIX) :].partition("/")
+        service = table.service_by_name.get(name)
+        if service is None:
+            return responses.refused(_no_service(name), call.request)
+        deadline = call.deadline(service.deadline, self._env.bounds.deadline)
+        if isinstance(deadline, refusal.Refusal):
+            return responses.refused(deadline, call.request)
+        body = call.body(self._env.bounds.body)
+        if isinstance(body, refusal.Refusal):
+            return responses.refused(body, call.request)
+        work = self._work(call, team, service, deadline, body)
+        return self._pass_on(call, work, f"/{rest}", body)
+
+    def _work(
+        self,
+        call: calls.Call,
+        team: declared.Team,
+        service: declared.PlainService,
+        deadline: clock.Ms,
+        body: bytes,
+    ) -> works.Work:
+        return works.Work(
+            call.request,
+            team.name,
+            service.name,
+            call.arrived,
+            deadline,
+            prompt=0,
+            output=0,
+            fingerprint=xxhash.xxh3_128_hexdigest(body),
+            repeatable=call.method in service.repeatable,
+        )
+
+    def _pass_on(
+        self, call: calls.Call, work: works.Work, path: str, body: bytes
+    ) -> responses.Response:
+        result = self._run(call, work, path, body)
+        if isinstance(result, refusal.Refusal):
+            return responses.refused(result, call.request)
+        line = f"{result.status} {_phrase(result.status)}"
+        return responses.whole(result.body, result.content_type, line)
+
+    def _run(
+        self, call: calls.Call, work: works.Work, path: str, body: bytes
+    ) -> plaincall.PlainAnswer | refusal.Refusal:
+        tried: tuple[str, ...] = ()
+        outcome = ran.Ran.NO
+        while True:
+            placed = self._dispatch.place(work, tried)
+            if isinstance(placed, refusal.Refusal):
+                return placed._replace(ran=outcome)
+            remaining = work.deadline - self._env.clock.now()
+            if remaining <= 0:
+                self._dispatch.release(placed, dispatches.Ending.ABANDONED)
+                return _late(outcome)
+            sent = _sent(call, work, path, body, remaining)
+            result = self._client.call(placed.address, sent)
+            self._dispatch.release(placed, _ending(result))
+            if not isinstance(result, trouble.Trouble):
+                return result
+            if result.kind not in trouble.NOT_RUN:
+                outcome = ran.Ran.UNKNOWN
+                if not work.repeatable:
+                    return _unknown(result)
+            tried = (*tried, placed.upstream)
+
+
+def _sent(
+    call: calls.Call,
+    work: works.Work,
+    path: str,
+    body: bytes,
+    remaining: clock.Ms,
+) -> plaincall.PlainCall:
+    query = call.environ.get("QUERY_STRING", "")
+    quoted = urllib.parse.quote(path.encode("latin-1"))
+    given = {
+        "Content-Type": call.header("Content-Type"),
+        "Accept": call.header("Accept"),
+        "Idempotency-Key": call.header("Idempotency-Key"),
+        "X-Request-Id": work.request,
+        "X-Deadline-Ms": str(remaining),
+    }
+    return plaincall.PlainCall(
+        call.method,
+        f"{quoted}?{query}" if query else quoted,
+        {name: value for name, value in given.items() if value},
+        body,
+        remaining,
+        fresh=not work.repeatable,
+    )
+
+
+def _ending(
+    result: plaincall.PlainAnswer | trouble.Trouble,
+) -> dispatches.Ending:
+    if isinstance(result, trouble.Trouble):
+        return _ENDING_BY_KIND.get(result.kind, dispatches.Ending.BROKEN)
+    return dispatches.Ending.WHOLE
+
+
+def _phrase(status: int) -> str:
+    try:
+        return http.HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
+
+
+def _no_service(name: str) -> refusal.Refusal:
+    return refusal.Refusal(
+        refusal.RefusalKind.NOT_FOUND,
+        f"there is no service {name[:80]!r}",
+        "name a service that the table declares",
+    )
+
+
+def _late(outcome: ran.Ran) -> refusal.Refusal:
+    return refusal.Refusal(
+        refusal.RefusalKind.DEADLINE_PASSED,
+        "the deadline passed before the service answered",
+        "allow more time",
+        outcome,
+    )
+
+
+def _unknown(met: trouble.Trouble) -> refusal.Refusal:
+    return refusal.Refusal(
+        refusal.RefusalKind.OUTCOME_UNKNOWN,
+        f"the service was asked and did not answer: {met.reason}",
+        "look up whether the call took effect before sending it again",
+        ran.Ran.UNKNOWN,
+    )
--- /dev/null
+++ b/src/citronvalve/entry/relay.py
@@ -0,0 +1,159 @@
+"""Reads one answer from one upstream after another until it is whole."""
+
+from collections.abc import Iterator
+
+from citronvalve.entry import dispatch as dispatches
+from citronvalve.entry import environment as environments
+from citronvalve.entry import work as works
+from citronvalve.model import clock
+from citronvalve.model import ran
+from citronvalve.model import refusal
+from citronvalve.upstreams import assembler as assemblers
+from citronvalve.upstreams import engineclient
+from citronvalve.upstreams import enginestream
+from citronvalve.upstreams import heartbeat
+from citronvalve.upstreams import order as orders
+from citronvalve.upstreams import trouble
+
+#: Text to pass on, a sign of life, or why there is no whole answer; a
+#: refusal is the last item.
+Item = str | heartbeat.Heartbeat | refusal.Refusal
+
+_ENDING_BY_KIND = {
+    trouble.TroubleKind.BROKEN: dispatches.Ending.BROKEN,
+    trouble.TroubleKind.SILENT: dispatches.Ending.SILENT,
+    trouble.TroubleKind.UNREACHED: dispatches.Ending.NOT_RUN,
+    trouble.TroubleKind.REFUSED: dispatches.Ending.NOT_RUN,
+}
+
+
+class Relay:
+    """One caller's answer, over all the connections it takes.
+
+    :param env: the daemon's environment.
+    :param dispatch: decides where each try goes.
+    :param client: asks the engines.
+    :param work: the request, as the decisions see it.
+    :param messages: the conversation.
+    :ivar finish: the engine's reason for the end; empty until then.
+    """
+
+    def __init__(
+        self,
+        env: environments.Environment,
+        dispatch: dispatches.Dispatch,
+        client: engineclient.EngineClient,
+        work: works.Work,
+        messages: list[orders.Message],
+    ) -> None:
+        self._env = env
+        self._dispatch = dispatch
+        self._client = client
+        self._work = work
+        self._messages = messages
+        self._answer = assemblers.Assembler(work.request, env.invariants)
+        self._tried: list[str] = []
+        self._ran = ran.Ran.NO
+
+    @property
+    def finish(self) -> str:
+        """Return the engine's reason for the end."""
+        return self._answer.finish
+
+    def __iter__(self) -> Iterator[Item]:
+        while not self._answer.finished:
+            placed = self._dispatch.place(self._work, tuple(self._tried))
+            if isinstance(placed, refusal.Refusal):
+                yield placed._replace(ran=self._ran)
+                return
+            met = yield from self._try(placed)
+            if met is None:
+                return
+            if self._remaining() <= 0:
+                yield self._late()
+                return
+            self._env.metrics.resumed(met.kind)
+            self._tried.append(placed.upstream)
+
+    def _try(
+        self, placed: dispatches.Placement
+    ) -> Iterator[Item | trouble.Trouble]:
+        # A caller that leaves raises GeneratorExit in here, and must free
+        # the upstream as surely as an answer that ends.
+        ending = dispatches.Ending.ABANDONED
+        try:
+            stream = self._client.generate(
+                placed.address, self._order(placed), self._remaining()
+            )
+            if isinstance(stream, trouble.Trouble):
+                met = stream
+            else:
+                met = yield from self._read(stream, placed)
+            ending = self._ending(met)
+            return met
+        finally:
+            self._dispatch.release(placed, ending)
+
+    def _read(
+        self,
+        stream: enginestream.EngineStream,
+        placed: dispatches.Placement,
+    ) -> Iterator[Item | trouble.Trouble]:
+        self._ran = ran.Ran.UNKNOWN
+        whole = False
+        try:
+            for item in stream:
+                if item is heartbeat.HEARTBEAT:
+                    yield item
+                    continue
+                met = yield from self._accept(item)
+                if met is not None:
+                    return self._client.failed(met, placed.address)
+                if self._answer.finished:
+                    whole = True
+                    stream.finish()
+                    return None
+        finally:
+            stream.close()
+            if not whole:
+                self._client.cancel(placed.address, self._work.request)
+
+    def _accept(self, item) -> Iterator[Item | trouble.Trouble]:
+        if isinstance(item, trouble.Trouble):
+            return item
+        text = self._answer.accept(item)
+        if isinstance(text, trouble.Trouble):
+            return None if text.cure is trouble.Cure.IGNORE else text
+        if text:
+            self._ran = ran.Ran.YES
+            yield text
+        return None
+
+    def _ending(self, met: trouble.Trouble | None) -> dispatches.Ending:
+        if met is None:
+            return dispatches.Ending.WHOLE
+        if self._remaining() <= 0:
+            return dispatches.Ending.ABANDONED
+        return _ENDING_BY_KIND.get(met.kind, dispatches.Ending.WRONG)
+
+    def _order(self, placed: dispatches.Placement) -> orders.GenerateOrder:
+        return orders.GenerateOrder(
+            request=self._work.request,
+            model=self._work.target,
+            messages=self._messages,
+            max_tokens=self._work.output,
+            priority=placed.priority,
+            offset=self._answer.resume_at,
+            fence=placed.fence,
+        )
+
+    def _remaining(self) -> clock.Ms:
+        return self._work.deadline - self._env.clock.now()
+
+    def _late(self) -> refusal.Refusal:
+        return refusal.Refusal(
+            refusal.RefusalKind.DEADLINE_PASSED,
+            "the answer was not whole when the deadline passed",
+            "ask for less, or allow more time",
+            self._ran,
+        )
--- /dev/null
+++ b/src/citronvalve/entry/response.py
@@ -0,0 +1,54 @@
+"""A handler's answer, before it is written."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from citronvalve.entry import problem
+from citronvalve.model import refusal
+
+OK = "200 OK"
+JSON = "application/json"
+EVENTS = "text/event-stream"
+
+#: What an outcome is called in logs and metrics when the work was done.
+WHOLE = "whole"
+
+
+class Response(NamedTuple):
+    """Status line, headers and body; ``outcome`` is for logs and metrics.
+
+    A streamed body reports its outcome at its end instead.
+    """
+
+    status: str
+    headers: list[tuple[str, str]]
+    body: Iterable[bytes]
+    outcome: str
+    streamed: bool = False
+
+
+def refused(refused: refusal.Refusal, request: str) -> Response:
+    """Return the answer that a refusal becomes.
+
+    :param refused: the refusal.
+    :param request: the request's id.
+    """
+    body = problem.body(refused, request)
+    made = [*problem.headers(refused), ("Content-Length", str(len(body)))]
+    return Response(
+        problem.status_line(refused), made, [body], str(refused.kind)
+    )
+
+
+def whole(body: bytes, content_type: str = JSON, status: str = OK) -> Response:
+    """Return a whole answer.
+
+    :param body: its content.
+    :param content_type: its type.
+    :param status: the status line.
+    """
+    made = [
+        ("Content-Type", content_type),
+        ("Content-Length", str(len(body))),
+    ]
+    return Response(status, made, [body], WHOLE)
--- /dev/null
+++ b/src/citronvalve/entry/streambody.py
@@ -0,0 +1,36 @@
+"""A streamed body that reports how it ended."""
+
+from collections.abc import Iterator
+
+from citronvalve.entry import broken
+from citronvalve.entry import requestlog
+from citronvalve.entry import response as responses
+
+_LEFT = "caller-left"
+
+
+class StreamBody:
+    """Iterated by the server, which closes it when the caller leaves.
+
+    :param chunks: the encoded body.
+    :param log: told how it ended.
+    """
+
+    def __init__(
+        self, chunks: Iterator[bytes], log: requestlog.RequestLog
+    ) -> None:
+        self._chunks = chunks
+        self._log = log
+
+    def __iter__(self) -> Iterator[bytes]:
+        try:
+            yield from self._chunks
+        except broken.AnswerBroken as error:
+            self._log.end(error.why)
+            raise
+        self._log.end(responses.WHOLE)
+
+    def close(self) -> None:
+        """Free the upstream when the caller has left."""
+        self._chunks.close()
+        self._log.end(_LEFT)
--- /dev/null
+++ b/src/citronvalve/entry/view.py
@@ -0,0 +1,76 @@
+"""What this daemon knows at present: the table and the loads."""
+
+from citronvalve.model import clock
+from citronvalve.model import declared
+from citronvalve.model import invariant
+from citronvalve.model import load
+from citronvalve.model import missing
+
+_NEVER_FALLS = "an accepted table version is never replaced by a lower one"
+
+
+class View:
+    """Written by the tasks that receive news, read by the handlers.
+
+    :param now: clock of the daemon.
+    :param invariants: asserts that versions never fall.
+    :ivar load_by_upstream: the newest report of each upstream.
+    """
+
+    def __init__(
+        self, now: clock.Clock, invariants: invariant.Invariants
+    ) -> None:
+        self._clock = now
+        self._invariants = invariants
+        self._declared: declared.Declared | missing.Stale = missing.Stale(
+            "no version of the table has been received yet", "table"
+        )
+        self._team_by_digest: dict[str, declared.Team] = {}
+        self._confirmed_at: clock.Ms = now.now()
+        self.load_by_upstream: dict[str, load.LoadReport] = {}
+
+    @property
+    def table(self) -> declared.Declared | missing.Stale:
+        """Return the version in force, or why there is none."""
+        return self._declared
+
+    @property
+    def version(self) -> int:
+        """Return the version in force; 0 is none."""
+        return self._declared.version if self._declared else 0
+
+    @property
+    def age(self) -> clock.Ms:
+        """Return ms since the version was last known to be the newest."""
+        return self._clock.now() - self._confirmed_at
+
+    def adopt(self, table: declared.Declared) -> bool:
+        """Put a version in force, unless it is an old one.
+
+        :param table: a checked version; a late answer or a stale peer may
+            bring one below the present, which is passed over.
+        :return: whether it was newer.
+        """
+        if table.version < self.version:
+            return False
+        self._confirmed_at = self._clock.now()
+        if table.version == self.version:
+            return False
+        self._invariants.hold(
+            _NEVER_FALLS,
+            table.version > self.version,
+            f"{self.version} to {table.version}",
+        )
+        self._declared = table
+        self._team_by_digest = {
+            team.token_sha256: team for team in table.team_by_name.values()
+        }
+        return True
+
+    def team(self, digest: str) -> declared.Team | missing.NotFound:
+        """Find a team by its token.
+
+        :param digest: hex SHA-256 of the bearer token.
+        """
+        found = self._team_by_digest.get(digest)
+        return found or missing.NotFound("no team has this token", "teams")
--- a/src/citronvalve/model/refusal.py
+++ b/src/citronvalve/model/refusal.py
@@ -25,6 +25,8 @@
     OUTCOME_UNKNOWN = "outcome-unknown"
     UPSTREAM_FAILED = "upstream-failed"
     DEADLINE_PASSED = "deadline-passed"
+    #: Written to the log only: nobody is there to read it.
+    CALLER_LEFT = "caller-left"
 
 
 STATUS_BY_KIND: dict[RefusalKind, int] = {
@@ -43,6 +45,7 @@
     RefusalKind.OUTCOME_UNKNOWN: 502,
     RefusalKind.UPSTREAM_FAILED: 502,
     RefusalKind.DEADLINE_PASSED: 504,
+    RefusalKind.CALLER_LEFT: 400,
 }
 
 
--- /dev/null
+++ b/src/citronvalve/upstreams/engineclient.py
@@ -0,0 +1,117 @@
+"""Asks engines for answers and cancels them."""
+
+import eventlet
+import msgspec
+import urllib3
+
+from citronvalve.model import clock
+from citronvalve.upstreams import enginestream
+from citronvalve.upstreams import failures
+from citronvalve.upstreams import order as orders
+from citronvalve.upstreams import pools
+from citronvalve.upstreams import trouble
+
+_JSON = {"Content-Type": "application/json"}
+_CANCEL_TIMEOUT: clock.Ms = 1_000
+_SHOWN = 200
+
+
+class EngineClient:
+    """Speaks to all engines of this daemon.
+
+    :param kept: the kept connections.
+    """
+
+    def __init__(self, kept: pools.Pools) -> None:
+        self._pools = kept
+
+    def generate(
+        self, address: str, order: orders.GenerateOrder, remaining: clock.Ms
+    ) -> enginestream.EngineStream | trouble.Trouble:
+        """Ask for an answer.
+
+        :param address: host:port of the upstream.
+        :param order: what to generate, from which offset.
+        :param remaining: ms until the caller's deadline.
+        """
+        idle = min(pools.IDLE_TIMEOUT, max(1, remaining))
+        try:
+            response = self._pools.of(address).urlopen(
+                "POST",
+                "/generate",
+                body=msgspec.json.encode(order),
+                headers=_JSON,
+                retries=False,
+                redirect=False,
+                timeout=pools.timeout(idle),
+                preload_content=False,
+            )
+        except failures.ERRORS as error:
+            return self.failed(failures.read(error, address), address)
+        if response.status != 200:
+            return _refused(response, address)
+        return enginestream.EngineStream(response, address, remaining)
+
+    def failed(self, met: trouble.Trouble, address: str) -> trouble.Trouble:
+        """Drop the kept connections after a silence.
+
+        :param met: the trouble met.
+        :param address: host:port of the upstream.
+        """
+        if met.kind is trouble.TroubleKind.SILENT:
+            self._pools.drop(address)
+        return met
+
+    def cancel(self, address: str, request: str) -> None:
+        """Tell an engine, without waiting, that nobody wants an answer.
+
+        :param address: host:port of the upstream.
+        :param request: the request.
+        """
+        # The caller's task goes on at once: an upstream that is gone would
+        # hold its answer back for the time of a connection attempt.
+        eventlet.spawn_n(self._cancel, address, request)
+
+    def _cancel(self, address: str, request: str) -> None:
+        body = msgspec.json.encode({"request": request})
+        try:
+            self._pools.of(address).urlopen(
+                "POST",
+                "/cancel",
+                body=body,
+                headers=_JSON,
+                retries=False,
+                timeout=pools.timeout(_CANCEL_TIMEOUT),
+            )
+        except failures.ERRORS:
+            # The engine notices the closed connection by itself, later.
+            return
+
+
+def _refused(
+    response: urllib3.BaseHTTPResponse, address: str
+) -> trouble.Trouble:
+    body = response.read(_SHOWN)
+    response.close()
+    reason = f"status {response.status}: {body.decode(errors='replace')}"
+    kind = (
+        trouble.TroubleKind.REFUSED
+        if says_not_run(body)
+        else trouble.TroubleKind.BROKEN
+    )
+    return trouble.Trouble(kind, reason, address)
+
+
+def says_not_run(body: bytes) -> bool:
+    """Tell whether an upstream's own words prove that nothing was run.
+
+    A status alone proves nothing: something between the two ends may have
+    made it up after the upstream had run the request.
+
+    :param body: JSON with ``"ran": "no"`` when it did not run.
+    """
+    try:
+        said = msgspec.json.decode(body)
+    except msgspec.MsgspecError:
+        return False
+    return isinstance(said, dict) and said.get("ran") == "no"
--- /dev/null
+++ b/src/citronvalve/upstreams/enginestream.py
@@ -0,0 +1,73 @@
+"""One connection that an answer arrives on."""
+
+from collections.abc import Iterator
+
+import eventlet
+import urllib3
+
+from citronvalve.model import clock
+from citronvalve.upstreams import events
+from citronvalve.upstreams import failures
+from citronvalve.upstreams import trouble
+
+_BLOCK = 65_536
+
+
+class EngineStream:
+    """Yields pieces, heartbeats and, at the end, trouble if there is any.
+
+    :param response: headers read, body not.
+    :param where: the upstream's address.
+    :param remaining: ms until the deadline, when reading is cut off.
+    """
+
+    def __init__(
+        self,
+        response: urllib3.BaseHTTPResponse,
+        where: str,
+        remaining: clock.Ms,
+    ) -> None:
+        self._response = response
+        self._where = where
+        # The idle limit alone would hold a caller of a slow engine until
+        # the next heartbeat after its deadline.
+        self._timer = eventlet.spawn_after(
+            max(0, remaining) / clock.SECOND, self._cut
+        )
+        self._whole = False
+
+    def __iter__(self) -> Iterator[events.Item]:
+        split = events.Events(self._where)
+        try:
+            for block in self._response.read_chunked(_BLOCK):
+                yield from split.feed(block)
+        except failures.ERRORS as error:
+            yield failures.read(error, self._where)
+            return
+        self._whole = True
+        yield trouble.Trouble(
+            trouble.TroubleKind.BROKEN, "ended without a last piece"
+        )
+
+    def finish(self) -> None:
+        """Read to the end of the body so that the connection is kept."""
+        try:
+            self._response.drain_conn()
+        except failures.ERRORS:
+            return
+        self._whole = True
+
+    def close(self) -> None:
+        """Give the connection back, or end it if the body is unread."""
+        self._timer.cancel()
+        if self._whole:
+            self._response.release_conn()
+        else:
+            self._response.close()
+
+    def _cut(self) -> None:
+        # Shutting down wakes the reader; closing would leave it waiting.
+        try:
+            self._response.shutdown()
+        except failures.ERRORS:
+            return
--- /dev/null
+++ b/src/citronvalve/upstreams/loadclient.py
@@ -0,0 +1,74 @@
+"""Asks upstreams for their load reports."""
+
+import msgspec
+
+from citronvalve.model import clock
+from citronvalve.model import load
+from citronvalve.model import missing
+from citronvalve.upstreams import failures
+from citronvalve.upstreams import pools
+
+#: A report that takes longer would be old before it is used.
+_TIMEOUT: clock.Ms = 800
+_LARGEST = 65_536
+
+
+class _Report(msgspec.Struct):
+    start_id: str
+    running: int
+    queued: int
+    bears: int
+    vms_missing: tuple[str, ...] = ()
+
+
+class LoadClient:
+    """Reads ``GET /load`` of any upstream.
+
+    :param kept: the kept connections.
+    :param now: clock that reports are stamped by.
+    """
+
+    def __init__(self, kept: pools.Pools, now: clock.Clock) -> None:
+        self._pools = kept
+        self._clock = now
+
+    def report(
+        self, upstream: str, address: str
+    ) -> load.LoadReport | missing.Unavailable:
+        """Read one report.
+
+        :param upstream: its name.
+        :param address: its host:port.
+        """
+        asked_at = self._clock.now()
+        try:
+            read = self._read(address)
+        except (*failures.ERRORS, msgspec.MsgspecError) as error:
+            self._pools.drop(address)
+            return missing.Unavailable(str(error), f"{upstream} {address}")
+        # Stamped with the time of asking: the report may have been made at
+        # any moment since, and must not look younger than it is.
+        return load.LoadReport(
+            upstream,
+            read.start_id,
+            read.running,
+            read.queued,
+            read.bears,
+            asked_at,
+            read.vms_missing,
+        )
+
+    def _read(self, address: str) -> _Report:
+        response = self._pools.of(address).urlopen(
+            "GET",
+            "/load",
+            retries=False,
+            redirect=False,
+            timeout=pools.timeout(_TIMEOUT),
+            preload_content=False,
+        )
+        body = response.read(_LARGEST)
+        response.release_conn()
+        if response.status != 200:
+            raise ValueError(f"status {response.status}")
+        return msgspec.json.decode(body, type=_Report)
--- /dev/null
+++ b/src/citronvalve/upstreams/plainclient.py
@@ -0,0 +1,81 @@
+"""Calls plain services and reads their whole answers."""
+
+import urllib3
+
+from citronvalve.upstreams import engineclient
+from citronvalve.upstreams import failures
+from citronvalve.upstreams import plaincall
+from citronvalve.upstreams import pools
+from citronvalve.upstreams import trouble
+
+#: An answer above this is not passed on; it would fill a daemon's memory
+#: when many callers ask for it at once.
+LARGEST_ANSWER = 8 * 1024 * 1024
+
+_OCTETS = "application/octet-stream"
+
+
+class PlainClient:
+    """Speaks to all plain services of this daemon.
+
+    :param kept: the kept connections.
+    """
+
+    def __init__(self, kept: pools.Pools) -> None:
+        self._pools = kept
+
+    def call(
+        self, address: str, call: plaincall.PlainCall
+    ) -> plaincall.PlainAnswer | trouble.Trouble:
+        """Carry out one call, once.
+
+        :param address: host:port of the upstream.
+        :param call: what to pass on.
+        """
+        pool = self._pools.of(address)
+        fresh = None
+        if call.fresh:
+            pool = fresh = urllib3.HTTPConnectionPool(pool.host, pool.port)
+        try:
+            return _whole(_send(pool, call), address)
+        except failures.ERRORS as error:
+            met = failures.read(error, address)
+            if met.kind is trouble.TroubleKind.SILENT:
+                self._pools.drop(address)
+            return met
+        finally:
+            if fresh:
+                fresh.close()
+
+
+def _send(
+    pool: urllib3.HTTPConnectionPool, call: plaincall.PlainCall
+) -> urllib3.BaseHTTPResponse:
+    return pool.urlopen(
+        call.method,
+        call.path,
+        body=call.body or None,
+        headers=call.headers,
+        retries=False,
+        redirect=False,
+        timeout=pools.timeout(max(1, call.remaining)),
+        preload_content=False,
+    )
+
+
+def _whole(
+    response: urllib3.BaseHTTPResponse, address: str
+) -> plaincall.PlainAnswer | trouble.Trouble:
+    body = response.read(LARGEST_ANSWER + 1, decode_content=False)
+    if len(body) > LARGEST_ANSWER:
+        response.close()
+        return trouble.Trouble(
+            trouble.TroubleKind.BROKEN, "the answer is too large", address
+        )
+    response.release_conn()
+    if response.status == 503 and engineclient.says_not_run(body):
+        return trouble.Trouble(
+            trouble.TroubleKind.REFUSED, "the service refused it", address
+        )
+    kind = response.headers.get("Content-Type", _OCTETS)
+    return plaincall.PlainAnswer(response.status, kind, body)
--- a/src/citronvalve/upstreams/trouble.py
+++ b/src/citronvalve/upstreams/trouble.py
@@ -18,8 +18,14 @@
     LATE = "late"
     #: It could not be read as a piece.
     MALFORMED = "malformed"
-    #: The stream ended, or fell silent, before the last piece.
+    #: The connection ended before the last piece.
     BROKEN = "broken"
+    #: The connection is open and says nothing, not even heartbeats.
+    SILENT = "silent"
+    #: No connection was made, so that nothing was sent.
+    UNREACHED = "unreached"
+    #: The upstream said that it did not run the request.
+    REFUSED = "refused"
 
 
 class Cure(enum.StrEnum):
@@ -42,8 +48,14 @@
     TroubleKind.LATE: Cure.IGNORE,
     TroubleKind.MALFORMED: Cure.RESUME,
     TroubleKind.BROKEN: Cure.RESUME,
+    TroubleKind.SILENT: Cure.RESUME,
+    TroubleKind.UNREACHED: Cure.RESUME_ELSEWHERE,
+    TroubleKind.REFUSED: Cure.RESUME_ELSEWHERE,
 }
 
+#: The only two that prove that the request did not run.
+NOT_RUN = frozenset({TroubleKind.UNREACHED, TroubleKind.REFUSED})
+
 
 class Trouble(missing.Missing):
     """Nothing of this piece may reach the caller.
--- /dev/null
+++ b/standins/process.py
@@ -0,0 +1,99 @@
+"""One process of a demo or drill, on an address of its own."""
+
+import contextlib
+import pathlib
+import signal
+import socket
+import subprocess  # noqa: S404 - the system itself starts no process
+import sys
+import time
+
+_ROOT = pathlib.Path(__file__).parent.parent
+_HOST = "127.0.0.1"
+_START_SECONDS = 15
+_END_SECONDS = 15
+_LOOK_SECONDS = 0.02
+
+
+def free_address() -> str:
+    """Return an address of this machine that nothing listens at."""
+    with contextlib.closing(socket.socket()) as probe:
+        probe.bind((_HOST, 0))
+        return f"{_HOST}:{probe.getsockname()[1]}"
+
+
+class Process:
+    """A started program and where its output goes.
+
+    :param name: for messages and the log's file name.
+    :param arguments: a Python module and its command line.
+    :param address: host:port that it listens at once it is up.
+    :param folder: where its output goes.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        arguments: list[str],
+        address: str,
+        folder: pathlib.Path,
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.log = folder / f"{name}.log"
+        with self.log.open("ab") as output:
+            self._popen = subprocess.Popen(
+                [sys.executable, "-m", *arguments],
+                cwd=_ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+            )
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self._popen.pid
+
+    def wait_up(self) -> None:
+        """Wait until it listens.
+
+        :raises RuntimeError: when it ended or took too long; with its log.
+        """
+        until = time.monotonic() + _START_SECONDS
+        host, _, port = self.address.rpartition(":")
+        while time.monotonic() < until and self._popen.poll() is None:
+            with contextlib.suppress(OSError):
+                socket.create_connection((host, int(port)), 0.5).close()
+                return
+            time.sleep(_LOOK_SECONDS)
+        raise RuntimeError(f"{self.name} is not up:\n{self.output()}")
+
+    def output(self) -> str:
+        """Return all that it wrote."""
+        return self.log.read_text(errors="replace")
+
+    def send(self, number: signal.Signals) -> None:
+        """Send it a signal.
+
+        :param number: which.
+        """
+        if self._popen.poll() is None:
+            self._popen.send_signal(number)
+
+    def wait(self, seconds: float = _END_SECONDS) -> int:
+        """Wait for its end and return its exit code.
+
+        :param seconds: longest wait.
+        """
+        return self._popen.wait(seconds)
+
+    def end(self) -> int:
+        """End it in order, or by force if it does not; return its code."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGTERM)
+        try:
+            return self.wait()
+        except subprocess.TimeoutExpired:
+            self._popen.kill()
+            return self.wait()
