Set, remove and revert rows, and show the audit trail

Cause: an edit at short notice needed a whole file, and nothing could be undone or looked up. Ruled out: putting back an old version number (a daemon that has seen a higher one would never apply it); undoing over rows that the trail does not know. Change: table set, remove, revert and history, and audit. A revert undoes the audit entries since as one new edit, and refuses when a row is not as the last entry left it.

--- a/src/citronvalve/cli/editing.py
+++ b/src/citronvalve/cli/editing.py
@@ -1,6 +1,9 @@
 """Commands that plan and make edits."""
 
 import pathlib
+from typing import Any
+
+import json5
 
 from citronvalve.cli import changes
 from citronvalve.cli import exitcode
@@ -10,7 +13,9 @@
 from citronvalve.model import missing
 from citronvalve.table import document
 from citronvalve.table import edit
+from citronvalve.table import mistake
 from citronvalve.table import planning
+from citronvalve.table import rowedits
 
 
 def plan(file: str, *, platform: str = "") -> report.Report:
@@ -66,6 +71,87 @@
     return outcomes.of(session.edits(platform).apply(wanted, author, expect))
 
 
+def set_row(
+    key: str,
+    *columns: str,
+    who: str,
+    why: str,
+    new: bool = False,
+    expect: int | None = None,
+    platform: str = "",
+) -> report.Report:
+    """Set columns of one row, as in datacentres/sapporo state=out.
+
+    :param key: section and name of the row.
+    :param columns: column=value; values as in a declaration.
+    :param who: who makes the edit, for the audit trail.
+    :param why: why, for the audit trail.
+    :param new: add a row that is not there yet.
+    :param expect: version that was looked at; another is a conflict.
+    :param platform: URL of the platform.
+    """
+    value_by_column = {}
+    for word in columns:
+        column, equals, value = word.partition("=")
+        if not equals:
+            wrong = mistake.Mistake(
+                key, word, word, "no value", "write column=value"
+            )
+            return outcomes.mistakes((wrong,))
+        value_by_column[column] = _value(value)
+    wanted = rowedits.setting(key, value_by_column, new)
+    author = edit.Author(who, why)
+    return outcomes.of(session.edits(platform).apply(wanted, author, expect))
+
+
+def remove_row(
+    key: str,
+    *,
+    who: str,
+    why: str,
+    expect: int | None = None,
+    platform: str = "",
+) -> report.Report:
+    """Remove one row.
+
+    :param key: section and name of the row.
+    :param who: who makes the edit, for the audit trail.
+    :param why: why, for the audit trail.
+    :param expect: version that was looked at; another is a conflict.
+    :param platform: URL of the platform.
+    """
+    wanted = rowedits.removing(key)
+    author = edit.Author(who, why)
+    return outcomes.of(session.edits(platform).apply(wanted, author, expect))
+
+
+def revert(
+    version: int,
+    *,
+    who: str,
+    why: str,
+    expect: int | None = None,
+    platform: str = "",
+) -> report.Report:
+    """Make the table say what it said at an earlier version, as a new edit.
+
+    :param version: the earlier version.
+    :param who: who makes the edit, for the audit trail.
+    :param why: why, for the audit trail.
+    :param expect: version that was looked at; another is a conflict.
+    :param platform: URL of the platform.
+    """
+    author = edit.Author(who, why)
+    return outcomes.of(session.edits(platform).revert(version, author, expect))
+
+
+def _value(text: str) -> Any:
+    try:
+        return json5.loads(text)
+    except ValueError:
+        return text
+
+
 def _read(file: str) -> document.Document:
     try:
         text = pathlib.Path(file).read_text(encoding="utf-8")
--- a/src/citronvalve/cli/looking.py
+++ b/src/citronvalve/cli/looking.py
@@ -2,11 +2,16 @@
 
 import collections
 
+from citronvalve.cli import changes
 from citronvalve.cli import exitcode
+from citronvalve.cli import moments
 from citronvalve.cli import outcomes
 from citronvalve.cli import report
 from citronvalve.cli import session
 from citronvalve.model import missing
+from citronvalve.platform import tableservice
+from citronvalve.table import audit
+from citronvalve.table import edit
 from citronvalve.table import layout
 from citronvalve.table import reading
 
@@ -39,3 +44,75 @@
         "\n".join(text),
         {"version": stored.version, "sections": by_section},
     )
+
+
+def history(*, last: int = 20, platform: str = "") -> report.Report:
+    """List the latest edits.
+
+    :param last: how many.
+    :param platform: URL of the platform.
+    """
+    entries = _latest(session.table(platform), last)
+    if missing.is_missing(entries):
+        return outcomes.unavailable(entries)
+    heads = ("version", "at", "who", "rows", "why")
+    lines = (
+        (e.version, moments.text(e.at), e.who, len(e.changes), e.why)
+        for e in entries
+    )
+    body = {"edits": [outcomes.entry_body(entry) for entry in entries]}
+    return report.Report(exitcode.ExitCode.OK, report.grid(heads, lines), body)
+
+
+def trail(*versions: int, last: int = 5, platform: str = "") -> report.Report:
+    """Show audit entries: who, when, why, each row before and after.
+
+    :param versions: which; none shows the latest.
+    :param last: how many of the latest.
+    :param platform: URL of the platform.
+    """
+    service = session.table(platform)
+    entries = (
+        tuple(audit.read(service, version) for version in versions)
+        if versions
+        else _latest(service, last)
+    )
+    if missing.is_missing(entries):
+        return outcomes.unavailable(entries)
+    for entry in entries:
+        if isinstance(entry, missing.NotFound):
+            return _no_entry(entry)
+        if missing.is_missing(entry):
+            return outcomes.unavailable(entry)
+    text = "\n\n".join(_entry(entry) for entry in entries)
+    body = {"edits": [outcomes.entry_body(entry) for entry in entries]}
+    return report.Report(exitcode.ExitCode.OK, text, body)
+
+
+def _latest(
+    service: tableservice.TableService, last: int
+) -> tuple[edit.Entry, ...] | missing.Missing:
+    head = service.read(layout.TABLE, layout.HEAD)
+    if isinstance(head, missing.NotFound):
+        return ()
+    if missing.is_missing(head):
+        return head
+    version = head.value["version"]
+    return audit.since(service, max(0, version - last), version)
+
+
+def _entry(entry: edit.Entry) -> str:
+    return (
+        f"version {entry.version} by {entry.who} at {moments.text(entry.at)}"
+        f" (edit {entry.edit})\nwhy: {entry.why}\n"
+        f"{changes.grid(entry.changes)}"
+    )
+
+
+def _no_entry(absent: missing.NotFound) -> report.Report:
+    return report.Report(
+        exitcode.ExitCode.REFUSED,
+        f"no such audit entry: {absent.where}",
+        {"outcome": "not-found", "at": absent.where},
+        "see `citronvalve table history` for the versions there are",
+    )
--- a/src/citronvalve/cli/main.py
+++ b/src/citronvalve/cli/main.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import functools
 import inspect
+import signal
 import sys
 
 import defopt
@@ -57,7 +58,14 @@
 _COMMANDS = {
     "plan": _command(editing.plan),
     "apply": _command(editing.apply),
-    "table": {"show": _command(looking.show)},
+    "table": {
+        "show": _command(looking.show),
+        "history": _command(looking.history),
+        "set": _command(editing.set_row),
+        "remove": _command(editing.remove_row),
+        "revert": _command(editing.revert),
+    },
+    "audit": _command(looking.trail),
     "settings": {"check": _command(checking.check)},
 }
 
@@ -67,6 +75,8 @@
 
     :param argv: words after the program's name; None takes the process's.
     """
+    # A reader such as head may leave early; that is no failure of ours.
+    signal.signal(signal.SIGPIPE, signal.SIG_DFL)
     sys.exit(defopt.run(_COMMANDS, argv=argv, no_negated_flags=True))
 
 
--- a/src/citronvalve/table/editor.py
+++ b/src/citronvalve/table/editor.py
@@ -11,8 +11,10 @@
 from citronvalve.table import audit
 from citronvalve.table import edit
 from citronvalve.table import layout
+from citronvalve.table import mistake
 from citronvalve.table import planning
 from citronvalve.table import reading
+from citronvalve.table import rowedits
 from citronvalve.table import state
 
 #: Tries of one edit whose answer was lost, the first among them.
@@ -22,6 +24,10 @@
 MOST_WINNERS = 20
 
 
+#: Edits that a revert may undo; each costs a read of its audit entry.
+MOST_UNDONE = 500
+
+
 class _Try(NamedTuple):
     """One edit on its way: what is sent, and how to know it again."""
 
@@ -81,6 +87,47 @@
             return stored
         if expected not in {None, stored.version}:
             return self._outrun(expected, stored.version)
+        return self._edit(stored, wanted, author)
+
+    def revert(
+        self, version: int, author: edit.Author, expected: int | None = None
+    ) -> edit.Outcome:
+        """Make the table say what it said at an earlier version.
+
+        It is a new edit with a new version: versions never fall.
+
+        :param version: the earlier version.
+        :param author: who edits, and why.
+        :param expected: as in :meth:`apply`.
+        """
+        stored = reading.read_state(self._service)
+        if missing.is_missing(stored):
+            return stored
+        if expected not in {None, stored.version}:
+            return self._outrun(expected, stored.version)
+        first = max(0, stored.version - MOST_UNDONE)
+        if not first <= version <= stored.version:
+            return _refused(
+                "version",
+                version,
+                f"the table can go back to {first} to {stored.version}",
+                "name one of these, or apply a declaration",
+            )
+        entries = audit.since(self._service, version, stored.version)
+        if missing.is_missing(entries):
+            return missing.Unavailable(entries.reason, entries.where)
+        return self._edit(stored, rowedits.undoing(entries), author)
+
+    def _edit(
+        self, stored: state.State, wanted: planning.Wanted, author: edit.Author
+    ) -> edit.Outcome:
+        if not author.who.strip() or not author.why.strip():
+            return _refused(
+                "author",
+                "",
+                "the audit trail needs who and why",
+                "give --who and --why",
+            )
         planned = planning.plan(stored, wanted)
         if planned.mistakes:
             return edit.Refused(planned.mistakes)
@@ -175,3 +222,7 @@
         if row.key == layout.HEAD:
             return row.value["version"]
     return base
+
+
+def _refused(row: str, value: object, why: str, remedy: str) -> edit.Refused:
+    return edit.Refused((mistake.Mistake(row, "", value, why, remedy),))
--- a/src/citronvalve/table/planning.py
+++ b/src/citronvalve/table/planning.py
@@ -20,7 +20,8 @@
 
 Values = dict[str, dict[str, Any]]
 
-#: What an edit does to the values that are stored.
+#: What an edit does to the values that are stored; it may raise
+#: :exc:`mistake.MistakesError`.
 Wanted = Callable[[Values], Values]
 
 
@@ -48,7 +49,10 @@
     :param wanted: the edit.
     """
     before = stored.value_by_key
-    after = wanted(before)
+    try:
+        after = wanted(before)
+    except mistake.MistakesError as error:
+        return edit.Plan(stored.version, (), error.mistakes)
     checked = typed.full(after, stored.version + 1)
     if checked.mistakes:
         return edit.Plan(stored.version, (), checked.mistakes)
--- /dev/null
+++ b/src/citronvalve/table/rowedits.py
@@ -0,0 +1,100 @@
+"""Edits of one row, and edits that undo others; pure."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from citronvalve.table import edit
+from citronvalve.table import kinds
+from citronvalve.table import layout
+from citronvalve.table import mistake
+from citronvalve.table import planning
+
+
+def setting(
+    key: str, columns: dict[str, Any], new: bool = False
+) -> planning.Wanted:
+    """Return the edit that sets columns of one row.
+
+    :param key: section and name, as in ``datacentres/sapporo``.
+    :param columns: those to set; the others stay.
+    :param new: whether the row must not be there yet.
+    """
+
+    def wanted(stored: planning.Values) -> planning.Values:
+        kind = _kind(key)
+        names = key.split(layout.SEPARATOR)[1:]
+        named = dict(zip(kind.key_columns, names, strict=False))
+        # The row of switches is there from the start, with its defaults.
+        if kind.key_columns and (key in stored) == new:
+            _refuse(
+                key,
+                "there is such a row" if new else "no such row",
+                "leave out --new" if new else "mend the name, or add --new",
+            )
+        return stored | {key: stored.get(key, {}) | columns | named}
+
+    return wanted
+
+
+def removing(key: str) -> planning.Wanted:
+    """Return the edit that removes one row.
+
+    :param key: section and name.
+    """
+
+    def wanted(stored: planning.Values) -> planning.Values:
+        if key not in stored:
+            _refuse(key, "no such row", "see `citronvalve table show`")
+        return {k: value for k, value in stored.items() if k != key}
+
+    return wanted
+
+
+def undoing(entries: Iterable[edit.Entry]) -> planning.Wanted:
+    """Return the edit that undoes other edits.
+
+    :param entries: the latest edits of the table, oldest first.
+    """
+    latest_first = sorted(entries, reverse=True)
+
+    def wanted(stored: planning.Values) -> planning.Values:
+        values = dict(stored)
+        for entry in latest_first:
+            for change in entry.changes:
+                _undo(values, change, entry.version)
+        return values
+
+    return wanted
+
+
+def _undo(values: planning.Values, change: edit.Change, version: int) -> None:
+    # Rows written around the tool would be lost without a trace.
+    if values.get(change.key) != change.after:
+        _refuse(
+            change.key,
+            f"not as the audit entry of version {version} left it",
+            "declare the rows that you want and apply them",
+        )
+    if change.before is None:
+        del values[change.key]
+    else:
+        values[change.key] = change.before
+
+
+def _kind(key: str) -> kinds.Kind:
+    section, *names = key.split(layout.SEPARATOR)
+    kind = kinds.KIND_BY_SECTION.get(section)
+    if kind is None:
+        _refuse(key, "no such section", "use " + ", ".join(_SECTIONS))
+    if len(names) != len(kind.key_columns or kinds.ALL):
+        form = layout.key(section, *(kind.key_columns or kinds.ALL))
+        _refuse(key, "not the key of a row", f"write {form}")
+    return kind
+
+
+def _refuse(row: str, why: str, remedy: str) -> None:
+    wrong = mistake.Mistake(row, "", row, why, remedy)
+    raise mistake.MistakesError((wrong,))
+
+
+_SECTIONS = sorted(kinds.KIND_BY_SECTION)
