Close the listener before the last request has ended

Cause: on SIGTERM the listening socket stayed open until every request in progress had ended: the WSGI server closes it last, so that the kernel went on taking connections that nobody served, and those callers waited. Ruled out: killing the server's task alone (it waits for its connections). Change: the listener shuts its own socket down; its send buffer is bounded, so that a caller that stops reading is noticed. Drills for the start and the end of a daemon; the verdict shows failure messages whole.

--- a/src/citronvalve/daemon/firstfit.py
+++ b/src/citronvalve/daemon/firstfit.py
@@ -9,8 +9,8 @@
 from citronvalve.model import clock
 from citronvalve.model import declared
 from citronvalve.model import refusal
+from citronvalve.upstreams import ask
 
-_MOST_TRIES = 3
 _RETRY_AFTER: clock.Ms = 1_000
 _STALE: clock.Ms = 3_000
 
@@ -30,11 +30,11 @@
         self._running: collections.Counter[str] = collections.Counter()
 
     def place(
-        self, work: works.Work, tried: tuple[str, ...] = ()
+        self, work: works.Work, after: ask.Ask = dispatches.FIRST
     ) -> dispatches.Placement | refusal.Refusal:
-        if len(tried) >= _MOST_TRIES:
-            return _failed(tried)
-        fit = [u for u in self._fit(work) if u.name not in tried]
+        fit = [u for u in self._fit(work) if u.name not in after.never]
+        # One that failed may be the only one left, and better by now.
+        fit = [u for u in fit if u.name not in after.avoid] or fit
         if not fit:
             return _nowhere(work)
         chosen = min(fit, key=lambda u: (self._running[u.name], u.name))
@@ -77,12 +77,3 @@
         "send it again later",
         retry_after=_RETRY_AFTER,
     )
-
-
-def _failed(tried: tuple[str, ...]) -> refusal.Refusal:
-    return refusal.Refusal(
-        refusal.RefusalKind.UPSTREAM_FAILED,
-        f"{len(tried)} upstreams failed one after another",
-        "send it again later",
-        retry_after=_RETRY_AFTER,
-    )
--- a/src/citronvalve/daemon/listener.py
+++ b/src/citronvalve/daemon/listener.py
@@ -1,6 +1,8 @@
 """A listening socket and the WSGI server on it."""
 
 from collections.abc import Callable
+import contextlib
+import socket
 
 import eventlet
 import eventlet.wsgi
@@ -15,6 +17,9 @@
 #: An idle kept connection is closed after this; the balancer opens another.
 _KEEPALIVE_SECONDS = 75
 
+#: Bytes; about 200 tokens of a streamed answer.
+_SEND_BUFFER = 32_768
+
 
 class Listener:
     """Serves an application until it is closed.
@@ -39,6 +44,12 @@
                 where=address,
                 remedy="free the address or give another one",
             ) from error
+        # Accepted connections inherit this.  Without it the kernel takes in
+        # megabytes for a caller that has stopped reading, and the engine
+        # generates all of an answer that nobody gets.
+        self._socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER
+        )
         self._task: eventlet.greenthread.GreenThread | None = None
 
     def start(self) -> None:
@@ -47,8 +58,15 @@
 
     def close(self) -> None:
         """Accept none any more; requests in progress go on."""
-        if self._task is not None:
-            self._task.kill()
+        if self._task is None:
+            return
+        self._task.kill()
+        # The server itself closes the socket only after the last request
+        # in progress has ended; until then the kernel would go on taking
+        # connections that nobody serves.
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RDWR)
+        self._socket.close()
 
     def _serve(self) -> None:
         eventlet.wsgi.server(
--- /dev/null
+++ b/tests/daemon/steps/lifecycle_steps.py
@@ -0,0 +1,199 @@
+"""Steps about the start and the end of a daemon."""
+
+import concurrent.futures
+import json
+import socket
+import subprocess
+import sys
+import threading
+import time
+
+import behave
+import urllib3
+
+from standins import answer
+from standins import deployment as deployments
+from standins import process
+from tests import drill
+
+_PROMPT = "a long question"
+_TOKENS = 400
+_NOTICE = 600
+
+
+@behave.given("a daemon in the middle of a streamed answer")
+def step_middle(context):
+    made = context.made = drill.open_in(context)
+    engine = made.engine("vm-1", "sapporo", "--token-time=4")
+    made.daemons(1, stop_notice=_NOTICE)
+    made.start()
+    pool = concurrent.futures.ThreadPoolExecutor(1)
+    context.add_cleanup(pool.shutdown)
+    context.answer = pool.submit(
+        made.caller().chat, deployments.MODEL, _PROMPT, tokens=_TOKENS
+    )
+    load = f"http://{engine}/load"
+    drill.eventually(
+        lambda: urllib3.request("GET", load).json()["running"] == 1,
+        "the engine runs the request",
+    )
+
+
+@behave.when("the daemon gets SIGTERM")
+def step_term(context):
+    context.kept = urllib3.HTTPConnectionPool(
+        *context.made.addresses().callers.split(":"), maxsize=1
+    )
+    # A first call, so that the connection is kept from before the signal.
+    context.kept.request("GET", "/", retries=False)
+    context.daemon = context.made.fleet.process_by_name["daemon-0"]
+    context.exit = threading.Thread(target=context.daemon.end)
+    context.exit.start()
+
+
+def _ready(context):
+    url = f"http://{context.made.addresses().operators}/readyz"
+    return urllib3.request("GET", url, retries=False)
+
+
+@behave.then("it says that it is not ready")
+def step_unready(context):
+    drill.eventually(lambda: _ready(context).status == 503, "not ready")
+    assert "stopping" in _ready(context).json()["reasons"]
+
+
+@behave.then("a request on a kept connection in the notice is still answered")
+def step_kept(context):
+    body = {
+        "model": deployments.MODEL,
+        "messages": [{"role": "user", "content": "short"}],
+        "max_tokens": 2,
+    }
+    answered = context.kept.request(
+        "POST",
+        "/v1/chat/completions",
+        json=body,
+        headers={"Authorization": f"Bearer {deployments.TOKEN}"},
+        retries=False,
+    )
+    assert answered.status == 200, answered.data
+
+
+@behave.then("new connections are refused after the notice")
+def step_refused(context):
+    host, _, port = context.made.addresses().callers.rpartition(":")
+
+    def refused():
+        try:
+            socket.create_connection((host, int(port)), 1).close()
+        except ConnectionRefusedError:
+            return True
+        return False
+
+    drill.eventually(refused, "the listener is closed")
+    assert not context.answer.done(), "the answer ended before the listener"
+
+
+@behave.then("the caller reads the whole answer, and the daemon exits with 0")
+def step_exits(context):
+    seen = context.answer.result(drill.PATIENCE)
+    expected = answer.whole(deployments.MODEL, _PROMPT, _TOKENS)
+    assert seen.whole and seen.text == expected, seen
+    context.exit.join(drill.PATIENCE)
+    assert context.daemon.wait() == 0, context.daemon.output()
+
+
+def _start(context, path):
+    context.done = subprocess.run(
+        [sys.executable, "-m", "citronvalve.daemon.main", "--settings", path],
+        capture_output=True,
+        text=True,
+        timeout=drill.PATIENCE,
+        check=False,
+    )
+
+
+def _write(context, text):
+    made = context.made = drill.open_in(context)
+    path = made.fleet.folder / "bad.json5"
+    path.write_text(text)
+    return str(path)
+
+
+_GOOD = {
+    "name": "one",
+    "datacentre": "sapporo",
+    "callers": "127.0.0.1:1",
+    "operators": "127.0.0.1:2",
+    "peers": "127.0.0.1:3",
+    "platform": "127.0.0.1:4",
+}
+
+
+@behave.when("a daemon starts with settings that hold four mistakes")
+def step_four(context):
+    wrong = _GOOD | {
+        "callers": "localhost",
+        "body": "large",
+        "colour": "green",
+        "peer_secret_key": "hush-hush",
+    }
+    wrong.pop("platform")
+    _start(context, _write(context, json.dumps(wrong)))
+
+
+@behave.then("it exits with 2 and names all four, each with its remedy")
+def step_names(context):
+    assert context.done.returncode == 2, context.done
+    for words in (
+        "callers: it is 'localhost' (give an IP number",
+        "body: it is 'large' (give bytes",
+        "colour: there is no such setting",
+        "platform: it is missing (give an IP number",
+    ):
+        assert words in context.done.stderr, context.done.stderr
+
+
+@behave.then("a mistyped secret key is not shown")
+def step_secret(context):
+    assert "hush-hush" not in context.done.stderr
+    assert "peer_secret_key" in context.done.stderr
+
+
+@behave.when("a daemon starts with a file that {what}")
+def step_file(context, what):
+    text = {"holds no JSON": "name = 5", "holds a list": "[1]"}.get(what)
+    if text is None:
+        _start(context, "no-such-file.json5")
+        return
+    _start(context, _write(context, text))
+
+
+@behave.when("a daemon starts on an address that is taken")
+def step_taken(context):
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        others = {
+            name: process.free_address()
+            for name in ("operators", "peers", "platform")
+        }
+        settings = _GOOD | others | {"callers": address}
+        _start(context, _write(context, json.dumps(settings)))
+
+
+@behave.then('it exits with 2 and says "{words}"')
+def step_says(context, words):
+    assert context.done.returncode == 2, context.done
+    assert words in context.done.stderr, context.done.stderr
+
+
+@behave.then("its metrics name the requests in progress in base units")
+def step_metrics(context):
+    url = f"http://{context.made.addresses().operators}/metrics"
+    began = time.monotonic()
+    text = urllib3.request("GET", url).data.decode()
+    assert time.monotonic() - began < 1
+    assert "citronvalve_in_progress 1" in text, text
+    assert "citronvalve_table_age_seconds" in text, text
--- a/tests/verdict.py
+++ b/tests/verdict.py
@@ -46,14 +46,18 @@
 def _outcome(area: str, element: dict) -> Outcome:
     passed = element["status"] == "passed"
     messages = [
-        f"{step['keyword']} {step['name']}\n"
-        + "\n".join(step["result"].get("error_message", []))
+        f"{step['keyword']} {step['name']}\n{_message(step['result'])}"
         for step in element["steps"]
         if step.get("result", {}).get("status") in _BAD
     ]
     return Outcome(f"{area}: {element['name']}", passed, "\n".join(messages))
 
 
+def _message(result: dict) -> str:
+    message = result.get("error_message", "")
+    return message if isinstance(message, str) else "\n".join(message)
+
+
 def _run(area: pathlib.Path) -> Suite:
     with tempfile.TemporaryDirectory() as folder:
         report = pathlib.Path(folder) / "report.json"
