Give each try of an answer an id of its own

Cause: found by a drill that cuts a stream on each engine once. The cancel of the broken try arrived after the resume had begun on the same engine and, by the same request id, ended that one too: four resumes without text, and the caller lost its answer (502, broke off at 7 characters). Ruled out: sending no cancel after a break, since a silent engine would go on generating for nobody. Change: tries are numbered, pieces of an earlier try are strays, resumes follow upstreams.resumption; an upstream that refused or was not reached may be asked again when there is no other; a plain call's key is checked.

--- a/src/citronvalve/entry/dispatch.py
+++ b/src/citronvalve/entry/dispatch.py
@@ -6,6 +6,10 @@
 
 from citronvalve.entry import work as works
 from citronvalve.model import refusal
+from citronvalve.upstreams import ask
+
+#: What a first try asks for.
+FIRST = ask.Ask(0)
 
 
 class Ending(enum.StrEnum):
@@ -39,12 +43,13 @@
 
     @abc.abstractmethod
     def place(
-        self, work: works.Work, tried: tuple[str, ...] = ()
+        self, work: works.Work, after: ask.Ask = FIRST
     ) -> Placement | refusal.Refusal:
         """Choose an upstream, after waiting in the queue if need be.
 
         :param work: what to place.
-        :param tried: upstreams it was on before; none for a first try.
+        :param after: which upstreams it was on before, and must never or
+            should rather not go to again.
         """
 
     @abc.abstractmethod
--- a/src/citronvalve/entry/plain.py
+++ b/src/citronvalve/entry/plain.py
@@ -61,6 +61,9 @@
         deadline = call.deadline(service.deadline, self._env.bounds.deadline)
         if isinstance(deadline, refusal.Refusal):
             return responses.refused(deadline, call.request)
+        key = call.key()
+        if isinstance(key, refusal.Refusal):
+            return responses.refused(key, call.request)
         body = call.body(self._env.bounds.body)
         if isinstance(body, refusal.Refusal):
             return responses.refused(body, call.request)
@@ -99,10 +102,10 @@
     def _run(
         self, call: calls.Call, work: works.Work, path: str, body: bytes
     ) -> plaincall.PlainAnswer | refusal.Refusal:
-        tried: tuple[str, ...] = ()
+        after = dispatches.FIRST
         outcome = ran.Ran.NO
         while True:
-            placed = self._dispatch.place(work, tried)
+            placed = self._dispatch.place(work, after)
             if isinstance(placed, refusal.Refusal):
                 return placed._replace(ran=outcome)
             remaining = work.deadline - self._env.clock.now()
@@ -118,7 +121,7 @@
                 outcome = ran.Ran.UNKNOWN
                 if not work.repeatable:
                     return _unknown(result)
-            tried = (*tried, placed.upstream)
+            after = after._replace(never=(*after.never, placed.upstream))
 
 
 def _sent(
--- a/src/citronvalve/entry/relay.py
+++ b/src/citronvalve/entry/relay.py
@@ -1,6 +1,7 @@
 """Reads one answer from one upstream after another until it is whole."""
 
 from collections.abc import Iterator
+import itertools
 
 from citronvalve.entry import dispatch as dispatches
 from citronvalve.entry import environment as environments
@@ -8,11 +9,13 @@
 from citronvalve.model import clock
 from citronvalve.model import ran
 from citronvalve.model import refusal
+from citronvalve.upstreams import ask
 from citronvalve.upstreams import assembler as assemblers
 from citronvalve.upstreams import engineclient
 from citronvalve.upstreams import enginestream
 from citronvalve.upstreams import heartbeat
 from citronvalve.upstreams import order as orders
+from citronvalve.upstreams import resumption
 from citronvalve.upstreams import trouble
 
 #: Text to pass on, a sign of life, or why there is no whole answer; a
@@ -52,7 +55,7 @@
         self._work = work
         self._messages = messages
         self._answer = assemblers.Assembler(work.request, env.invariants)
-        self._tried: list[str] = []
+        self._resumption = resumption.Resumption(self._answer, work.deadline)
         self._ran = ran.Ran.NO
 
     @property
@@ -61,29 +64,35 @@
         return self._answer.finish
 
     def __iter__(self) -> Iterator[Item]:
-        while not self._answer.finished:
-            placed = self._dispatch.place(self._work, tuple(self._tried))
+        after: ask.Ask | refusal.Refusal = dispatches.FIRST
+        tries = itertools.count(1)
+        while isinstance(after, ask.Ask):
+            placed = self._dispatch.place(self._work, after)
             if isinstance(placed, refusal.Refusal):
-                yield placed._replace(ran=self._ran)
-                return
-            met = yield from self._try(placed)
+                after = placed
+                break
+            # Each try has an id of its own: the cancelling of one that broke
+            # may arrive after the next has begun on the same engine, and
+            # would end that one too.
+            self._answer.request = f"{self._work.request}.{next(tries)}"
+            met = yield from self._try(placed, after.offset)
             if met is None:
                 return
-            if self._remaining() <= 0:
-                yield self._late()
-                return
             self._env.metrics.resumed(met.kind)
-            self._tried.append(placed.upstream)
+            after = self._resumption.after(
+                met, placed.upstream, self._env.clock.now()
+            )
+        yield after._replace(ran=self._ran)
 
     def _try(
-        self, placed: dispatches.Placement
+        self, placed: dispatches.Placement, offset: int
     ) -> Iterator[Item | trouble.Trouble]:
         # A caller that leaves raises GeneratorExit in here, and must free
         # the upstream as surely as an answer that ends.
         ending = dispatches.Ending.ABANDONED
         try:
             stream = self._client.generate(
-                placed.address, self._order(placed), self._remaining()
+                placed.address, self._order(placed, offset), self._remaining()
             )
             if isinstance(stream, trouble.Trouble):
                 met = stream
@@ -99,7 +108,8 @@
         stream: enginestream.EngineStream,
         placed: dispatches.Placement,
     ) -> Iterator[Item | trouble.Trouble]:
-        self._ran = ran.Ran.UNKNOWN
+        if self._ran is ran.Ran.NO:
+            self._ran = ran.Ran.UNKNOWN
         whole = False
         try:
             for item in stream:
@@ -116,7 +126,7 @@
         finally:
             stream.close()
             if not whole:
-                self._client.cancel(placed.address, self._work.request)
+                self._client.cancel(placed.address, self._answer.request)
 
     def _accept(self, item) -> Iterator[Item | trouble.Trouble]:
         if isinstance(item, trouble.Trouble):
@@ -136,24 +146,18 @@
             return dispatches.Ending.ABANDONED
         return _ENDING_BY_KIND.get(met.kind, dispatches.Ending.WRONG)
 
-    def _order(self, placed: dispatches.Placement) -> orders.GenerateOrder:
+    def _order(
+        self, placed: dispatches.Placement, offset: int
+    ) -> orders.GenerateOrder:
         return orders.GenerateOrder(
-            request=self._work.request,
+            request=self._answer.request,
             model=self._work.target,
             messages=self._messages,
             max_tokens=self._work.output,
             priority=placed.priority,
-            offset=self._answer.resume_at,
+            offset=offset,
             fence=placed.fence,
         )
 
     def _remaining(self) -> clock.Ms:
         return self._work.deadline - self._env.clock.now()
-
-    def _late(self) -> refusal.Refusal:
-        return refusal.Refusal(
-            refusal.RefusalKind.DEADLINE_PASSED,
-            "the answer was not whole when the deadline passed",
-            "ask for less, or allow more time",
-            self._ran,
-        )
--- a/src/citronvalve/upstreams/assembler.py
+++ b/src/citronvalve/upstreams/assembler.py
@@ -22,7 +22,8 @@
     the same text: 4,096 tokens are about 16 KB, so 200 streams hold some
     3 MB of a daemon's 256 MB.
 
-    :param request: id of the request that the answer belongs to.
+    :param request: id of the request that the answer belongs to; whoever
+        gives each try an id of its own sets it before the try.
     :param promises: counts the invariants; a fresh one by default.
     :ivar offset: characters relayed so far.
     :ivar finish: the reason of the end; empty until then.
--- a/src/citronvalve/upstreams/trouble.py
+++ b/src/citronvalve/upstreams/trouble.py
@@ -49,8 +49,8 @@
     TroubleKind.MALFORMED: Cure.RESUME,
     TroubleKind.BROKEN: Cure.RESUME,
     TroubleKind.SILENT: Cure.RESUME,
-    TroubleKind.UNREACHED: Cure.RESUME_ELSEWHERE,
-    TroubleKind.REFUSED: Cure.RESUME_ELSEWHERE,
+    TroubleKind.UNREACHED: Cure.RESUME,
+    TroubleKind.REFUSED: Cure.RESUME,
 }
 
 #: The only two that prove that the request did not run.
--- a/standins/client.py
+++ b/standins/client.py
@@ -10,13 +10,18 @@
 
 
 class Seen(NamedTuple):
-    """What a caller saw; ``whole`` needs the end mark of a stream."""
+    """What a caller saw.
+
+    ``clean`` tells whether the HTTP body ended as it should; ``whole``
+    needs the end mark of a stream besides.
+    """
 
     status: int
     text: str
     whole: bool
     headers: dict[str, str]
     problem: dict[str, Any]
+    clean: bool = True
 
 
 class Client:
@@ -142,4 +147,5 @@
         whole and clean,
         dict(answer.headers),
         problem,
+        clean,
     )
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -200,7 +200,7 @@
             if request in self._cancelled or self.state.missing:
                 return
             if self._strikes("silent"):
-                eventlet.sleep(3_600)
+                self._say_nothing(request)
             if begin and self._strikes("cut"):
                 return
             skip = max(0, offset - begin)
@@ -221,6 +221,10 @@
         if self._strikes("repeat"):
             yield piece
 
+    def _say_nothing(self, request: str) -> None:
+        while request not in self._cancelled:
+            self._wait(10)
+
     def _wait(self, span: int) -> None:
         if span:
             eventlet.sleep(span / 1_000)
--- /dev/null
+++ b/tests/entry/steps/badinput_steps.py
@@ -0,0 +1,143 @@
+"""Steps that send what no caller should."""
+
+import json
+import socket
+
+import behave
+
+from standins import client
+from standins import deployment as deployments
+
+_GOOD = {
+    "model": deployments.MODEL,
+    "messages": [{"role": "user", "content": "hello"}],
+}
+_PATH = "/v1/chat/completions"
+_LARGE = b" " * 1_100_000
+
+
+def _chat(body=None, headers=(), path=_PATH, method="POST", token=True):
+    raw = body if isinstance(body, bytes) else json.dumps(body or _GOOD)
+    return method, path, raw, dict(headers), token
+
+
+def _without(name):
+    return {key: value for key, value in _GOOD.items() if key != name}
+
+
+_CHAT_BY_MISTAKE = {
+    "a body that is no JSON": _chat(b"hello JSON"),
+    "an empty body": _chat(b""),
+    "no messages": _chat(_without("messages")),
+    "empty messages": _chat(_GOOD | {"messages": []}),
+    "a number as content": _chat(
+        _GOOD | {"messages": [{"role": "user", "content": 5}]}
+    ),
+    "no tokens": _chat(_GOOD | {"max_tokens": 0}),
+    "too many tokens": _chat(_GOOD | {"max_tokens": 9_999}),
+    "a body too large": _chat(_LARGE),
+    "an unknown model": _chat(_GOOD | {"model": "no-such-model"}),
+    "no token": _chat(token=None),
+    "a wrong token": _chat(token="wrong"),
+    "a wrong path": _chat(path="/v1/nothing"),
+    "a wrong method": _chat(b"", method="GET"),
+}
+
+_CALL_BY_MISTAKE = {
+    "an unknown name": _chat(b"{}", path="/v1/services/nothing/x"),
+    "a key too long": _chat(
+        b"{}", {"Idempotency-Key": "k" * 300}, "/v1/services/records/x"
+    ),
+    "a body too large": _chat(_LARGE, path="/v1/services/records/x"),
+    "a deadline of soon": _chat(
+        b"{}", {"X-Deadline-Ms": "soon"}, "/v1/services/records/x"
+    ),
+}
+
+_RAW = {
+    "junk": b"\x00\x01\x02 what\r\n\r\n",
+    "an endless header": b"GET / HTTP/1.1\r\nX: " + b"y" * 80_000 + b"\r\n",
+    "a wrong length": b"POST /v1/chat/completions HTTP/1.1\r\n"
+    b"Content-Length: many\r\n\r\n",
+    "a negative length": b"POST /v1/chat/completions HTTP/1.1\r\n"
+    b"Content-Length: -1\r\n\r\n",
+}
+
+
+def _send(context, method, path, raw, headers, token):
+    caller = context.made.caller()
+    if token is None:
+        caller = _Anonymous(context.made.addresses().callers, "")
+    elif token is not True:
+        caller = context.made.caller(token=token)
+    context.answer = caller.open(method, path, raw, headers)
+    context.problem = json.loads(context.answer.data)
+
+
+class _Anonymous(client.Client):
+    def open(self, method, path, body, headers):
+        """Send without a token."""
+        return self._http.request(
+            method, self._base + path, body=body, preload_content=False
+        )
+
+
+@behave.when("a caller sends a chat request with a deadline of {value}")
+def step_deadline(context, value):
+    _send(context, *_chat(headers={"X-Deadline-Ms": value}))
+
+
+@behave.when("a caller sends a chat request with {mistake}")
+def step_chat(context, mistake):
+    _send(context, *_CHAT_BY_MISTAKE[mistake])
+
+
+@behave.when("a caller calls a service with {mistake}")
+def step_call(context, mistake):
+    _send(context, *_CALL_BY_MISTAKE[mistake])
+
+
+@behave.then(
+    'it is refused with {status:d} "{kind}", naming "{named}", not run'
+)
+def step_refused(context, status, kind, named):
+    assert context.answer.status == status, context.problem
+    assert context.problem["type"].endswith(f":{kind}"), context.problem
+    assert named in context.problem["detail"], context.problem
+    assert context.problem["ran"] == "no", context.problem
+    assert context.problem["remedy"], context.problem
+
+
+def _connect(context):
+    host, _, port = context.made.addresses().callers.rpartition(":")
+    return socket.create_connection((host, int(port)), 5)
+
+
+@behave.when("a caller sends raw {name}")
+def step_raw(context, name):
+    with _connect(context) as peer:
+        peer.sendall(_RAW[name])
+        peer.shutdown(socket.SHUT_WR)
+        context.raw = peer.recv(4_096)
+
+
+@behave.then("the connection ends with an error of 400")
+def step_400(context):
+    # What is no HTTP at all gets the error as a page without a status line.
+    assert b" 400" in context.raw, context.raw[:200]
+    assert b"HTTP/1.1 2" not in context.raw, context.raw[:200]
+
+
+@behave.when("a caller sends half of its body and closes")
+def step_half(context):
+    with _connect(context) as peer:
+        peer.sendall(
+            b"POST /v1/chat/completions HTTP/1.1\r\nAuthorization: Bearer "
+            + deployments.TOKEN.encode()
+            + b"\r\nContent-Length: 1000\r\n\r\n{"
+        )
+
+
+@behave.then("the daemon still answers others")
+def step_still(context):
+    assert context.made.caller().chat(deployments.MODEL, "hello").whole
--- /dev/null
+++ b/tests/entry/steps/whole_steps.py
@@ -0,0 +1,91 @@
+"""Steps about whole answers."""
+
+import concurrent.futures
+import time
+
+import behave
+import urllib3
+
+from standins import answer
+from standins import deployment as deployments
+
+_PROMPT = "Which code fits a leather case?"
+_MODEL = deployments.MODEL
+
+
+def _order(address, fault, calls):
+    body = {"fault": fault, "calls": calls}
+    urllib3.request("POST", f"http://{address}/faults", json=body)
+
+
+@behave.given("the engines will {fault} once")
+def step_fault(context, fault):
+    for address in context.engines:
+        _order(address, fault, 1)
+        context.add_cleanup(_order, address, "", 0)
+
+
+@behave.given("every engine cuts every answer")
+def step_cut(context):
+    for address in context.engines:
+        _order(address, "cut", -1)
+        context.add_cleanup(_order, address, "", 0)
+
+
+@behave.when("a caller asks for {count:d} tokens, {how}")
+def step_ask(context, count, how):
+    context.count = count
+    context.seen = context.made.caller().chat(
+        _MODEL, _PROMPT, tokens=count, stream=how == "streamed"
+    )
+
+
+@behave.then("it reads the whole answer, word for word")
+def step_whole(context):
+    expected = answer.whole(_MODEL, _PROMPT, context.count)
+    assert context.seen.whole, context.seen
+    assert context.seen.text == expected, context.seen
+
+
+@behave.then(
+    "it is told by an error event, and the connection does not end clean"
+)
+def step_told(context):
+    seen = context.seen
+    expected = answer.whole(_MODEL, _PROMPT, context.count)
+    assert not seen.whole, seen
+    assert expected.startswith(seen.text), seen
+    assert seen.problem["ran"] == "yes", seen
+    assert not seen.clean, seen
+
+
+@behave.when("{count:d} callers ask different questions at the same time")
+def step_many(context, count):
+    def ask(number):
+        prompt = f"question {number}"
+        seen = context.made.caller().chat(_MODEL, prompt, tokens=30)
+        return seen, answer.whole(_MODEL, prompt, 30)
+
+    with concurrent.futures.ThreadPoolExecutor(count) as pool:
+        context.pairs = list(pool.map(ask, range(count)))
+
+
+@behave.then("each reads the answer to its own question")
+def step_own(context):
+    for seen, expected in context.pairs:
+        assert seen.whole and seen.text == expected, seen
+
+
+@behave.when("a caller asks for {count:d} tokens within {span:d} ms")
+def step_within(context, count, span):
+    began = time.monotonic()
+    context.seen = context.made.caller().chat(
+        _MODEL, _PROMPT, tokens=count, deadline=span
+    )
+    context.took = (time.monotonic() - began) * 1_000
+
+
+@behave.then("it is told that the deadline passed, at once")
+def step_late(context):
+    assert context.seen.problem["type"].endswith(":deadline-passed")
+    assert context.took < 800, context.took
