Follow the table by its changes, and prove edits under failure

Cause: a daemon read the whole table each time, and none of the promises about edits had a test. Ruled out: deleting rows in the store (watchers that read at different moments would give the removal different revisions, and copies could not be compared); building the table anew for each edit. Change: a pure watcher (jitter, back-off, never back, no half edits), a follower that builds a version from the last one and the changed rows, and suites for rows, edits and watching with a machine of racing operators. Two faults found by them and mended: an unhashable value crashed the check, an unknown stored section crashed an edit.

--- a/src/citronvalve/cli/outcomes.py
+++ b/src/citronvalve/cli/outcomes.py
@@ -32,9 +32,8 @@
     """
     found = tuple(found)
     heads = ("row", "column", "value", "why", "remedy")
-    text = report.grid(
-        heads, (m[:2] + (repr(m.value),) + m[3:] for m in found)
-    )
+    lines = ((*m[:2], repr(m.value), m.why, m.remedy) for m in found)
+    text = report.grid(heads, lines)
     return report.Report(
         _Code.BAD_INPUT,
         f"{len(found)} mistakes; nothing was changed\n{text}",
@@ -73,6 +72,7 @@
         {
             "outcome": "accepted",
             "version": outcome.version,
+            "edit": outcome.edit,
             "changes": changes.body(outcome.changes),
         },
     )
--- a/src/citronvalve/table/crosscheck.py
+++ b/src/citronvalve/table/crosscheck.py
@@ -27,12 +27,14 @@
     row: str, column: str, name: str, known: dict, section: str
 ) -> _Mistakes:
     if name not in known:
+        needs = layout.key(section, name)
         yield mistake.Mistake(
             row,
             column,
             name,
             f"{section} has no such row",
-            f"add {layout.key(section, name)} or name one that is there",
+            f"add {needs} or name one that is there",
+            needs,
         )
 
 
--- a/src/citronvalve/table/edit.py
+++ b/src/citronvalve/table/edit.py
@@ -46,9 +46,10 @@
 
 
 class Accepted(NamedTuple):
-    """The edit is committed as this version."""
+    """The edit is committed as this version, with an id of its own."""
 
     version: int
+    edit: str
     changes: tuple[Change, ...]
 
 
--- a/src/citronvalve/table/editor.py
+++ b/src/citronvalve/table/editor.py
@@ -165,7 +165,7 @@
                 self._pause(tried)
             outcome = self._service.commit(sent.transaction)
             if isinstance(outcome, rows.Committed):
-                return edit.Accepted(sent.base + 1, sent.changes)
+                return edit.Accepted(sent.base + 1, sent.id, sent.changes)
             if isinstance(outcome, rows.Conflict):
                 version = _head_version(outcome, sent.base)
                 if not lost:
@@ -184,7 +184,7 @@
         if missing.is_missing(entry):
             return missing.Unavailable(entry.reason, entry.where)
         if entry.edit == sent.id:
-            return edit.Accepted(sent.base + 1, sent.changes)
+            return edit.Accepted(sent.base + 1, sent.id, sent.changes)
         return self._outrun(sent.base, version)
 
     def _outrun(self, expected: int, version: int) -> edit.Outrun:
@@ -202,8 +202,11 @@
         "who": entry.who,
         "at": entry.at,
     }
+    # A removed row stays with an empty value: its revision then is the same
+    # for all who read it, and a copy that lags can tell it from a row that
+    # it has not seen.
     changed = (
-        rows.Write(layout.TABLE, change.key, change.after)
+        rows.Write(layout.TABLE, change.key, change.after or {})
         for change in entry.changes
     )
     return rows.Transaction(
--- /dev/null
+++ b/src/citronvalve/table/follower.py
@@ -0,0 +1,89 @@
+"""Keeps the typed table in step with the stored rows that arrive."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from typing import Any
+
+from citronvalve.model import declared
+from citronvalve.model import invariant
+from citronvalve.model import missing
+from citronvalve.platform import rows
+from citronvalve.table import delta as deltas
+from citronvalve.table import layout
+from citronvalve.table import mistake
+from citronvalve.table import typed
+
+
+class Follower:
+    """Builds each new version from the last one and the changed rows.
+
+    Load: 40,000 edits a day against a table of 12,000 rows.  Checking all
+    rows for each would cost more than a daemon may spend on control.
+
+    :param invariants: where promises are asserted.
+    :ivar table: the last good version, or why there is none.
+    :ivar revision: of the rows taken in; rows after it are wanted.
+    :ivar refused: why rows that were taken in are not in force.
+    """
+
+    def __init__(self, invariants: invariant.Invariants) -> None:
+        self._invariants = invariants
+        self.table: declared.Declared | missing.NotFound = missing.NotFound(
+            "no table yet, from the platform or a peer", layout.TABLE
+        )
+        self.revision = rows.NO_ROW
+        self.refused: tuple[mistake.Mistake, ...] = ()
+        self._pending: dict[str, rows.Row] = {}
+
+    def take(
+        self, delta: deltas.Delta
+    ) -> declared.Declared | missing.Stale | None:
+        """Take in a delta; return the table when its version rose.
+
+        Rows that can't be used leave the last good version in force, since
+        half of an edit is worse than none; they are kept until later ones
+        mend them.
+
+        :param delta: from a watcher or a peer.
+        :return: None when nothing came into force, and a missing value when
+            rows between this and the delta's base were never seen.
+        """
+        if delta.revision <= self.revision:
+            return None
+        if delta.base > self.revision:
+            return missing.Stale(
+                f"rows after {self.revision} up to {delta.base} are unknown",
+                layout.TABLE,
+            )
+        for row in delta.rows:
+            held = self._pending.get(row.key)
+            if held is None or held.version < row.version:
+                self._pending[row.key] = row
+        self.revision = delta.revision
+        return self._build()
+
+    def _build(self) -> declared.Declared | None:
+        head = self._pending[layout.HEAD]
+        version = head.value["version"]
+        before = self.table or typed.EMPTY
+        changes = typed.known(_pairs(self._pending.values()))
+        built = typed.changed_from(before, changes, version)
+        self.refused = built.mistakes
+        if built.mistakes:
+            return None
+        self._invariants.hold(
+            "the table's version never falls",
+            version > before.version,
+            f"{before.version} to {version}",
+        )
+        self._pending = {}
+        self.table = built.table
+        return built.table
+
+
+def _pairs(
+    newer: Iterable[rows.Row],
+) -> Iterator[tuple[str, dict[str, Any] | None]]:
+    for row in newer:
+        if row.key != layout.HEAD:
+            yield row.key, row.value or None
--- a/src/citronvalve/table/mistake.py
+++ b/src/citronvalve/table/mistake.py
@@ -6,13 +6,17 @@
 
 
 class Mistake(NamedTuple):
-    """Where it is, the value seen, why it is wrong, and the remedy."""
+    """Where it is, the value seen, why it is wrong, and the remedy.
+
+    ``needs`` is the key of the row that a reference does not find.
+    """
 
     row: str
     column: str
     value: Any
     why: str
     remedy: str
+    needs: str = ""
 
     def __str__(self) -> str:
         place = f"{self.row}.{self.column}" if self.column else self.row
--- /dev/null
+++ b/src/citronvalve/table/poller.py
@@ -0,0 +1,36 @@
+"""Reads what changed in the platform's table, for one watcher."""
+
+from citronvalve.model import clock
+from citronvalve.model import missing
+from citronvalve.platform import tableservice
+from citronvalve.table import delta as deltas
+from citronvalve.table import layout
+from citronvalve.table import watcher as watchers
+
+
+class Poller:
+    """Asks the platform when told to; its owner keeps the time.
+
+    :param service: the platform's table service.
+    :param watcher: decides what is new.
+    :param now: monotonic clock.
+    """
+
+    def __init__(
+        self,
+        service: tableservice.TableService,
+        watcher: watchers.Watcher,
+        now: clock.Clock,
+    ) -> None:
+        self._service = service
+        self._clock = now
+        self.watcher = watcher
+
+    def poll(self) -> deltas.Delta | missing.Missing | None:
+        """Look once; None when nothing changed."""
+        asked_at = self._clock.now()
+        scan = self._service.scan(layout.TABLE, self.watcher.revision)
+        if missing.is_missing(scan):
+            self.watcher.failed()
+            return scan
+        return self.watcher.take(scan, asked_at)
--- a/src/citronvalve/table/state.py
+++ b/src/citronvalve/table/state.py
@@ -1,6 +1,5 @@
 """The stored rows of the table at one version, and how changes fold in."""
 
-from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 from citronvalve.platform import rows
@@ -21,11 +20,11 @@
 
     @property
     def value_by_key(self) -> dict[str, dict[str, Any]]:
-        """Return the rows' columns, without the head."""
+        """Return the rows' columns, without the head and removed rows."""
         return {
             key: row.value
             for key, row in self.row_by_key.items()
-            if key != layout.HEAD
+            if key != layout.HEAD and row.value
         }
 
 
@@ -33,30 +32,16 @@
 EMPTY = State(0, rows.NO_ROW, {})
 
 
-def of(stored: Iterable[rows.Row]) -> State:
-    """Return the state that a full copy holds.
-
-    :param stored: all rows with the head.
-    """
-    return _state({row.key: row for row in stored})
-
-
 def fold(state: State, scan: rows.Scan) -> State:
     """Return the state after a scan of what changed.
 
     :param state: what was seen so far.
     :param scan: of :data:`layout.TABLE` after ``state.revision``.
     """
-    if not scan.rows and not scan.deleted:
+    if not scan.rows:
         return state
     row_by_key = dict(state.row_by_key)
-    for key in scan.deleted:
-        row_by_key.pop(key, None)
     row_by_key.update((row.key, row) for row in scan.rows)
-    return _state(row_by_key)
-
-
-def _state(row_by_key: dict[str, rows.Row]) -> State:
     head = row_by_key.get(layout.HEAD)
     if not head:
         return EMPTY
--- a/src/citronvalve/table/typed.py
+++ b/src/citronvalve/table/typed.py
@@ -44,11 +44,10 @@
     changed = changed_from(EMPTY, value_by_key.items(), version)
     wrong = changed.mistakes
     wrong_rows = {each.row for each in wrong}
-    missing_names = {row.rpartition(layout.SEPARATOR)[2] for row in wrong_rows}
     whole = tuple(
         each
         for each in crosscheck.check(changed.table)
-        if each.value not in missing_names
+        if each.needs not in wrong_rows
     )
     return Typed(changed.table, wrong + whole)
 
@@ -74,7 +73,10 @@
             switches = checked.record or switches
             wrong += checked.mistakes
             continue
-        field = _FIELD_BY_SECTION[section]
+        field = _FIELD_BY_SECTION.get(section)
+        if field is None:
+            wrong.append(_no_section(key, section))
+            continue
         if field not in copied:
             copied[field] = dict(getattr(before, field))
         name = names[0] if len(names) == 1 else tuple(names)
@@ -112,5 +114,15 @@
         yield key, value
 
 
+def _no_section(key: str, section: str) -> mistake.Mistake:
+    return mistake.Mistake(
+        key,
+        "",
+        section,
+        "no such section",
+        "edit with the release that wrote it",
+    )
+
+
 def _checked(section: str, key: str, value: dict[str, Any]) -> columns.Checked:
     return columns.check(kinds.KIND_BY_SECTION[section], key, value)
--- /dev/null
+++ b/src/citronvalve/table/watcher.py
@@ -0,0 +1,124 @@
+"""Decides when to look at the platform's table, and what is new in it."""
+
+import random
+from typing import NamedTuple
+
+from citronvalve.model import clock
+from citronvalve.model import invariant
+from citronvalve.model import missing
+from citronvalve.platform import rows
+from citronvalve.table import delta as deltas
+from citronvalve.table import layout
+
+
+class Timing(NamedTuple):
+    """How often to look.
+
+    ``period``: ms between looks.  Two watchers in each of 31 data centres
+    make 124 reads a second of the 2,000 that the platform serves, and one of
+    the two sees an edit within 170 ms on average.
+    ``jitter``: share by which a wait is shortened or lengthened, so that
+    watchers that were started together do not read together.
+    ``longest``: ms between looks in an outage; an edit made right after it
+    has then still half of its 9 s for the way to all daemons.
+    """
+
+    period: clock.Ms = 500
+    jitter: float = 0.2
+    longest: clock.Ms = 4_000
+
+
+class Watcher:
+    """Turns reads of the table into deltas; pure.
+
+    It never tells of a revision at or below one that it has seen: a read
+    may come from a replica that lags, or from a store that was put back.
+
+    :param timing: how often to look.
+    :param chance: for jitter.
+    :param invariants: where promises are asserted.
+    :ivar revision: the newest revision seen; the next scan starts from it.
+    :ivar failures: failed looks since the last good one.
+    """
+
+    def __init__(
+        self,
+        timing: Timing,
+        chance: random.Random,
+        invariants: invariant.Invariants,
+    ) -> None:
+        self._timing = timing
+        self._chance = chance
+        self._invariants = invariants
+        self._good_at: clock.Ms | None = None
+        self.revision = rows.NO_ROW
+        self.failures = 0
+
+    def skip_to(self, revision: int) -> None:
+        """Go on from a copy that came from a peer.
+
+        :param revision: of the copy; a lower one changes nothing.
+        """
+        self.revision = max(self.revision, revision)
+
+    def wait(self) -> clock.Ms:
+        """Return ms until the next look.
+
+        Load: a store that comes back after an outage, with every watcher
+        waiting for it.  Waits double up to a limit and are spread out, or
+        the first second would bring down a store that is barely up.
+        """
+        # More doublings than these pass any limit, and would overflow.
+        doubled = self._timing.period << min(self.failures, 16)
+        span = min(doubled, self._timing.longest)
+        spread = self._chance.uniform(-1, 1) * self._timing.jitter
+        return max(1, int(span * (1 + spread)))
+
+    def age(self, now: clock.Ms) -> clock.Ms | missing.NotFound:
+        """Return ms since the last good look.
+
+        :param now: monotonic time in ms.
+        """
+        if self._good_at is None:
+            return missing.NotFound("the table was never read", "platform")
+        return now - self._good_at
+
+    def failed(self) -> None:
+        """Take in that a look failed; only the age tells, the table stays."""
+        self.failures += 1
+
+    def take(
+        self, scan: rows.Scan, asked_at: clock.Ms
+    ) -> deltas.Delta | missing.Stale | None:
+        """Take in a scan after :attr:`revision`; None when nothing changed.
+
+        :param scan: as the platform gave it.
+        :param asked_at: monotonic ms before it was asked for: it is no
+            newer than that.
+        """
+        if scan.revision < self.revision:
+            return self._doubt("an older revision than one already seen")
+        newer = tuple(r for r in scan.rows if r.version > self.revision)
+        head = [row for row in newer if row.key == layout.HEAD]
+        # Every edit writes the head: rows without it, or newer than it, are
+        # half of an edit.
+        if newer and not head:
+            return self._doubt("rows without the head")
+        if head and head[0].version != max(row.version for row in newer):
+            return self._doubt("rows newer than the head")
+        self.failures = 0
+        self._good_at = asked_at
+        return self._rise(newer, head[0].version) if head else None
+
+    def _rise(self, newer: tuple[rows.Row, ...], to: int) -> deltas.Delta:
+        self._invariants.hold(
+            "a watcher's revision rises",
+            to > self.revision,
+            f"{self.revision} to {to}",
+        )
+        base, self.revision = self.revision, to
+        return deltas.Delta(base, to, newer)
+
+    def _doubt(self, why: str) -> missing.Stale:
+        self.failures += 1
+        return missing.Stale(f"the platform told {why}", layout.TABLE)
--- /dev/null
+++ b/tests/table/helpers.py
@@ -0,0 +1,42 @@
+"""Parts that the steps about the table share."""
+
+import pathlib
+import random
+
+from citronvalve.model import clock
+from citronvalve.table import document
+from citronvalve.table import edit
+from citronvalve.table import editor
+from citronvalve.table import rowedits
+from standins import hostiletable
+
+_EXAMPLE = pathlib.Path("examples/table.json5")
+
+
+def example():
+    """Return the example declaration."""
+    return document.parse(_EXAMPLE.read_text(), _EXAMPLE.name)
+
+
+def new_editor(service, who):
+    """Return an operator's editor."""
+    return editor.Editor(service, clock.SystemClock(), random.Random(who))
+
+
+def link(context):
+    """Return the way from ann to the store."""
+    if "link" not in context:
+        context.link = hostiletable.HostileTable(context.store)
+    return context.link
+
+
+def apply(context, who, wanted, why="a reason", expected=None):
+    """Apply an edit, ann's by her own way to the store."""
+    service = link(context) if who == "ann" else context.store
+    author = edit.Author(who, why)
+    context.done = new_editor(service, who).apply(wanted, author, expected)
+
+
+def set_column(context, who, key, column, value, why="a reason"):
+    """Set one column."""
+    apply(context, who, rowedits.setting(key, {column: value}), why)
--- /dev/null
+++ b/tests/table/machines.py
@@ -0,0 +1,163 @@
+"""State machines about edits of the table and daemons that follow them."""
+
+import random
+
+from hypothesis import stateful
+from hypothesis import strategies
+
+from citronvalve.model import invariant
+from citronvalve.model import manualclock
+from citronvalve.model import missing
+from citronvalve.platform import rows
+from citronvalve.table import audit
+from citronvalve.table import edit
+from citronvalve.table import editor
+from citronvalve.table import follower
+from citronvalve.table import layout
+from citronvalve.table import reading
+from citronvalve.table import rowedits
+from citronvalve.table import watcher
+from standins import hostiletable
+from standins import memorytable
+
+_NAMES = strategies.sampled_from(["a", "b", "c"])
+_WEIGHTS = strategies.sampled_from([1, 2, 3])
+_FATES = strategies.lists(
+    strategies.sampled_from(hostiletable.Fate), max_size=5
+)
+
+
+class RacingOperators(stateful.RuleBasedStateMachine):
+    """Operators edit at once through a store that loses answers."""
+
+    CHECKS = invariant.Invariants()
+
+    def __init__(self):
+        super().__init__()
+        self.store = memorytable.MemoryTable()
+        self.links = [hostiletable.HostileTable(self.store) for _ in "123"]
+        self.editors = [
+            editor.Editor(link, manualclock.ManualClock(), random.Random(seed))
+            for seed, link in enumerate(self.links)
+        ]
+        self.outcome_by_why = {}
+        self.scans = []
+        self.watcher = watcher.Watcher(
+            watcher.Timing(), random.Random(1), self.CHECKS
+        )
+        self.follower = follower.Follower(self.CHECKS)
+
+    def _author(self):
+        self.outcome_by_why[why := str(len(self.outcome_by_why))] = None
+        return edit.Author("operator", why)
+
+    def _set(self, at, name, weight):
+        author = self._author()
+        stored = reading.read_state(self.store).value_by_key
+        key = layout.key("datacentres", name)
+        wanted = rowedits.setting(key, {"weight": weight}, key not in stored)
+        done = self.editors[at].apply(wanted, author)
+        self.outcome_by_why[author.why] = done
+
+    @stateful.rule(
+        at=strategies.integers(0, 2),
+        name=_NAMES,
+        weight=_WEIGHTS,
+        fates=_FATES,
+    )
+    def sets(self, at, name, weight, fates):
+        """Set a weight while the store does what the fates say."""
+        self.links[at].fates.extend(fates)
+        self._set(at, name, weight)
+        self.links[at].fates.clear()
+
+    @stateful.rule(name=_NAMES, other=_NAMES, weight=_WEIGHTS, fates=_FATES)
+    def races(self, name, other, weight, fates):
+        """Let another operator in between the read and the commit."""
+        link = self.links[0]
+        link.fates.extend(fates)
+        link.before_commit = lambda: self._set(1, other, weight)
+        self._set(0, name, weight + 1)
+        link.fates.clear()
+
+    @stateful.rule(name=_NAMES, fates=_FATES)
+    def removes(self, name, fates):
+        """Remove a row."""
+        author = self._author()
+        self.links[2].fates.extend(fates)
+        wanted = rowedits.removing(layout.key("datacentres", name))
+        done = self.editors[2].apply(wanted, author)
+        self.outcome_by_why[author.why] = done
+        self.links[2].fates.clear()
+
+    @stateful.rule(back=strategies.integers(0, 4), fates=_FATES)
+    def reverts(self, back, fates):
+        """Go back to what an earlier version said."""
+        author = self._author()
+        version = reading.read_state(self.store).version
+        self.links[1].fates.extend(fates)
+        done = self.editors[1].revert(max(0, version - back), author)
+        self.outcome_by_why[author.why] = done
+        self.links[1].fates.clear()
+
+    @stateful.rule(at=strategies.integers(0, 2))
+    def lands(self, at):
+        """Let writes arrive that their senders gave up on."""
+        self.links[at].land()
+
+    @stateful.rule()
+    def asks(self):
+        """Send a read; its answer may come after those of later ones."""
+        self.scans.append(self.store.scan(layout.TABLE, self.watcher.revision))
+
+    @stateful.precondition(lambda self: self.scans)
+    @stateful.rule(at=strategies.integers(0, 9))
+    def answers(self, at):
+        """Give a daemon any answer, late or twice."""
+        self._answer(self.scans[at % len(self.scans)])
+
+    @stateful.rule()
+    def follows(self):
+        """Look, and get the answer at once."""
+        self._answer(self.store.scan(layout.TABLE, self.watcher.revision))
+
+    def _answer(self, scan):
+        delta = self.watcher.take(scan, 0)
+        if not missing.is_missing(delta) and delta is not None:
+            self.follower.take(delta)
+
+    @stateful.invariant()
+    def each_accepted_edit_has_one_entry(self):
+        """No edit is lost, doubled, or done after it was said not to be."""
+        version = reading.read_state(self.store).version
+        entries = audit.since(self.store, 0, version)
+        assert not missing.is_missing(entries), entries
+        whys = [entry.why for entry in entries]
+        assert len(whys) == len(set(whys)), "an edit took effect twice"
+        for why, done in self.outcome_by_why.items():
+            if isinstance(done, edit.Accepted):
+                assert entries[done.version - 1].edit == done.edit
+            elif done is not None and not isinstance(done, edit.Unknown):
+                assert why not in whys, f"{done} took effect"
+        self.entries = entries
+
+    @stateful.invariant()
+    def the_trail_leads_to_the_table(self):
+        """The entries, carried out one by one, give what is stored."""
+        values = {}
+        for entry in self.entries:
+            for change in entry.changes:
+                assert values.get(change.key) == change.before
+                values[change.key] = change.after
+        stored = reading.read_state(self.store).value_by_key
+        assert stored == {k: v for k, v in values.items() if v}
+
+    @stateful.invariant()
+    def a_daemon_in_step_holds_the_table(self):
+        """Whoever has seen the last revision has the whole table."""
+        stored = reading.read_state(self.store)
+        if stored.revision == self.follower.revision != rows.NO_ROW:
+            assert self.follower.table == reading.read(self.store)
+
+
+MACHINES = (RacingOperators,)
