--- /dev/null
+++ b/src/citronvalve/peers/beat.py
@@ -0,0 +1,12 @@
+"""The short form in which a known member's heartbeat travels."""
+
+from typing import NamedTuple
+
+
+class Beat(NamedTuple):
+    """A heartbeat, with the table version that its sender confirms."""
+
+    name: str
+    incarnation: int
+    beat: int
+    version: int
--- /dev/null
+++ b/src/citronvalve/peers/codec.py
@@ -0,0 +1,93 @@
+"""Turns messages into bytes and back; what does not fit is junk."""
+
+import collections
+from typing import Any, NamedTuple
+
+import msgspec
+
+from citronvalve.peers import ask
+from citronvalve.peers import envelope
+from citronvalve.peers import gossip
+from citronvalve.peers import junk
+from citronvalve.peers import lent
+from citronvalve.peers import notice
+from citronvalve.peers import tableask
+from citronvalve.peers import tablepage
+
+#: Bytes of the largest message.  A full page of the table is 48 KiB and a
+#: row at most 16 KiB; anything larger is not ours, and would hold up the
+#: relaying of tokens while it is decoded.
+MOST_BYTES = 96 * 1_024
+
+_TYPE_BY_KIND = {
+    envelope.Kind.GOSSIP: gossip.Gossip,
+    envelope.Kind.TABLE_ASK: tableask.TableAsk,
+    envelope.Kind.TABLE_PAGE: tablepage.TablePage,
+    envelope.Kind.NOTICE: notice.Notice,
+    envelope.Kind.ASK: ask.Ask,
+    envelope.Kind.LENT: lent.Lent,
+}
+
+_KIND_BY_TYPE = {type_: kind for kind, type_ in _TYPE_BY_KIND.items()}
+
+
+class Received(NamedTuple):
+    """A good message and who sent it."""
+
+    sender: envelope.Sender
+    message: Any
+
+
+class Codec:
+    """Encodes and decodes, and counts what it drops by reason.
+
+    :ivar junk_by_reason: how many messages were dropped.
+    """
+
+    def __init__(self) -> None:
+        self._encoder = msgspec.msgpack.Encoder()
+        self._envelopes = msgspec.msgpack.Decoder(envelope.Envelope)
+        self._decoder_by_kind = {
+            kind: msgspec.msgpack.Decoder(type_)
+            for kind, type_ in _TYPE_BY_KIND.items()
+        }
+        self.junk_by_reason: collections.Counter[str] = collections.Counter()
+
+    def encode(self, sender: envelope.Sender, message: Any) -> bytes:
+        """Encode a message.
+
+        :param sender: this daemon.
+        :param message: one of the message types.
+        """
+        return self._encoder.encode(
+            envelope.Envelope(
+                envelope.PROTOCOL,
+                _KIND_BY_TYPE[type(message)],
+                sender,
+                msgspec.Raw(self._encoder.encode(message)),
+            )
+        )
+
+    def decode(self, data: bytes) -> Received | junk.Junk:
+        """Decode a message, whoever sent it.
+
+        :param data: as received.
+        """
+        if len(data) > MOST_BYTES:
+            return self._junk("too large")
+        try:
+            opened = self._envelopes.decode(data)
+        except (msgspec.MsgspecError, ValueError, RecursionError):
+            return self._junk("no envelope")
+        if opened.protocol != envelope.PROTOCOL:
+            return self._junk("other protocol version")
+        try:
+            decoder = self._decoder_by_kind[opened.kind]
+            body = decoder.decode(opened.body)
+        except (msgspec.MsgspecError, ValueError, RecursionError):
+            return self._junk(f"bad {opened.kind.name.lower()}")
+        return Received(opened.sender, body)
+
+    def _junk(self, reason: str) -> junk.Junk:
+        self.junk_by_reason[reason] += 1
+        return junk.Junk(reason)
--- /dev/null
+++ b/src/citronvalve/peers/core.py
@@ -0,0 +1,323 @@
+"""One daemon among its peers: messages and ticks in, messages out."""
+
+import random
+
+from citronvalve.model import clock
+from citronvalve.model import invariant
+from citronvalve.peers import ask as asks
+from citronvalve.peers import codec
+from citronvalve.peers import confirmation as confirmations
+from citronvalve.peers import envelope
+from citronvalve.peers import gossip as gossips
+from citronvalve.peers import gossiper
+from citronvalve.peers import lent as lents
+from citronvalve.peers import listener as listeners
+from citronvalve.peers import member as members
+from citronvalve.peers import notice as notices
+from citronvalve.peers import outgoing
+from citronvalve.peers import peersettings
+from citronvalve.peers import schedule
+from citronvalve.peers import state as states
+from citronvalve.peers import tableask
+from citronvalve.peers import tabledelta
+from citronvalve.peers import tablepage
+from citronvalve.peers import tablesync
+
+_Out = list[outgoing.Outgoing]
+
+#: Ticks between two looks for what has run out.
+_PRUNE_TICKS = 40
+
+#: Ticks between two looks for silent members.
+_SWEEP_TICKS = 2
+
+
+class Core:
+    """Everything but the sockets; runs in a test as it runs in a daemon.
+
+    :param settings: this daemon among its peers.
+    :param clock_: the clock.
+    :param rng: chance.
+    :param invariants: where promises are asserted.
+    :param listener: told of new tables and loans.
+    """
+
+    def __init__(
+        self,
+        settings: peersettings.PeerSettings,
+        clock_: clock.Clock,
+        rng: random.Random,
+        invariants: invariant.Invariants,
+        listener: listeners.Listener,
+    ) -> None:
+        self.state = states.State(settings, clock_, rng, invariants)
+        self._listener = listener
+        self._gossiper = gossiper.Gossiper(self.state)
+        self.schedule = schedule.Schedule(self.state, self._gossiper)
+        self._life = self.state.standing.incarnation
+        self._beat_at = clock_.now()
+        self._ticks = 0
+        self._sync = tablesync.TableSync(
+            self.state, listener, lambda: self._beat(clock_.now())
+        )
+        self._roster_sent_at: clock.Ms | None = None
+        self.state.live(clock_.now())
+        self._handler_by_type = {
+            gossips.Gossip: self._on_gossip,
+            tableask.TableAsk: self._sync.on_ask,
+            tablepage.TablePage: self._sync.on_page,
+            notices.Notice: self._on_notice,
+            asks.Ask: self._on_ask,
+            lents.Lent: self._on_lent,
+        }
+
+    @property
+    def sender(self) -> envelope.Sender:
+        """Return this daemon as its messages name it."""
+        settings = self.state.settings
+        return envelope.Sender(
+            settings.name,
+            settings.datacentre,
+            self.state.standing.incarnation,
+            settings.address,
+        )
+
+    def tick(self) -> _Out:
+        """Do what is due; to be called every ``timing.tick`` ms."""
+        state, now = self.state, self.state.clock.now()
+        self._ticks += 1
+        if state.standing.tick(bool(state.others())):
+            state.membership.woke(now)
+        self._begin_life(now)
+        if now - self._beat_at >= state.settings.timing.beat:
+            self._beat(now)
+        if self._ticks % _SWEEP_TICKS == 0:
+            state.membership.sweep(now, state.settings.name)
+        if self._ticks % _PRUNE_TICKS == 0:
+            self._prune(now)
+        state.note_view(now)
+        return [*self.schedule.tick(now), *self.loan_asks(now)]
+
+    def loan_asks(self, now: clock.Ms) -> _Out:
+        """Return the asks for loans that are due.
+
+        :param now: monotonic time in ms.
+        """
+        state = self.state
+        out = []
+        for asked in state.grants.due(state.membership.alive(), now):
+            if asked.keeper == state.settings.name:
+                self._lend_to_self(asked.ask, now)
+                continue
+            keeper = state.membership.member_by_name[asked.keeper]
+            out.append(outgoing.Outgoing(keeper.address, asked.ask))
+        return out
+
+    def handle(self, received: codec.Received) -> _Out:
+        """Take in a message; return what is to be answered.
+
+        :param received: decoded, with its sender.
+        """
+        state, now = self.state, self.state.clock.now()
+        sender = received.sender
+        if sender.name == state.settings.name:
+            return []
+        near = sender.datacentre == state.settings.datacentre
+        if near and type(received.message) is not notices.Notice:
+            if state.membership.is_dead(sender.name, sender.incarnation):
+                return self._notify(sender, now)
+            self._introduce(sender, now)
+        handler = self._handler_by_type[type(received.message)]
+        out = handler(sender, received.message, now)
+        self._begin_life(now)
+        state.note_view(now)
+        return out
+
+    def offer_table(self, delta: tabledelta.TableDelta) -> bool:
+        """Take a version that a watcher read; tell whether it is newer.
+
+        :param delta: from the platform.
+        """
+        return self._sync.offer(delta)
+
+    def confirmation(self, version: int) -> confirmations.Confirmation:
+        """Return who has confirmed a version of the table.
+
+        :param version: the version, or a later one.
+        """
+        state = self.state
+        living = [
+            state.membership.member_by_name[name]
+            for name in sorted(state.membership.alive())
+        ]
+        silent = [m.name for m in living if m.version < version]
+        members_ = len(living)
+        for summary in state.remote.all(state.clock.now()):
+            members_ += summary.members
+            if summary.version < version:
+                behind = ", ".join(summary.behind) or "some members"
+                silent.append(f"{summary.datacentre}: {behind}")
+        return confirmations.Confirmation(version, members_, tuple(silent))
+
+    def leave(self) -> _Out:
+        """Say goodbye, so that nobody waits for this daemon to die."""
+        state = self.state
+        own = state.membership.member_by_name[state.settings.name]
+        left = own._replace(state=members.MemberState.LEFT)
+        message = gossips.Gossip(
+            0, state.table.version, state.table.digest, members=(left,)
+        )
+        return [
+            outgoing.Outgoing(
+                state.membership.member_by_name[name].address, message
+            )
+            for name in sorted(state.others())
+        ]
+
+    def _on_gossip(
+        self, sender: envelope.Sender, message: gossips.Gossip, now: clock.Ms
+    ) -> _Out:
+        state = self.state
+        near = sender.datacentre == state.settings.datacentre
+        if near:
+            self._merge(message, now)
+        for summary in message.summaries:
+            state.remote.hear(summary, now)
+            if summary.datacentre == state.settings.datacentre:
+                self.schedule.add_seeds([c.address for c in summary.contacts])
+        for rumor in message.loads:
+            state.loads.hear(rumor, now, far=not near)
+        for fact in message.crashes:
+            state.crashes.hear(fact, now)
+        if message.page is not None:
+            self._sync.take(message.page)
+        out = self._sync.ask(sender, message.version)
+        return out + self._replies(sender, message, near, now)
+
+    def _merge(self, message: gossips.Gossip, now: clock.Ms) -> None:
+        state = self.state
+        own = state.settings.name
+        for record in message.members:
+            if record.name == own:
+                self._about_self(record)
+            elif record.datacentre == state.settings.datacentre:
+                state.membership.merge(record, now)
+        for beat in message.beats:
+            if beat.name != own:
+                state.membership.hear(beat, now)
+        if message.echo > state.standing.incarnation:
+            state.standing.buried(message.echo)
+        state.standing.echoed(message.echo)
+
+    def _about_self(self, record: members.Member) -> None:
+        standing = self.state.standing
+        over = record.state in (
+            members.MemberState.DEAD,
+            members.MemberState.LEFT,
+        )
+        if over or record.incarnation > standing.incarnation:
+            standing.buried(record.incarnation)
+
+    def _replies(
+        self,
+        sender: envelope.Sender,
+        message: gossips.Gossip,
+        near: bool,
+        now: clock.Ms,
+    ) -> _Out:
+        state = self.state
+        if not near:
+            if not message.reply:
+                return []
+            reply = self._gossiper.introduction(now)
+            return [outgoing.Outgoing(sender.address, reply)]
+        astray = message.roster not in (0, state.membership.digest())
+        if astray and self._roster_due(now):
+            self._roster_sent_at = now
+            reply = self._gossiper.roster(sender.name, now)
+            return [outgoing.Outgoing(sender.address, reply)]
+        if message.reply:
+            reply = self._gossiper.near(sender.name, now)
+            return [outgoing.Outgoing(sender.address, reply)]
+        return []
+
+    def _roster_due(self, now: clock.Ms) -> bool:
+        at = self._roster_sent_at
+        return at is None or now - at >= self.state.settings.timing.repair
+
+    def _on_notice(
+        self, sender: envelope.Sender, message: notices.Notice, now: int
+    ) -> _Out:
+        self.state.standing.buried(message.incarnation)
+        return []
+
+    def _on_ask(
+        self, sender: envelope.Sender, message: asks.Ask, now: clock.Ms
+    ) -> _Out:
+        answer = self.state.grants.answer(
+            message, sender.name, sender.incarnation, now
+        )
+        if answer is None:
+            return []
+        return [outgoing.Outgoing(sender.address, answer)]
+
+    def _on_lent(
+        self, sender: envelope.Sender, message: lents.Lent, now: clock.Ms
+    ) -> _Out:
+        for loan in self.state.grants.take(message, sender.name, now):
+            self._listener.on_loan(loan)
+        return []
+
+    def _lend_to_self(self, ask: asks.Ask, now: clock.Ms) -> None:
+        own = self.sender
+        answer = self.state.grants.answer(ask, own.name, own.incarnation, now)
+        if answer is not None:
+            self._on_lent(own, answer, now)
+
+    def _introduce(self, sender: envelope.Sender, now: clock.Ms) -> None:
+        held = self.state.membership.member_by_name.get(sender.name)
+        if held is None or sender.incarnation > held.incarnation:
+            self.state.membership.merge(
+                members.Member(
+                    sender.name,
+                    sender.datacentre,
+                    sender.address,
+                    sender.incarnation,
+                ),
+                now,
+            )
+
+    def _notify(self, sender: envelope.Sender, now: clock.Ms) -> _Out:
+        target = f"notice/{sender.name}"
+        if not self.schedule.pacer.free(target, now):
+            return []
+        self.schedule.pacer.sent(target, now)
+        held = self.state.membership.member_by_name[sender.name]
+        over = held.incarnation
+        if held.state in (
+            members.MemberState.ALIVE,
+            members.MemberState.SUSPECT,
+        ):
+            over -= 1
+        return [outgoing.Outgoing(sender.address, notices.Notice(over))]
+
+    def _beat(self, now: clock.Ms) -> None:
+        self._beat_at = now
+        self.state.live(now)
+
+    def _begin_life(self, now: clock.Ms) -> None:
+        standing = self.state.standing
+        if standing.incarnation == self._life:
+            return
+        self._life = standing.incarnation
+        self.state.grants.new_life()
+        self._beat(now)
+        self._listener.on_new_life()
+
+    def _prune(self, now: clock.Ms) -> None:
+        state = self.state
+        state.loads.prune(now)
+        state.crashes.prune(now)
+        state.grants.lender.prune(now)
+        state.grants.borrower.prune(now)
+        self.schedule.pacer.prune(now)
--- /dev/null
+++ b/src/citronvalve/peers/gossip.py
@@ -0,0 +1,32 @@
+"""The message that members send each other all the time."""
+
+from typing import NamedTuple
+
+from citronvalve.peers import beat
+from citronvalve.peers import crashfact
+from citronvalve.peers import loadrumor
+from citronvalve.peers import member
+from citronvalve.peers import summary
+from citronvalve.peers import tablepage
+
+
+class Gossip(NamedTuple):
+    """A batch of news; every part is bounded in number.
+
+    ``echo``: the receiver's life that the sender knows, 0 for none.
+    ``version``, ``digest``: the sender's table.
+    ``roster``: digest of the members that the sender sees; 0 is not told.
+    ``reply``: whether the sender needs an answer at once.
+    """
+
+    echo: int
+    version: int
+    digest: int
+    roster: int = 0
+    reply: bool = False
+    members: tuple[member.Member, ...] = ()
+    beats: tuple[beat.Beat, ...] = ()
+    loads: tuple[loadrumor.LoadRumor, ...] = ()
+    crashes: tuple[crashfact.CrashFact, ...] = ()
+    summaries: tuple[summary.Summary, ...] = ()
+    page: tablepage.TablePage | None = None
--- /dev/null
+++ b/src/citronvalve/peers/gossiper.py
@@ -0,0 +1,173 @@
+"""Puts gossip together, within what a message may hold."""
+
+from citronvalve.model import clock
+from citronvalve.peers import gossip
+from citronvalve.peers import state as states
+from citronvalve.peers import summary as summaries
+from citronvalve.peers import tablepage
+
+#: Records in one message to a member of the same data centre.  Eight
+#: messages a second of at most 1.1 KB go out and come in, which keeps a
+#: daemon under 19 KB/s at any size; what does not fit waits and grows older.
+_MEMBERS = 4
+_BEATS = 14
+_LOADS = 10
+_FAR_LOADS = 4
+_CRASHES = 4
+_SUMMARIES = 1
+
+#: Records in one message to another data centre; about one a second goes
+#: out and comes in.
+_LOADS_ABROAD = 24
+_CRASHES_ABROAD = 8
+_CONTACTS = 3
+_NAMED_BEHIND = 4
+
+#: Bytes of table rows that ride on gossip.  Larger deltas are asked for, so
+#: that they don't travel twice to a member that has them already.
+_PAGE_BYTES = 2_048
+
+#: A whole answer to a newcomer, rows of the table aside.
+_ROSTER_MEMBERS = 256
+
+
+class Gossiper:
+    """Reads the state and writes messages; decides nothing else.
+
+    :param state: all that this daemon knows.
+    """
+
+    def __init__(self, state: states.State) -> None:
+        self._state = state
+        self._abroad = 0
+
+    def near(
+        self, target: str, now: clock.Ms, reply: bool = False
+    ) -> gossip.Gossip:
+        """Write to a member of the same data centre.
+
+        :param target: its name.
+        :param now: monotonic time in ms.
+        :param reply: whether an answer is needed at once.
+        """
+        state = self._state
+        membership = state.membership
+        held = membership.member_by_name.get(target)
+        return gossip.Gossip(
+            held.incarnation if held is not None else 0,
+            state.table.version,
+            state.table.digest,
+            membership.digest(),
+            reply,
+            members=membership.news.take(
+                _MEMBERS, membership.member_by_name.get
+            ),
+            beats=membership.beats.take(_BEATS, membership.beat_of),
+            loads=self._loads(now),
+            crashes=state.crashes.rumors.take(
+                _CRASHES, lambda key: state.crashes.rumor(key, now)
+            ),
+            summaries=state.remote.rumors.take(
+                _SUMMARIES, lambda name: state.remote.rumor(name, now)
+            ),
+            page=self._page(held.version if held is not None else 0),
+        )
+
+    def roster(self, target: str, now: clock.Ms) -> gossip.Gossip:
+        """Write all that a newcomer or a member gone astray needs.
+
+        :param target: its name.
+        :param now: monotonic time in ms.
+        """
+        whole = self._state.membership.roster()[:_ROSTER_MEMBERS]
+        return self.near(target, now)._replace(
+            members=whole, summaries=self._state.remote.all(now)
+        )
+
+    def far(
+        self, datacentre: str, now: clock.Ms, reply: bool = False
+    ) -> gossip.Gossip:
+        """Write to another data centre.
+
+        :param datacentre: its name.
+        :param now: monotonic time in ms.
+        :param reply: whether an answer is needed at once.
+        """
+        state = self._state
+        held = state.remote.summary(datacentre)
+        return gossip.Gossip(
+            0,
+            state.table.version,
+            state.table.digest,
+            reply=reply,
+            loads=self._loads_abroad(datacentre, now),
+            crashes=state.crashes.facts(now)[-_CRASHES_ABROAD:],
+            summaries=(self.summary(),),
+            page=self._page(held.version if held is not None else 0),
+        )
+
+    def introduction(self, now: clock.Ms) -> gossip.Gossip:
+        """Answer a newcomer from another data centre.
+
+        :param now: monotonic time in ms.
+        """
+        state = self._state
+        return gossip.Gossip(
+            0,
+            state.table.version,
+            state.table.digest,
+            summaries=(self.summary(), *state.remote.all(now)),
+        )
+
+    def summary(self) -> summaries.Summary:
+        """Return this data centre at a glance."""
+        state = self._state
+        living = [
+            state.membership.member_by_name[name]
+            for name in sorted(state.membership.alive())
+        ]
+        lowest = min((member.version for member in living), default=0)
+        newest = max((member.version for member in living), default=0)
+        behind = [m.name for m in living if m.version < newest]
+        chosen = state.rng.sample(living, min(_CONTACTS, len(living)))
+        return summaries.Summary(
+            state.settings.datacentre,
+            0,
+            len(living),
+            lowest,
+            tuple(behind[:_NAMED_BEHIND]),
+            tuple(summaries.Contact(m.name, m.address) for m in chosen),
+        )
+
+    def _loads(self, now: clock.Ms) -> tuple:
+        loads = self._state.loads
+
+        def rumor(name: str):
+            return loads.rumor(name, now)
+
+        near = loads.rumors.take(_LOADS, rumor)
+        return near + loads.far_rumors.take(_FAR_LOADS, rumor)
+
+    def _loads_abroad(self, datacentre: str, now: clock.Ms) -> tuple:
+        state = self._state
+        if not state.is_neighbour(datacentre):
+            return ()
+        names = sorted(state.loads.kept_by(state.membership.alive()))
+        if not names:
+            return ()
+        # A turn through all upstreams; a data centre with more of them
+        # than fit is known with more age abroad.
+        start = self._abroad % len(names)
+        self._abroad = start + _LOADS_ABROAD
+        turn = (names + names)[start : start + _LOADS_ABROAD]
+        return tuple(
+            state.loads.rumor(name, now) for name in turn[: len(names)]
+        )
+
+    def _page(self, version: int) -> tablepage.TablePage | None:
+        table = self._state.table
+        if version >= table.version:
+            return None
+        if table.bytes_after(version, _PAGE_BYTES) > _PAGE_BYTES:
+            return None
+        return table.page_after(tablepage.Cursor(version + 1))
--- /dev/null
+++ b/src/citronvalve/peers/granting.py
@@ -0,0 +1,149 @@
+"""Grants in one daemon: lends as a keeper, borrows from keepers."""
+
+from typing import NamedTuple
+
+from citronvalve.model import clock
+from citronvalve.model import invariant
+from citronvalve.peers import ask as asks
+from citronvalve.peers import borrower
+from citronvalve.peers import lender
+from citronvalve.peers import lent
+from citronvalve.peers import loan as loans
+from citronvalve.peers import loankey
+from citronvalve.peers import share
+from citronvalve.peers import standing as standings
+from citronvalve.peers import timing as timings
+from citronvalve.peers import views as viewing
+
+#: Asks sent in one tick: 16 a second.  It is made for a data centre whose
+#: upstreams are all cold at once and kept by 52 members; loans then come
+#: later, and the messages stay within their budget.
+_ASKS_A_TICK = 2
+
+
+class Asked(NamedTuple):
+    """An ask and the member it goes to."""
+
+    keeper: str
+    ask: asks.Ask
+
+
+class Granting:
+    """Decides by the views of the last while, never by the present alone.
+
+    :param name: this daemon.
+    :param timing: the fleet's spans.
+    :param standing: whether this daemon may act.
+    :param invariants: where promises are asserted.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        timing: timings.Timing,
+        standing: standings.Standing,
+        invariants: invariant.Invariants,
+    ) -> None:
+        self._name = name
+        self._timing = timing
+        self._standing = standing
+        self._views = viewing.Views(timing.settle)
+        self.lender = lender.Lender(timing.loan, invariants)
+        self.borrower = borrower.Borrower(timing)
+
+    def note(
+        self, now: clock.Ms, alive: frozenset[str], known: frozenset[str]
+    ) -> None:
+        """Take the present view of the members.
+
+        :param now: monotonic time in ms.
+        :param alive: the members alive.
+        :param known: the members that count.
+        """
+        if self._standing.acting():
+            self._views.note(now, alive, known)
+
+    def new_life(self) -> None:
+        """Drop every loan and start to wait out those of others."""
+        self._views.clear()
+        self.lender.clear()
+        self.borrower.clear()
+
+    def answer(
+        self, ask: asks.Ask, member: str, incarnation: int, now: clock.Ms
+    ) -> lent.Lent | None:
+        """Answer a borrower, or don't while this daemon may not act.
+
+        :param ask: what it wants.
+        :param member: the borrower.
+        :param incarnation: its life; loans of an earlier one still count.
+        :param now: monotonic time in ms.
+        """
+        if not self._standing.acting():
+            return None
+        life = f"{member}/{incarnation}"
+        granted = tuple(
+            lent.Granted(
+                want.key, self.lender.lend(want, life, self._views, now)
+            )
+            for want in ask.wants[: lender.MOST_WANTS]
+            if self._may_lend(want.key, now)
+        )
+        return lent.Lent(ask.serial, self._timing.loan, granted)
+
+    def due(self, alive: frozenset[str], now: clock.Ms) -> list[Asked]:
+        """Return the asks to send in this tick.
+
+        :param alive: the members alive.
+        :param now: monotonic time in ms.
+        """
+        keeper_by_key = {}
+        for key in self.borrower.keys():
+            keeper = self._views.keeper(key.keeper_key)
+            if keeper in alive:
+                keeper_by_key[key] = keeper
+        due = self.borrower.due(keeper_by_key, now, _ASKS_A_TICK)
+        return [Asked(keeper, ask) for keeper, ask in due]
+
+    def take(
+        self, answer: lent.Lent, keeper: str, now: clock.Ms
+    ) -> list[loans.Loan]:
+        """Take a keeper's answer; return the loans that it gave.
+
+        :param answer: what was lent.
+        :param keeper: who lent it.
+        :param now: monotonic time in ms.
+        """
+        return self.borrower.take(answer, keeper, now)
+
+    def slots(
+        self, key: loankey.LoanKey, known: frozenset[str], now: clock.Ms
+    ) -> int:
+        """Return how many slots may be used at this moment.
+
+        Without a loan a team's work goes on within this member's fixed
+        share: the limit is there for fairness, and refusing a whole team
+        because one daemon is gone does more harm than running over it
+        by a share.  Of a cold upstream, and of the weight store, nothing
+        may be used: one request too many can fell it.
+
+        :param key: the limit.
+        :param known: the members that count.
+        :param now: monotonic time in ms.
+        """
+        if not self._standing.acting():
+            return 0
+        held = self.borrower.held(key, now)
+        if held or key.kind is not loankey.LoanKind.TEAM:
+            return held
+        if self.borrower.answered(key, now):
+            return 0
+        limit = self.lender.limit(key)
+        return share.shares(key.keeper_key, limit, known).get(self._name, 0)
+
+    def _may_lend(self, key: loankey.LoanKey, now: clock.Ms) -> bool:
+        # Without an answer the borrower falls back to its share; an answer
+        # of none would leave a team with nothing while the keeper settles.
+        if not self.lender.limit(key):
+            return False
+        return self._views.kept(key.keeper_key, self._name, now)
--- /dev/null
+++ b/src/citronvalve/peers/lender.py
@@ -0,0 +1,172 @@
+"""The keeper's side of grants: who holds how many slots of which limit."""
+
+from typing import NamedTuple
+
+from citronvalve.model import clock
+from citronvalve.model import invariant
+from citronvalve.peers import ask as asks
+from citronvalve.peers import loankey
+from citronvalve.peers import share
+from citronvalve.peers import views as viewing
+
+#: Asks of one message that are looked at.  It is made for a data centre
+#: whose 400 upstreams are all cold after its return.
+MOST_WANTS = 512
+
+
+class _Loan(NamedTuple):
+    """Slots out until a moment."""
+
+    slots: int
+    until: clock.Ms
+
+
+class Lender:
+    """Lends what no other keeper may be lending, and never past the limit.
+
+    :param span: ms that a loan lasts.
+    :param invariants: where promises are asserted.
+    """
+
+    def __init__(
+        self, span: clock.Ms, invariants: invariant.Invariants
+    ) -> None:
+        self._span = span
+        self._invariants = invariants
+        self._limit_by_key: dict[loankey.LoanKey, int] = {}
+        self._loans: dict[loankey.LoanKey, dict[str, list[_Loan]]] = {}
+        self._want: dict[loankey.LoanKey, dict[str, _Loan]] = {}
+
+    def set_limit(self, key: loankey.LoanKey, limit: int) -> None:
+        """Say how much of a limit there is; 0 ends it.
+
+        :param key: the limit.
+        :param limit: slots in all.
+        """
+        self._limit_by_key[key] = limit
+        if not limit:
+            del self._limit_by_key[key]
+
+    def limit(self, key: loankey.LoanKey) -> int:
+        """Return how much of a limit there is.
+
+        :param key: the limit.
+        """
+        return self._limit_by_key.get(key, 0)
+
+    def lend(
+        self,
+        want: asks.Want,
+        borrower: str,
+        views: viewing.Views,
+        now: clock.Ms,
+    ) -> int:
+        """Lend slots to a borrower; return how many, maybe none.
+
+        :param want: what is asked for; it replaces the borrower's last ask.
+        :param borrower: one life of a member.
+        :param views: how this keeper saw the members lately.
+        :param now: monotonic time in ms.
+        """
+        key = want.key
+        self._expire(key, now)
+        self._want.setdefault(key, {})[borrower] = _Loan(
+            want.slots, now + self._span
+        )
+        allowed = self._allowed(key, views)
+        others = sum(
+            _held(loans)
+            for name, loans in self._loans.get(key, {}).items()
+            if name != borrower
+        )
+        fair = self._fair(key, borrower, allowed)
+        slots = max(0, min(want.slots, allowed - others, fair))
+        if slots:
+            self._record(key, borrower, slots, others, now)
+        return slots
+
+    def out(self, key: loankey.LoanKey, now: clock.Ms) -> int:
+        """Return how many slots are out.
+
+        :param key: the limit.
+        :param now: monotonic time in ms.
+        """
+        self._expire(key, now)
+        return sum(map(_held, self._loans.get(key, {}).values()))
+
+    def clear(self) -> None:
+        """Drop all loans, since this life starts as no one's keeper.
+
+        Lending starts again only after the longest of them has run out.
+        """
+        self._loans.clear()
+        self._want.clear()
+
+    def prune(self, now: clock.Ms) -> None:
+        """Drop what has run out.
+
+        :param now: monotonic time in ms.
+        """
+        for key in list(self._want.keys() | self._loans.keys()):
+            self._expire(key, now)
+
+    def _record(
+        self,
+        key: loankey.LoanKey,
+        borrower: str,
+        slots: int,
+        others: int,
+        now: clock.Ms,
+    ) -> None:
+        self._invariants.hold(
+            "the sum of loans stays within the limit",
+            others + slots <= self.limit(key),
+            f"{key} {others} + {slots} of {self.limit(key)}",
+        )
+        # A renewal with fewer slots may be lost on its way.  The larger loan
+        # therefore counts until it has run out on its own.
+        loans = self._loans.setdefault(key, {}).setdefault(borrower, [])
+        loans.append(_Loan(slots, now + self._span))
+
+    def _allowed(self, key: loankey.LoanKey, views: viewing.Views) -> int:
+        limit = self.limit(key)
+        known, seen = views.known(), views.seen()
+        if key.kind is loankey.LoanKind.TEAM:
+            return share.of_seen(key.keeper_key, limit, known, seen)
+        # The limit of a cold upstream may be one slot, which can't be split.
+        most = share.is_most(key.keeper_key, known, seen)
+        return limit if most else 0
+
+    def _fair(self, key: loankey.LoanKey, borrower: str, allowed: int) -> int:
+        # Under more demand than slots, the first to ask would renew for
+        # ever and the others starve.  Each may hold what is left when
+        # those that want less have got theirs.
+        left = allowed
+        wants = sorted(
+            (loan.slots, name) for name, loan in self._want[key].items()
+        )
+        for served, (slots, name) in enumerate(wants):
+            part = -(-left // (len(wants) - served))
+            if name == borrower:
+                return part
+            left -= min(slots, part)
+        return 0
+
+    def _expire(self, key: loankey.LoanKey, now: clock.Ms) -> None:
+        by_name = self._loans.get(key, {})
+        for name, loans in list(by_name.items()):
+            by_name[name] = [loan for loan in loans if loan.until > now]
+            if not by_name[name]:
+                del by_name[name]
+        wants = self._want.get(key, {})
+        for name, loan in list(wants.items()):
+            if loan.until <= now:
+                del wants[name]
+        if not by_name:
+            self._loans.pop(key, None)
+        if not wants:
+            self._want.pop(key, None)
+
+
+def _held(loans: list[_Loan]) -> int:
+    return max(loan.slots for loan in loans)
--- /dev/null
+++ b/src/citronvalve/peers/loadbook.py
@@ -0,0 +1,177 @@
+"""What is known of every upstream's load, own and heard."""
+
+from typing import NamedTuple
+
+from citronvalve.model import clock
+from citronvalve.model import load
+from citronvalve.peers import loadrumor
+from citronvalve.peers import rumors
+
+#: Tellings of a load; a missed one is made good by the next.
+_TELLINGS = 3
+
+#: Tellings of a start or a missing VM: a daemon that misses one goes on
+#: sending full load to a cold upstream, or work to a closed group.
+_URGENT_TELLINGS = 6
+
+#: Loads that differ by less than this share of what the upstream bears are
+#: not told again before the refresh.  It is made for 400 upstreams in one
+#: data centre: telling all of them each second takes more than 19 KB/s.
+_SHARE_THAT_MATTERS = 0.125
+
+#: A report of this age or older is worth less than none.
+_KEEP: clock.Ms = 60 * clock.SECOND
+
+
+#: Upstreams of the whole target, and some.
+_MOST_QUEUED = 16_384
+
+
+class _Held(NamedTuple):
+    """A report with its keeper and serial."""
+
+    report: load.LoadReport
+    keeper: str
+    serial: int
+
+
+class LoadBook:
+    """The newest report of each upstream, with what is still to be told.
+
+    :param own: this daemon's name, as a keeper.
+    :param refresh: ms after which an unchanged load is told again.
+    """
+
+    def __init__(self, own: str, refresh: clock.Ms) -> None:
+        self._own = own
+        self._refresh = refresh
+        self._serial = 0
+        self._held_by_upstream: dict[str, _Held] = {}
+        self._told_by_upstream: dict[str, load.LoadReport] = {}
+        self.rumors = rumors.Rumors(most=_MOST_QUEUED)
+        self.far_rumors = rumors.Rumors(most=_MOST_QUEUED)
+
+    def reports(self) -> dict[str, load.LoadReport]:
+        """Return the newest report by upstream."""
+        return {
+            name: held.report for name, held in self._held_by_upstream.items()
+        }
+
+    def offer(self, report: load.LoadReport) -> None:
+        """Take in an own measurement.
+
+        :param report: of an upstream that this daemon keeps.
+        """
+        self._serial += 1
+        name = report.upstream
+        before = self._held_by_upstream.get(name)
+        self._held_by_upstream[name] = _Held(report, self._own, self._serial)
+        told = self._told_by_upstream.get(name)
+        urgent = _is_urgent(before.report if before else None, report)
+        if urgent or told is None or self._matters(told, report):
+            self._told_by_upstream[name] = report
+            times = _URGENT_TELLINGS if urgent else _TELLINGS
+            self.rumors.put(name, times, urgent)
+
+    def hear(
+        self, rumor: loadrumor.LoadRumor, now: clock.Ms, far: bool = False
+    ) -> bool:
+        """Take in a report told by a peer; tell whether it was newer.
+
+        :param rumor: with its age.
+        :param now: monotonic time in ms.
+        :param far: whether its keeper is in another data centre.  Such
+            reports queue apart, so that they never crowd out near ones.
+        """
+        queue = self.far_rumors if far else self.rumors
+        seen_at = now - max(0, rumor.age)
+        held = self._held_by_upstream.get(rumor.upstream)
+        if held is not None and not _newer(held, rumor, seen_at):
+            if (held.keeper, held.serial) == (rumor.keeper, rumor.serial):
+                queue.heard(rumor.upstream)
+            return False
+        report = load.LoadReport(
+            rumor.upstream,
+            rumor.start_id,
+            rumor.running,
+            rumor.queued,
+            rumor.bears,
+            seen_at,
+            rumor.vms_missing,
+        )
+        urgent = _is_urgent(held.report if held else None, report)
+        self._held_by_upstream[rumor.upstream] = _Held(
+            report, rumor.keeper, rumor.serial
+        )
+        times = _URGENT_TELLINGS if urgent else _TELLINGS
+        queue.put(rumor.upstream, times, urgent)
+        return True
+
+    def kept_by(self, keepers: frozenset[str]) -> list[str]:
+        """Return the upstreams whose newest report came from some keepers.
+
+        :param keepers: names of members.
+        """
+        return [
+            name
+            for name, held in self._held_by_upstream.items()
+            if held.keeper in keepers
+        ]
+
+    def rumor(self, name: str, now: clock.Ms) -> loadrumor.LoadRumor | None:
+        """Return a report in the form in which it travels.
+
+        :param name: the upstream.
+        :param now: monotonic time in ms.
+        """
+        held = self._held_by_upstream.get(name)
+        if held is None:
+            return None
+        report = held.report
+        return loadrumor.LoadRumor(
+            name,
+            held.keeper,
+            held.serial,
+            report.start_id,
+            report.running,
+            report.queued,
+            report.bears,
+            max(0, now - report.seen_at),
+            report.vms_missing,
+        )
+
+    def prune(self, now: clock.Ms) -> None:
+        """Drop reports that are too old to act on.
+
+        :param now: monotonic time in ms.
+        """
+        for name, held in list(self._held_by_upstream.items()):
+            if now - held.report.seen_at > _KEEP:
+                del self._held_by_upstream[name]
+                self._told_by_upstream.pop(name, None)
+
+    def _matters(self, told: load.LoadReport, new: load.LoadReport) -> bool:
+        if new.seen_at - told.seen_at >= self._refresh:
+            return True
+        step = max(1, int(new.bears * _SHARE_THAT_MATTERS))
+        moved = abs(new.running - told.running) + abs(new.queued - told.queued)
+        return moved > step or abs(new.bears - told.bears) >= step
+
+
+def _is_urgent(before: load.LoadReport | None, new: load.LoadReport) -> bool:
+    if before is None:
+        return False
+    return (before.start_id, before.vms_missing) != (
+        new.start_id,
+        new.vms_missing,
+    )
+
+
+def _newer(held: _Held, rumor: loadrumor.LoadRumor, seen_at: clock.Ms) -> bool:
+    # Ages add up the delays of the way, so two copies of one measurement
+    # seem to be seen at different times.  The keeper's own serial orders its
+    # measurements; between two keepers only the ages are left.
+    if held.keeper == rumor.keeper and rumor.serial <= held.serial:
+        # A restarted keeper counts from one again.
+        return seen_at > held.report.seen_at + 10 * clock.SECOND
+    return seen_at > held.report.seen_at or held.keeper == rumor.keeper
--- /dev/null
+++ b/src/citronvalve/peers/notice.py
@@ -0,0 +1,9 @@
+"""The answer to a message from a life that is over."""
+
+from typing import NamedTuple
+
+
+class Notice(NamedTuple):
+    """Tells a daemon that its life was declared dead."""
+
+    incarnation: int
--- /dev/null
+++ b/src/citronvalve/peers/outgoing.py
@@ -0,0 +1,10 @@
+"""A message on its way out."""
+
+from typing import Any, NamedTuple
+
+
+class Outgoing(NamedTuple):
+    """A typed message and the address it goes to."""
+
+    address: str
+    message: Any
--- /dev/null
+++ b/src/citronvalve/peers/peersettings.py
@@ -0,0 +1,23 @@
+"""What a daemon must be told to find its peers."""
+
+from typing import NamedTuple
+
+from citronvalve.peers import timing as timings
+
+
+class PeerSettings(NamedTuple):
+    """A daemon among its peers.
+
+    ``name`` is unique in the fleet.  ``address`` is ``tcp://IP:PORT``, where
+    peers reach it; ``seeds`` are addresses of any other daemons, of which
+    one that answers is enough.  ``public_key`` and ``secret_key`` are the
+    fleet's CURVE pair in Z85; empty means that no keys are used.
+    """
+
+    name: str
+    datacentre: str
+    address: str
+    seeds: tuple[str, ...] = ()
+    timing: timings.Timing = timings.Timing()
+    public_key: str = ""
+    secret_key: str = ""
--- /dev/null
+++ b/src/citronvalve/peers/rumors.py
@@ -0,0 +1,73 @@
+"""Records waiting to be passed on, each a few times."""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Hashable
+from typing import Any
+
+
+class Rumors:
+    """A queue of keys to tell, bounded by the number of keys.
+
+    Each key is told a few times, oldest first.  A record that changes
+    meanwhile is told in its newest form: the queue holds keys, not copies,
+    so that a slow network makes records older and not the queue longer.
+
+    :param most: keys held; beyond it the oldest is dropped, and repaired
+        by the next change or refresh.
+    """
+
+    def __init__(self, most: int = 4_096) -> None:
+        self._most = most
+        self._left_by_key: collections.OrderedDict[Hashable, int] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        return len(self._left_by_key)
+
+    def put(self, key: Hashable, times: int, urgent: bool = False) -> None:
+        """Queue a key, afresh if it is queued already.
+
+        :param key: what to tell.
+        :param times: how many messages shall carry it.
+        :param urgent: whether it goes before all others.
+        """
+        self._left_by_key[key] = times
+        if urgent:
+            self._left_by_key.move_to_end(key, last=False)
+        if len(self._left_by_key) > self._most:
+            self._left_by_key.popitem(last=False)
+
+    def heard(self, key: Hashable) -> None:
+        """Note that another told the same: one telling fewer is needed.
+
+        :param key: what was told.
+        """
+        left = self._left_by_key.get(key)
+        if left is not None:
+            self._spend(key, left)
+
+    def take(self, most: int, record: Callable[[Any], Any]) -> tuple:
+        """Take records for one message.
+
+        :param most: records that the message has room for.
+        :param record: gives the present record of a key, or ``None``.
+        """
+        taken = []
+        for key in list(self._left_by_key)[:most]:
+            found = record(key)
+            if found is None:
+                del self._left_by_key[key]
+                continue
+            taken.append(found)
+            self._spend(key, self._left_by_key[key])
+            if key in self._left_by_key:
+                self._left_by_key.move_to_end(key)
+        return tuple(taken)
+
+    def _spend(self, key: Hashable, left: int) -> None:
+        if left > 1:
+            self._left_by_key[key] = left - 1
+        else:
+            del self._left_by_key[key]
--- /dev/null
+++ b/src/citronvalve/peers/schedule.py
@@ -0,0 +1,128 @@
+"""Whom a daemon writes to in each tick."""
+
+from citronvalve.model import clock
+from citronvalve.peers import gossiper as gossipers
+from citronvalve.peers import outgoing
+from citronvalve.peers import pacer as pacers
+from citronvalve.peers import rendezvous
+from citronvalve.peers import state as states
+
+#: Members of a data centre that write to one other data centre: a second
+#: one, so that the death of the first is not felt.  Which two differs from
+#: one data centre to the next, which spreads the work over the members.
+_RELAYS = 2
+
+#: Ticks between two knocks at an address that does not answer.
+_KNOCK_TICKS = 8
+
+
+class Schedule:
+    """One message to a member a tick, and now and then one further out.
+
+    :param state: all that this daemon knows.
+    :param gossiper: writes the messages.
+    """
+
+    def __init__(
+        self, state: states.State, gossiper: gossipers.Gossiper
+    ) -> None:
+        self._state = state
+        self._gossiper = gossiper
+        self.pacer = pacers.Pacer(state.settings.timing.apart, state.rng)
+        self._ticks = 0
+        self._seeds: set[str] = set()
+
+    def add_seeds(self, addresses: list[str]) -> None:
+        """Take addresses to knock at beside the settings' seeds.
+
+        :param addresses: from the platform's list, or from another data
+            centre.  They are hints only.
+        """
+        self._seeds = set(addresses)
+
+    def tick(self, now: clock.Ms) -> list[outgoing.Outgoing]:
+        """Return the gossip to send in this tick.
+
+        :param now: monotonic time in ms.
+        """
+        self._ticks += 1
+        out = [*self._near(now), *self._far(now)]
+        joining = self._state.standing.joining()
+        if joining or self._ticks % _KNOCK_TICKS == 0:
+            out += self._knock(now)
+        return out
+
+    def _near(self, now: clock.Ms) -> list[outgoing.Outgoing]:
+        state = self._state
+        target = self._suspect(now) or self._behind(now)
+        target = target or self.pacer.oldest(sorted(state.others()), now)
+        if target is None:
+            return []
+        self.pacer.sent(target, now)
+        held = state.membership.member_by_name[target]
+        # A suspect is asked for an answer, and so is anyone who may
+        # acknowledge a life that may not act yet.
+        reply = target in state.membership.suspects()
+        reply = reply or state.standing.joining()
+        message = self._gossiper.near(target, now, reply)
+        return [outgoing.Outgoing(held.address, message)]
+
+    def _suspect(self, now: clock.Ms) -> str | None:
+        return self.pacer.pick(self._state.membership.suspects(), now)
+
+    def _behind(self, now: clock.Ms) -> str | None:
+        state = self._state
+        by_name = state.membership.member_by_name
+        version = state.table.version
+        return self.pacer.pick(
+            [n for n in state.others() if by_name[n].version < version], now
+        )
+
+    def _far(self, now: clock.Ms) -> list[outgoing.Outgoing]:
+        state = self._state
+        if not state.standing.acting():
+            return []
+        name = self.pacer.oldest(
+            [f"dc/{n}" for n in state.remote.names() if self._relays(n)], now
+        )
+        if name is None:
+            return []
+        self.pacer.sent(name, now)
+        datacentre = name.removeprefix("dc/")
+        contacts = state.remote.contacts(datacentre)
+        if not contacts:
+            return []
+        address = state.rng.choice(contacts).address
+        message = self._gossiper.far(datacentre, now)
+        return [outgoing.Outgoing(address, message)]
+
+    def _relays(self, datacentre: str) -> bool:
+        state = self._state
+        key = f"relay/{datacentre}"
+        ranked = rendezvous.rank(key, state.membership.alive())
+        return state.settings.name in ranked[:_RELAYS]
+
+    def _knock(self, now: clock.Ms) -> list[outgoing.Outgoing]:
+        """Write to an address that may be anyone's.
+
+        After a cut both sides hold each other dead, and a whole data centre
+        may have got new addresses: without a knock they would never meet
+        again.
+        """
+        state = self._state
+        addresses = {member.address for member in state.membership.dead()}
+        addresses |= self._seeds | set(state.settings.seeds)
+        addresses -= {
+            state.membership.member_by_name[name].address
+            for name in state.membership.alive()
+        }
+        target = self.pacer.pick(addresses, now)
+        if target is None:
+            return []
+        self.pacer.sent(target, now)
+        message = self._gossiper.near("", now, reply=True)
+        # A seed in another data centre introduces newcomers to each other
+        # by what they tell of themselves.
+        summary = self._gossiper.summary()
+        message = message._replace(summaries=(summary,))
+        return [outgoing.Outgoing(target, message)]
--- /dev/null
+++ b/src/citronvalve/peers/share.py
@@ -0,0 +1,54 @@
+"""The fixed share of a limit that each known member stands for."""
+
+from collections.abc import Iterable
+
+from citronvalve.peers import rendezvous
+
+
+def shares(key: str, limit: int, known: Iterable[str]) -> dict[str, int]:
+    """Split a limit over members; the shares add up to it exactly.
+
+    :param key: what is limited; its ranking takes the remainder.
+    :param limit: slots in all.
+    :param known: all members, the silent ones too.
+    """
+    ranked = rendezvous.rank(key, known)
+    if not ranked:
+        return {}
+    each, rest = divmod(limit, len(ranked))
+    return {name: each + (i < rest) for i, name in enumerate(ranked)}
+
+
+def of_seen(
+    key: str, limit: int, known: frozenset[str], seen: frozenset[str]
+) -> int:
+    """Return what a keeper may lend that sees only some of the members.
+
+    Both sides of a cut inside a data centre have a keeper.  Each lends the
+    shares of its own side, so that together they stay within the limit.
+
+    :param key: what is limited.
+    :param limit: slots in all.
+    :param known: all members, the silent ones too.
+    :param seen: the members alive in the keeper's view.
+    """
+    if seen >= known:
+        return limit
+    by_name = shares(key, limit, known)
+    return sum(by_name[name] for name in seen & known)
+
+
+def is_most(key: str, known: frozenset[str], seen: frozenset[str]) -> bool:
+    """Tell whether a side holds most members, or half and the first of them.
+
+    At most one side of a cut does, so a limit that may not be split (a cold
+    upstream bears one request) is lent on one side only.
+
+    :param key: what is limited; its first in rank decides between halves.
+    :param known: all members, the silent ones too.
+    :param seen: the members alive in the keeper's view.
+    """
+    twice = 2 * len(seen & known)
+    if twice != len(known):
+        return twice > len(known)
+    return rendezvous.first(key, known) in seen
--- /dev/null
+++ b/src/citronvalve/peers/standing.py
@@ -0,0 +1,100 @@
+"""Whether this daemon may act as keeper, watcher or lender."""
+
+from citronvalve.model import clock
+from citronvalve.model import invariant
+from citronvalve.peers import pause
+from citronvalve.peers import timing as timings
+
+
+class Standing:
+    """A life that others know of may act; a paused or buried one may not.
+
+    A process that was stopped wakes with its old view: it takes itself for
+    the keeper while another has taken over, and both would lend the same
+    slots.  It therefore asks :meth:`acting` before each act, and after a
+    pause or the news of its death starts a new life, which acts once a peer
+    has answered to it.
+
+    :param clock_: the clock.
+    :param timing: the fleet's spans.
+    :param invariants: where promises are asserted.
+    """
+
+    def __init__(
+        self,
+        clock_: clock.Clock,
+        timing: timings.Timing,
+        invariants: invariant.Invariants,
+    ) -> None:
+        self._clock = clock_
+        self._timing = timing
+        self._invariants = invariants
+        self._pause = pause.PauseDetector(clock_, timing.pause)
+        # A VM that comes back under its old name keeps nothing.  The wall
+        # clock puts its new life after the old one; should it lag, the
+        # peers answer with the life they know, and one above is taken.
+        self.incarnation = clock_.wall() // clock.SECOND + 1
+        self._buried = 0
+        self._known_since: clock.Ms | None = None
+        self._began = clock_.now()
+        self.rejoins = 0
+
+    def acting(self) -> bool:
+        """Tell whether this daemon may act at this very moment."""
+        if self._known_since is None or self._pause.paused():
+            return False
+        self._invariants.hold(
+            "no dead incarnation acts",
+            self.incarnation > self._buried,
+            f"{self.incarnation} {self._buried}",
+        )
+        return True
+
+    @property
+    def acting_since(self) -> clock.Ms | None:
+        """Return since when this life may act, or ``None``."""
+        return self._known_since
+
+    def joining(self) -> bool:
+        """Tell whether peers have yet to answer to this life."""
+        return self._known_since is None
+
+    def tick(self, others: bool) -> bool:
+        """Note that the process runs; tell whether a new life began.
+
+        :param others: whether any other member is alive in this view.
+        """
+        paused = self._pause.paused()
+        self._pause.tick()
+        if paused:
+            self.buried(self.incarnation)
+            return True
+        waited = self._clock.now() - self._began
+        if self.joining() and not others and waited >= self._timing.alone:
+            self._known_since = self._clock.now()
+        return False
+
+    def echoed(self, incarnation: int) -> None:
+        """A peer answered to a life of this daemon.
+
+        :param incarnation: the life that the peer knows.
+        """
+        if self._pause.paused():
+            return
+        if self.joining() and incarnation == self.incarnation:
+            self._known_since = self._clock.now()
+
+    def buried(self, incarnation: int) -> None:
+        """Start a new life, since an old one was declared dead.
+
+        :param incarnation: the life that is over.
+        """
+        if incarnation < self.incarnation and incarnation <= self._buried:
+            return
+        self._buried = max(self._buried, incarnation)
+        if incarnation < self.incarnation:
+            return
+        self.incarnation = incarnation + 1
+        self._known_since = None
+        self._began = self._clock.now()
+        self.rejoins += 1
--- /dev/null
+++ b/src/citronvalve/peers/state.py
@@ -0,0 +1,86 @@
+"""All that one daemon knows of its peers, in one place."""
+
+import random
+
+from citronvalve.model import clock
+from citronvalve.model import invariant
+from citronvalve.peers import crashbook
+from citronvalve.peers import granting
+from citronvalve.peers import loadbook
+from citronvalve.peers import member
+from citronvalve.peers import membership
+from citronvalve.peers import peersettings
+from citronvalve.peers import remote
+from citronvalve.peers import standing
+from citronvalve.peers import tablecopy
+
+
+class State:
+    """Holds the parts together; each part keeps its own rules.
+
+    :param settings: this daemon among its peers.
+    :param clock_: the clock.
+    :param rng: chance.
+    :param invariants: where promises are asserted.
+    """
+
+    def __init__(
+        self,
+        settings: peersettings.PeerSettings,
+        clock_: clock.Clock,
+        rng: random.Random,
+        invariants: invariant.Invariants,
+    ) -> None:
+        timing = settings.timing
+        self.settings = settings
+        self.clock = clock_
+        self.rng = rng
+        self.invariants = invariants
+        self.standing = standing.Standing(clock_, timing, invariants)
+        self.membership = membership.Membership(timing, invariants)
+        self.remote = remote.Remote(settings.datacentre)
+        self.table = tablecopy.TableCopy(invariants)
+        self.loads = loadbook.LoadBook(settings.name, timing.refresh)
+        self.crashes = crashbook.CrashBook()
+        self.grants = granting.Granting(
+            settings.name, timing, self.standing, invariants
+        )
+        # Which data centres take loads of this one; empty means all, as in
+        # a fleet of one region.
+        self.neighbours: frozenset[str] = frozenset()
+        self._beat = 0
+
+    def is_neighbour(self, datacentre: str) -> bool:
+        """Tell whether a data centre wants loads of this one.
+
+        :param datacentre: its name.
+        """
+        return not self.neighbours or datacentre in self.neighbours
+
+    def others(self) -> frozenset[str]:
+        """Return the other living members of this data centre."""
+        return self.membership.alive() - {self.settings.name}
+
+    def live(self, now: clock.Ms) -> None:
+        """Let the own heartbeat rise, or a new life begin.
+
+        :param now: monotonic time in ms.
+        """
+        self._beat += 1
+        settings = self.settings
+        record = member.Member(
+            settings.name,
+            settings.datacentre,
+            settings.address,
+            self.standing.incarnation,
+            self._beat,
+            self.table.version,
+        )
+        self.membership.merge(record, now)
+
+    def note_view(self, now: clock.Ms) -> None:
+        """Tell the grants how the members look.
+
+        :param now: monotonic time in ms.
+        """
+        self.grants.note(now, self.membership.alive(), self.membership.known())
--- /dev/null
+++ b/src/citronvalve/peers/tableask.py
@@ -0,0 +1,11 @@
+"""A request for rows of the table."""
+
+from typing import NamedTuple
+
+from citronvalve.peers import tablepage
+
+
+class TableAsk(NamedTuple):
+    """Asks for the page of rows after ``start``."""
+
+    start: tablepage.Cursor
--- /dev/null
+++ b/src/citronvalve/peers/tablecopy.py
@@ -0,0 +1,197 @@
+"""A daemon's copy of the operators' table, kept in step with its peers."""
+
+import bisect
+import functools
+import operator
+
+import xxhash
+
+from citronvalve.model import invariant
+from citronvalve.peers import change as changes
+from citronvalve.peers import tabledelta
+from citronvalve.peers import tablepage
+
+#: Bytes of rows in one page.  A message of 64 KiB takes about a
+#: millisecond to handle, which delays tokens by as much.
+_PAGE_BYTES = 48 * 1_024
+
+_CHANGE_OVERHEAD = 16
+
+
+def _digest(row: changes.Change) -> int:
+    return xxhash.xxh3_64_intdigest(
+        f"{row.table}\0{row.key}\0{row.version}\0".encode() + row.value
+    )
+
+
+def _cursor(row: changes.Change) -> tablepage.Cursor:
+    return tablepage.Cursor(row.version, row.table, row.key)
+
+
+class TableCopy:
+    """Rows at one version; the version never falls.
+
+    Deleted rows stay as empty ones, so that any two copies can be brought
+    together by the rows newer than the older copy's version.
+
+    :param invariants: where promises are asserted.
+    """
+
+    def __init__(self, invariants: invariant.Invariants) -> None:
+        self._invariants = invariants
+        self.version = 0
+        self.digest = 0
+        self._row_by_key: dict[tuple[str, str], changes.Change] = {}
+        self._order: list[tablepage.Cursor] = []
+        self._staged: dict[tuple[str, str], changes.Change] = {}
+        self._staged_from = tablepage.Cursor(0)
+        # Set once a digest did not match: the next try takes every row,
+        # since the fault may lie in a row held here.
+        self._whole = False
+        self.refused = 0
+
+    def apply(self, delta: tabledelta.TableDelta) -> bool:
+        """Take a delta in whole; tell whether the version rose.
+
+        :param delta: as a watcher read it from the platform.
+        """
+        if delta.version <= self.version or delta.base > self.version:
+            return False
+        self._commit(delta.version, delta.changes)
+        return True
+
+    def page_after(self, start: tablepage.Cursor) -> tablepage.TablePage:
+        """Return the page of rows after a place.
+
+        :param start: the end of what the receiver holds.
+        """
+        at = bisect.bisect_right(self._order, start)
+        taken: list[changes.Change] = []
+        size = 0
+        while at < len(self._order) and size < _PAGE_BYTES:
+            place = self._order[at]
+            row = self._row_by_key[place.table, place.key]
+            size += len(row.value) + len(row.key) + _CHANGE_OVERHEAD
+            taken.append(row)
+            at += 1
+        return tablepage.TablePage(
+            self.version,
+            self.digest,
+            start,
+            tuple(taken),
+            at == len(self._order),
+        )
+
+    def after(self, version: int) -> tuple[changes.Change, ...]:
+        """Return all rows newer than a version.
+
+        :param version: what the receiver holds.
+        """
+        at = bisect.bisect_right(self._order, tablepage.Cursor(version + 1))
+        return tuple(
+            self._row_by_key[place.table, place.key]
+            for place in self._order[at:]
+        )
+
+    def bytes_after(self, version: int, most: int) -> int:
+        """Return about how large the rows after a version are.
+
+        :param version: what the receiver holds.
+        :param most: stop counting here.
+        """
+        at = bisect.bisect_right(self._order, tablepage.Cursor(version + 1))
+        size = 0
+        for place in self._order[at:]:
+            row = self._row_by_key[place.table, place.key]
+            size += len(row.value) + len(row.key) + _CHANGE_OVERHEAD
+            if size > most:
+                break
+        return size
+
+    def wanted(self) -> tablepage.Cursor:
+        """Return the place from which this copy needs rows."""
+        held = 0 if self._whole else self.version + 1
+        return max(self._staged_from, tablepage.Cursor(held))
+
+    def take(self, page: tablepage.TablePage) -> bool:
+        """Take a page in; tell whether the version rose.
+
+        Pages are staged until the last one: a table half old and half new
+        was never declared by anyone.
+
+        :param page: from any peer.
+        """
+        if page.version <= self.version:
+            return False
+        if page.start > self.wanted():
+            self.refused += 1
+            return False
+        for row in page.changes:
+            held = self._staged.get((row.table, row.key))
+            if held is None or held.version < row.version:
+                self._staged[row.table, row.key] = row
+        if not page.last:
+            if page.changes:
+                end = _cursor(page.changes[-1])
+                self._staged_from = max(end, self.wanted())
+            return False
+        return self._finish(page)
+
+    def _finish(self, page: tablepage.TablePage) -> bool:
+        rows = tuple(self._staged.values())
+        whole = self._whole
+        digest = self._digest_with(rows, whole)
+        self._staged = {}
+        self._staged_from = tablepage.Cursor(0)
+        # Pages of peers that differ, or a row spoilt on the way, would leave
+        # a hole that no later delta fills.  The digest finds it, and the
+        # copy is taken again in whole.
+        self._whole = digest != page.digest
+        if self._whole:
+            self.refused += 1
+            return False
+        if whole:
+            self._clear()
+        self._commit(page.version, rows)
+        return True
+
+    def _clear(self) -> None:
+        self._row_by_key = {}
+        self._order = []
+        self.digest = 0
+
+    def _newer(self, rows: tuple[changes.Change, ...]):
+        for row in rows:
+            held = self._row_by_key.get((row.table, row.key))
+            if held is None or held.version < row.version:
+                yield held, row
+
+    def _digest_with(
+        self, rows: tuple[changes.Change, ...], whole: bool = False
+    ) -> int:
+        if whole:
+            return functools.reduce(operator.xor, map(_digest, rows), 0)
+        digest = self.digest
+        for held, row in self._newer(rows):
+            digest ^= _digest(row) ^ (_digest(held) if held else 0)
+        return digest
+
+    def _commit(self, version: int, rows: tuple[changes.Change, ...]) -> None:
+        self._invariants.hold(
+            "the table's version never falls",
+            version > self.version,
+            f"{self.version} to {version}",
+        )
+        digest = self._digest_with(rows)
+        for held, row in list(self._newer(rows)):
+            if held is not None:
+                place = bisect.bisect_left(self._order, _cursor(held))
+                del self._order[place]
+            bisect.insort(self._order, _cursor(row))
+            self._row_by_key[row.table, row.key] = row
+        self.version = version
+        self.digest = digest
+
+    def rows(self) -> list[changes.Change]:
+        """Return the rows that are not deleted."""
+        return [row for row in self._row_by_key.values() if row.value]
--- /dev/null
+++ b/src/citronvalve/peers/tablesync.py
@@ -0,0 +1,114 @@
+"""Brings this daemon's copy of the table up to the newest it hears of."""
+
+from collections.abc import Callable
+
+from citronvalve.model import clock
+from citronvalve.peers import envelope
+from citronvalve.peers import listener as listeners
+from citronvalve.peers import outgoing
+from citronvalve.peers import state as states
+from citronvalve.peers import tableask
+from citronvalve.peers import tabledelta
+from citronvalve.peers import tablepage
+
+_Out = list[outgoing.Outgoing]
+
+
+class TableSync:
+    """Takes what rides on gossip, asks for the rest and serves others.
+
+    Any peer serves, near or far, so that a daemon that starts while the
+    platform is down gets the newest version that its peers hold.
+
+    :param state: all that this daemon knows.
+    :param listener: told of each new version.
+    :param confirm: called when the version rose.
+    """
+
+    def __init__(
+        self,
+        state: states.State,
+        listener: listeners.Listener,
+        confirm: Callable[[], None],
+    ) -> None:
+        self._state = state
+        self._listener = listener
+        self._confirm = confirm
+        self._asked_at: clock.Ms | None = None
+
+    def offer(self, delta: tabledelta.TableDelta) -> bool:
+        """Take a version that a watcher read; tell whether it is newer.
+
+        :param delta: from the platform.
+        """
+        before = self._state.table.version
+        risen = self._state.table.apply(delta)
+        if risen:
+            self._on_risen(before)
+        return risen
+
+    def take(self, page: tablepage.TablePage) -> None:
+        """Take rows in.
+
+        :param page: from any peer.
+        """
+        before = self._state.table.version
+        if self._state.table.take(page):
+            self._on_risen(before)
+
+    def ask(self, sender: envelope.Sender, version: int) -> _Out:
+        """Ask a peer for what is missing here, one peer at a time.
+
+        :param sender: a peer.
+        :param version: what it holds.
+        """
+        if version <= self._state.table.version:
+            return []
+        at, now = self._asked_at, self._state.clock.now()
+        # A hundred peers may tell of a new version within a second, and a
+        # full copy is large.  One that does not answer is passed over
+        # after ``repair``.
+        if at is not None and now - at < self._state.settings.timing.repair:
+            return []
+        return self._ask_now(sender)
+
+    def on_ask(
+        self, sender: envelope.Sender, message: tableask.TableAsk, now: int
+    ) -> _Out:
+        """Serve rows to a peer.
+
+        :param sender: the peer.
+        :param message: from where on.
+        :param now: monotonic time in ms.
+        """
+        page = self._state.table.page_after(message.start)
+        return [outgoing.Outgoing(sender.address, page)]
+
+    def on_page(
+        self, sender: envelope.Sender, message: tablepage.TablePage, now: int
+    ) -> _Out:
+        """Take rows that were asked for, and ask for those after them.
+
+        :param sender: the peer that serves them.
+        :param message: the rows.
+        :param now: monotonic time in ms.
+        """
+        before = self._state.table.wanted()
+        self.take(message)
+        if message.last or self._state.table.wanted() <= before:
+            return []
+        return self._ask_now(sender)
+
+    def _ask_now(self, sender: envelope.Sender) -> _Out:
+        self._asked_at = self._state.clock.now()
+        ask = tableask.TableAsk(self._state.table.wanted())
+        return [outgoing.Outgoing(sender.address, ask)]
+
+    def _on_risen(self, before: int) -> None:
+        table = self._state.table
+        self._listener.on_table(
+            tabledelta.TableDelta(table.version, before, table.after(before))
+        )
+        # The confirmation travels with the heartbeat; it does not wait
+        # for the next one.
+        self._confirm()
--- /dev/null
+++ b/tests/peers/machines.py
@@ -0,0 +1,278 @@
+"""Many members on links that drop, delay, repeat and cut."""
+
+import random
+
+from hypothesis import stateful
+from hypothesis import strategies
+
+from citronvalve.model import clock
+from citronvalve.model import invariant
+from citronvalve.peers import change
+from citronvalve.peers import listener
+from citronvalve.peers import loankey
+from citronvalve.peers import member
+from citronvalve.peers import tabledelta
+from standins import memorylinks
+
+#: Long enough to detect a death, settle and lend again.
+_CALM = 30 * clock.SECOND
+
+COLD = loankey.LoanKey(loankey.LoanKind.COLD, "engine-1", "start-1")
+TEAM = loankey.LoanKey(loankey.LoanKind.TEAM, "ledger/coder/d0")
+LIMIT_BY_KEY = {COLD: 1, TEAM: 6}
+
+
+class Applied(listener.Listener):
+    """Checks that the versions a daemon is given only rise."""
+
+    def __init__(self, checks: invariant.Invariants) -> None:
+        self._checks = checks
+        self.version = 0
+
+    def on_table(self, delta: tabledelta.TableDelta) -> None:
+        self._checks.hold(
+            "a daemon is given rising versions",
+            delta.version > self.version,
+            f"{self.version} {delta.version}",
+        )
+        self.version = delta.version
+
+
+class Fleet(stateful.RuleBasedStateMachine):
+    """Faults that strike any fleet; subclasses add what it does."""
+
+    CHECKS = invariant.Invariants()
+    DATACENTRES = 1
+    MEMBERS = 4
+
+    @stateful.initialize(seed=strategies.integers(0, 2**32))
+    def begin(self, seed):
+        self.rng = random.Random(seed)
+        self.links = memorylinks.Links(self.rng, delay=40)
+        self.names = [
+            f"d{d}-{m}"
+            for d in range(self.DATACENTRES)
+            for m in range(self.MEMBERS)
+        ]
+        self.links.after_each = self.look
+        for name in self.names:
+            self.start(name)
+        self.links.run(_CALM)
+
+    def start(self, name):
+        seeds = tuple(n for n in self.names if n.endswith("-0"))
+        self.links.start(
+            name,
+            name.partition("-")[0],
+            seeds,
+            self.CHECKS,
+            Applied(self.CHECKS),
+        )
+
+    def core(self, name):
+        return self.links.node_by_name[name].core
+
+    def living(self):
+        return sorted(self.links.node_by_name)
+
+    def look(self):
+        """Look at the whole fleet after each event."""
+
+    @stateful.rule(span=strategies.integers(1, 15_000))
+    def run(self, span):
+        self.links.run(span)
+
+    @stateful.rule(
+        loss=strategies.sampled_from([0.0, 0.05, 0.5]),
+        repeat=strategies.sampled_from([0.0, 0.5]),
+        delay=strategies.sampled_from([2, 400, 3_000]),
+    )
+    def spoil(self, loss, repeat, delay):
+        self.links.loss = loss
+        self.links.repeat = repeat
+        self.links.delay = delay
+
+    @stateful.rule(bits=strategies.integers(1, 2**12))
+    def cut(self, bits):
+        these = {n for i, n in enumerate(self.names) if bits >> i & 1}
+        self.links.cut_between(these, set(self.names) - these)
+
+    @stateful.rule()
+    def heal(self):
+        self.links.heal()
+
+    @stateful.rule(which=strategies.integers(0, 99))
+    def restart(self, which):
+        name = self.names[which % len(self.names)]
+        if name in self.links.node_by_name:
+            self.links.kill(name)
+            return
+        self.start(name)
+
+    @stateful.rule(which=strategies.integers(0, 99))
+    def pause(self, which):
+        name = self.names[which % len(self.names)]
+        if name in self.links.stopped:
+            self.links.wake(name)
+        elif name in self.links.node_by_name:
+            self.links.stop(name)
+
+    @stateful.rule()
+    def calm(self):
+        """Let all faults end: everyone finds everyone again."""
+        self.links.heal()
+        self.spoil(0.0, 0.0, 2)
+        for name in self.names:
+            if name in self.links.stopped:
+                self.links.wake(name)
+            if name not in self.links.node_by_name:
+                self.start(name)
+        self.links.run(_CALM)
+        for name in self.names:
+            self.check_calm(name)
+
+    def check_calm(self, name):
+        state = self.core(name).state
+        mates = {n for n in self.names if n.split("-")[0] == name[:2]}
+        self.CHECKS.hold(
+            "after the faults everyone sees everyone and acts",
+            state.membership.alive() == mates and state.standing.acting(),
+            f"{name} sees {sorted(state.membership.alive())}",
+        )
+
+
+class Spreading(Fleet):
+    """Watchers read new versions; the peers bring them everywhere."""
+
+    CHECKS = invariant.Invariants()
+    DATACENTRES = 3
+    MEMBERS = 3
+
+    @stateful.initialize()
+    def no_rows(self):
+        self.rows = {}
+        self.version = 0
+
+    @stateful.rule(
+        which=strategies.integers(0, 99),
+        keys=strategies.sets(strategies.integers(0, 30), min_size=1),
+        size=strategies.sampled_from([0, 10, 5_000]),
+    )
+    def edit(self, which, keys, size):
+        self.version += 1
+        for key in keys:
+            row = change.Change("team", str(key), self.version, b"v" * size)
+            self.rows[key] = row
+        self.read(self.names[which % len(self.names)])
+
+    @stateful.rule(which=strategies.integers(0, 99))
+    def watch(self, which):
+        self.read(self.names[which % len(self.names)])
+
+    def read(self, name):
+        if name not in self.links.node_by_name or name in self.links.stopped:
+            return
+        core = self.core(name)
+        base = core.state.table.version
+        newer = tuple(r for r in self.rows.values() if r.version > base)
+        core.offer_table(tabledelta.TableDelta(self.version, base, newer))
+
+    def check_calm(self, name):
+        super().check_calm(name)
+        tables = [self.core(n).state.table for n in self.names]
+        newest = max(table.version for table in tables)
+        table = self.core(name).state.table
+        self.CHECKS.hold(
+            "after the faults everyone holds the newest version",
+            table.version == newest
+            and len({t.digest for t in tables}) == 1
+            and not self.core(name).confirmation(newest).silent,
+            f"{name} {table.version} of {newest}"
+            f" {self.core(name).confirmation(newest)}",
+        )
+
+
+class Lending(Fleet):
+    """All want more slots than there are."""
+
+    CHECKS = invariant.Invariants()
+
+    def start(self, name):
+        super().start(name)
+        grants = self.core(name).state.grants
+        for key, limit in LIMIT_BY_KEY.items():
+            grants.lender.set_limit(key, limit)
+            grants.borrower.want(key, limit)
+
+    def held(self, key):
+        by_name = {}
+        for name, node in self.links.node_by_name.items():
+            now = node.clock.now()
+            slots = node.core.state.grants.borrower.held(key, now)
+            if slots:
+                by_name[name] = slots
+        return by_name
+
+    def look(self):
+        for key, limit in LIMIT_BY_KEY.items():
+            held = self.held(key)
+            self.CHECKS.hold(
+                "no more slots are held in all than the limit",
+                sum(held.values()) <= limit,
+                f"{key} {held} of {limit}",
+            )
+
+    @stateful.rule(
+        which=strategies.integers(0, 99), slots=strategies.integers(0, 8)
+    )
+    def want(self, which, slots):
+        name = self.names[which % len(self.names)]
+        if name in self.links.node_by_name:
+            grants = self.core(name).state.grants
+            grants.borrower.want(TEAM, slots)
+
+    def check_calm(self, name):
+        super().check_calm(name)
+        self.CHECKS.hold(
+            "after the faults the cold upstream is lent",
+            sum(self.held(COLD).values()) == LIMIT_BY_KEY[COLD],
+            f"{self.held(COLD)}",
+        )
+
+
+class Membership(Fleet):
+    """No life that its peers buried acts, and none comes back."""
+
+    CHECKS = invariant.Invariants()
+    MEMBERS = 6
+
+    def look(self):
+        for name in self.links.stopped & self.links.node_by_name.keys():
+            self.look_at_stopped(name)
+
+    def look_at_stopped(self, name):
+        # What a stopped process would answer if it woke at this moment,
+        # before any message or timer reached it.
+        state = self.core(name).state
+        buried = [
+            other
+            for other in self.living()
+            if other not in self.links.stopped
+            and self.buries(other, name, state.standing.incarnation)
+        ]
+        self.CHECKS.hold(
+            "a life buried while it was stopped does not act",
+            not buried or not state.standing.acting(),
+            f"{name} is buried by {buried}",
+        )
+
+    def buries(self, other, name, incarnation):
+        held = self.core(other).state.membership.member_by_name.get(name)
+        return (
+            held is not None
+            and held.incarnation == incarnation
+            and held.state is member.MemberState.DEAD
+        )
+
+
+MACHINES = (Membership, Spreading, Lending)
