--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	$(BIN)/ruff format .
 
 bench: $(VENV)/ready
-	$(BIN)/python -m benchmarks.run
+	$(BIN)/python -m benchmarks.run $(AREAS)
 
 soak: $(VENV)/ready
 	$(BIN)/python -m tests.soak --seed $(SEED) --steps $(STEPS)
