Prove the platform's clients, and show where the table is in force

Cause: the clients had a trial script only, and no command told how far an edit had come. Ruled out: the library's timeout as the bound of a call (it is that of one receive, and an answer that drips held the caller for ever). Change: an answer's whole time is bounded, citronvalve status, and a suite of the clients against the stand-in's process, a relay whose connections go silent and a server that stands in between.

--- a/src/citronvalve/cli/main.py
+++ b/src/citronvalve/cli/main.py
@@ -13,6 +13,7 @@
 from citronvalve.cli import editing
 from citronvalve.cli import looking
 from citronvalve.cli import report
+from citronvalve.cli import status
 
 _JSON_DOC = "\n:param json: print one JSON object for programs.\n"
 
@@ -66,6 +67,7 @@
         "revert": _command(editing.revert),
     },
     "audit": _command(looking.trail),
+    "status": _command(status.status),
     "settings": {"check": _command(checking.check)},
 }
 
--- a/src/citronvalve/platform/client.py
+++ b/src/citronvalve/platform/client.py
@@ -19,6 +19,9 @@
 #: between the two ends; a write on it would be lost in silence.
 IDLE: clock.Ms = 30_000
 
+#: Bytes taken from a connection at once.
+_PIECE = 256 * 1024
+
 #: Reads are tried again once on new connections, each for its share.
 _READ_TRIES = 2
 
@@ -118,14 +121,27 @@
             pool_timeout=timeout / clock.SECOND,
             preload_content=False,
         )
-        content = response.read(LARGEST_ANSWER + 1)
-        if len(content) > LARGEST_ANSWER:
-            response.close()
-            raise urllib3.exceptions.ResponseError("the answer is too large")
+        content = self._content(response, timeout)
         response.release_conn()
         self._used_at = self._clock.now()
         return Answer(response.status, content)
 
+    def _content(
+        self, response: urllib3.BaseHTTPResponse, timeout: clock.Ms
+    ) -> bytes:
+        # The library's timeout is that of one receive: an answer that drips
+        # would hold its caller for ever.
+        until = self._clock.now() + timeout
+        content = bytearray()
+        while piece := response.read1(_PIECE):
+            content += piece
+            late = self._clock.now() > until
+            if late or len(content) > LARGEST_ANSWER:
+                response.close()
+                why = "takes too long" if late else "is too large"
+                raise urllib3.exceptions.ResponseError(f"the answer {why}")
+        return bytes(content)
+
     def _new_pool(self) -> urllib3.HTTPConnectionPool:
         host, _, port = self.address.rpartition(":")
         return urllib3.HTTPConnectionPool(
--- /dev/null
+++ b/tests/platform/steps/clients_steps.py
@@ -0,0 +1,218 @@
+"""Steps about the platform's clients against its process."""
+
+import concurrent.futures
+import pathlib
+import socket
+import tempfile
+import threading
+import time
+
+import behave
+import msgspec
+import urllib3
+
+from citronvalve.model import clock
+from citronvalve.model import manualclock
+from citronvalve.platform import client
+from citronvalve.platform import httpobjects
+from citronvalve.platform import httptable
+from citronvalve.platform import httpvms
+from citronvalve.platform import rows
+from standins import fleet
+from standins import silentproxy
+
+_WRITE = rows.Transaction(
+    "attempt",
+    (rows.Condition("t", "k", rows.NO_ROW),),
+    (rows.Write("t", "k", {"x": 1}),),
+)
+
+
+@behave.given("the platform's process")
+def step_platform(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.fleet = fleet.Fleet(pathlib.Path(folder.name))
+    context.add_cleanup(context.fleet.end)
+    context.address = context.fleet.start_platform()
+    context.clock = manualclock.ManualClock()
+    context.timeout = 2_000
+
+
+def _order(context, service, fault, calls=-1, delay=0):
+    order = {"service": service, "fault": fault, "calls": calls}
+    body = msgspec.json.encode(order | {"delay": delay})
+    url = f"http://{context.fleet.platform}/faults"
+    assert urllib3.request("POST", url, body=body).status == 200
+
+
+@behave.given("the {service} service is {fault}")
+def step_fault(context, service, fault):
+    if fault != "well":
+        name, _, delay = fault.partition(" by ")
+        _order(context, service.split()[0], name, delay=int(delay or 0))
+
+
+@behave.given("the next {calls:d} answers of the table take {delay:d} ms")
+def step_slow(context, delay, calls):
+    _order(context, "table", "slow", calls, delay)
+
+
+@behave.given('something in between that answers "{status}"')
+def step_between(context, status):
+    _serve(context, f"HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n", b"")
+
+
+@behave.given("something in between that answers without end")
+def step_endless(context):
+    _serve(context, "HTTP/1.1 200 OK\r\n\r\n", b"x" * 1_000_000)
+
+
+@behave.given("something in between whose answer drips")
+def step_drips(context):
+    context.clock = clock.SystemClock()
+    _serve(context, "HTTP/1.1 200 OK\r\n\r\n", b"x", 0.05)
+
+
+def _serve(context, head, endless, pause=0):
+    listener = socket.create_server(("127.0.0.1", 0))
+    context.add_cleanup(listener.close)
+    context.address = f"127.0.0.1:{listener.getsockname()[1]}"
+
+    def run():
+        while True:
+            try:
+                taken, _ = listener.accept()
+                taken.recv(65_536)
+                taken.sendall(head.encode())
+                while endless:
+                    taken.sendall(endless)
+                    time.sleep(pause)
+            except OSError:
+                if listener.fileno() < 0:
+                    return
+
+    threading.Thread(target=run, daemon=True).start()
+
+
+@behave.given("{count:d} kept connections through a proxy")
+def step_proxy(context, count):
+    context.proxy = silentproxy.SilentProxy(context.address)
+    context.add_cleanup(context.proxy.close)
+    context.address = context.proxy.address
+    # Slow answers, so that each call needs a connection of its own.
+    step_slow(context, 200, count)
+    _client(context, 2_000)
+    _read_at_once(context, count)
+    assert context.proxy.accepted == count
+
+
+def _client(context, timeout):
+    if "platform_client" not in context:
+        context.platform_client = client.PlatformClient(
+            context.address, timeout, context.clock
+        )
+    context.platform_client._timeout = timeout
+    return context.platform_client
+
+
+@behave.when("open connections go silent")
+def step_hush(context):
+    context.proxy.hush()
+
+
+@behave.when("{seconds:d} s pass without a call")
+def step_pass(context, seconds):
+    context.clock.advance(seconds * 1_000)
+
+
+@behave.when("the platform's process ends")
+def step_ends(context):
+    context.fleet.end()
+
+
+@behave.when("a row is written with a timeout of {timeout:d} ms")
+def step_write(context, timeout):
+    context.timeout = timeout
+    table = httptable.HttpTable(_client(context, timeout))
+    context.done = table.commit(_WRITE)
+
+
+@behave.when("the same is written again")
+def step_again(context):
+    step_write(context, context.timeout)
+
+
+@behave.when("the table is read with a timeout of {timeout:d} ms")
+def step_read(context, timeout):
+    context.timeout = timeout
+    table = httptable.HttpTable(_client(context, timeout))
+    began = time.monotonic()
+    context.done = table.scan("t")
+    context.took = (time.monotonic() - began) * 1_000
+
+
+@behave.when("the table is read by {count:d} calls at once")
+def step_read_at_once(context, count):
+    began = time.monotonic()
+    _read_at_once(context, count)
+    context.took = (time.monotonic() - began) * 1_000
+
+
+def _read_at_once(context, count):
+    table = httptable.HttpTable(context.platform_client)
+    with concurrent.futures.ThreadPoolExecutor(count) as pool:
+        assert all(pool.map(table.scan, "t" * count))
+
+
+@behave.when("{call} is called")
+def step_call(context, call):
+    kept = _client(context, 2_000)
+    calls = {
+        "put": lambda: httpobjects.HttpObjects(kept).put("a/b", b"x"),
+        "get": lambda: httpobjects.HttpObjects(kept).get("a/b"),
+        "vms": lambda: httpvms.HttpVms(kept).vms("sapporo"),
+    }
+    context.done = calls[call]()
+
+
+@behave.when("an empty object is put")
+def step_empty(context):
+    context.objects = httpobjects.HttpObjects(_client(context, 2_000))
+    assert context.objects.put("empty", b"") is None
+
+
+@behave.then("it is read back as empty")
+def step_is_empty(context):
+    assert context.objects.get("empty") == b""
+
+
+@behave.then("the write is {outcome}")
+@behave.then("the read is {outcome}")
+@behave.then("it gives {outcome}")
+def step_outcome(context, outcome):
+    assert type(context.done).__name__ == outcome, context.done
+
+
+@behave.then("the row is {there} once the fault is over")
+def step_there(context, there):
+    for fault in ("down", "slow", "lose-answer"):
+        _order(context, "table", fault, 0)
+    table = httptable.HttpTable(client.PlatformClient(context.address))
+    assert bool(table.read("t", "k")) == (there == "there")
+
+
+@behave.then("it holds the row as it is")
+def step_holds(context):
+    (row,) = context.done.rows
+    assert row.value == {"x": 1}
+
+
+@behave.then('its reason is "{reason}"')
+def step_reason(context, reason):
+    assert reason in context.done.reason, context.done
+
+
+@behave.then("it took at most {most:d} ms")
+def step_took(context, most):
+    assert context.took <= most, context.took
