Bound the whole time of a call to a plain service

Cause: the HTTP library bounds each receive; a service that sends a byte now and then held its caller past the deadline, and a look-up on a connection gone silent used up all its time. Ruled out: a short idle limit as for engines, since plain services send no heartbeats and may be silent while they work. Change: the whole call is cut off at its deadline; a try that may be repeated gets half of what is left, so that a second one on a new connection fits; three tries at most. Seen failing without the safeguards: without the split 'tried again' (504); without the bound 'a byte at a time' (answer after nine times its deadline). Conclusion: a plain call ends in time whatever the service does.

--- a/src/citronvalve/entry/plain.py
+++ b/src/citronvalve/entry/plain.py
@@ -21,6 +21,12 @@
 
 PREFIX = "/v1/services/"
 
+#: A service that failed three times in a row is down for this caller;
+#: more tries would load those that are left.
+MOST_TRIES = 3
+
+_RETRY_AFTER: clock.Ms = 1_000
+
 _ENDING_BY_KIND = {
     trouble.TroubleKind.UNREACHED: dispatches.Ending.NOT_RUN,
     trouble.TroubleKind.REFUSED: dispatches.Ending.NOT_RUN,
@@ -104,16 +110,14 @@
     ) -> plaincall.PlainAnswer | refusal.Refusal:
         after = dispatches.FIRST
         outcome = ran.Ran.NO
-        while True:
+        for left in reversed(range(MOST_TRIES)):
             placed = self._dispatch.place(work, after)
             if isinstance(placed, refusal.Refusal):
                 return placed._replace(ran=outcome)
-            remaining = work.deadline - self._env.clock.now()
-            if remaining <= 0:
-                self._dispatch.release(placed, dispatches.Ending.ABANDONED)
-                return _late(outcome)
-            sent = _sent(call, work, path, body, remaining)
-            result = self._client.call(placed.address, sent)
+            span = self._span(work, left)
+            result = self._client.call(
+                placed.address, _sent(call, work, path, body, span)
+            )
             self._dispatch.release(placed, _ending(result))
             if not isinstance(result, trouble.Trouble):
                 return result
@@ -121,7 +125,21 @@
                 outcome = ran.Ran.UNKNOWN
                 if not work.repeatable:
                     return _unknown(result)
-            after = after._replace(never=(*after.never, placed.upstream))
+            if self._remaining(work) <= 0:
+                return _late(outcome)
+            after = after._replace(avoid=(*after.avoid, placed.upstream))
+        return _failed(outcome, result)
+
+    def _span(self, work: works.Work, left: int) -> clock.Ms:
+        # A look-up that meets a silent connection must leave time for a
+        # try on a new one; what may not be repeated has all the time.
+        remaining = max(1, self._remaining(work))
+        if work.repeatable and left:
+            return max(1, remaining // 2)
+        return remaining
+
+    def _remaining(self, work: works.Work) -> clock.Ms:
+        return work.deadline - self._env.clock.now()
 
 
 def _sent(
@@ -182,6 +200,16 @@
     )
 
 
+def _failed(outcome: ran.Ran, met: trouble.Trouble) -> refusal.Refusal:
+    return refusal.Refusal(
+        refusal.RefusalKind.UPSTREAM_FAILED,
+        f"{MOST_TRIES} tries failed, the last one: {met.reason}",
+        "send it again later",
+        outcome,
+        _RETRY_AFTER,
+    )
+
+
 def _unknown(met: trouble.Trouble) -> refusal.Refusal:
     return refusal.Refusal(
         refusal.RefusalKind.OUTCOME_UNKNOWN,
--- a/src/citronvalve/upstreams/plainclient.py
+++ b/src/citronvalve/upstreams/plainclient.py
@@ -1,7 +1,9 @@
 """Calls plain services and reads their whole answers."""
 
+import eventlet
 import urllib3
 
+from citronvalve.model import clock
 from citronvalve.upstreams import engineclient
 from citronvalve.upstreams import failures
 from citronvalve.upstreams import plaincall
@@ -37,16 +39,28 @@
         if call.fresh:
             pool = fresh = urllib3.HTTPConnectionPool(pool.host, pool.port)
         try:
-            return _whole(_send(pool, call), address)
+            # The library bounds each receive, not the whole: a service
+            # that sends a byte now and then would hold its caller for ever.
+            with eventlet.Timeout(call.remaining / clock.SECOND):
+                return _whole(_send(pool, call), address)
+        except eventlet.Timeout:
+            self._pools.drop(address)
+            return trouble.Trouble(
+                trouble.TroubleKind.SILENT,
+                f"no whole answer within {call.remaining} ms",
+                address,
+            )
         except failures.ERRORS as error:
-            met = failures.read(error, address)
-            if met.kind is trouble.TroubleKind.SILENT:
-                self._pools.drop(address)
-            return met
+            return self._failed(failures.read(error, address), address)
         finally:
             if fresh:
                 fresh.close()
 
+    def _failed(self, met: trouble.Trouble, address: str) -> trouble.Trouble:
+        if met.kind is trouble.TroubleKind.SILENT:
+            self._pools.drop(address)
+        return met
+
 
 def _send(
     pool: urllib3.HTTPConnectionPool, call: plaincall.PlainCall
--- a/standins/client.py
+++ b/standins/client.py
@@ -73,7 +73,12 @@
         return _streamed(answer) if stream else _whole(answer)
 
     def call(
-        self, method: str, path: str, body: bytes = b"", key: str = ""
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        key: str = "",
+        headers: dict[str, str] | None = None,
     ) -> Seen:
         """Call a plain service.
 
@@ -81,9 +86,12 @@
         :param path: below ``/v1/services/``.
         :param body: the content.
         :param key: idempotency key; empty for none.
+        :param headers: further ones.
         """
-        headers = {"Idempotency-Key": key} if key else {}
-        answer = self.open(method, f"/v1/services/{path}", body, headers)
+        sent = {**(headers or {})}
+        if key:
+            sent["Idempotency-Key"] = key
+        answer = self.open(method, f"/v1/services/{path}", body, sent)
         if answer.headers.get("Content-Type") == "application/problem+json":
             return _refused(answer)
         text = answer.data.decode()
--- a/standins/records.py
+++ b/standins/records.py
@@ -3,6 +3,7 @@
 It counts its own runs, so that tests can hold the system to them.
 """
 
+from collections.abc import Iterator
 import os
 import secrets
 
@@ -11,6 +12,9 @@
 from standins import wsgi
 
 
+_DRIP_EVERY = 0.05
+
+
 class Records:
     """Issues numbered certificates, one a call, repeated or not.
 
@@ -22,6 +26,7 @@
         self._start_id = secrets.token_hex(4)
         self._running = 0
         self._issued: list[dict] = []
+        self._asked = 0
         self._fault = ""
         self._fault_calls = 0
 
@@ -30,6 +35,7 @@
         return wsgi.Routes(
             {
                 "GET /load": self.load,
+                "GET /asked": lambda _: wsgi.Reply(200, self._asked),
                 "GET /runs": lambda _: wsgi.Reply(200, self._issued),
                 "POST /faults": self.faults,
                 "GET /*": self.look_up,
@@ -57,7 +63,8 @@
         """Misbehave on order.
 
         :param call: ``{"fault": name, "calls": how many}``; names are
-            refuse, crash-before, crash-after, silent-before, silent-after.
+            refuse, crash-before, crash-after, silent-before, silent-after,
+            and for look-ups silent-get and drip.
         """
         order = call.json()
         self._fault = order["fault"]
@@ -69,6 +76,10 @@
 
         :param call: names the path.
         """
+        if self._strikes("silent-get"):
+            eventlet.sleep(3_600)
+        if self._strikes("drip"):
+            return wsgi.Reply(200, _drip(), "text/plain")
         found = [run for run in self._issued if run["path"] == call.path]
         return wsgi.Reply(200, found)
 
@@ -77,6 +88,7 @@
 
         :param call: the request.
         """
+        self._asked += 1
         if self._strikes("refuse"):
             return wsgi.Reply(503, {"ran": "no"})
         self._running += 1
@@ -110,6 +122,12 @@
         return True
 
 
+def _drip() -> Iterator[bytes]:
+    while True:
+        yield b"."
+        eventlet.sleep(_DRIP_EVERY)
+
+
 def main() -> None:
     """Serve until SIGTERM."""
     parser = wsgi.parser(__doc__)
--- /dev/null
+++ b/tests/entry/steps/plain_steps.py
@@ -0,0 +1,68 @@
+"""Steps about plain services that misbehave."""
+
+import time
+
+import behave
+import urllib3
+
+_SLACK = 400
+
+
+def _order(address, fault, calls):
+    body = {"fault": fault, "calls": calls}
+    urllib3.request("POST", f"http://{address}/faults", json=body)
+
+
+@behave.given("the record service will {fault} {often}")
+def step_fault(context, fault, often):
+    _order(context.records, fault, 1 if often == "once" else -1)
+    context.add_cleanup(_order, context.records, "", 0)
+
+
+def _timed(context, span, *ask):
+    began = time.monotonic()
+    context.seen = context.made.caller().call(
+        *ask, headers={"X-Deadline-Ms": str(span)}
+    )
+    context.took = (time.monotonic() - began) * 1_000
+    context.span = span
+
+
+@behave.when("a caller looks a record up within {span:d} ms")
+def step_look_up(context, span):
+    _timed(context, span, "GET", "records/bags/1")
+
+
+@behave.when(
+    "a caller has a certificate issued within {span:d} ms, without a key"
+)
+def step_issue(context, span):
+    runs = urllib3.request("GET", f"http://{context.records}/asked").json()
+    context.asked = runs
+    _timed(context, span, "POST", "records/certificates", b"{}")
+
+
+@behave.then("it gets the record in time")
+def step_record(context):
+    assert context.seen.status == 200, context.seen
+    assert context.took < context.span, context.took
+
+
+@behave.then("it is told that there was no answer, in time")
+def step_none(context):
+    assert context.seen.status == 504, context.seen
+    assert context.seen.problem["ran"] == "unknown", context.seen
+    assert context.took < context.span + _SLACK, context.took
+
+
+@behave.then("it is told that the outcome is unknown, in time")
+def step_unknown(context):
+    assert context.seen.status == 502, context.seen
+    assert context.seen.problem["ran"] == "unknown", context.seen
+    assert context.took < context.span + _SLACK, context.took
+
+
+@behave.then("the service was asked once")
+def step_once(context):
+    asked = urllib3.request("GET", f"http://{context.records}/asked").json()
+    assert asked == context.asked + 1, (asked, context.asked)
