Plan replica groups and carry them out from their rows

Cause: nothing formed groups yet; two leaders may both believe they lead, orders may arrive late, and losing one VM kills a replica. Ruled out: a separate intent row for each order (8 writes a group; the group's row names all its orders), and a stored serving flag as the word for routing (it is true only until a VM dies). Change: groups/ with pure planners, a state table, decisions and orders worked out from rows and read-backs, and a thin leader; stand-ins of the engines; scenarios that kill, pause and cut at each call.

--- /dev/null
+++ b/src/citronvalve/groups/change.py
@@ -0,0 +1,131 @@
+"""One change of one group, as a transaction on its rows."""
+
+from typing import NamedTuple
+
+from citronvalve.groups import book
+from citronvalve.groups import owner
+from citronvalve.groups import record
+from citronvalve.model import invariant
+from citronvalve.platform import rows
+
+
+class Change(NamedTuple):
+    """From a group's record to the next; None is no group.
+
+    ``ordering`` says that orders follow: the rows of the VMs are written
+    too, each on the condition that nobody wrote it since.
+    """
+
+    before: record.GroupRecord | None
+    after: record.GroupRecord | None
+    ordering: bool = True
+
+    @property
+    def group(self) -> str:
+        """Return the name of the group."""
+        return (self.before or self.after).name
+
+    @property
+    def vms(self) -> tuple[str, ...]:
+        """Return the VMs of before and after, each once."""
+        names = [vm for r in (self.before, self.after) if r for vm in r.vms]
+        return tuple(dict.fromkeys(names))
+
+
+def transaction(
+    change: Change,
+    known: book.Book,
+    leased: rows.Condition,
+    attempt: str,
+    held: invariant.Invariants,
+) -> rows.Transaction:
+    """Write a change as a transaction.
+
+    The condition on each VM's own row is what makes it safe: of two leaders
+    that plan with one VM, the second finds the row changed and writes
+    nothing, whatever either believes of its lease.  The condition on the
+    lease stops a holder that was paused before it wrote its intent.
+
+    :param change: what is to change.
+    :param known: the rows that it was decided on.
+    :param leased: the leader's own lease row, as it wrote it.
+    :param attempt: id of this try.
+    :param held: where promises are asserted.
+    """
+    groups = book.groups_table(known.datacentre)
+    after = change.after
+    conditions = [leased, known.condition(groups, change.group)]
+    value = book.encode(after) if after else None
+    writes = [rows.Write(groups, change.group, value)]
+    if change.ordering:
+        owners = book.owners_table(known.datacentre)
+        for each in _owners(change, known, attempt):
+            was = known.owner_by_vm.get(each.vm)
+            held.hold(
+                "no VM is taken from another group",
+                was is None or was.group in ("", change.group),
+                f"{each.vm} of {was} for {change.group}",
+            )
+            conditions.append(known.condition(owners, each.vm))
+            writes.append(rows.Write(owners, each.vm, book.encode(each)))
+    return rows.Transaction(attempt, tuple(conditions), tuple(writes))
+
+
+def _owners(
+    change: Change, known: book.Book, attempt: str
+) -> list[owner.Owner]:
+    after = change.after
+    fence = after.fence if after else 0
+    if after is None:
+        fence = next_fence(change.vms, known, change.before)
+    members = set(after.vms) if after else set()
+    return [
+        owner.Owner(vm, after.name if vm in members else "", fence, attempt)
+        for vm in change.vms
+    ]
+
+
+def outbid(
+    vm: str,
+    seen: int,
+    known: book.Book,
+    leased: rows.Condition,
+    attempt: str,
+) -> rows.Transaction:
+    """Write the intent to empty a VM that nobody owns.
+
+    Its engine holds something under a fence that our row does not know: the
+    row is raised first, so that the order is not refused.
+
+    :param vm: its name.
+    :param seen: the fence read back from its engine.
+    :param known: the rows.
+    :param leased: the leader's own lease row.
+    :param attempt: id of this try.
+    """
+    fence = next_fence((vm,), known, seen=seen)
+    table = book.owners_table(known.datacentre)
+    value = book.encode(owner.Owner(vm, "", fence, attempt))
+    return rows.Transaction(
+        attempt,
+        (leased, known.condition(table, vm)),
+        (rows.Write(table, vm, value),),
+    )
+
+
+def next_fence(
+    vms: tuple[str, ...],
+    known: book.Book,
+    before: record.GroupRecord | None = None,
+    seen: int = 0,
+) -> int:
+    """Return a fence above all that these VMs were ever given.
+
+    :param vms: names of the VMs.
+    :param known: the rows, each of which keeps the highest fence of its VM.
+    :param before: the group's record, if it has one.
+    :param seen: the highest fence read back from the engines.
+    """
+    owners = (known.owner_by_vm.get(vm) for vm in vms)
+    fences = [each.fence for each in owners if each]
+    return 1 + max([seen, before.fence if before else 0, *fences])
--- /dev/null
+++ b/src/citronvalve/groups/decide.py
@@ -0,0 +1,277 @@
+"""Which groups change, and how; pure."""
+
+from collections.abc import Callable
+
+from citronvalve.groups import change
+from citronvalve.groups import event
+from citronvalve.groups import look
+from citronvalve.groups import member
+from citronvalve.groups import order
+from citronvalve.groups import phase
+from citronvalve.groups import placement
+from citronvalve.groups import plan
+from citronvalve.groups import record
+from citronvalve.groups import repair
+from citronvalve.groups import situation
+from citronvalve.groups import transition
+from citronvalve.model import declared
+from citronvalve.model import invariant
+
+_E = event.Event
+_P = phase.Phase
+#: Events that close a group which could go on serving.
+_BY_CHOICE = {_E.OUTDATED, _E.LEAVING, _E.UNWANTED}
+_NOTHING = look.Look(_E.WAITING, "")
+
+
+class Decision:
+    """Decides one step of a data centre; made anew for each.
+
+    :param seen: the situation.
+    :param planned: what the planner said of it.
+    :param attempt: gives the id of the next try.
+    :param held: where promises are asserted.
+    """
+
+    def __init__(
+        self,
+        seen: situation.Situation,
+        planned: plan.Plan,
+        attempt: Callable[[], str],
+        held: invariant.Invariants,
+    ) -> None:
+        self._seen = seen
+        self._plan = planned
+        self._attempt = attempt
+        self._held = held
+        self._group_by_name = seen.declared_groups()
+        self._repair_by_group = {r.group: r for r in planned.repairs}
+        self._closed_by_declared = self._count_closed()
+
+    def _count_closed(self) -> dict[str, int]:
+        # Every group that does not serve counts, whatever closed it: the
+        # bound is for the callers, who are left with the rest.
+        seen = self._seen
+        closed: dict[str, int] = {}
+        for each in seen.known.record_by_group.values():
+            found = look.look(each, seen.sighting_by_vm, seen.now, seen.spans)
+            is_closed = (
+                each.phase is not _P.SERVING or found.event is not _E.WHOLE
+            )
+            count = closed.get(each.declared, 0)
+            closed[each.declared] = count + is_closed
+        return closed
+
+    def changes(self) -> list[change.Change]:
+        """Return the changes that are due, new groups first."""
+        new = self._new_groups()
+        records = sorted(self._seen.known.record_by_group.items())
+        later = (self._next(each) for _, each in records)
+        return [*new, *(each for each in later if each)]
+
+    def _new_groups(self) -> list[change.Change]:
+        taken = set(self._seen.known.record_by_group)
+        made = []
+        for each in self._plan.placements:
+            number = 0
+            while f"{each.declared}-{number}" in taken:
+                number += 1
+            name = f"{each.declared}-{number}"
+            taken.add(name)
+            made.append(change.Change(None, self._placed(name, each)))
+        return made
+
+    def _placed(
+        self, name: str, each: placement.Placement
+    ) -> record.GroupRecord:
+        seen = self._seen
+        return record.GroupRecord(
+            name=name,
+            declared=each.declared,
+            domain=each.domain,
+            members=tuple(self._member(vm) for vm in each.vms),
+            fence=self._fence(each.vms, None),
+            attempt=self._attempt(),
+            phase=_P.FORMING,
+            reason="newly placed",
+            since=seen.wall,
+            wanted=seen.wanted(self._group_by_name[each.declared]),
+        )
+
+    def _member(self, vm: str) -> member.Member:
+        return member.Member(vm, self._seen.listed_by_vm[vm].address)
+
+    def _fence(
+        self, vms: tuple[str, ...], before: record.GroupRecord | None
+    ) -> int:
+        found = (self._seen.sighting_by_vm.get(vm) for vm in vms)
+        held = [f.holding.fence for f in found if f and f.holding]
+        known = self._seen.known
+        return change.next_fence(vms, known, before, max(held, default=0))
+
+    def _next(self, known: record.GroupRecord) -> change.Change | None:
+        found = self._look(known)
+        key = (known.phase, found.event)
+        if key not in transition.NEXT_BY_PHASE_AND_EVENT:
+            return None
+        after = transition.NEXT_BY_PHASE_AND_EVENT[key]
+        if not self._may_go_on(known, after):
+            return None
+        if known.phase is _P.SERVING and found.event in _BY_CHOICE:
+            self._closed_by_declared[known.declared] += 1
+        if after is None:
+            return change.Change(known, None)
+        return self._moved(known, after, found)
+
+    def _may_go_on(
+        self, known: record.GroupRecord, after: phase.Phase | None
+    ) -> bool:
+        # An engine that ignores fencing numbers may take a late order of an
+        # earlier holder, or one of ours that was not answered.  Closing is
+        # always safe; all else waits until no order can be in flight, and
+        # serving also for a read-back made after that.
+        group = self._group_by_name.get(known.declared)
+        if group is None or group.refuses_old_fence:
+            return True
+        if after is _P.SERVING:
+            return self._seen.is_sure(known.vms)
+        return after is _P.CLOSED or self._seen.now >= self._seen.settled_at
+
+    def _look(self, known: record.GroupRecord) -> look.Look:
+        seen = self._seen
+        if known.phase is _P.DISSOLVING:
+            return self._when_drained(known, _E.IDLE, known.reason)
+        group = self._group_by_name.get(known.declared)
+        if group is None:
+            return look.Look(_E.UNWANTED, "not declared any more")
+        given_up = self._plan.reason_by_dissolved.get(known.name)
+        if given_up:
+            return look.Look(_E.UNWANTED, given_up)
+        found = look.look(known, seen.sighting_by_vm, seen.now, seen.spans)
+        mend = self._repair_by_group.get(known.name)
+        if mend:
+            return self._mended(known, mend, found, group)
+        if found.event is _E.LOST:
+            return found
+        if len(known.members) != group.size:
+            return self._rolling(known, group, _E.UNWANTED, "another size")
+        if known.wanted != seen.wanted(group):
+            return self._outdated(known, found, group)
+        return found
+
+    def _mended(
+        self,
+        known: record.GroupRecord,
+        mend: repair.Repair,
+        found: look.Look,
+        group: declared.Group,
+    ) -> look.Look:
+        spares = ", ".join(f"{v} by {s}" for v, s in mend.spare_by_vm.items())
+        reason = f"replaced {spares}"
+        if found.event is _E.LOST or known.phase in transition.ORDERING:
+            # It carries no work: nothing to wait for.
+            return look.Look(_E.REPAIR, reason)
+        if known.phase is _P.CLOSED:
+            return self._when_drained(known, _E.REPAIR, reason)
+        reason = f"leaving: {', '.join(mend.spare_by_vm)}"
+        return self._rolling(known, group, _E.LEAVING, reason)
+
+    def _outdated(
+        self,
+        known: record.GroupRecord,
+        found: look.Look,
+        group: declared.Group,
+    ) -> look.Look:
+        new = self._seen.wanted(group)
+        reason = f"change to {new.model} {new.version}"
+        reason += f" {new.adapter} {new.role}".rstrip()
+        if known.phase is _P.SERVING and found.event is _E.WHOLE:
+            return self._rolling(known, group, _E.OUTDATED, reason)
+        if found.event is _E.STRANGE:
+            return found
+        if known.phase is _P.CLOSED:
+            return self._when_drained(known, _E.OUTDATED, reason)
+        if known.phase in transition.ORDERING:
+            return look.Look(_E.OUTDATED, reason)
+        return found
+
+    def _rolling(
+        self,
+        known: record.GroupRecord,
+        group: declared.Group,
+        then: event.Event,
+        reason: str,
+    ) -> look.Look:
+        """Let a change of a serving group go on, if one more may close.
+
+        Made for a change of a whole declared group under full load: all its
+        replicas closed at once would leave callers with none for the time
+        of a load.  The bound is what operators say the rest can carry.
+        """
+        if known.phase is not _P.SERVING:
+            return look.Look(then, reason)
+        closed = self._closed_by_declared.get(known.declared, 0)
+        if closed >= group.most_closed:
+            return _NOTHING
+        self._held.hold(
+            "a change closes no more groups than declared",
+            closed + 1 <= group.most_closed,
+            f"{known.name}: {closed} of {group.most_closed}",
+        )
+        return look.Look(then, reason)
+
+    def _when_drained(
+        self, known: record.GroupRecord, then: event.Event, reason: str
+    ) -> look.Look:
+        if known.name not in self._seen.drained:
+            return _NOTHING
+        return look.Look(then, reason)
+
+    def _moved(
+        self,
+        known: record.GroupRecord,
+        after: phase.Phase,
+        found: look.Look,
+    ) -> change.Change:
+        new = known._replace(
+            phase=after,
+            reason=found.reason,
+            since=self._seen.wall,
+            attempt=self._attempt(),
+        )
+        if after not in transition.ORDERING:
+            return change.Change(known, new, ordering=False)
+        new = self._intended(known, new, found)
+        vms = tuple(dict.fromkeys((*known.vms, *new.vms)))
+        new = new._replace(fence=self._fence(vms, known))
+        return change.Change(known, new)
+
+    def _intended(
+        self,
+        known: record.GroupRecord,
+        new: record.GroupRecord,
+        found: look.Look,
+    ) -> record.GroupRecord:
+        wanted = self._seen.wanted(self._group_by_name[known.declared])
+        if new.phase is _P.FORMING:
+            members = self._members(known, found)
+            kind = order.OrderKind.FORM
+            return new._replace(members=members, wanted=wanted, kind=kind)
+        if found.event is not _E.OUTDATED:
+            return new._replace(kind=order.OrderKind.LOAD)
+        only_role = known.wanted._replace(role=wanted.role) == wanted
+        kind = order.OrderKind.ROLE if only_role else order.OrderKind.LOAD
+        return new._replace(wanted=wanted, kind=kind)
+
+    def _members(
+        self, known: record.GroupRecord, found: look.Look
+    ) -> tuple[member.Member, ...]:
+        if found.event is not _E.REPAIR:
+            return known.members
+        spare_by_vm = self._repair_by_group[known.name].spare_by_vm
+        return tuple(
+            self._member(spare_by_vm[each.vm])
+            if each.vm in spare_by_vm
+            else each
+            for each in known.members
+        )
--- /dev/null
+++ b/src/citronvalve/groups/firstfit.py
@@ -0,0 +1,73 @@
+"""The plain planner that the other is measured against."""
+
+from citronvalve.groups import fleet
+from citronvalve.groups import placement
+from citronvalve.groups import plan
+from citronvalve.groups import planner
+from citronvalve.groups import repair
+from citronvalve.groups import standing
+
+
+def surplus(seen: fleet.Fleet) -> dict[str, str]:
+    """Return the groups beyond the replicas declared, with the reason.
+
+    Broken groups go first, then those with the highest number.
+
+    :param seen: the fleet.
+    """
+    replicas_by_declared = {n.declared: n.replicas for n in seen.needs}
+    kept_by_declared: dict[str, int] = {}
+    reason_by_group = {}
+    for each in sorted(seen.standing, key=lambda s: (len(s.lost), s.group)):
+        kept = kept_by_declared.get(each.declared, 0)
+        if kept >= replicas_by_declared.get(each.declared, 0):
+            reason_by_group[each.group] = "more groups than declared"
+            continue
+        kept_by_declared[each.declared] = kept + 1
+    return reason_by_group
+
+
+def repairs(
+    broken: list[standing.Standing], free_by_domain: dict[str, list[str]]
+) -> list[repair.Repair]:
+    """Repair groups in the given order, and take the spares used away.
+
+    :param broken: groups with VMs lost or leaving.
+    :param free_by_domain: spare VMs, changed in place.
+    """
+    done = []
+    for each in broken:
+        free = free_by_domain.get(each.domain, [])
+        going = (*each.lost, *each.leaving)
+        if len(free) < len(going):
+            continue
+        spare_by_vm = {vm: free.pop(0) for vm in going}
+        done.append(repair.Repair(each.group, spare_by_vm))
+    return done
+
+
+class FirstFit(planner.Planner):
+    """Takes the first domain with room, and waits for lost VMs."""
+
+    def plan(self, seen: fleet.Fleet) -> plan.Plan:
+        gone = surplus(seen)
+        free = {d: list(v) for d, v in sorted(seen.free_by_domain.items())}
+        kept = [each for each in seen.standing if each.group not in gone]
+        mended = repairs(
+            [each for each in kept if each.lost or each.leaving], free
+        )
+        placements = []
+        for need in seen.needs:
+            count = sum(each.declared == need.declared for each in kept)
+            for _ in range(need.replicas - count):
+                domain = next(
+                    (d for d, v in free.items() if len(v) >= need.size), None
+                )
+                if domain is None:
+                    break
+                vms = tuple(free[domain][: need.size])
+                del free[domain][: need.size]
+                placements.append(
+                    placement.Placement(need.declared, domain, vms)
+                )
+        return plan.Plan(tuple(placements), tuple(mended), gone)
--- /dev/null
+++ b/src/citronvalve/groups/fixedloads.py
@@ -0,0 +1,31 @@
+"""A fixed number of slots for loads, kept by one process."""
+
+from citronvalve.groups import weightloads
+from citronvalve.model import clock
+from citronvalve.model import missing
+
+#: How long a slot is lent without being renewed.  The leader renews it with
+#: every step while the load runs, so that this only has to outlast a few
+#: missed steps.
+_LENT_FOR: clock.Ms = 10_000
+
+
+class FixedLoads(weightloads.WeightLoads):
+    """Enough where only the holder of the lease starts loads.
+
+    :param slots: loads at once; an edit of the table may change it.
+    """
+
+    def __init__(self, slots: int) -> None:
+        self.slots = slots
+        self._until_by_load: dict[str, clock.Ms] = {}
+
+    def acquire(
+        self, load: str, now: clock.Ms
+    ) -> clock.Ms | missing.Unavailable:
+        lent = {k: t for k, t in self._until_by_load.items() if t > now}
+        if load not in lent and len(lent) >= self.slots:
+            return missing.Unavailable("all load slots are lent", load)
+        lent[load] = now + _LENT_FOR
+        self._until_by_load = lent
+        return lent[load]
--- /dev/null
+++ b/src/citronvalve/groups/leader.py
@@ -0,0 +1,292 @@
+"""Keeps the replica groups of one data centre; the only part that acts."""
+
+from citronvalve.groups import book
+from citronvalve.groups import change
+from citronvalve.groups import decide
+from citronvalve.groups import drains
+from citronvalve.groups import leasekeeper
+from citronvalve.groups import means
+from citronvalve.groups import orders
+from citronvalve.groups import phase
+from citronvalve.groups import record
+from citronvalve.groups import routing
+from citronvalve.groups import situation
+from citronvalve.groups import state
+from citronvalve.groups import survey
+from citronvalve.groups import watch
+from citronvalve.model import clock
+from citronvalve.model import declared
+from citronvalve.model import missing
+from citronvalve.platform import rows
+from citronvalve.platform import vmlist
+
+#: Rounds of decisions and orders in one step: a group whose engines answer
+#: at once is formed, and its load begun, within the step that found a VM
+#: missing, instead of a poll later each.
+_ROUNDS = 4
+
+
+class Leader:
+    """Watches all VMs, and gives orders while it holds the lease.
+
+    Every candidate watches, so that routing has fresh states also while
+    the holder changes or the platform is down.
+
+    :param has: what it works with.
+    :ivar states: of each group, after the last step.
+    """
+
+    def __init__(self, has: means.Means) -> None:
+        self.states: tuple[state.GroupState, ...] = ()
+        self._has = has
+        self._known = book.Book(has.datacentre, has.held)
+        self._watch = watch.Watch(has.spans)
+        self._drains = drains.Drains(has.spans)
+        self._lease = leasekeeper.LeaseKeeper(
+            has.datacentre, has.holder, has.spans
+        )
+        self._listed_by_vm: dict[str, vmlist.VmRecord] = {}
+        self._list_at: clock.Ms = -1
+        self._tries = 0
+        self._declared: declared.Declared | None = None
+        self._ordered: set[tuple[str, int]] = set()
+
+    def declare(self, wanted: declared.Declared) -> None:
+        """Take in a version of the operators' table.
+
+        :param wanted: the whole table.
+        """
+        self._declared = wanted
+
+    def is_leading(self) -> bool:
+        """Tell whether this process holds the lease."""
+        return self._lease.is_held(self._has.time.now())
+
+    def step(self, now: clock.Ms) -> None:
+        """Watch, then lead; about once a second.
+
+        :param now: monotonic time in ms.
+        """
+        self.watch()
+        self.lead(now)
+
+    def watch(self) -> None:
+        """Read back all VMs and renew the states for routing.
+
+        Asks nothing of the platform, and may run while :meth:`lead` waits
+        for it: a slow store must not make the states go stale.
+        """
+        self._poll()
+        self._publish()
+
+    def lead(self, now: clock.Ms) -> None:
+        """Read the rows, keep the lease, and do what is due.
+
+        :param now: monotonic time in ms.
+        """
+        readable = self._read()
+        self._list(now)
+        self._hold_lease()
+        if readable and self._declared and self.is_leading():
+            self._ordered.clear()
+            self._rounds()
+        self._publish()
+
+    def stop(self) -> None:
+        """Free the lease, so that the next holder need not wait it out."""
+        attempt = self._attempt()
+        wanted = self._lease.resigned(self._has.time.now(), attempt)
+        if wanted:
+            self._has.table.commit(wanted)
+
+    def _attempt(self) -> str:
+        self._tries += 1
+        return f"{self._has.holder}#{self._tries}"
+
+    def _read(self) -> bool:
+        for name, take in (
+            (book.groups_table(self._has.datacentre), self._known.read_groups),
+            (book.owners_table(self._has.datacentre), self._known.read_owners),
+        ):
+            after = self._known.revision_by_table.get(name, 0)
+            scan = self._has.table.scan(name, after)
+            if not isinstance(scan, rows.Scan):
+                return False
+            take(scan)
+        return True
+
+    def _list(self, now: clock.Ms) -> None:
+        if now < self._list_at:
+            return
+        found = self._has.vms.vms(self._has.datacentre)
+        if isinstance(found, missing.Missing):
+            return
+        self._list_at = now + self._has.spans.list_every
+        self._listed_by_vm = {each.vm: each for each in found}
+
+    def _poll(self) -> None:
+        address_by_vm = {
+            each.vm: each.address
+            for known in self._known.record_by_group.values()
+            for each in known.members
+        }
+        for vm, listed in self._listed_by_vm.items():
+            address_by_vm.setdefault(vm, listed.address)
+        asked_at = self._has.time.now()
+        found = self._has.engines.holdings(address_by_vm.values())
+        for vm, address in address_by_vm.items():
+            self._watch.take(vm, found[address], asked_at)
+        self._watch.keep(set(address_by_vm))
+
+    def _publish(self) -> None:
+        now = self._has.time.now()
+        self.states = tuple(
+            routing.state_of(
+                each,
+                self._watch.sighting_by_vm,
+                now,
+                self._has.spans,
+                self._has.held,
+            )
+            for _, each in sorted(self._known.record_by_group.items())
+        )
+        serving: dict[str, str] = {}
+        for each in self.states:
+            if each.state is not phase.Phase.SERVING:
+                continue
+            for vm in each.vms:
+                other = serving.setdefault(vm, each.group)
+                self._has.held.hold(
+                    "no VM serves in two groups", other == each.group, vm
+                )
+
+    def _hold_lease(self) -> None:
+        if not self._lease.is_due(self._has.time.now()):
+            return
+        row = self._has.table.read(book.LEASES, self._has.datacentre)
+        if isinstance(row, missing.Unavailable):
+            return
+        found = row if isinstance(row, rows.Row) else None
+        now = self._has.time.now()
+        wanted = self._lease.wish(found, now, self._attempt())
+        if wanted is None:
+            self._lease.refused()
+            return
+        answer = self._has.table.commit(wanted)
+        if isinstance(answer, rows.Committed):
+            term = wanted.writes[0].value["term"]
+            self._lease.granted(answer.revision, term, now)
+        elif isinstance(answer, rows.Conflict):
+            self._lease.refused()
+
+    def _situation(self) -> situation.Situation:
+        has, now = self._has, self._has.time.now()
+        drained = self._drains.drained(
+            self._known, self._watch.sighting_by_vm, has.engines, now
+        )
+        return situation.Situation(
+            declared=self._declared,
+            known=self._known,
+            sighting_by_vm=self._watch.sighting_by_vm,
+            unsure_until_by_vm=self._watch.unsure_until_by_vm,
+            listed_by_vm=self._listed_by_vm,
+            spans=has.spans,
+            settled_at=self._lease.taken_at + has.spans.order_bound,
+            drained=drained,
+            now=now,
+            wall=has.time.wall(),
+        )
+
+    def _rounds(self) -> None:
+        for _ in range(_ROUNDS):
+            seen = self._situation()
+            planned = self._has.planner.plan(survey.survey(seen))
+            decision = decide.Decision(
+                seen, planned, self._attempt, self._has.held
+            )
+            changed = [self._commit(each) for each in decision.changes()]
+            ordered = self._order(seen)
+            ordered += self._empty_strays(seen)
+            if not any(changed) and not ordered:
+                return
+            if not self._read():
+                return
+
+    def _commit(self, wanted: change.Change) -> bool:
+        attempt = wanted.after.attempt if wanted.after else self._attempt()
+        done = self._has.table.commit(
+            change.transaction(
+                wanted,
+                self._known,
+                self._lease.condition,
+                attempt,
+                self._has.held,
+            )
+        )
+        after = wanted.after
+        shown = f"{after.phase}: {after.reason}" if after else "given up"
+        self._has.say(f"group {wanted.group} {shown}; {done!r}")
+        # Whether a lost answer was a success is read back with the rows,
+        # which carry the attempt, before any order is given.
+        return not isinstance(done, rows.Conflict | missing.Unavailable)
+
+    def _order(self, seen: situation.Situation) -> int:
+        if not self._read():
+            return 0
+        due = []
+        for each in self._known.record_by_group.values():
+            wanted = orders.of_group(each, seen)
+            if wanted and self._may_load(each):
+                due += wanted
+        return self._send(due)
+
+    def _may_load(self, known: record.GroupRecord) -> bool:
+        if known.phase is not phase.Phase.LOADING:
+            return True
+        lent = self._has.loads.acquire(
+            f"{known.name}/{known.fence}", self._has.time.now()
+        )
+        return not isinstance(lent, missing.Missing)
+
+    def _empty_strays(self, seen: situation.Situation) -> int:
+        due = []
+        for vm, held in orders.strays(seen):
+            owned = self._known.owner_by_vm.get(vm)
+            address = self._listed_by_vm[vm].address
+            wanted = orders.of_stray(owned, held, address)
+            if wanted:
+                due.append(wanted)
+                continue
+            self._has.table.commit(
+                change.outbid(
+                    vm,
+                    held.fence,
+                    self._known,
+                    self._lease.condition,
+                    self._attempt(),
+                )
+            )
+        return self._send(due)
+
+    def _send(self, due: list[orders.Addressed]) -> int:
+        # Read just before the orders go out: the writes above may have
+        # taken longer than the lease, and then another process may have
+        # taken these VMs.
+        sent_at = self._has.time.now()
+        due = [each for each in due if self._is_first(each)]
+        if not due or not self._lease.is_held(sent_at):
+            return 0
+        answers = self._has.engines.orders(
+            [(each.address, each.given) for each in due]
+        )
+        for each, answer in zip(due, answers, strict=True):
+            self._watch.answered(each.vm, answer, sent_at)
+        return len(due)
+
+    def _is_first(self, each: orders.Addressed) -> bool:
+        # One try a step: an engine that does not answer would otherwise
+        # hold up every round of it.
+        key = (each.vm, each.given.fence)
+        first = key not in self._ordered
+        self._ordered.add(key)
+        return first
--- /dev/null
+++ b/src/citronvalve/groups/leasekeeper.py
@@ -0,0 +1,129 @@
+"""Holding the lease of a data centre, or waiting for it."""
+
+from citronvalve.groups import book
+from citronvalve.groups import lease
+from citronvalve.groups import timing
+from citronvalve.model import clock
+from citronvalve.platform import rows
+
+
+class LeaseKeeper:
+    """Decides when to write the lease row; the leader does the writing.
+
+    No wall clock is compared: a taker must see one version of the row for
+    a whole lease by its own clock.
+
+    :param datacentre: its name.
+    :param holder: name of this process and this start of it.
+    :param spans: the limits.
+    :ivar taken_at: when this process took the current term.
+    """
+
+    def __init__(
+        self, datacentre: str, holder: str, spans: timing.Timing
+    ) -> None:
+        self.taken_at: clock.Ms = 0
+        self._datacentre = datacentre
+        self._holder = holder
+        self._spans = spans
+        self._version = rows.NO_ROW
+        self._until: clock.Ms = -1
+        self._renew_at: clock.Ms = -1
+        self._seen_version = -1
+        self._seen_since: clock.Ms = 0
+        self._term = 0
+        self._sent_at_by_attempt: dict[str, clock.Ms] = {}
+
+    @property
+    def condition(self) -> rows.Condition:
+        """Return the condition that the lease row is as this holder wrote."""
+        return rows.Condition(book.LEASES, self._datacentre, self._version)
+
+    def is_held(self, now: clock.Ms) -> bool:
+        """Tell whether this process may give orders.
+
+        :param now: monotonic time in ms, read just before the order.
+        """
+        return now < self._until
+
+    def is_due(self, now: clock.Ms) -> bool:
+        """Tell whether the row should be read now.
+
+        :param now: monotonic time in ms.
+        """
+        return now >= self._renew_at
+
+    def wish(
+        self, row: rows.Row | None, now: clock.Ms, attempt: str
+    ) -> rows.Transaction | None:
+        """Return the write of the row that is due, if any.
+
+        :param row: the row as just read; None when there is none.
+        :param now: monotonic time in ms, read after the row.
+        :param attempt: id of this try.
+        """
+        self._renew_at = now + self._spans.renew
+        if row is None:
+            return self._write(rows.NO_ROW, 1, now, attempt)
+        seen = book.read_lease(row)
+        if seen.holder == self._holder:
+            self._settle(row.version, seen)
+            return self._write(row.version, seen.term, now, attempt)
+        if row.version != self._seen_version:
+            self._seen_version, self._seen_since = row.version, now
+        waited = now - self._seen_since
+        free = waited >= self._spans.lease + self._spans.drift
+        if not free and seen.holder:
+            return None
+        return self._write(row.version, seen.term + 1, now, attempt)
+
+    def _settle(self, version: int, seen: lease.Lease) -> None:
+        # The answer to our write was lost, and here it stands.  Its time
+        # counts from before it was sent.
+        sent_at = self._sent_at_by_attempt.get(seen.attempt)
+        if sent_at is not None:
+            self.granted(version, seen.term, sent_at)
+
+    def _write(
+        self, version: int, term: int, now: clock.Ms, attempt: str
+    ) -> rows.Transaction:
+        self._sent_at_by_attempt = {attempt: now}
+        wanted = lease.Lease(self._datacentre, self._holder, term, attempt)
+        return rows.Transaction(
+            attempt,
+            (rows.Condition(book.LEASES, self._datacentre, version),),
+            (rows.Write(book.LEASES, self._datacentre, book.encode(wanted)),),
+        )
+
+    def granted(self, version: int, term: int, sent_at: clock.Ms) -> None:
+        """Take in that a write of the row took effect.
+
+        :param version: of the row.
+        :param term: that was written.
+        :param sent_at: monotonic time in ms before it was sent.
+        """
+        if term != self._term:
+            self._term, self.taken_at = term, sent_at
+        self._version = version
+        self._until = max(self._until, sent_at + self._spans.lease)
+
+    def refused(self) -> None:
+        """Take in that another process wrote the row."""
+        self._until = -1
+
+    def resigned(self, now: clock.Ms, attempt: str) -> rows.Transaction | None:
+        """Return the write that frees the row for the next holder.
+
+        :param now: monotonic time in ms.
+        :param attempt: id of this try.
+        """
+        if not self.is_held(now):
+            return None
+        self._until = -1
+        free = lease.Lease(self._datacentre, "", self._term, attempt)
+        value = book.encode(free)
+        return rows.Transaction(
+            attempt,
+            (self.condition,),
+            (rows.Write(book.LEASES, self._datacentre, value),),
+        )
--- /dev/null
+++ b/src/citronvalve/groups/need.py
@@ -0,0 +1,11 @@
+"""How many groups operators want."""
+
+from typing import NamedTuple
+
+
+class Need(NamedTuple):
+    """``replicas`` groups of ``size`` VMs each."""
+
+    declared: str
+    size: int
+    replicas: int
--- /dev/null
+++ b/src/citronvalve/groups/situation.py
@@ -0,0 +1,60 @@
+"""All that the decisions of one step depend on."""
+
+from typing import NamedTuple
+
+from citronvalve.groups import book
+from citronvalve.groups import sighting
+from citronvalve.groups import timing
+from citronvalve.groups import wanted
+from citronvalve.model import clock
+from citronvalve.model import declared
+from citronvalve.platform import vmlist
+
+
+class Situation(NamedTuple):
+    """Rows, read-backs, the VM list and the operators' wishes.
+
+    ``settled_at`` is when orders of an earlier holder have all arrived.
+    ``drained`` names the closed groups without a request in progress.
+    ``now`` is monotonic, ``wall`` for the records; both in ms.
+    """
+
+    declared: declared.Declared
+    known: book.Book
+    sighting_by_vm: dict[str, sighting.Sighting]
+    unsure_until_by_vm: dict[str, clock.Ms]
+    listed_by_vm: dict[str, vmlist.VmRecord]
+    spans: timing.Timing
+    settled_at: clock.Ms
+    drained: frozenset[str]
+    now: clock.Ms
+    wall: clock.Ms
+
+    def declared_groups(self) -> dict[str, declared.Group]:
+        """Return what is declared for this data centre, by name."""
+        return {
+            name: each
+            for name, each in self.declared.group_by_name.items()
+            if each.datacentre == self.known.datacentre
+        }
+
+    def wanted(self, group: declared.Group) -> wanted.Wanted:
+        """Return what the engines of a declared group are to run.
+
+        :param group: the declared row.
+        """
+        model = self.declared.model_by_name.get(group.model)
+        version = model.version if model else ""
+        return wanted.Wanted(group.model, version, group.adapter, group.role)
+
+    def is_sure(self, vms: tuple[str, ...]) -> bool:
+        """Tell whether read-backs are later than any order in flight.
+
+        :param vms: names of the VMs.
+        """
+        return all(
+            seen is not None
+            and seen.seen_at >= self.settled_at
+            and seen.seen_at >= self.unsure_until_by_vm.get(vm, 0)
+            for vm, seen in ((v, self.sighting_by_vm.get(v)) for v in vms)
+        )
--- /dev/null
+++ b/src/citronvalve/groups/standing.py
@@ -0,0 +1,14 @@
+"""A group that exists, as the planner sees it."""
+
+from typing import NamedTuple
+
+
+class Standing(NamedTuple):
+    """VMs of a group that are up, missing, or up and about to leave."""
+
+    group: str
+    declared: str
+    domain: str
+    up: tuple[str, ...]
+    lost: tuple[str, ...] = ()
+    leaving: tuple[str, ...] = ()
--- /dev/null
+++ b/src/citronvalve/groups/survey.py
@@ -0,0 +1,83 @@
+"""The fleet as the planner is to see it."""
+
+from citronvalve.groups import fleet
+from citronvalve.groups import holding
+from citronvalve.groups import look
+from citronvalve.groups import need
+from citronvalve.groups import phase
+from citronvalve.groups import record
+from citronvalve.groups import situation
+from citronvalve.groups import standing
+from citronvalve.platform import vmlist
+
+
+def is_stray(held: holding.Holding) -> bool:
+    """Tell whether a VM that nobody owns holds something all the same.
+
+    :param held: its read-back.
+    """
+    return bool(held.group) or held.state is not holding.Weights.EMPTY
+
+
+def survey(seen: situation.Situation) -> fleet.Fleet:
+    """Return the needs, the groups and the free VMs.
+
+    :param seen: the situation.
+    """
+    needs = tuple(
+        need.Need(each.name, each.size, each.replicas)
+        for each in seen.declared_groups().values()
+    )
+    records = seen.known.record_by_group.values()
+    groups = tuple(
+        _standing(each, seen)
+        for each in records
+        if each.phase is not phase.Phase.DISSOLVING
+    )
+    return fleet.Fleet(needs, groups, _free(seen))
+
+
+def _standing(
+    known: record.GroupRecord, seen: situation.Situation
+) -> standing.Standing:
+    lost = look.lost_vms(known, seen.sighting_by_vm, seen.now, seen.spans)
+    leaving = tuple(
+        vm for vm in known.vms if vm not in lost and _is_leaving(vm, seen)
+    )
+    gone = {*lost, *leaving}
+    up = tuple(vm for vm in known.vms if vm not in gone)
+    return standing.Standing(
+        known.name, known.declared, known.domain, up, lost, leaving
+    )
+
+
+def _is_leaving(vm: str, seen: situation.Situation) -> bool:
+    # A VM that the list does not show may be newer than the list, or a
+    # group's record older; only its engine's silence makes it missing.
+    listed = seen.listed_by_vm.get(vm)
+    return listed is not None and listed.state is vmlist.VmState.LEAVING
+
+
+def _free(seen: situation.Situation) -> dict[str, tuple[str, ...]]:
+    # Engines that ignore fencing numbers may yet take an order of an
+    # earlier holder: until that is over, none of their VMs is given away.
+    groups = seen.declared_groups().values()
+    careful = any(not each.refuses_old_fence for each in groups)
+    by_domain: dict[str, list[str]] = {}
+    for vm, listed in sorted(seen.listed_by_vm.items()):
+        if listed.state is not vmlist.VmState.LIVE:
+            continue
+        if _is_free(vm, seen) and (not careful or seen.is_sure((vm,))):
+            by_domain.setdefault(listed.domain, []).append(vm)
+    return {domain: tuple(vms) for domain, vms in by_domain.items()}
+
+
+def _is_free(vm: str, seen: situation.Situation) -> bool:
+    owner = seen.known.owner_by_vm.get(vm)
+    if owner and owner.group:
+        return False
+    found = seen.sighting_by_vm.get(vm)
+    if found is None or found.holding is None:
+        return False
+    lost = look.is_lost(found, seen.now, seen.spans)
+    return not lost and not is_stray(found.holding)
--- /dev/null
+++ b/src/citronvalve/groups/timing.py
@@ -0,0 +1,33 @@
+"""The spans that group keeping is built on."""
+
+from typing import NamedTuple
+
+from citronvalve.model import clock
+
+
+class Timing(NamedTuple):
+    """Spans in ms; each leader of a data centre must use the same.
+
+    ``lease``: a row unchanged for this long is up for the taking.  Its
+    holder counts from before its write was sent, a taker from when it saw
+    the row, so that the holder has stopped first.
+    ``drift``: added by the taker, for clocks that run at unlike rates.
+    ``renew``: three tries fit into a lease.
+    ``silent``: a VM that said nothing for so long is missing; with a poll a
+    second it is two missed in a row, and detection stays within 3 s.
+    ``fresh``: a group state older than this is not routed on.
+    ``order_bound``: longest time that an order sent may take to arrive; the
+    client gives up earlier.
+    ``drain``: how long a change waits for requests in progress; the
+    longest deadline that callers may state by default.
+    ``list_every``: the VM list lags by more than this anyway.
+    """
+
+    lease: clock.Ms = 10_000
+    drift: clock.Ms = 500
+    renew: clock.Ms = 3_000
+    silent: clock.Ms = 2_000
+    fresh: clock.Ms = 3_000
+    order_bound: clock.Ms = 3_000
+    drain: clock.Ms = 30_000
+    list_every: clock.Ms = 5_000
--- /dev/null
+++ b/src/citronvalve/groups/watch.py
@@ -0,0 +1,71 @@
+"""The read-backs of a data centre's VMs."""
+
+from citronvalve.groups import accepted
+from citronvalve.groups import engines
+from citronvalve.groups import holding
+from citronvalve.groups import refused
+from citronvalve.groups import sighting
+from citronvalve.groups import timing
+from citronvalve.model import clock
+from citronvalve.model import missing
+
+
+class Watch:
+    """Remembers when each VM was heard of, and which orders are unsure.
+
+    :param spans: the limits.
+    :ivar sighting_by_vm: the last sightings.
+    :ivar unsure_until_by_vm: until when an order without an answer may yet
+        arrive at a VM; a read-back made earlier proves nothing about an
+        engine that ignores fencing numbers.
+    """
+
+    def __init__(self, spans: timing.Timing) -> None:
+        self.sighting_by_vm: dict[str, sighting.Sighting] = {}
+        self.unsure_until_by_vm: dict[str, clock.Ms] = {}
+        self._order_bound = spans.order_bound
+
+    def take(self, vm: str, answer: engines.Held, asked_at: clock.Ms) -> None:
+        """Take in the answer to a read-back.
+
+        :param vm: name of the VM that was meant.
+        :param answer: what came back.
+        :param asked_at: monotonic time in ms before the question was sent;
+            the engine may change its state right after it answered.
+        """
+        last = self.sighting_by_vm.get(vm)
+        if isinstance(answer, holding.Holding) and answer.vm == vm:
+            new = sighting.Sighting(answer, asked_at, asked_at)
+        elif last is None:
+            gone = not isinstance(answer, missing.AnswerLost)
+            new = sighting.Sighting(None, asked_at, asked_at, gone)
+        elif isinstance(answer, missing.AnswerLost):
+            new = last._replace(asked_at=asked_at)
+        else:
+            # Refused, or another VM has the address by now.
+            new = last._replace(asked_at=asked_at, gone=True)
+        self.sighting_by_vm[vm] = new
+
+    def answered(
+        self, vm: str, answer: engines.Answer, asked_at: clock.Ms
+    ) -> None:
+        """Take in the answer to an order.
+
+        :param vm: name of the VM.
+        :param answer: what came back.
+        :param asked_at: monotonic time in ms before the order was sent.
+        """
+        if isinstance(answer, accepted.Accepted):
+            self.take(vm, answer.holding, asked_at)
+        elif not isinstance(answer, refused.Refused):
+            until = asked_at + self._order_bound
+            self.unsure_until_by_vm[vm] = until
+
+    def keep(self, vms: set[str]) -> None:
+        """Forget all VMs but these.
+
+        :param vms: names that are listed or belong to a group.
+        """
+        for by_vm in (self.sighting_by_vm, self.unsure_until_by_vm):
+            for vm in set(by_vm) - vms:
+                del by_vm[vm]
--- a/src/citronvalve/model/declared.py
+++ b/src/citronvalve/model/declared.py
@@ -76,7 +76,8 @@
     Each of ``replicas`` groups takes ``size`` VMs of one fabric domain.
     ``refuses_old_fence`` says whether its engines refuse an order with an
     old fencing number.  ``most_closed`` bounds how many of the groups a
-    change of model or version may close at once.
+    change may close at once.  ``adapter`` and ``role`` are passed on to
+    the engines as they stand.
     """
 
     name: str
@@ -90,6 +91,8 @@
     state: Service = Service.IN
     refuses_old_fence: bool = True
     most_closed: int = 1
+    adapter: str = ""
+    role: str = ""
 
 
 class PlainService(NamedTuple):
--- /dev/null
+++ b/tests/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of replica groups."""
--- /dev/null
+++ b/tests/groups/steps/closing_steps.py
@@ -0,0 +1,178 @@
+"""Steps about groups that close and come back."""
+
+import behave
+
+from citronvalve.platform import vmlist
+from standins import faults
+from tests.groups import world
+
+
+def _serving(context):
+    return context.world.serving()
+
+
+@behave.given(
+    'domains "{domains}" of {vms:d} VMs, serving groups of {size:d}: {count:d}'
+)
+def step_world(context, domains, vms, size, count):
+    by_domain = dict.fromkeys(domains.split(","), vms)
+    context.world = world.World(by_domain, size, count)
+    context.world.start("x")
+    context.world.start("y")
+    context.world.run(30_000)
+    assert len(_serving(context)) == count, context.world.log
+    context.group = _serving(context)[0]
+
+
+@behave.given("its first VM has {count:d} request in progress")
+def step_requests(context, count):
+    context.world.engine(context.group.vms[0]).running = count
+
+
+def _lose(context, vm, how):
+    engine = context.world.engine(vm)
+    if how == "restarted":
+        engine.restart()
+    engine.is_up = how != "killed"
+    engine.is_dark = how == "dark"
+
+
+@behave.when("one of its VMs is {how}")
+def step_lose(context, how):
+    context.lost = context.group.vms[1]
+    _lose(context, context.lost, how)
+
+
+@behave.when("one VM of each group is killed")
+def step_lose_each(context):
+    for each in _serving(context):
+        _lose(context, each.vms[1], "killed")
+
+
+@behave.when("one VM of a group is killed")
+def step_lose_of_one(context):
+    _lose(context, context.group.vms[0], "killed")
+
+
+@behave.when("the domain of a group goes dark")
+def step_dark(context):
+    context.domain = context.group.vms[0][0]
+    for vm, engine in _of_domain(context):
+        engine.is_dark = True
+
+
+@behave.when("the domain comes back")
+def step_light(context):
+    for vm, engine in _of_domain(context):
+        engine.is_dark = False
+
+
+def _of_domain(context):
+    engines = context.world.engine_by_address.values()
+    return [(e.vm, e) for e in engines if e.vm.startswith(context.domain)]
+
+
+@behave.when("its VM comes back")
+def step_back(context):
+    engine = context.world.engine(context.lost)
+    if not engine.is_up:
+        engine.restart()
+    engine.is_dark = False
+
+
+@behave.when("{seconds:d} s pass")
+def step_pass(context, seconds):
+    context.world.run(seconds * 1_000)
+
+
+@behave.when("the spare is killed and the list still shows it")
+def step_spare(context):
+    used = set(context.group.vms)
+    engines = context.world.engine_by_address.values()
+    spare = next(e for e in engines if e.vm not in used)
+    spare.is_up = False
+
+
+@behave.when("the list loses a VM that serves")
+def step_unlisted(context):
+    context.world.vms.remove(context.group.vms[3])
+
+
+@behave.when("its last VM is marked as leaving")
+def step_leaving(context):
+    vm = context.group.vms[3]
+    context.lost = vm
+    record = vmlist.VmRecord(
+        vm, world.DC, "a", f"{vm}:1", 8, vmlist.VmState.LEAVING
+    )
+    context.world.vms.put(record)
+
+
+@behave.when("the request ends")
+def step_request_ends(context):
+    context.world.engine(context.group.vms[0]).running = 0
+
+
+@behave.when("the platform is {how}")
+def step_platform(context, how):
+    calls = -1 if how == "down" else 0
+    context.world.table.faults.order(faults.Fault.DOWN, calls)
+    context.world.vms.faults.order(faults.Fault.DOWN, calls)
+
+
+@behave.when("all leaders die, and one VM of the group")
+def step_all_die(context):
+    context.world.process_by_name.clear()
+    _lose(context, context.group.vms[0], "killed")
+
+
+def _wait(context, bound, is_true):
+    start = context.world.clock.now()
+    while not is_true():
+        now = context.world.clock.now()
+        assert now - start < bound, (now - start, context.world.log)
+        context.world.tick(500)
+
+
+@behave.then("routing loses the group within {bound:d} ms")
+def step_routing_loses(context, bound):
+    name = context.group.group
+    _wait(
+        context,
+        bound,
+        lambda: name not in [each.group for each in _serving(context)],
+    )
+
+
+@behave.then("the group serves again within {bound:d} ms")
+def step_serves(context, bound):
+    count = context.world.group.replicas
+    _wait(context, bound, lambda: len(_serving(context)) == count)
+
+
+@behave.then("the group serves again within {bound:d} ms with {whom}")
+def step_serves_with(context, bound, whom):
+    step_serves(context, bound)
+    found = _serving(context)[0]
+    is_same = set(found.vms) == set(context.group.vms)
+    assert is_same == (whom == "the same VMs"), found
+
+
+@behave.then("the groups that serve are {count:d}")
+def step_count(context, count):
+    assert len(_serving(context)) == count, context.world.log
+
+
+@behave.then("every other VM is empty")
+def step_empty(context):
+    used = {vm for each in _serving(context) for vm in each.vms}
+    for engine in context.world.engine_by_address.values():
+        held = engine.holding(context.world.clock.now())
+        assert bool(held.group) == (engine.vm in used), held
+
+
+@behave.then("no order was given to the group")
+def step_no_order(context):
+    for vm in context.group.vms:
+        held = context.world.engine(vm).holding(0)
+        assert held.fence == context.group.fence, held
--- /dev/null
+++ b/tests/groups/steps/leading_steps.py
@@ -0,0 +1,216 @@
+"""Steps about leaders that die, sleep and race."""
+
+import behave
+
+from citronvalve.groups import book
+from citronvalve.groups import change
+from citronvalve.groups import member
+from citronvalve.groups import phase
+from citronvalve.groups import record
+from citronvalve.groups import wanted
+from citronvalve.model import invariant
+from citronvalve.platform import rows
+from standins import faults
+from standins import memorytable
+from tests.groups import world
+
+
+def _record(name, vms):
+    return record.GroupRecord(
+        name=name,
+        declared=name,
+        domain="a",
+        members=tuple(member.Member(vm, f"{vm}:1") for vm in vms),
+        fence=1,
+        attempt=name,
+        phase=phase.Phase.FORMING,
+        reason="newly placed",
+        since=0,
+        wanted=wanted.Wanted("bags", "1"),
+    )
+
+
+@behave.given("two leaders that read the same rows and the same lease")
+def step_two_books(context):
+    context.store = memorytable.MemoryTable()
+    held = invariant.Invariants()
+    context.books = [book.Book("a", held), book.Book("a", held)]
+    context.held = held
+
+
+@behave.when("both write a group with a VM in common")
+def step_both_write(context):
+    lease = rows.Condition(book.LEASES, "a", rows.NO_ROW)
+    names = {"one": ("v1", "v2"), "two": ("v2", "v3")}
+    context.answers = [
+        context.store.commit(
+            change.transaction(
+                change.Change(None, _record(name, vms)),
+                *(known, lease, name, context.held),
+            )
+        )
+        for known, (name, vms) in zip(
+            context.books, names.items(), strict=True
+        )
+    ]
+
+
+@behave.then("the second is told of the VM's row")
+def step_conflict(context):
+    first, second = context.answers
+    assert isinstance(first, rows.Committed)
+    assert isinstance(second, rows.Conflict), second
+    assert second.where == "group_vms.a/v2", second
+
+
+@behave.given("engines that {fence} old orders")
+def step_engines(context, fence):
+    context.refuses = fence == "refuse"
+    context.made = []
+
+
+def _world(context, change):
+    """Make a world whose next steps carry out a change of its group."""
+    made = world.World({"a": 5}, 4, 1, context.refuses)
+    for engine in made.engine_by_address.values():
+        engine.load_time = 4_000
+    made.start("x")
+    made.start("y")
+    made.tick()
+    if change == "new group":
+        return made
+    made.run(20_000)
+    assert len(made.serving()) == 1, made.log
+    if change == "replacement":
+        made.engine(made.serving()[0].vms[1]).is_up = False
+    if change == "new version":
+        made.model = made.model._replace(version="2")
+        made.declare()
+    return made
+
+
+#: Long enough to take the lease over, drain, and load twice.
+_SETTLES = 45_000
+
+
+def _points(context, change):
+    """Return how many calls the leader makes until the change is done."""
+    made = _world(context, change)
+    points = made.process_by_name["x"].points
+    before = points.calls
+    made.run(6_000)
+    return points.calls - before
+
+
+def _each_point(context, change, strike):
+    count = _points(context, change)
+    assert count > 20, count
+    for point in range(count):
+        made = _world(context, change)
+        strike(made, made.process_by_name["x"].points, point)
+        made.run(_SETTLES)
+        context.made.append((point, made))
+
+
+@behave.when("a leader dies at each call while a {change} is made")
+def step_die(context, change):
+    _each_point(context, change, lambda made, points, n: points.kill(n))
+
+
+@behave.when("a leader sleeps at each call while a {change} is made")
+def step_sleep(context, change):
+    def strike(made, points, point):
+        def sleep():
+            made.run(8_000)
+            # The other takes over in the middle of this, and the group
+            # changes under the sleeper.
+            for vm in [v for s in made.serving() for v in s.vms[:1]]:
+                made.engine(vm).restart()
+            made.run(12_000)
+
+        points.arm(point, sleep)
+
+    _each_point(context, change, strike)
+
+
+@behave.when("the answer of each write is lost in turn")
+def step_lose(context):
+    for write in range(16):
+        made = _world(context, "new group")
+        first = made.table.writes
+        while made.table.writes < first + write:
+            made.tick(200)
+        made.table.faults.order(faults.Fault.LOSE_ANSWER, 1)
+        made.run(_SETTLES)
+        context.made.append((write, made))
+
+
+@behave.then("each time the groups serve, and no VM was given away twice")
+def step_serve(context):
+    for point, made in context.made:
+        # World.check looked at the owners after every tick.
+        where = (point, made.log, made.records())
+        assert len(made.serving()) == 1, where
+        assert made.held.count_by_name["one group a VM"] > 100
+        name = "no half group is routed to for longer than detection takes"
+        looked = made.held.count_by_name.get(name, 0)
+        context.looked = getattr(context, "looked", 0) + looked
+
+
+@behave.when("a leader sleeps in the write of an intent and wakes alone")
+def step_wake(context):
+    made = context.world = _world(context, "new group")
+    points = made.process_by_name["x"].points
+    made.process_by_name.pop("y")
+    writes = made.table.writes
+    points.arm(0, lambda: None)
+
+    def on_say(line):
+        if "forming" in line and made.table.writes > writes:
+            made.clock.advance(world.SPANS.lease + 1)
+
+    process = made.process_by_name["x"]
+    process.leader._has = process.leader._has._replace(say=on_say)
+    made.clock.advance(1_000)
+    before = len(points.names)
+    process.leader.step(made.clock.now())
+    context.names = points.names[before:]
+
+
+@behave.then("it gave no order after its lease had lapsed")
+def step_no_order(context):
+    assert "after commit" in context.names, context.names
+    orders = [name for name in context.names if "order" in name]
+    assert not orders, orders
+
+
+def _holder(context):
+    return [
+        name
+        for name, each in context.world.process_by_name.items()
+        if each.leader.is_leading()
+    ]
+
+
+@behave.when("the holder of the lease {how}")
+def step_holder(context, how):
+    context.world = _world(context, "nothing")
+    (name,) = _holder(context)
+    gone = context.world.process_by_name.pop(name)
+    if how == "stops in order":
+        gone.leader.stop()
+    context.since = context.world.clock.now()
+
+
+@behave.then("another holds the lease within {bound:d} ms")
+def step_holds(context, bound):
+    while not _holder(context):
+        context.world.tick(500)
+        context.waited = context.world.clock.now() - context.since
+        assert context.waited <= bound, context.waited
+
+
+@behave.then("it did not before {bound:d} ms")
+def step_not_before(context, bound):
+    # The lease counts from its last renewal, up to one renewal before.
+    assert context.waited >= bound - world.SPANS.renew, context.waited
