Record a keyed request before it is dispatched, many in one transaction

Cause: a request that may not be repeated must run at most once though its daemon dies, the platform loses answers and callers send it to two daemons at once, with a store that takes only several hundred writes a second.

Ruled out: a second record just before the dispatch (claimed, then sent). It would prove 'not run' for a daemon that dies between the two, at one more round trip for each call and half as many writes again. Waiting for the outcome's write before the caller has its answer: it costs a round trip, and only turns 'unknown' into a replay for a daemon that dies in that moment. Saying 'ran: no' when the platform can't be asked: this try was not run, but an earlier one with the key may have been; the machine finds that case.

Change: once.recorder claims a key (condition: no row) before dispatch and writes its outcome after; once.writer batches claims, outcomes and releases of one daemon, one batch in flight. A conflict shows the rows, settles the keys that are taken and sends the rest again at once. The attempt id in the row settles a lost answer; a claim that was given up is given back. Cut or silent connections and gateway errors are 'unknown'; 'not run' takes the service's own word or a request never sent.

--- /dev/null
+++ b/src/citronvalve/once/call.py
@@ -0,0 +1,18 @@
+"""A request that may not be repeated, as the record needs to know it."""
+
+from typing import NamedTuple
+
+from citronvalve.model import clock
+
+
+class Call(NamedTuple):
+    """A keyed request.
+
+    ``digest`` is of method, path and body; ``left`` is ms until its
+    deadline.
+    """
+
+    team: str
+    key: str
+    digest: str
+    left: clock.Ms
--- /dev/null
+++ b/src/citronvalve/once/pacer.py
@@ -0,0 +1,45 @@
+"""Spreads one daemon's transactions over its share of the store's writes."""
+
+from citronvalve.model import clock
+
+#: Transactions that may follow each other at once after a quiet time, so
+#: that a lone request never waits.  Eight daemons together then exceed the
+#: store's second by 32 writes at most, a tenth of what it takes.
+BURST = 4
+
+
+class Pacer:
+    """A token bucket over whole milliseconds.
+
+    :param rate: transactions a second that this daemon may make.
+    :param now: monotonic time in ms.
+    """
+
+    def __init__(self, rate: float, now: clock.Ms) -> None:
+        self.rate = rate
+        self._tokens = float(BURST)
+        self._at = now
+
+    def wait(self, now: clock.Ms) -> clock.Ms:
+        """Return ms until the next transaction may go; 0 is at once.
+
+        :param now: monotonic time in ms.
+        """
+        self._fill(now)
+        short = 1.0 - self._tokens
+        if short <= 0:
+            return 0
+        return max(1, round(short * clock.SECOND / self.rate))
+
+    def take(self, now: clock.Ms) -> None:
+        """Count a transaction.
+
+        :param now: monotonic time in ms.
+        """
+        self._fill(now)
+        self._tokens -= 1.0
+
+    def _fill(self, now: clock.Ms) -> None:
+        grown = (now - self._at) * self.rate / clock.SECOND
+        self._tokens = min(float(BURST), self._tokens + grown)
+        self._at = now
--- /dev/null
+++ b/tests/once/world.py
@@ -0,0 +1,241 @@
+"""A platform, a service that keeps its own log, and daemons to kill."""
+
+import collections
+import random
+
+from citronvalve.model import invariant
+from citronvalve.model import manualclock
+from citronvalve.model import missing
+from citronvalve.model import ran
+from citronvalve.model import refusal
+from citronvalve.once import answer as answers
+from citronvalve.once import attempt as attempts
+from citronvalve.once import batch
+from citronvalve.once import call as calls
+from citronvalve.once import fingerprint
+from citronvalve.once import outcome
+from citronvalve.once import recorder
+from citronvalve.once import replay
+from standins import memoryobjects
+from standins import memorytable
+from tests.once import handwaiting
+
+TEAM = "kanta"
+DEADLINE = 1_000
+
+
+class Request:
+    """A caller's request and how far one daemon has come with it.
+
+    Its steps are taken one by one, so that a daemon can be killed between
+    any two of them.
+    """
+
+    STEPS = (
+        "claim",
+        "take",
+        "commit",
+        "settle",
+        "claimed",
+        "serve",
+        "end",
+        "take",
+        "commit",
+        "settle",
+    )
+
+    def __init__(self, world, daemon, key="k1", body=b"bag 7"):
+        self.world = world
+        self.daemon = daemon
+        self.key = key
+        self.body = body
+        self.digest = fingerprint.digest("POST", "/issue", body)
+        self.told = None
+        self.pending = None
+        self.attempt = None
+        self.outcome = None
+
+    def claim(self):
+        """Ask for the key."""
+        call = calls.Call(TEAM, self.key, self.digest, DEADLINE)
+        pending = self.daemon.recorder.claim(call)
+        if isinstance(pending, refusal.Refusal):
+            self._tell(pending)
+        else:
+            self.pending = pending
+
+    def claimed(self):
+        """Take what the ticket gives by now."""
+        end = self.pending.ticket.wait(0)
+        self._take(self.daemon.recorder.claimed(self.pending, end))
+
+    def serve(self):
+        """Dispatch the request, if it may be."""
+        if self.attempt:
+            self.outcome = self.world.service.run(self.key, self.digest)
+
+    def end(self):
+        """Record the outcome and tell the caller."""
+        if self.attempt:
+            self._tell(self.daemon.recorder.end(self.attempt, self.outcome))
+
+    def _take(self, result):
+        if isinstance(result, attempts.Run):
+            self.attempt = result.attempt
+        else:
+            self._tell(result)
+
+    def _tell(self, told):
+        self.told = told
+        self.world.check(self)
+
+    def step(self, name):
+        """Take a step by its name.
+
+        :param name: one of `STEPS`.
+        """
+        own = getattr(self, name, None)
+        (own or getattr(self.daemon, name))()
+
+
+class Daemon:
+    """One start of a daemon; killing it drops the object."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.recorder = recorder.Recorder(
+            name,
+            recorder.Stores(world.table, world.objects),
+            world.clock,
+            handwaiting.HandWaiting(),
+            random.Random(name),
+            world.promises,
+            rate=1_000.0,
+        )
+        self.batch = None
+        self.result = None
+
+    def take(self):
+        """Take a batch, if there is one."""
+        now = self.world.clock.now()
+        if self.batch is None:
+            self.batch = self.recorder.writer.take(now, now)
+
+    def commit(self):
+        """Send the batch."""
+        if self.batch and self.result is None:
+            sent = batch.transaction(self.batch)
+            self.result = self.world.table.commit(sent)
+
+    def settle(self):
+        """Take the platform's answer."""
+        if self.batch and self.result is not None:
+            taken, result = self.batch, self.result
+            self.batch = self.result = None
+            self.recorder.settle(taken, result)
+
+    def work(self):
+        """Settle all that can be settled."""
+        for _ in range(20):
+            self.take()
+            self.commit()
+            self.settle()
+            self.world.clock.advance(2)
+
+
+class Service:
+    """Issues certificates; its log outlives its crashes.
+
+    :ivar runs: how often each key and digest were run.
+    """
+
+    def __init__(self):
+        self.runs = collections.Counter()
+        self.fault = ""
+
+    def run(self, key, digest):
+        """Run a request and tell what the daemon sees of it."""
+        if self.fault == "unreachable":
+            return outcome.Outcome(outcome.Event.NEVER_SENT)
+        if self.fault == "refuses":
+            body = b'{"ran": "no"}'
+            return outcome.of_answer(
+                answers.Answer(503, "application/json", body)
+            )
+        if self.fault in ("crashes before", "silent before"):
+            return outcome.Outcome(_SEEN[self.fault])
+        self.runs[key, digest] += 1
+        if self.fault in _SEEN:
+            return outcome.Outcome(_SEEN[self.fault])
+        if self.fault == "lost by a balancer":
+            return outcome.of_answer(answers.Answer(502, "text/html", b"?"))
+        body = f"certificate {self.runs.total()}".encode()
+        return outcome.of_answer(answers.Answer(201, "text/plain", body))
+
+
+_SEEN = {
+    "crashes before": outcome.Event.CUT,
+    "crashes during": outcome.Event.CUT,
+    "crashes after": outcome.Event.CUT,
+    "silent before": outcome.Event.SILENT,
+    "silent after": outcome.Event.SILENT,
+}
+
+
+class World:
+    """Everything around the daemons, and the checks on what they say."""
+
+    def __init__(self, promises=None):
+        self.clock = manualclock.ManualClock()
+        self.table = memorytable.MemoryTable()
+        self.objects = memoryobjects.MemoryObjects()
+        self.service = Service()
+        self.promises = promises or invariant.Invariants()
+        self._starts = 0
+
+    def daemon(self):
+        """Start a daemon."""
+        self._starts += 1
+        return Daemon(self, f"d{self._starts}")
+
+    def ask(self, daemon, key="k1", body=b"bag 7"):
+        """Take a request through all its steps; return what is told."""
+        request = Request(self, daemon, key, body)
+        request.claim()
+        if request.pending:
+            daemon.work()
+            request.claimed()
+            request.serve()
+            request.end()
+            daemon.work()
+        return request.told
+
+    def check(self, request):
+        """Hold what a caller is told against the service's log."""
+        told = request.told
+        runs = self.service.runs[request.key, request.digest]
+        said = getattr(told, "ran", None)
+        assert said is not ran.Ran.NO or runs == 0, told
+        assert said is not ran.Ran.YES or runs == 1, told
+        if isinstance(told, answers.Answer | replay.Replay):
+            assert runs == 1, told
+        self.check_runs()
+
+    def check_runs(self):
+        """No key was run twice, with whichever body."""
+        runs_by_key = collections.Counter()
+        for (key, _), runs in self.service.runs.items():
+            runs_by_key[key] += runs
+        assert all(n <= 1 for n in runs_by_key.values()), runs_by_key
+
+
+def name(told):
+    """Return what a caller is told in one word."""
+    if isinstance(told, refusal.Refusal):
+        return told.kind.value
+    if isinstance(told, replay.Replay):
+        return "replay"
+    if isinstance(told, answers.Answer):
+        return "answer"
+    assert told is None or missing.is_missing(told), told
+    return "nothing"
