Prove the operators' tool against a platform's process

Cause: exit codes and remedies were tried by hand only. Change: tables of commands, codes and words, an outage under each command, a lost answer, an outage right after the edit was taken, a race of eight.

--- a/src/citronvalve/cli/main.py
+++ b/src/citronvalve/cli/main.py
@@ -77,8 +77,9 @@
 
     :param argv: words after the program's name; None takes the process's.
     """
-    # A reader such as head may leave early; that is no failure of ours.
-    signal.signal(signal.SIGPIPE, signal.SIG_DFL)
+    if argv is None:
+        # A reader such as head may leave early; that is no failure of ours.
+        signal.signal(signal.SIGPIPE, signal.SIG_DFL)
     sys.exit(defopt.run(_COMMANDS, argv=argv, no_negated_flags=True))
 
 
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -65,6 +65,7 @@
     """
 
     def __init__(self, lag: clock.Ms = 0) -> None:
+        self._lag = lag
         self.table = memorytable.MemoryTable()
         self.objects = memoryobjects.MemoryObjects()
         self.vms = memoryvms.MemoryVms(clock.SystemClock(), lag)
@@ -83,6 +84,7 @@
             ("POST", r"/vms", self._add_vm),
             ("DELETE", r"/vms/([^/]+)", self._remove_vm),
             ("POST", r"/faults", self._order_fault),
+            ("POST", r"/reset", self._reset),
             ("GET", r"/healthz", lambda call: _json("ok")),
             ("GET", r"/counts", self._counts),
         )
@@ -177,6 +179,10 @@
         switched.delay = order.delay
         return _json("ok")
 
+    def _reset(self, call: Call) -> Reply:
+        self.__init__(self._lag)
+        return _json("ok")
+
     def _counts(self, call: Call) -> Reply:
         return _json({"reads": self.table.reads, "writes": self.table.writes})
 
--- /dev/null
+++ b/tests/cli/steps/tool_steps.py
@@ -0,0 +1,192 @@
+"""Steps that run the operators' tool against a platform's process."""
+
+import concurrent.futures
+import contextlib
+import io
+import json
+import subprocess
+import sys
+import time
+from typing import NamedTuple
+
+import behave
+import msgspec
+import urllib3
+
+from citronvalve.cli import main
+from citronvalve.platform import client
+from citronvalve.platform import httptable
+from citronvalve.table import reading
+
+_TRIES_SECONDS = 10
+
+
+class Done(NamedTuple):
+    """How a command ended."""
+
+    returncode: int
+    stdout: str
+    stderr: str
+
+
+@behave.given("a platform without a table")
+def step_platform(context):
+    assert _post(context, "/reset").status == 200
+
+
+def _post(context, path, body=b""):
+    url = f"http://{context.fleet.platform}{path}"
+    return urllib3.request("POST", url, body=body)
+
+
+def _run(context, *words):
+    """Run a command in this process."""
+    out, err = io.StringIO(), io.StringIO()
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+        try:
+            main.main([*words, *_platform(context, words)])
+        except SystemExit as end:
+            code = end.code
+    return Done(code, out.getvalue(), err.getvalue())
+
+
+def _spawn(context, *words):
+    """Run a command in a process of its own; return its exit code."""
+    return subprocess.run(
+        [
+            *(sys.executable, "-m", "citronvalve.cli.main", *words),
+            *_platform(context, words),
+        ],
+        capture_output=True,
+        check=False,
+    ).returncode
+
+
+def _platform(context, words):
+    if words[0] == "settings":
+        return ()
+    return "--platform", f"http://{context.fleet.platform}"
+
+
+@behave.given("the example declaration has been applied")
+def step_applied(context):
+    words = ("apply", "examples/table.json5", "--who", "first")
+    assert _run(context, *words, "--why", "start").returncode == 0
+
+
+@behave.when("the tool runs {words}")
+def step_runs(context, words):
+    context.before = context.done if "done" in context else None
+    context.done = _run(context, *words.split())
+
+
+def _order(context, fault, calls=-1):
+    body = msgspec.json.encode(
+        {"service": "table", "fault": fault, "calls": calls}
+    )
+    assert _post(context, "/faults", body).status == 200
+
+
+@behave.when("the platform goes down")
+def step_down(context):
+    _order(context, "down")
+
+
+@behave.when("the platform is back")
+def step_back(context):
+    _order(context, "down", 0)
+
+
+@behave.when("the next answer of the platform is lost")
+def step_lost(context):
+    _order(context, "lose-answer", 1)
+
+
+@behave.when("the platform takes one more edit and then goes down")
+def step_takes(context):
+    _order(context, "lose-answer", 1)
+    writes = _writes(context)
+
+    def watch():
+        until = time.monotonic() + _TRIES_SECONDS
+        while _writes(context) == writes and time.monotonic() < until:
+            time.sleep(0.005)
+        _order(context, "down")
+
+    context.watching = concurrent.futures.ThreadPoolExecutor(1)
+    context.watching.submit(watch)
+
+
+def _writes(context):
+    url = f"http://{context.fleet.platform}/counts"
+    return urllib3.request("GET", url).json()["writes"]
+
+
+@behave.when("{count:d} tools at once set {key} {column} on version {at:d}")
+def step_race(context, count, key, column, at):
+    _race(context, count, key, column, "--expect", str(at))
+
+
+@behave.when("{count:d} tools at once set {key} {column} on any version")
+def step_race_any(context, count, key, column):
+    _race(context, count, key, column)
+
+
+def _race(context, count, key, column, *options):
+    context.version = _version(context)
+    words = ("table", "set", key)
+
+    def one(number):
+        value = f"{column}={number + 10}"
+        who = ("--who", f"operator-{number}", "--why", "race")
+        return _spawn(context, *words, value, *who, *options)
+
+    with concurrent.futures.ThreadPoolExecutor(count) as pool:
+        context.codes = list(pool.map(one, range(count)))
+
+
+def _version(context):
+    kept = client.PlatformClient(context.fleet.platform)
+    return reading.read_state(httptable.HttpTable(kept)).version
+
+
+@behave.then('it exits {code:d} and says "{says}"')
+def step_exits(context, code, says):
+    output = context.done.stdout + context.done.stderr
+    assert context.done.returncode == code, (context.done.returncode, output)
+    assert says in output, output
+
+
+@behave.then("its output is one JSON object with {key}")
+def step_json(context, key):
+    body = json.loads(context.done.stdout)
+    assert key in body, body
+    assert body["exit_code"] == context.done.returncode
+
+
+@behave.then("the table's version is {version:d}")
+def step_version(context, version):
+    assert _version(context) == version
+
+
+@behave.then("it shows the edit that was named before")
+def step_named(context):
+    words = context.before.stderr.split()
+    edit = words[words.index("edit") + 1]
+    assert edit in context.done.stdout, (edit, context.done.stdout)
+
+
+@behave.then("1 exits 0 and the others exit 3")
+def step_one(context):
+    assert sorted(context.codes) == [0] + [3] * 7, context.codes
+
+
+@behave.then("each exits 0 or 3")
+def step_each(context):
+    assert set(context.codes) <= {0, 3}, context.codes
+
+
+@behave.then("the table's version rose by one for each that exits 0")
+def step_rose(context):
+    rose = _version(context) - context.version
+    assert rose == context.codes.count(0) >= 1, (rose, context.codes)
