Try whole fleets under load and events, and report what callers saw

Cause: the users weigh service while a data centre leaves and returns most, and nothing measured it on real processes. Change: an experiment is a file (fleet, load, events); loaders send seeded arrivals that do not wait for answers; the report gives shares on time, by team and by second, first token, gaps, refusals. Ruled out: callers that wait for their answers, since they slow down with the system and hide its queue.

--- a/Makefile
+++ b/Makefile
@@ -4,10 +4,11 @@
 BIN := $(VENV)/bin
 SEED ?= 1
 STEPS ?= 200
+PLAN ?= examples/experiments/leave-and-return.json5
 export PYTHONPATH := .
 export EVENTLET_NO_GREENDNS := yes
 
-.PHONY: demo test check format bench soak clean
+.PHONY: demo experiment test check format bench soak clean
 
 $(VENV)/ready: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -25,12 +26,14 @@
 	$(BIN)/flake8 src standins tests benchmarks
 
 format: $(VENV)/ready
-	$(BIN)/ruff check --select I --fix .
 	$(BIN)/ruff format .
 
 bench: $(VENV)/ready
 	$(BIN)/python -m benchmarks.run $(AREAS)
 
+experiment: $(VENV)/ready
+	$(BIN)/python -m standins.experiment.runner $(PLAN)
+
 soak: $(VENV)/ready
 	$(BIN)/python -m tests.soak --seed $(SEED) --steps $(STEPS)
 
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -5,7 +5,7 @@
 
 from citronvalve.daemon import green
 
-_NAMES = ("engine", "records", "platformserver")
+_NAMES = ("engine", "records", "platformserver", "experiment.loader")
 
 
 def main() -> None:
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -10,7 +10,6 @@
 from standins import client
 from standins import fleet as fleets
 
-TOKEN = "kaban-token"
 TEAM = "kaban"
 MODEL = "kantei"
 SERVICE = "records"
@@ -19,6 +18,17 @@
 _LOOK_SECONDS = 0.02
 
 
+def token(team: str) -> str:
+    """Return the bearer token of a team of a demo or drill.
+
+    :param team: its name.
+    """
+    return f"{team}-token"
+
+
+TOKEN = token(TEAM)
+
+
 class Deployment:
     """Upstreams of one model and one record service, and their table.
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -102,6 +102,14 @@
         )
         return addresses
 
+    def restart(self, name: str) -> None:
+        """Start a process again with the command line it had.
+
+        :param name: its name; it must have ended.
+        """
+        old = self.process_by_name[name]
+        self._start(name, old.arguments, old.address)
+
     def wait_up(self) -> None:
         """Wait until every process listens."""
         for started in self.process_by_name.values():
--- a/standins/memorylinks.py
+++ b/standins/memorylinks.py
@@ -4,7 +4,8 @@
 import heapq
 import itertools
 import random
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
 from citronvalve.model import clock
 from citronvalve.model import invariant
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -7,7 +7,8 @@
 import os
 import re
 import signal
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 import urllib.parse
 
 # DNS by greenlets would replace the resolver of the whole process.
--- a/standins/process.py
+++ b/standins/process.py
@@ -39,6 +39,7 @@
         folder: pathlib.Path,
     ) -> None:
         self.name = name
+        self.arguments = arguments
         self.address = address
         self.log = folder / f"{name}.log"
         with self.log.open("ab") as output:
--- a/standins/records.py
+++ b/standins/records.py
@@ -11,7 +11,6 @@
 
 from standins import wsgi
 
-
 _DRIP_EVERY = 0.05
 
 
