Decide under load: admit, queue, refuse, place, ramp, retry, fence

Cause: every request went wherever it came first; nothing decided. Ruled out: keeping the share of a team by its use of late alone. Not yet wired.

--- /dev/null
+++ b/src/citronvalve/policy/admission.py
@@ -0,0 +1,81 @@
+"""Whether work that arrives now can finish by its deadline."""
+
+from typing import NamedTuple
+
+from citronvalve.model import clock
+from citronvalve.policy import fairshare
+
+#: Share of the predicted rate that promises are made on.  The rest covers
+#: answers that run long; benchmarks/policy.py gives the effect.
+_CAUTION = 0.9
+
+
+#: Share of its slack that work may be made to wait.  A queue filled up to
+#: the deadlines has nothing left for work that runs long or comes after.
+_HOLD = 0.6
+
+#: Longest wait in times of the mean service time.  A deeper queue serves
+#: no more under lasting load; it only makes everyone in it wait.
+_DEEPEST = 4
+
+
+class Supply(NamedTuple):
+    """What this daemon can serve of a model.
+
+    ``slots`` is for all teams, ``rate`` for the team in question, and
+    ``typical`` is the mean service time in ms.
+    """
+
+    slots: float
+    rate: float
+    typical: clock.Ms
+
+
+class Forecast(NamedTuple):
+    """When work would start; ``fits`` tells whether it may be accepted."""
+
+    wait: clock.Ms
+    fits: bool
+
+
+def forecast(
+    queue: fairshare.FairQueue,
+    item: fairshare.Waiting,
+    supply: Supply,
+    now: clock.Ms,
+) -> Forecast:
+    """Predict the wait, and whether all promises can still be kept.
+
+    Made for callers who cannot try twice: work that can't finish is refused
+    while there is time to go elsewhere, instead of taking a slot from work
+    that can.  Work already accepted comes first: a new request that would
+    push an accepted one of its team past its deadline is refused.
+
+    :param queue: what waits for the same model.
+    :param item: the new work.
+    :param supply: what is there to serve it.
+    :param now: monotonic ms.
+    """
+    if supply.slots <= 0 or supply.rate <= 0:
+        return Forecast(0, False)
+    line = queue.line(item.team)
+    rate = supply.rate * _CAUTION
+    first = supply.typical / supply.slots
+    ahead = 0
+    at = 0
+    for at, other in enumerate(line, 1):
+        if other > item:
+            at -= 1
+            break
+        ahead += other.cost
+    shared = queue.cost / (supply.slots * _CAUTION)
+    wait = round(first + min(ahead / rate, shared))
+    slack = item.deadline - now - item.bound
+    if wait > min(slack * _HOLD, supply.typical * _DEEPEST):
+        return Forecast(wait, False)
+    ahead += item.cost
+    for other in line[at:]:
+        if now + first + ahead / rate + other.bound > other.deadline:
+            return Forecast(wait, False)
+        ahead += other.cost
+    return Forecast(wait, True)
--- /dev/null
+++ b/src/citronvalve/policy/attempt.py
@@ -0,0 +1,65 @@
+"""A request that was accepted, and the attempts at it."""
+
+from typing import NamedTuple
+
+from citronvalve.model import clock
+from citronvalve.model import ran
+from citronvalve.policy import candidate
+from citronvalve.policy import decision
+from citronvalve.policy import estimate
+from citronvalve.policy import fairshare
+from citronvalve.policy import work
+
+
+class Entry:
+    """One accepted request, until it has its one end.
+
+    :param item: the request.
+    :param expected: its service time.
+    :param suspect: whether an upstream was already lost with it.
+    """
+
+    __slots__ = (
+        "attempt_by_ticket",
+        "attempts",
+        "expected",
+        "ran",
+        "suspect",
+        "tried",
+        "waiting",
+        "work",
+    )
+
+    def __init__(
+        self, item: work.Work, expected: estimate.Expected, suspect: bool
+    ) -> None:
+        self.work = item
+        self.expected = expected
+        self.suspect = suspect
+        self.attempts = 0
+        self.ran = ran.Ran.NO
+        #: Upstreams that failed it; another attempt goes elsewhere.
+        self.tried: set[str] = set()
+        self.waiting: fairshare.Waiting | None = None
+        self.attempt_by_ticket: dict[decision.Ticket, Attempt] = {}
+
+    def is_hopeless(self, now: clock.Ms) -> bool:
+        """Tell whether it would be late if it started now.
+
+        :param now: monotonic ms.
+        """
+        return now + self.expected.bound > self.work.deadline
+
+
+class Attempt(NamedTuple):
+    """One run of a request on one upstream.
+
+    ``suspect`` is as it was at the start: it is what was counted.
+    """
+
+    ticket: decision.Ticket
+    entry: Entry
+    candidate: candidate.Candidate
+    started: clock.Ms
+    hedge: bool
+    suspect: bool
--- /dev/null
+++ b/src/citronvalve/policy/candidate.py
@@ -0,0 +1,223 @@
+"""One upstream as placement sees it."""
+
+import collections
+import enum
+import math
+import random
+from typing import NamedTuple
+
+from citronvalve.model import clock
+from citronvalve.model import declared
+from citronvalve.model import load
+from citronvalve.policy import circuit
+from citronvalve.policy import outlier
+from citronvalve.policy import ramp
+from citronvalve.policy import shift
+
+#: A report older than this tells nothing of the load any more.
+STALE: clock.Ms = 10_000
+
+#: A group serves only while all of its VMs are seen: its state is fresh
+#: or it gets nothing.  Reports come every second and up to three late.
+GROUP_FRESH: clock.Ms = 5_000
+
+#: Moments of the past at which this daemon's own work is remembered, so
+#: that a late report can be compared with what was there at its time.
+_MOST_HISTORY = 256
+
+
+class Bar(enum.Enum):
+    """Why an upstream gets nothing new."""
+
+    UNSEEN = "it has not reported yet"
+    OUT = "it is out of service"
+    DATACENTRE_OUT = "its data centre is out of service"
+    VMS_MISSING = "a VM of its group is missing"
+    GROUP_STALE = "the state of its group is not fresh"
+    EJECTED = "it is far slower than the others"
+    CIRCUIT = "it failed"
+
+
+class Loan(NamedTuple):
+    """Slots of a cold upstream lent to this daemon up to a moment."""
+
+    slots: int = 0
+    until: clock.Ms = 0
+
+
+class Candidate:
+    """The state of one upstream.
+
+    :param upstream: its row, or the one its group made for it.
+    :param place: its data centre.
+    :param tier: 0 in this daemon's data centre, 1 in its region, else 2.
+    :param grouped: whether it is a replica group.
+    """
+
+    def __init__(
+        self,
+        upstream: declared.Upstream,
+        place: shift.Shift,
+        tier: int,
+        grouped: bool,
+    ) -> None:
+        self.upstream = upstream
+        self.place = place
+        self.tier = tier
+        self.grouped = grouped
+        self.ramp = ramp.Ramp(upstream)
+        self.circuit = circuit.Circuit()
+        self.pace = outlier.Pace()
+        self.loan = Loan()
+        self.report: load.LoadReport | None = None
+        #: Requests that this daemon has there, and that it may have there.
+        self.own = 0
+        self.allowance = 0
+        #: Requests there that have already cost another upstream.
+        self.suspects = 0
+        #: When it last died, as far as this daemon knows.
+        self.lost_at: clock.Ms = 0
+        self._others = 0
+        self._share = 0
+        self._history = collections.deque([(0, 0)])
+
+    @property
+    def name(self) -> str:
+        """Return the upstream's name."""
+        return self.upstream.name
+
+    @property
+    def running(self) -> int:
+        """Return the estimated requests there, of all daemons."""
+        return self._others + self.own
+
+    def declare(self, upstream: declared.Upstream) -> None:
+        """Apply a changed row.
+
+        :param upstream: the row.
+        """
+        self.upstream = upstream
+        self.ramp.upstream = upstream
+
+    def observe(
+        self, report: load.LoadReport, members: int, rng: random.Random
+    ) -> None:
+        """Take in a report; one older than the last is dropped.
+
+        Made for reports that are seconds old when many daemons read them:
+        were each to fill the free slots it sees, they would fill them many
+        times.  Each may keep what it had there at the time of the report
+        and take its part of what was free; the parts add up to the whole.
+        A part of a slot is given by chance, anew with each report.
+
+        :param report: the report.
+        :param members: daemons that place work there.
+        :param rng: source of chance.
+        """
+        if self.report is not None and report.seen_at < self.report.seen_at:
+            return
+        self.report = report
+        self.ramp.see(report)
+        mine = self._own_at(report.seen_at)
+        held = report.running + report.queued
+        self._others = max(0, held - mine)
+        part = (report.bears - held) / members
+        whole = math.floor(part)
+        extra = rng.random() < part - whole
+        self._share = max(0, min(mine + whole + extra, report.bears))
+
+    def start(self, now: clock.Ms) -> None:
+        """Count a request sent there.
+
+        :param now: monotonic ms.
+        """
+        self._count(1, now)
+
+    def end(self, now: clock.Ms) -> None:
+        """Count a request that ended.
+
+        :param now: monotonic ms.
+        """
+        self._count(-1, now)
+
+    def lost(self, moment: clock.Ms) -> None:
+        """Note that it died; a report from before says nothing of it now.
+
+        :param moment: when, in monotonic ms.
+        """
+        self.lost_at = moment
+        self.ramp.restart(moment)
+
+    def filled(self) -> None:
+        """Note that it refused work as full: no more until a report."""
+        self._share = min(self._share, self.own)
+
+    def bar(self, now: clock.Ms) -> Bar | None:
+        """Return why it gets nothing new, or None.
+
+        :param now: monotonic ms.
+        """
+        report = self.report
+        if report is None:
+            return Bar.UNSEEN
+        reasons = {
+            Bar.OUT: self.upstream.state is declared.Service.OUT,
+            Bar.DATACENTRE_OUT: self.place.phase is shift.Phase.OUT,
+            Bar.VMS_MISSING: bool(report.vms_missing),
+            Bar.GROUP_STALE: self.grouped
+            and now - report.seen_at > GROUP_FRESH,
+            Bar.EJECTED: now < self.pace.until,
+            Bar.CIRCUIT: self.circuit.state is circuit.State.OPEN,
+        }
+        return next((bar for bar, holds in reasons.items() if holds), None)
+
+    def refresh(self, now: clock.Ms, members: int) -> int:
+        """Work out the allowance anew; return by how much it changed.
+
+        :param now: monotonic ms.
+        :param members: daemons that place work there.
+        """
+        old, self.allowance = self.allowance, self._allowed(now, members)
+        return self.allowance - old
+
+    def has_room(self) -> bool:
+        """Tell whether one more request may go there."""
+        if self.own >= self.allowance or not self.place.has_room():
+            return False
+        if self.tier == 0:
+            return True
+        most = max(1, int(self.upstream.slots * shift.SPILL_SHARE))
+        return self.running < most
+
+    def lent(self, now: clock.Ms) -> int:
+        """Return the slots that a loan allows now.
+
+        :param now: monotonic ms.
+        """
+        return self.loan.slots if now < self.loan.until else 0
+
+    def _allowed(self, now: clock.Ms, members: int) -> int:
+        if self.upstream.weight <= 0 or self.bar(now) is not None:
+            return 0
+        if self.ramp.is_cold(now):
+            most = min(self.lent(now), self.ramp.bound(now))
+        elif now - self.report.seen_at > STALE:
+            most = max(1, self.upstream.slots // members)
+        else:
+            most = self._share
+        half_open = self.circuit.state is circuit.State.HALF_OPEN
+        return min(1, most) if half_open else most
+
+    def _count(self, step: int, now: clock.Ms) -> None:
+        self.own += step
+        self._history.append((now, self.own))
+        if len(self._history) > _MOST_HISTORY:
+            self._history.popleft()
+
+    def _own_at(self, moment: clock.Ms) -> int:
+        # The last value up to that moment stays: it holds for the next
+        # report too, when nothing was sent or ended in between.
+        history = self._history
+        while len(history) > 1 and history[1][0] <= moment:
+            history.popleft()
+        return history[0][1]
--- /dev/null
+++ b/src/citronvalve/policy/circuit.py
@@ -0,0 +1,94 @@
+"""Whether a failing upstream gets work, as a table of states."""
+
+import enum
+
+from citronvalve.model import clock
+
+#: Failures in a row that open the circuit.  One or two also happen to a
+#: sound upstream when a connection goes silent.
+_FAILURES = 3
+
+#: First wait before a probe, doubled at each failed one.  Shorter ones
+#: spend callers' requests on an upstream that is still down.
+_WAIT: clock.Ms = 2_000
+
+#: Longest wait, so that a mended upstream is found within half a minute.
+_LONGEST_WAIT: clock.Ms = 30_000
+
+
+class State(enum.Enum):
+    """What an upstream may get."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    #: One probe at a time.
+    HALF_OPEN = "half-open"
+
+
+class Event(enum.Enum):
+    """What moves a circuit."""
+
+    SUCCEEDED = "succeeded"
+    TRIPPED = "tripped"
+    WAITED = "waited"
+
+
+_NEXT: dict[tuple[State, Event], State] = {
+    (State.CLOSED, Event.SUCCEEDED): State.CLOSED,
+    (State.CLOSED, Event.TRIPPED): State.OPEN,
+    (State.CLOSED, Event.WAITED): State.CLOSED,
+    (State.OPEN, Event.SUCCEEDED): State.OPEN,
+    (State.OPEN, Event.TRIPPED): State.OPEN,
+    (State.OPEN, Event.WAITED): State.HALF_OPEN,
+    (State.HALF_OPEN, Event.SUCCEEDED): State.CLOSED,
+    (State.HALF_OPEN, Event.TRIPPED): State.OPEN,
+    (State.HALF_OPEN, Event.WAITED): State.HALF_OPEN,
+}
+
+
+class Circuit:
+    """The circuit of one upstream.
+
+    :ivar state: what it may get now.
+    :ivar until: when an open circuit may be probed, in monotonic ms.
+    """
+
+    __slots__ = ("_failures", "_wait", "state", "until")
+
+    def __init__(self) -> None:
+        self.state = State.CLOSED
+        self.until: clock.Ms = 0
+        self._failures = 0
+        self._wait = _WAIT
+
+    def succeeded(self) -> None:
+        """Take in an answer."""
+        self._failures = 0
+        self._move(Event.SUCCEEDED, 0)
+
+    def failed(self, now: clock.Ms, fatal: bool) -> None:
+        """Take in a failure.
+
+        :param now: monotonic ms.
+        :param fatal: the upstream is gone, so one failure is enough.
+        """
+        self._failures += 1
+        probing = self.state is State.HALF_OPEN
+        if fatal or probing or self._failures >= _FAILURES:
+            self._move(Event.TRIPPED, now)
+
+    def tick(self, now: clock.Ms) -> None:
+        """Let an open circuit be probed once its wait is over.
+
+        :param now: monotonic ms.
+        """
+        if self.state is State.OPEN and now >= self.until:
+            self._move(Event.WAITED, now)
+
+    def _move(self, event: Event, now: clock.Ms) -> None:
+        old, self.state = self.state, _NEXT[self.state, event]
+        if old is not State.OPEN and self.state is State.OPEN:
+            self.until = now + self._wait
+            self._wait = min(self._wait * 2, _LONGEST_WAIT)
+        if old is State.HALF_OPEN and self.state is State.CLOSED:
+            self._wait = _WAIT
--- /dev/null
+++ b/src/citronvalve/policy/fairshare.py
@@ -0,0 +1,114 @@
+"""A queue of one model's work, fair between teams, urgent first in one."""
+
+import bisect
+import collections.abc
+from typing import NamedTuple
+
+from citronvalve.model import clock
+
+
+class Waiting(NamedTuple):
+    """One request in the queue; sorts by deadline, then by arrival.
+
+    ``cost`` is its expected and ``bound`` its cautious service time in ms.
+    """
+
+    deadline: clock.Ms
+    order: int
+    request: str
+    team: str
+    cost: clock.Ms
+    bound: clock.Ms
+
+
+class _Line:
+    """One team's work, and how much service it has had."""
+
+    __slots__ = ("by_deadline", "cost", "virtual")
+
+    def __init__(self) -> None:
+        self.by_deadline: list[Waiting] = []
+        self.cost = 0
+        self.virtual = 0.0
+
+
+class FairQueue:
+    """Weighted fair queueing across teams, earliest deadline first in one.
+
+    Made for one team that sends several times its share: its own line
+    grows, and the others' work still finds the next free slot.  Fairness
+    is by service time and not by requests, since a team of long requests
+    would else get many times the upstreams of a team of short ones.
+    """
+
+    def __init__(self) -> None:
+        self._line_by_team: dict[str, _Line] = {}
+        self._virtual = 0.0
+        self._size = 0
+        self._cost = 0
+
+    def __len__(self) -> int:
+        return self._size
+
+    @property
+    def cost(self) -> clock.Ms:
+        """Return the service time in ms of all that waits."""
+        return self._cost
+
+    def line(self, team: str) -> collections.abc.Sequence[Waiting]:
+        """Return a team's work, the most urgent first.
+
+        :param team: its name.
+        """
+        line = self._line_by_team.get(team)
+        return line.by_deadline if line else ()
+
+    def push(self, item: Waiting) -> None:
+        """Add work.
+
+        :param item: the work.
+        """
+        line = self._line_by_team.setdefault(item.team, _Line())
+        if not line.by_deadline:
+            # A team that was idle has no claim to the service it left to
+            # others; with one it could take every slot for a while.
+            line.virtual = max(line.virtual, self._virtual)
+        bisect.insort(line.by_deadline, item)
+        line.cost += item.cost
+        self._size += 1
+        self._cost += item.cost
+
+    def remove(self, item: Waiting) -> None:
+        """Take work out, wherever it stands.
+
+        :param item: the work as it was pushed.
+        """
+        line = self._line_by_team[item.team]
+        at = bisect.bisect_left(line.by_deadline, item)
+        del line.by_deadline[at]
+        line.cost -= item.cost
+        self._size -= 1
+        self._cost -= item.cost
+
+    def teams(self) -> list[str]:
+        """Return the teams that wait, the one least served first."""
+        line_by_team = self._line_by_team
+        waiting = [t for t, n in line_by_team.items() if n.by_deadline]
+        return sorted(waiting, key=lambda t: line_by_team[t].virtual)
+
+    def charge(self, team: str, cost: clock.Ms, weight: float) -> None:
+        """Count service that a team gets now.
+
+        :param team: its name.
+        :param cost: expected service time in ms.
+        :param weight: the team's weight, above 0.
+        """
+        line = self._line_by_team.setdefault(team, _Line())
+        start = max(line.virtual, self._virtual if not line.cost else 0.0)
+        line.virtual = start + cost / weight
+        self._virtual = max(self._virtual, start)
+
+    def waiting(self) -> collections.abc.Iterator[Waiting]:
+        """Yield all that waits, in no order that means anything."""
+        for line in self._line_by_team.values():
+            yield from line.by_deadline
--- /dev/null
+++ b/src/citronvalve/policy/outcome.py
@@ -0,0 +1,53 @@
+"""How an attempt ended, and what may follow from it."""
+
+import enum
+from typing import NamedTuple
+
+from citronvalve.model import ran
+
+
+class Outcome(enum.StrEnum):
+    """What the task that carried an attempt saw."""
+
+    #: The whole answer arrived.
+    DONE = "done"
+    #: Never sent, since no connection came about.
+    NOT_RUN = "not-run"
+    #: The upstream was full, said so, and did not run it.
+    BUSY = "busy"
+    #: An error or silence after it was sent; it may have run.
+    BROKEN = "broken"
+    #: The upstream died with the attempt on it.
+    CRASHED = "crashed"
+    #: Stopped because its caller left or another attempt won.
+    CANCELLED = "cancelled"
+
+
+class Meaning(NamedTuple):
+    """What an outcome says of the work and of the upstream.
+
+    ``fails`` counts against the upstream; ``fatal`` means that it is gone,
+    whatever share of the others is gone too.
+    """
+
+    ran: ran.Ran
+    fails: bool
+    fatal: bool = False
+
+
+MEANING_BY_OUTCOME: dict[Outcome, Meaning] = {
+    Outcome.DONE: Meaning(ran.Ran.YES, fails=False),
+    Outcome.NOT_RUN: Meaning(ran.Ran.NO, fails=True),
+    Outcome.BUSY: Meaning(ran.Ran.NO, fails=False),
+    Outcome.BROKEN: Meaning(ran.Ran.UNKNOWN, fails=True),
+    Outcome.CRASHED: Meaning(ran.Ran.UNKNOWN, fails=True, fatal=True),
+    Outcome.CANCELLED: Meaning(ran.Ran.UNKNOWN, fails=False),
+}
+
+#: Outcomes after which the caller still waits for an answer.
+UNANSWERED = {
+    Outcome.NOT_RUN,
+    Outcome.BUSY,
+    Outcome.BROKEN,
+    Outcome.CRASHED,
+}
--- /dev/null
+++ b/src/citronvalve/policy/outlier.py
@@ -0,0 +1,88 @@
+"""Upstreams that are much slower than the others."""
+
+import collections.abc
+import statistics
+
+from citronvalve.model import clock
+
+#: An upstream this many times slower than expected, and than the middle of
+#: its model, is an outlier.  Batching alone makes answers twice as long.
+_TIMES = 3.0
+
+#: Samples before one is judged; a single long answer proves nothing.
+_SAMPLES = 3
+
+#: Gain of one sample: three slow ones outweigh a good past.
+_GAIN = 0.4
+
+#: Time out of service at first, doubled each time in a row.
+_SPAN: clock.Ms = 10_000
+
+#: Longest time, so that a mended upstream is used again soon.
+_LONGEST: clock.Ms = 120_000
+
+
+class Pace:
+    """How one upstream's answers compare with what was expected.
+
+    :ivar ratio: decayed mean of measured over expected time.
+    :ivar until: monotonic ms to which it is ejected.
+    """
+
+    __slots__ = ("_samples", "_span", "ratio", "until")
+
+    def __init__(self) -> None:
+        self.ratio = 1.0
+        self.until: clock.Ms = 0
+        self._samples = 0
+        self._span = _SPAN
+
+    def add(self, ratio: float) -> None:
+        """Take in one answer, or one that is overdue.
+
+        :param ratio: measured over expected time.
+        """
+        # One answer may not count for more than ten slow ones.
+        self.ratio += _GAIN * (min(ratio, _TIMES * 10) - self.ratio)
+        self._samples += 1
+        if self._samples > 10 * _SAMPLES and self.ratio < _TIMES / 2:
+            self._span = _SPAN
+
+    def is_slow(self) -> bool:
+        """Tell whether it is worth comparing with the others."""
+        return self._samples >= _SAMPLES and self.ratio >= _TIMES
+
+    def eject(self, now: clock.Ms) -> None:
+        """Put it out of service for a while; it is judged afresh after.
+
+        :param now: monotonic ms.
+        """
+        self.until = now + self._span
+        self._span = min(self._span * 2, _LONGEST)
+        self.ratio = 1.0
+        self._samples = 0
+
+
+def may_eject(
+    pace: Pace,
+    others: collections.abc.Sequence[Pace],
+    share: float,
+    now: clock.Ms,
+) -> bool:
+    """Tell whether a slow upstream may go out of service.
+
+    Made for one upstream that turned slow: callers who get it are late.
+    When all are slow the load is the cause, and ejecting would put the same
+    load on fewer of them; hence the comparison with the middle one, and the
+    floor that always leaves most of them in service.
+
+    :param pace: the one in question.
+    :param others: all of the same model, it included.
+    :param share: most of them that may be out at once.
+    :param now: monotonic ms.
+    """
+    out = sum(other.until > now for other in others)
+    if out + 1 > share * len(others):
+        return False
+    middle = statistics.median_low([other.ratio for other in others])
+    return pace.ratio >= _TIMES * max(1.0, middle)
--- /dev/null
+++ b/src/citronvalve/policy/ramp.py
@@ -0,0 +1,82 @@
+"""How much an upstream in a cold start may hold, over all daemons."""
+
+from citronvalve.model import clock
+from citronvalve.model import declared
+from citronvalve.model import load
+
+
+class Ramp:
+    """The cold start of one upstream.
+
+    Made for upstreams that fall over when they get full load right after a
+    start.  The bound is one for all daemons together: a keeper lends parts
+    of it, and a daemon without a loan sends nothing, since several daemons
+    that each trusted a share of their own would together exceed it.
+
+    :param upstream: the declared slots and ramp.
+    """
+
+    def __init__(self, upstream: declared.Upstream) -> None:
+        self.upstream = upstream
+        self._start_id = ""
+        self._bears = 0
+        self._since: clock.Ms | None = None
+
+    def see(self, report: load.LoadReport) -> None:
+        """Take in a report and notice a new start.
+
+        :param report: the newest report of this upstream.
+        """
+        if self._is_new_start(report):
+            self._since = report.seen_at
+        self._start_id = report.start_id
+        self._bears = report.bears
+
+    def restart(self, now: clock.Ms) -> None:
+        """Take the upstream for cold, though it did not say so.
+
+        For an upstream whose service times jumped and for one whose data
+        centre comes back: its caches are empty.
+
+        :param now: monotonic ms.
+        """
+        self._since = now
+
+    def is_cold(self, now: clock.Ms) -> bool:
+        """Tell whether work needs a loan.
+
+        :param now: monotonic ms.
+        """
+        if self._since is None:
+            return False
+        ramped = now - self._since >= self.upstream.ramp
+        if ramped and self._bears >= self.upstream.slots:
+            self._since = None
+        return self._since is not None
+
+    def bound(self, now: clock.Ms) -> int:
+        """Return how many requests all daemons together may have there.
+
+        The least of what it says it bears and of a line from ``cold_slots``
+        to ``slots``: the first is late, the second can't see a slow start.
+
+        :param now: monotonic ms.
+        """
+        if not self.is_cold(now):
+            return self._bears
+        cold = self.upstream.cold_slots
+        passed = min(now - self._since, self.upstream.ramp)
+        growth = (self.upstream.slots - cold) * passed
+        line = cold + growth // max(1, self.upstream.ramp)
+        return max(0, min(self._bears, line))
+
+    def _is_new_start(self, report: load.LoadReport) -> bool:
+        weak = report.bears < self.upstream.slots
+        if not self._start_id:
+            return weak
+        if report.start_id != self._start_id:
+            return True
+        # It fell back under the same start id: it now bears no more than a
+        # cold one, and it bore more before.
+        fell = report.bears <= self.upstream.cold_slots < self._bears
+        return weak and fell and self._since is None
--- /dev/null
+++ b/src/citronvalve/policy/room.py
@@ -0,0 +1,70 @@
+"""The upstreams of one model that may have room."""
+
+import random
+
+from citronvalve.policy import candidate
+
+#: Tiers of distance: own data centre, own region, the rest.
+TIERS = 3
+
+
+class RoomIndex:
+    """Lists by tier, out of which full upstreams fall when they are met.
+
+    Made for a fleet of thousands at saturation: looking through all of
+    them for the few with room would cost more than the request itself.
+    """
+
+    def __init__(self) -> None:
+        self._names: tuple[list[candidate.Candidate], ...]
+        self._names = tuple([] for _ in range(TIERS))
+        self._at_by_name: dict[str, int] = {}
+
+    def add(self, item: candidate.Candidate) -> None:
+        """Put in an upstream that has room; it may be there already.
+
+        :param item: the upstream.
+        """
+        if item.name in self._at_by_name:
+            return
+        tier = self._names[item.tier]
+        self._at_by_name[item.name] = len(tier)
+        tier.append(item)
+
+    def drop(self, item: candidate.Candidate) -> None:
+        """Take out an upstream, if it is there.
+
+        :param item: the upstream.
+        """
+        at = self._at_by_name.pop(item.name, None)
+        if at is None:
+            return
+        tier = self._names[item.tier]
+        last = tier.pop()
+        if last is not item:
+            tier[at] = last
+            self._at_by_name[last.name] = at
+
+    def draw(
+        self, tier: int, rng: random.Random
+    ) -> candidate.Candidate | None:
+        """Return one with room by chance, or None when none is left.
+
+        :param tier: the tier to draw from.
+        :param rng: source of chance.
+        """
+        items = self._names[tier]
+        while items:
+            # Faster than choice(), and as even for so few.
+            item = items[int(rng.random() * len(items))]
+            if item.has_room():
+                return item
+            self.drop(item)
+        return None
+
+    def all(self, tier: int) -> list[candidate.Candidate]:
+        """Return all that may have room.
+
+        :param tier: the tier to list.
+        """
+        return self._names[tier]
--- /dev/null
+++ b/src/citronvalve/policy/shift.py
@@ -0,0 +1,82 @@
+"""How a data centre leaves and comes back."""
+
+import enum
+
+from citronvalve.model import declared
+
+
+class Phase(enum.Enum):
+    """What a data centre may get."""
+
+    IN = "in"
+    OUT = "out"
+    RETURNING = "returning"
+
+
+_NEXT: dict[tuple[Phase, declared.Service], Phase] = {
+    (Phase.IN, declared.Service.IN): Phase.IN,
+    (Phase.IN, declared.Service.OUT): Phase.OUT,
+    (Phase.OUT, declared.Service.IN): Phase.RETURNING,
+    (Phase.OUT, declared.Service.OUT): Phase.OUT,
+    (Phase.RETURNING, declared.Service.IN): Phase.RETURNING,
+    (Phase.RETURNING, declared.Service.OUT): Phase.OUT,
+}
+
+#: What a returning data centre gets first from this daemon: enough to
+#: learn from, little enough to lose.
+_FIRST = 2
+
+#: Share of a remote upstream's slots that this daemon fills.  The rest is
+#: left to callers of that data centre, whom a spill would else push out.
+SPILL_SHARE = 0.9
+
+
+class Shift:
+    """One data centre as this daemon uses it.
+
+    Made for a data centre that returns under load: its caches are cold and
+    its links unproved, and the whole spill moving back at once would fail
+    twice.  Each answer in its expected time raises its bound by one, so the
+    share doubles with each round of answers and stands still when they
+    stay out.
+
+    :param state: what the table says.
+    """
+
+    def __init__(self, state: declared.Service) -> None:
+        out = state is declared.Service.OUT
+        self.phase = Phase.OUT if out else Phase.IN
+        self.running = 0
+        self._bound = _FIRST
+        self._most = 0
+
+    def declare(self, state: declared.Service, most: int) -> bool:
+        """Apply the table; return whether the data centre comes back.
+
+        :param state: what the table says.
+        :param most: slots there; once shown to be borne, the return ends.
+        """
+        old, self.phase = self.phase, _NEXT[self.phase, state]
+        self._most = most
+        comes_back = old is Phase.OUT and self.phase is Phase.RETURNING
+        if comes_back:
+            self._bound = _FIRST
+        return comes_back
+
+    @property
+    def bound(self) -> float:
+        """Return how many requests this daemon may have there."""
+        if self.phase is Phase.OUT:
+            return 0
+        return self._bound if self.phase is Phase.RETURNING else float("inf")
+
+    def has_room(self) -> bool:
+        """Tell whether one more request may go there."""
+        return self.running < self.bound
+
+    def showed(self) -> None:
+        """Count an answer that came in its expected time."""
+        if self.phase is Phase.RETURNING:
+            self._bound += 1
+            if self._bound >= self._most:
+                self.phase = Phase.IN
--- /dev/null
+++ b/src/citronvalve/policy/starter.py
@@ -0,0 +1,209 @@
+"""Starts attempts and ends them, and keeps those in progress."""
+
+import collections
+import heapq
+import random
+
+from citronvalve.model import clock
+from citronvalve.model import invariant
+from citronvalve.policy import attempt
+from citronvalve.policy import candidate
+from citronvalve.policy import decision
+from citronvalve.policy import fleet
+from citronvalve.policy import judge
+from citronvalve.policy import limits
+from citronvalve.policy import placement
+
+#: An attempt is overdue after this many times its bound, and again after
+#: each doubling.
+_OVERDUE = 2
+
+
+class Starter:
+    """Carries each attempt from its place to its end.
+
+    :param upstreams: the fleet.
+    :param caps: limits by team, model and data centre.
+    :param wise: knows service times, caches and crashes.
+    :param chooser: how to place.
+    :param rng: source of chance.
+    :param invariants: asserts the promises.
+    """
+
+    def __init__(
+        self,
+        upstreams: fleet.Fleet,
+        caps: limits.Limits,
+        wise: judge.Judge,
+        chooser: placement.Placement,
+        rng: random.Random,
+        invariants: invariant.Invariants,
+    ) -> None:
+        self._fleet = upstreams
+        self._limits = caps
+        self._judge = wise
+        self._chooser = chooser
+        self._rng = rng
+        self._invariants = invariants
+        self._last: decision.Ticket = 0
+        self._attempt_by_ticket: dict[decision.Ticket, attempt.Attempt] = {}
+        self._running_by_print: collections.Counter = collections.Counter()
+        self._due: list[tuple[clock.Ms, decision.Ticket]] = []
+
+    def start(
+        self, entry: attempt.Entry, now: clock.Ms, hedge: bool = False
+    ) -> decision.Start | None:
+        """Place a request and start it, or return None without room.
+
+        :param entry: the request.
+        :param now: monotonic ms.
+        :param hedge: whether it runs beside another attempt.
+        """
+        target = self._place(entry, now)
+        if target is None:
+            return None
+        self._assert_may_start(target, now)
+        self._count(entry, target, now)
+        begun = attempt.Attempt(
+            self._last, entry, target, now, hedge, entry.suspect
+        )
+        self._attempt_by_ticket[self._last] = begun
+        entry.attempt_by_ticket[self._last] = begun
+        due = now + _OVERDUE * entry.expected.bound
+        heapq.heappush(self._due, (due, self._last))
+        slack = entry.work.deadline - now - entry.expected.mean
+        return decision.Start(
+            self._last,
+            entry.work,
+            target.name,
+            entry.attempts,
+            max(0, slack),
+            hedge,
+        )
+
+    def end(
+        self, ticket: decision.Ticket, now: clock.Ms
+    ) -> attempt.Attempt | None:
+        """Give back what an attempt held; None when it already ended.
+
+        :param ticket: the attempt.
+        :param now: monotonic ms.
+        """
+        ended = self._attempt_by_ticket.pop(ticket, None)
+        if ended is None:
+            return None
+        entry, target = ended.entry, ended.candidate
+        del entry.attempt_by_ticket[ticket]
+        target.end(now)
+        target.place.running -= 1
+        target.suspects -= ended.suspect
+        self._limits.end(_key(entry, target))
+        self._running_by_print[entry.work.fingerprint] -= 1
+        if not self._running_by_print[entry.work.fingerprint]:
+            del self._running_by_print[entry.work.fingerprint]
+        return ended
+
+    def freed(self, ended: attempt.Attempt, now: clock.Ms) -> None:
+        """Offer the room of an attempt that ended and was judged.
+
+        :param ended: the attempt.
+        :param now: monotonic ms.
+        """
+        name = ended.candidate.name
+        if self._fleet.candidate_by_name.get(name) is ended.candidate:
+            self._fleet.changed(ended.candidate, now)
+
+    def overdue(self, now: clock.Ms) -> list[attempt.Attempt]:
+        """Return the attempts that should have ended long ago.
+
+        :param now: monotonic ms.
+        """
+        late = []
+        while self._due and self._due[0][0] <= now:
+            _, ticket = heapq.heappop(self._due)
+            seen = self._attempt_by_ticket.get(ticket)
+            if seen is not None:
+                again = now + max(1, now - seen.started)
+                heapq.heappush(self._due, (again, ticket))
+                late.append(seen)
+        return late
+
+    def may_run_beside(self, fingerprint: str) -> bool:
+        """Tell whether no other copy of a suspect is in progress.
+
+        :param fingerprint: the request's.
+        """
+        return not self._running_by_print[fingerprint]
+
+    def _place(
+        self, entry: attempt.Entry, now: clock.Ms
+    ) -> candidate.Candidate | None:
+        item = entry.work
+        index = self._fleet.index_by_model.get(item.model)
+        if index is None:
+            return None
+        if entry.suspect and not self.may_run_beside(item.fingerprint):
+            return None
+        belief = self._judge.affinity.holders(item.prefixes, now)
+        by_name = self._fleet.candidate_by_name
+        holders = sorted(belief, key=belief.__getitem__, reverse=True)
+        wish = placement.Wish(
+            lambda target: self._allows(entry, target, now),
+            belief,
+            item.prompt_tokens,
+            entry.expected.mean,
+        )
+        return self._chooser.pick(
+            index,
+            [by_name[n] for n in holders if n in by_name],
+            wish,
+            self._rng,
+        )
+
+    def _allows(
+        self, entry: attempt.Entry, target: candidate.Candidate, now: clock.Ms
+    ) -> bool:
+        # Time may have closed it since the last look: a loan or a group's
+        # state ran out.
+        self._fleet.changed(target, now)
+        if not target.has_room() or target.name in entry.tried:
+            return False
+        if entry.work.model not in target.upstream.serves:
+            return False
+        # Two suspects side by side would both be marked by one crash, and
+        # the harmless one would be refused with the other.
+        if entry.suspect and target.suspects:
+            return False
+        return self._limits.has_room(_key(entry, target), now)
+
+    def _assert_may_start(
+        self, target: candidate.Candidate, now: clock.Ms
+    ) -> None:
+        bar = target.bar(now)
+        self._invariants.hold(
+            "work goes only to upstreams that are in service and whole",
+            bar is None,
+            f"{target.name}: {bar.value if bar else ''}",
+        )
+        if target.ramp.is_cold(now):
+            self._invariants.hold(
+                "a cold upstream holds no more than was lent",
+                target.own < min(target.lent(now), target.ramp.bound(now)),
+                f"{target.name}: {target.own} there, {target.loan}",
+            )
+
+    def _count(
+        self, entry: attempt.Entry, target: candidate.Candidate, now: clock.Ms
+    ) -> None:
+        self._last += 1
+        entry.attempts += 1
+        target.start(now)
+        target.place.running += 1
+        target.suspects += entry.suspect
+        self._limits.start(_key(entry, target))
+        self._running_by_print[entry.work.fingerprint] += 1
+
+
+def _key(entry: attempt.Entry, target: candidate.Candidate) -> limits.Key:
+    item = entry.work
+    return limits.Key(item.team, item.model, target.upstream.datacentre)
