--- a/src/citronvalve/peers/gossiper.py
+++ b/src/citronvalve/peers/gossiper.py
@@ -54,7 +54,7 @@
         membership = state.membership
         held = membership.member_by_name.get(target)
         return gossip.Gossip(
-            held.incarnation if held is not None else 0,
+            held.incarnation if target in membership.alive() else 0,
             state.table.version,
             state.table.digest,
             membership.digest(),
--- a/src/citronvalve/peers/granting.py
+++ b/src/citronvalve/peers/granting.py
@@ -60,7 +60,7 @@
         :param alive: the members alive.
         :param known: the members that count.
         """
-        if self._standing.acting():
+        if not self._standing.joining():
             self._views.note(now, alive, known)
 
     def new_life(self) -> None:
--- /dev/null
+++ b/src/citronvalve/peers/peer.py
@@ -0,0 +1,223 @@
+"""What the rest of the daemon sees of its peers."""
+
+import random
+
+from citronvalve.model import clock
+from citronvalve.model import invariant
+from citronvalve.model import load
+from citronvalve.peers import change
+from citronvalve.peers import codec as codecs
+from citronvalve.peers import confirmation
+from citronvalve.peers import core as cores
+from citronvalve.peers import crashfact
+from citronvalve.peers import listener as listeners
+from citronvalve.peers import loankey
+from citronvalve.peers import member
+from citronvalve.peers import peersettings
+from citronvalve.peers import rendezvous
+from citronvalve.peers import status as statuses
+from citronvalve.peers import tabledelta
+
+#: Members of a data centre that read the platform's table: a second one, so
+#: that an edit still arrives within seconds when the first is dead.
+_WATCHERS = 2
+
+
+class Peer:
+    """One daemon among its peers; owns no socket and starts nothing.
+
+    Everything but the listener's calls is answered from memory at once.
+    :class:`citronvalve.peers.task.PeerTask` connects it to the network.
+
+    :param settings: name, data centre, addresses, spans and keys.
+    :param clock_: the clock.
+    :param rng: chance.
+    :param invariants: where promises are asserted.
+    :param listener: told of new tables, loans and lives.
+    """
+
+    def __init__(
+        self,
+        settings: peersettings.PeerSettings,
+        clock_: clock.Clock,
+        rng: random.Random,
+        invariants: invariant.Invariants,
+        listener: listeners.Listener | None = None,
+    ) -> None:
+        self.settings = settings
+        self.codec = codecs.Codec()
+        self.core = cores.Core(
+            settings,
+            clock_,
+            rng,
+            invariants,
+            listener or listeners.Listener(),
+        )
+        self._clock = clock_
+        self._state = self.core.state
+
+    def members(self) -> tuple[member.Member, ...]:
+        """Return the living members of this data centre, itself too."""
+        membership = self._state.membership
+        return tuple(
+            membership.member_by_name[name]
+            for name in sorted(membership.alive())
+        )
+
+    def is_acting(self) -> bool:
+        """Tell whether this daemon may act for others at this moment.
+
+        To be asked right before each act, since the process may just have
+        been stopped for a while.
+        """
+        return self._state.standing.acting()
+
+    def keeper_of(self, key: str) -> str | None:
+        """Return the member of this data centre that keeps something.
+
+        :param key: what is kept, such as ``upstream/engine-1``.
+        """
+        return rendezvous.first(key, self._state.membership.alive())
+
+    def keeps(self, key: str) -> bool:
+        """Tell whether this daemon is the keeper, and may act.
+
+        :param key: what is kept.
+        """
+        return self.is_acting() and (self.keeper_of(key) == self.settings.name)
+
+    def keeps_upstream(self, name: str) -> bool:
+        """Tell whether this daemon polls an upstream of its data centre.
+
+        :param name: the upstream.
+        """
+        return self.keeps(f"upstream/{name}")
+
+    def is_watcher(self) -> bool:
+        """Tell whether this daemon reads the platform's table."""
+        ranked = rendezvous.rank("watcher", self._state.membership.alive())
+        return self.is_acting() and self.settings.name in ranked[:_WATCHERS]
+
+    def table_version(self) -> int:
+        """Return the version of the table that is in force here."""
+        return self._state.table.version
+
+    def table_rows(self) -> list[change.Change]:
+        """Return the rows of the table as they are in force here."""
+        return self._state.table.rows()
+
+    def offer_table(self, delta: tabledelta.TableDelta) -> bool:
+        """Spread a version that a watcher read; tell whether it is newer.
+
+        :param delta: from any version up to the one held here.
+        """
+        return self.core.offer_table(delta)
+
+    def confirmation(self, version: int) -> confirmation.Confirmation:
+        """Return who has confirmed a version of the table.
+
+        :param version: the version, or a later one.
+        """
+        return self.core.confirmation(version)
+
+    def offer_load(self, report: load.LoadReport) -> None:
+        """Spread a load that this daemon measured.
+
+        :param report: of an upstream that it keeps.
+        """
+        self._state.loads.offer(report)
+
+    def loads(self) -> dict[str, load.LoadReport]:
+        """Return the newest report of each upstream, in own time."""
+        return self._state.loads.reports()
+
+    def set_neighbours(self, datacentres: frozenset[str]) -> None:
+        """Say which data centres take loads of this one.
+
+        :param datacentres: those of the same region; empty means all.
+        """
+        self._state.neighbours = datacentres
+
+    def offer_crash(
+        self, fingerprint: str, upstream: str, start_id: str
+    ) -> None:
+        """Spread that an upstream was lost while it ran a request.
+
+        :param fingerprint: of the request's content.
+        :param upstream: the upstream.
+        :param start_id: which of its starts was lost.
+        """
+        fact = crashfact.CrashFact(fingerprint, upstream, start_id, 0)
+        self._state.crashes.hear(fact, self._clock.now())
+
+    def crashes(self) -> tuple[crashfact.CrashFact, ...]:
+        """Return every crash that any daemon told of lately."""
+        return self._state.crashes.facts(self._clock.now())
+
+    def set_limit(self, key: loankey.LoanKey, limit: int) -> None:
+        """Say how many slots there are in all; 0 ends the limit.
+
+        A team's limit is set by every daemon, which needs it for its own
+        share; that of a cold upstream by the upstream's keeper.
+
+        :param key: the limit.
+        :param limit: slots.
+        """
+        self._state.grants.lender.set_limit(key, limit)
+
+    def want(self, key: loankey.LoanKey, slots: int) -> None:
+        """Borrow up to some slots, and renew until told otherwise.
+
+        :param key: the limit.
+        :param slots: slots wanted; 0 stops.
+        """
+        self._state.grants.borrower.want(key, slots)
+
+    def slots(self, key: loankey.LoanKey) -> int:
+        """Return how many slots may be in use at this moment.
+
+        :param key: the limit.
+        """
+        return self._state.grants.slots(
+            key, self._state.membership.known(), self._clock.now()
+        )
+
+    def hint_vms(self, addresses: list[str]) -> None:
+        """Take addresses of daemons from the platform's lagging list.
+
+        :param addresses: where to knock; they prove nothing.
+        """
+        self.core.schedule.add_seeds(addresses)
+
+    def forget(self, name: str) -> None:
+        """Stop counting a dead member, since its VM is gone for good.
+
+        :param name: the member.
+        """
+        self._state.membership.forget(name)
+
+    def status(self) -> statuses.PeerStatus:
+        """Return how this daemon sees itself among its peers."""
+        state = self._state
+        membership = state.membership
+        far = tuple(
+            statuses.FarStatus(s.datacentre, s.age, s.members, s.version)
+            for s in state.remote.all(self._clock.now())
+        )
+        return statuses.PeerStatus(
+            self.settings.name,
+            self.settings.datacentre,
+            state.standing.incarnation,
+            self.is_acting(),
+            state.standing.rejoins,
+            tuple(sorted(membership.alive())),
+            tuple(sorted(membership.suspects())),
+            tuple(sorted(m.name for m in membership.dead())),
+            far,
+            state.table.version,
+            f"{state.table.digest:016x}",
+            self.confirmation(state.table.version).silent,
+            state.table.refused,
+            len(state.loads.reports()),
+            dict(self.codec.junk_by_reason),
+        )
--- /dev/null
+++ b/src/citronvalve/peers/status.py
@@ -0,0 +1,38 @@
+"""How a daemon sees itself among its peers, for operators and metrics."""
+
+from typing import NamedTuple
+
+from citronvalve.model import clock
+
+
+class FarStatus(NamedTuple):
+    """Another data centre; ``age`` is that of its last news in ms."""
+
+    datacentre: str
+    age: clock.Ms
+    members: int
+    version: int
+
+
+class PeerStatus(NamedTuple):
+    """One daemon's view.
+
+    ``acting``: whether it may keep, watch and lend; ``rejoins``: how often
+    it had been declared dead or was stopped.
+    """
+
+    name: str
+    datacentre: str
+    incarnation: int
+    acting: bool
+    rejoins: int
+    alive: tuple[str, ...]
+    suspect: tuple[str, ...]
+    dead: tuple[str, ...]
+    far: tuple[FarStatus, ...]
+    table_version: int
+    table_digest: str
+    silent: tuple[str, ...]
+    pages_refused: int
+    loads: int
+    dropped_by_reason: dict[str, int]
