Put the own heartbeat into every message, and lend only once met

Cause: two walks of the machines. With messages repeated and none lost, a running member was buried after 6 s: its heartbeat left the queue as soon as others told it too, and even the answer to a suspicion came without one. And a daemon restarted while its only seed was down took itself for the whole data centre and lent a cold upstream's one slot beside the real keeper.

Change: every message to a member carries the sender's heartbeat; a daemon with seeds lends nothing before it has heard of any peer.

--- a/src/citronvalve/peers/core.py
+++ b/src/citronvalve/peers/core.py
@@ -123,6 +123,7 @@
         if sender.name == state.settings.name:
             return []
         near = sender.datacentre == state.settings.datacentre
+        state.standing.met = True
         if near and type(received.message) is not notices.Notice:
             if state.membership.is_dead(sender.name, sender.incarnation):
                 return self._notify(sender, now)
--- a/src/citronvalve/peers/gossiper.py
+++ b/src/citronvalve/peers/gossiper.py
@@ -1,6 +1,7 @@
 """Puts gossip together, within what a message may hold."""
 
 from citronvalve.model import clock
+from citronvalve.peers import beat
 from citronvalve.peers import gossip
 from citronvalve.peers import state as states
 from citronvalve.peers import summary as summaries
@@ -62,7 +63,7 @@
             members=membership.news.take(
                 _MEMBERS, membership.member_by_name.get
             ),
-            beats=membership.beats.take(_BEATS, membership.beat_of),
+            beats=self._beats(),
             loads=self._loads(now),
             crashes=state.crashes.rumors.take(
                 _CRASHES, lambda key: state.crashes.rumor(key, now)
@@ -139,6 +140,15 @@
             tuple(summaries.Contact(m.name, m.address) for m in chosen),
         )
 
+    def _beats(self) -> tuple[beat.Beat, ...]:
+        # The own heartbeat is in every message: others may have stopped
+        # telling of it, and an answer to a suspicion without it says
+        # nothing.
+        membership = self._state.membership
+        own = membership.beat_of(self._state.settings.name)
+        told = membership.beats.take(_BEATS, membership.beat_of)
+        return told if own is None or own in told else (own, *told)
+
     def _loads(self, now: clock.Ms) -> tuple:
         loads = self._state.loads
 
--- a/src/citronvalve/peers/granting.py
+++ b/src/citronvalve/peers/granting.py
@@ -35,6 +35,7 @@
     :param timing: the fleet's spans.
     :param standing: whether this daemon may act.
     :param invariants: where promises are asserted.
+    :param first: whether there is no seed to find others by.
     """
 
     def __init__(
@@ -43,8 +44,10 @@
         timing: timings.Timing,
         standing: standings.Standing,
         invariants: invariant.Invariants,
+        first: bool,
     ) -> None:
         self._name = name
+        self._first = first
         self._timing = timing
         self._standing = standing
         self._views = viewing.Views(timing.settle)
@@ -146,4 +149,8 @@
         # of none would leave a team with nothing while the keeper settles.
         if not self.lender.limit(key):
             return False
+        # A daemon that started on the far side of a cut knows of nobody,
+        # and would take itself for the whole data centre.
+        if not (self._standing.met or self._first):
+            return False
         return self._views.kept(key.keeper_key, self._name, now)
--- a/src/citronvalve/peers/standing.py
+++ b/src/citronvalve/peers/standing.py
@@ -18,6 +18,8 @@
     :param clock_: the clock.
     :param timing: the fleet's spans.
     :param invariants: where promises are asserted.
+    :ivar met: whether any peer was ever heard; a daemon that started while
+        all its seeds were out of reach can't know what others hold.
     """
 
     def __init__(
@@ -39,6 +41,7 @@
         self._began = clock_.now()
         self._echoed_at = clock_.now()
         self._others = False
+        self.met = False
         self.rejoins = 0
 
     def acting(self) -> bool:
--- a/src/citronvalve/peers/state.py
+++ b/src/citronvalve/peers/state.py
@@ -43,7 +43,11 @@
         self.loads = loadbook.LoadBook(settings.name, timing.refresh)
         self.crashes = crashbook.CrashBook()
         self.grants = granting.Granting(
-            settings.name, timing, self.standing, invariants
+            settings.name,
+            timing,
+            self.standing,
+            invariants,
+            first=not set(settings.seeds) - {settings.address},
         )
         # Which data centres take loads of this one; empty means all, as in
         # a fleet of one region.
