Write down how the table is run, and why it is made so

Cause: operators had no page, and the bounds of the columns stood in the code only. Ruled out: a page by hand alone, which falls behind the code: a scenario looks for a line of each column with its bounds, and table columns prints the same from the checks.

--- a/src/citronvalve/cli/main.py
+++ b/src/citronvalve/cli/main.py
@@ -12,6 +12,7 @@
 from citronvalve.cli import checking
 from citronvalve.cli import editing
 from citronvalve.cli import looking
+from citronvalve.cli import reference
 from citronvalve.cli import report
 from citronvalve.cli import status
 
@@ -61,6 +62,7 @@
     "apply": _command(editing.apply),
     "table": {
         "show": _command(looking.show),
+        "columns": _command(reference.columns),
         "history": _command(looking.history),
         "set": _command(editing.set_row),
         "remove": _command(editing.remove_row),
--- /dev/null
+++ b/src/citronvalve/cli/reference.py
@@ -0,0 +1,77 @@
+"""The reference of the table's columns, from the checks themselves."""
+
+from collections.abc import Iterator
+import enum
+import typing
+from typing import Any
+
+from citronvalve.cli import exitcode
+from citronvalve.cli import report
+from citronvalve.table import kinds
+
+_HEADS = ("section", "column", "takes", "default", "bounds", "because")
+
+_NAME_BY_TYPE = {
+    str: "text",
+    int: "whole number",
+    float: "number",
+    bool: "yes/no",
+}
+
+
+def columns(*sections: str) -> report.Report:
+    """Show the columns of the table: what each takes, and its bounds.
+
+    :param sections: which sections; none shows all.
+    """
+    unknown = sorted(set(sections) - kinds.KIND_BY_SECTION.keys())
+    if unknown:
+        return report.Report(
+            exitcode.ExitCode.BAD_INPUT,
+            f"no such section: {', '.join(unknown)}",
+            {"outcome": "bad-input"},
+            "use " + ", ".join(kinds.KIND_BY_SECTION),
+        )
+    lines = [
+        line
+        for kind in kinds.KIND_BY_SECTION.values()
+        if not sections or kind.section in sections
+        for line in lines_of(kind)
+    ]
+    body = {"columns": [dict(zip(_HEADS, n, strict=True)) for n in lines]}
+    return report.Report(
+        exitcode.ExitCode.OK, report.grid(_HEADS, lines), body
+    )
+
+
+def lines_of(kind: kinds.Kind) -> Iterator[tuple]:
+    """Return one line for each column of a kind.
+
+    :param kind: of row.
+    """
+    for column in kind.column_by_name.values():
+        bound = column.bound
+        yield (
+            kind.section,
+            column.name,
+            _takes(column.type),
+            "required" if column.required else _plain(column.default),
+            bound.span if bound else "",
+            bound.reason if bound else "",
+        )
+
+
+def _takes(kind: Any) -> str:
+    if isinstance(kind, type) and issubclass(kind, enum.Enum):
+        return " or ".join(str(each.value) for each in kind)
+    if typing.get_origin(kind) is tuple:
+        return "list of texts"
+    return _NAME_BY_TYPE[kind]
+
+
+def _plain(value: Any) -> str:
+    if isinstance(value, tuple):
+        return ", ".join(value)
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    return str(value) if value != "" else "empty"
--- a/src/citronvalve/table/bounds.py
+++ b/src/citronvalve/table/bounds.py
@@ -13,6 +13,15 @@
     unit: str
     reason: str
 
+    @property
+    def span(self) -> str:
+        """Return the bounds and the unit, for people."""
+        return f"{_number(self.low)} to {_number(self.high)} {self.unit}"
+
+
+def _number(value: float) -> str:
+    return f"{int(value):,}" if value == int(value) else f"{value:g}"
+
 
 _WEIGHT = Bound(
     0.01, 1_000, "share", "beyond it the other shares round to nothing"
--- a/src/citronvalve/table/columns.py
+++ b/src/citronvalve/table/columns.py
@@ -95,10 +95,7 @@
     bound = column.bound
     # Written so that a value that is not a number fails too.
     if bound and not bound.low <= value <= bound.high:
-        return (
-            bound.reason,
-            f"give {bound.low:g} to {bound.high:g} {bound.unit}",
-        )
+        return bound.reason, f"give {bound.span}"
     if column.name in kind.key_columns and not kinds.NAME.fullmatch(value):
         return "not a name", f"match {kinds.NAME.pattern}"
     if isinstance(value, str) and len(value) > kinds.LONGEST_TEXT:
--- a/tests/cli/steps/tool_steps.py
+++ b/tests/cli/steps/tool_steps.py
@@ -4,6 +4,7 @@
 import contextlib
 import io
 import json
+import pathlib
 import subprocess
 import sys
 import time
@@ -14,8 +15,10 @@
 import urllib3
 
 from citronvalve.cli import main
+from citronvalve.cli import reference
 from citronvalve.platform import client
 from citronvalve.platform import httptable
+from citronvalve.table import kinds
 from citronvalve.table import reading
 
 _TRIES_SECONDS = 10
@@ -63,7 +66,7 @@
 
 
 def _platform(context, words):
-    if words[0] == "settings":
+    if words[0] == "settings" or words[:2] == ("table", "columns"):
         return ()
     return "--platform", f"http://{context.fleet.platform}"
 
@@ -190,3 +193,21 @@
 def step_rose(context):
     rose = _version(context) - context.version
     assert rose == context.codes.count(0) >= 1, (rose, context.codes)
+
+
+@behave.then("docs/OPERATING.md has a line for each column with its bounds")
+def step_page(context):
+    page = pathlib.Path("docs/OPERATING.md").read_text()
+    lost = [
+        line
+        for kind in kinds.KIND_BY_SECTION.values()
+        for line in map(_page_line, reference.lines_of(kind))
+        if line not in page
+    ]
+    assert not lost, "\n".join(["add to docs/OPERATING.md:", *lost])
+
+
+def _page_line(cells):
+    _, column, takes, default, bounds, because = cells
+    cell = f"{bounds}: {because}" if bounds else ""
+    return f"| `{column}` | {takes} | {default} | {cell} |"
--- a/tests/cli/tool.feature
+++ b/tests/cli/tool.feature
@@ -31,6 +31,8 @@
       | table revert 7 --who a --why b                                | 2    | can go back to 0 to 1       |
       | table show upstreams                                          | 0    | 127.0.0.1:8101              |
       | table history                                                 | 0    | start                       |
+      | table columns teams                                           | 0    | round to nothing            |
+      | table columns zones                                           | 2    | no such section             |
       | audit 1                                                       | 0    | teams/kaban                 |
       | audit 9                                                       | 1    | no such audit entry         |
       | status                                                        | 2    | CITRONVALVE_DAEMONS         |
@@ -97,3 +99,6 @@
     When 8 tools at once set teams/kaban weight on any version
     Then each exits 0 or 3
     And the table's version rose by one for each that exits 0
+
+  Scenario: the operators' page knows every column
+    Then docs/OPERATING.md has a line for each column with its bounds
--- a/tests/table/rows.feature
+++ b/tests/table/rows.feature
@@ -10,16 +10,16 @@
 
     Examples: single columns
       | row                   | column       | value          | why                       | remedy              |
-      | teams/kaban           | weight       | 0              | round to nothing          | give 0.01 to 1000   |
+      | teams/kaban           | weight       | 0              | round to nothing          | give 0.01 to 1,000  |
       | teams/kaban           | weight       | "much"         | not of this type          | a number            |
-      | teams/kaban           | weight       | NaN            | round to nothing          | give 0.01 to 1000   |
+      | teams/kaban           | weight       | NaN            | round to nothing          | give 0.01 to 1,000  |
       | teams/kaban           | wieght       | 1              | no such column            | use weight          |
       | teams/kaban           | token_sha256 | "secret"       | not a SHA-256 digest      | sha256sum           |
       | datacentres/sapporo   | state        | "off"          | not of this type          | in, out             |
       | upstreams/hakodate-1  | slots        | true           | not of this type          | a whole number      |
       | upstreams/hakodate-1  | slots        | 8.5            | not of this type          | a whole number      |
-      | upstreams/hakodate-1  | slots        | 5000           | no engine batches more    | 1 to 4096 requests  |
-      | upstreams/hakodate-1  | ramp         | -1             | strands the accelerators  | 0 to 3.6e+06 ms     |
+      | upstreams/hakodate-1  | slots        | 5000           | no engine batches more    | 1 to 4,096 requests |
+      | upstreams/hakodate-1  | ramp         | -1             | strands the accelerators  | 0 to 3,600,000 ms   |
       | upstreams/hakodate-1  | address      | "engine:80"    | not an IP number          | 10.0.0.1:8000       |
       | upstreams/hakodate-1  | address      | "10.0.0.1:0"   | not an IP number          | 10.0.0.1:8000       |
       | upstreams/hakodate-1  | address      | "10.0.0.1"     | not an IP number          | 10.0.0.1:8000       |
@@ -28,7 +28,7 @@
       | upstreams/hakodate-1  | serves       | []             | it would get no work      | name its models     |
       | services/records      | repeatable   | ["FETCH"]      | not an HTTP method        | use GET             |
       | switches/all          | retry_share  | 2              | multiplies an overload    | give 0 to 1 share   |
-      | switches/all          | keep_keys    | 10             | a late repeat would run   | 60000 to            |
+      | switches/all          | keep_keys    | 10             | a late repeat would run   | 60,000 to           |
 
     Examples: rows and columns that must fit each other
       | row                          | column      | value            | why                       | remedy               |
