Read streamed answers in one place, name the outcome of a commit once

Cause: two readers of the same events, and four spellings of what a commit may come to. Change: standins/streamed.py and rows.Outcome. Ruled out: sharing the whole caller between drills and experiments; one times each token, one does not.

--- a/src/citronvalve/platform/httptable.py
+++ b/src/citronvalve/platform/httptable.py
@@ -45,14 +45,7 @@
             return answer
         return _decoded(answer, rows.Scan)
 
-    def commit(
-        self, transaction: rows.Transaction
-    ) -> (
-        rows.Committed
-        | rows.Conflict
-        | missing.Unavailable
-        | missing.AnswerLost
-    ):
+    def commit(self, transaction: rows.Transaction) -> rows.Outcome:
         body = msgspec.json.encode(transaction)
         answer = self._platform.write("POST", "/transactions", body)
         if missing.is_missing(answer):
--- a/src/citronvalve/platform/rows.py
+++ b/src/citronvalve/platform/rows.py
@@ -75,3 +75,7 @@
     ) -> None:
         super().__init__(reason, where)
         self.rows = rows
+
+
+#: What a commit comes to: done, refused, not done, or not known.
+Outcome = Committed | Conflict | missing.Unavailable | missing.AnswerLost
--- a/src/citronvalve/platform/tableservice.py
+++ b/src/citronvalve/platform/tableservice.py
@@ -35,14 +35,7 @@
         """
 
     @abc.abstractmethod
-    def commit(
-        self, transaction: rows.Transaction
-    ) -> (
-        rows.Committed
-        | rows.Conflict
-        | missing.Unavailable
-        | missing.AnswerLost
-    ):
+    def commit(self, transaction: rows.Transaction) -> rows.Outcome:
         """Carry out a transaction.
 
         :param transaction: conditions and writes.
--- a/standins/client.py
+++ b/standins/client.py
@@ -6,7 +6,7 @@
 import msgspec
 import urllib3
 
-_DONE = b"[DONE]"
+from standins import streamed
 
 
 class Seen(NamedTuple):
@@ -129,31 +129,18 @@
 
 
 def _streamed(answer: urllib3.BaseHTTPResponse) -> Seen:
-    parts: list[str] = []
-    whole = False
-    clean = True
-    problem: dict[str, Any] = {}
-    raw = b""
+    raw, broken = b"", ""
     try:
         for block in answer.stream():
             raw += block
     except urllib3.exceptions.HTTPError as error:
-        clean = False
-        problem = {"broken": str(error)}
-    for event in raw.split(b"\n\n"):
-        data = event.partition(b"data: ")[2]
-        if data == _DONE:
-            whole = True
-        elif event.startswith(b"event: error"):
-            problem = msgspec.json.decode(data)
-        elif data:
-            delta = msgspec.json.decode(data)["choices"][0]["delta"]
-            parts.append(delta["content"])
+        broken = str(error)
+    got = streamed.read(raw)
     return Seen(
         answer.status,
-        "".join(parts),
-        whole and clean,
+        got.text,
+        got.done and not broken,
         dict(answer.headers),
-        problem,
-        clean,
+        got.problem or ({"broken": broken} if broken else {}),
+        not broken,
     )
--- a/standins/experiment/caller.py
+++ b/standins/experiment/caller.py
@@ -8,9 +8,9 @@
 from standins import answer
 from standins import deployment as deployments
 from standins.experiment import sample
+from standins import streamed
 
 _MS = 1_000
-_DONE = b"[DONE]"
 _NOTHING = -1.0
 
 
@@ -117,19 +117,21 @@
                 self._token()
                 raw += block
         except urllib3.exceptions.HTTPError:
-            raw += b""
-        text, whole, problem = _parse(raw)
+            # What came until it broke off is looked at all the same.
+            pass
+        got = streamed.read(raw)
+        kind = _kind(got.problem) or ("" if got.done else "broken")
         return sample.Sample(
             self._at,
             team,
             response.status,
-            whole,
-            whole and text == expected,
+            got.done,
+            got.done and got.text == expected,
             self._first,
             self._gap,
             (time.monotonic() - self._begin) * _MS,
-            _kind(problem) if problem else "" if whole else "broken",
-            problem.get("ran", ""),
+            kind,
+            got.problem.get("ran", ""),
         )
 
     def _token(self) -> None:
@@ -141,22 +143,6 @@
         self._last = now
 
 
-def _parse(raw: bytes) -> tuple[str, bool, dict]:
-    parts: list[str] = []
-    whole = False
-    problem: dict = {}
-    for event in raw.split(b"\n\n"):
-        data = event.partition(b"data: ")[2]
-        if data == _DONE:
-            whole = True
-        elif event.startswith(b"event: error"):
-            problem = msgspec.json.decode(data)
-        elif data:
-            delta = msgspec.json.decode(data)["choices"][0]["delta"]
-            parts.append(delta["content"])
-    return "".join(parts), whole, problem
-
-
 def _kind(problem: dict) -> str:
     return problem.get("type", "").rpartition(":")[2]
 
--- a/standins/hostiletable.py
+++ b/standins/hostiletable.py
@@ -53,14 +53,7 @@
             return missing.Unavailable("no reads", table)
         return self._service.scan(table, after)
 
-    def commit(
-        self, transaction: rows.Transaction
-    ) -> (
-        rows.Committed
-        | rows.Conflict
-        | missing.Unavailable
-        | missing.AnswerLost
-    ):
+    def commit(self, transaction: rows.Transaction) -> rows.Outcome:
         rival, self.before_commit = self.before_commit, lambda: None
         rival()
         fate = self.fates.popleft() if self.fates else Fate.PASS
--- a/standins/memorytable.py
+++ b/standins/memorytable.py
@@ -52,14 +52,7 @@
         )
         return rows.Scan(self._revision, found, gone)
 
-    def commit(
-        self, transaction: rows.Transaction
-    ) -> (
-        rows.Committed
-        | rows.Conflict
-        | missing.Unavailable
-        | missing.AnswerLost
-    ):
+    def commit(self, transaction: rows.Transaction) -> rows.Outcome:
         if self.faults.strikes(faults.Fault.DOWN):
             return missing.Unavailable(
                 "the table service is down", transaction.attempt
