Count members that never showed up when slots are lent

Two daemons restarted on the smaller side of a cut met each other only, and lent a team's whole limit beside the other side.

Change: the settings may say how many daemons a data centre should have; those never heard of count as silent, and their shares are lent by nobody.

--- a/src/citronvalve/peers/granting.py
+++ b/src/citronvalve/peers/granting.py
@@ -36,6 +36,7 @@
     :param standing: whether this daemon may act.
     :param invariants: where promises are asserted.
     :param first: whether there is no seed to find others by.
+    :param expected: daemons that the data centre should have, or 0.
     """
 
     def __init__(
@@ -45,9 +46,11 @@
         standing: standings.Standing,
         invariants: invariant.Invariants,
         first: bool,
+        expected: int,
     ) -> None:
         self._name = name
         self._first = first
+        self._expected = expected
         self._timing = timing
         self._standing = standing
         self._views = viewing.Views(timing.settle)
@@ -64,7 +67,8 @@
         :param known: the members that count.
         """
         if not self._standing.joining():
-            self._views.note(now, alive, known)
+            whole = share.padded(known, self._expected)
+            self._views.note(now, alive, whole)
 
     def new_life(self) -> None:
         """Drop every loan and start to wait out those of others."""
@@ -142,7 +146,8 @@
         if self.borrower.answered(key, now):
             return 0
         limit = self.lender.limit(key)
-        return share.shares(key.keeper_key, limit, known).get(self._name, 0)
+        whole = share.padded(known, self._expected)
+        return share.shares(key.keeper_key, limit, whole).get(self._name, 0)
 
     def _may_lend(self, key: loankey.LoanKey, now: clock.Ms) -> bool:
         # Without an answer the borrower falls back to its share; an answer
--- a/src/citronvalve/peers/peersettings.py
+++ b/src/citronvalve/peers/peersettings.py
@@ -10,8 +10,10 @@
 
     ``name`` is unique in the fleet.  ``address`` is ``tcp://IP:PORT``, where
     peers reach it; ``seeds`` are addresses of any other daemons, of which
-    one that answers is enough.  ``public_key`` and ``secret_key`` are the
-    fleet's CURVE pair in Z85; empty means that no keys are used.
+    one that answers is enough.  ``expected`` is how many daemons the data
+    centre should have, 0 when nobody says: a part of them that starts anew
+    behind a cut then lends no more than its part.  ``public_key`` and
+    ``secret_key`` are the fleet's CURVE pair in Z85; empty means no keys.
     """
 
     name: str
@@ -19,5 +21,6 @@
     address: str
     seeds: tuple[str, ...] = ()
     timing: timings.Timing = timings.Timing()
+    expected: int = 0
     public_key: str = ""
     secret_key: str = ""
--- a/src/citronvalve/peers/share.py
+++ b/src/citronvalve/peers/share.py
@@ -5,8 +5,26 @@
 from citronvalve.peers import rendezvous
 
 
+#: Starts the names that stand for members never heard of.
+_UNMET = "?"
+
+
+def padded(known: frozenset[str], expected: int) -> frozenset[str]:
+    """Add members that were never heard of, up to the expected number.
+
+    Two daemons that both start anew on the smaller side of a cut know only
+    each other.  The number that operators expect keeps them from taking
+    themselves for the whole data centre.
+
+    :param known: all members heard of.
+    :param expected: how many there should be; 0 when nobody says.
+    """
+    unmet = range(expected - len(known))
+    return known | {f"{_UNMET}{number}" for number in unmet}
+
+
 def shares(key: str, limit: int, known: Iterable[str]) -> dict[str, int]:
-    """Split a limit over members; the shares add up to it exactly.
+    """Split a limit over members; the shares add up to it at most.
 
     :param key: what is limited; its ranking takes the remainder.
     :param limit: slots in all.
@@ -16,6 +34,10 @@
     if not ranked:
         return {}
     each, rest = divmod(limit, len(ranked))
+    # The other side of a cut may rank real names where this one has none.
+    # The remainder then goes to that side alone.
+    if any(name.startswith(_UNMET) for name in ranked):
+        rest = 0
     return {name: each + (i < rest) for i, name in enumerate(ranked)}
 
 
--- a/src/citronvalve/peers/state.py
+++ b/src/citronvalve/peers/state.py
@@ -48,6 +48,7 @@
             self.standing,
             invariants,
             first=not set(settings.seeds) - {settings.address},
+            expected=settings.expected,
         )
         # Which data centres take loads of this one; empty means all, as in
         # a fleet of one region.
--- a/standins/memorylinks.py
+++ b/standins/memorylinks.py
@@ -87,6 +87,7 @@
         seeds: tuple[str, ...] = (),
         invariants: invariant.Invariants | None = None,
         heard: listener.Listener | None = None,
+        expected: int = 0,
     ) -> Node:
         """Start a daemon, or start one again under its old name.
 
@@ -95,9 +96,10 @@
         :param seeds: names of other daemons.
         :param invariants: where promises are asserted.
         :param heard: told of tables and loans.
+        :param expected: daemons that its data centre should have.
         """
         settings = peersettings.PeerSettings(
-            name, datacentre, name, seeds, self.timing
+            name, datacentre, name, seeds, self.timing, expected
         )
         heard = heard or listener.Listener()
         shifted = ShiftedClock(self.clock, self.rng.randrange(10**9))
--- a/tests/peers/machines.py
+++ b/tests/peers/machines.py
@@ -75,6 +75,7 @@
             seeds,
             self.CHECKS,
             Applied(self.CHECKS),
+            expected=self.MEMBERS,
         )
 
     def core(self, name):
