Wire the peers into the daemon: table, loads and membership

Cause: every daemon read the platform's table twice a second and polled every upstream; 1,600 of them would ask for more than the platform serves, and each engine would answer 1,600 polls.

Change: the daemon runs the peers' task. Two members of a data centre read the table and spread it; a daemon without a table reads until it has one. All versions come into force on one way, from any peer or the own watcher. An upstream is polled by its keeper, and by the next in rank while the keeper is silent. /status shows the peers, /metrics counts them.

--- a/src/citronvalve/daemon/daemon.py
+++ b/src/citronvalve/daemon/daemon.py
@@ -12,6 +12,7 @@
 from citronvalve.daemon import listener
 from citronvalve.daemon import loadtask
 from citronvalve.daemon import operators
+from citronvalve.daemon import peertask
 from citronvalve.daemon import settings as settings_
 from citronvalve.daemon import tabletask
 from citronvalve.entry import app
@@ -47,6 +48,7 @@
         self._stop = eventlet.event.Event()
         self._progress = progresses.Progress()
         self._view = views.View(self._env.clock, self._env.invariants)
+        self._peering = peertask.PeerTask(self._env, self._view, settings)
         kept = pools.Pools()
         self._tasks = self._make_tasks(kept)
         self._callers = listener.Listener(
@@ -55,7 +57,11 @@
         self._operators = listener.Listener(
             settings.operators,
             operators.Operators(
-                settings, self._env, self._view, self._progress
+                settings,
+                self._env,
+                self._view,
+                self._progress,
+                self._peering,
             ),
             _OPERATORS_TIMEOUT,
         )
@@ -64,6 +70,7 @@
         """Serve until SIGTERM or SIGINT, then end what is in progress."""
         signal.signal(signal.SIGTERM, self._on_signal)
         signal.signal(signal.SIGINT, self._on_signal)
+        self._peering.start()
         for task in self._tasks:
             eventlet.spawn(task.run)
         self._operators.start()
@@ -92,6 +99,7 @@
         self._callers.close()
         while self._progress.count:
             eventlet.sleep(_DRAIN_LOOK / clock.SECOND)
+        self._peering.stop()
         self._env.log.info("stopped")
 
     def _make_tasks(self, kept: pools.Pools) -> list:
@@ -99,8 +107,8 @@
         table = httptable.HttpTable(platform)
         loads = loadclient.LoadClient(kept, self._env.clock)
         return [
-            tabletask.TableTask(self._env, self._view, table),
-            loadtask.LoadTask(self._view, loads),
+            tabletask.TableTask(self._env, self._view, table, self._peering),
+            loadtask.LoadTask(self._view, loads, self._peering),
         ]
 
     def _make_app(self, kept: pools.Pools) -> app.App:
--- a/src/citronvalve/daemon/loadtask.py
+++ b/src/citronvalve/daemon/loadtask.py
@@ -2,6 +2,7 @@
 
 import eventlet
 
+from citronvalve.daemon import peertask
 from citronvalve.entry import view as views
 from citronvalve.model import clock
 from citronvalve.model import declared
@@ -12,17 +13,22 @@
 
 
 class LoadTask:
-    """Asks each upstream of its data centre, all at once, in a period.
+    """Asks the upstreams that this daemon keeps, and tells its peers.
 
-    :param view: takes the reports.
+    :param view: shows which upstreams there are.
     :param client: asks the upstreams.
+    :param peering: spreads the reports.
     """
 
     def __init__(
-        self, view: views.View, client: loadclient.LoadClient
+        self,
+        view: views.View,
+        client: loadclient.LoadClient,
+        peering: peertask.PeerTask,
     ) -> None:
         self._view = view
         self._client = client
+        self._peer = peering.peer
         # An upstream that hangs delays the reports of no other.
         self._pool = eventlet.GreenPool(256)
 
@@ -33,14 +39,18 @@
             eventlet.sleep(_EVERY / clock.SECOND)
 
     def step(self) -> None:
-        """Ask every upstream once and wait for the answers."""
+        """Ask every kept upstream once and wait for the answers."""
         table = self._view.table
         if not table:
             return
-        upstreams = list(table.upstream_by_name.values())
-        for report in self._pool.imap(self._ask, upstreams):
+        kept = [
+            upstream
+            for upstream in table.upstream_by_name.values()
+            if self._peer.polls(upstream.name, upstream.datacentre)
+        ]
+        for report in self._pool.imap(self._ask, kept):
             if isinstance(report, load.LoadReport):
-                self._view.load_by_upstream[report.upstream] = report
+                self._peer.offer_load(report)
 
     def _ask(self, upstream: declared.Upstream) -> object:
         return self._client.report(upstream.name, upstream.address)
--- a/src/citronvalve/daemon/operators.py
+++ b/src/citronvalve/daemon/operators.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from citronvalve.daemon import peertask
 from citronvalve.daemon import settings as settings_
 from citronvalve.entry import environment as environments
 from citronvalve.entry import progress as progresses
@@ -23,6 +24,7 @@
     :param env: the daemon's environment.
     :param view: the table and the loads.
     :param progress: requests in progress.
+    :param peering: the daemon among its peers.
     """
 
     def __init__(
@@ -31,7 +33,9 @@
         env: environments.Environment,
         view: views.View,
         progress: progresses.Progress,
+        peering: peertask.PeerTask,
     ) -> None:
+        self._peering = peering
         self._settings = settings
         self._env = env
         self._view = view
@@ -88,9 +92,16 @@
                 }
                 for _, report in sorted(self._view.load_by_upstream.items())
             ],
+            "peers": self._peers(),
             "invariants": self._env.invariants.count_by_name,
         }
 
+    def _peers(self) -> dict[str, Any]:
+        status = self._peering.peer.status()._asdict()
+        status["far"] = [far._asdict() for far in status["far"]]
+        status["dropped_by_reason"] = self._peering.dropped()
+        return status
+
     def _metrics(self) -> tuple[str, str, bytes]:
         show = self._env.metrics.show
         show("in_progress", "Requests in progress.", self._progress.count)
@@ -100,6 +111,17 @@
             "Time since the version was known to be the newest.",
             self._view.age / clock.SECOND,
         )
+        peers = self._peering.peer.status()
+        show("peers_alive", "Members seen alive.", len(peers.alive))
+        show("peers_suspect", "Members in doubt.", len(peers.suspect))
+        show("peer_rejoins", "Lives begun anew.", peers.rejoins)
+        show("peer_acting", "Whether it may act as keeper.", peers.acting)
+        show("table_silent", "Members yet to confirm.", len(peers.silent))
+        show(
+            "peer_messages_dropped",
+            "Messages of peers dropped, in and out.",
+            sum(self._peering.dropped().values()),
+        )
         return "200 OK", _TEXT, self._env.metrics.text()
 
     def _nothing(self) -> tuple[str, str, bytes]:
--- /dev/null
+++ b/src/citronvalve/daemon/peertask.py
@@ -0,0 +1,114 @@
+"""Connects the daemon's view of table and loads to its peers."""
+
+import msgspec
+
+from citronvalve.daemon import settings as settings_
+from citronvalve.entry import environment as environments
+from citronvalve.entry import view as views
+from citronvalve.model import load
+from citronvalve.peers import change
+from citronvalve.peers import listener
+from citronvalve.peers import peer as peers
+from citronvalve.peers import peersettings
+from citronvalve.peers import tabledelta
+from citronvalve.peers import task
+from citronvalve.platform import rows
+from citronvalve.table import delta as deltas
+from citronvalve.table import follower as followers
+
+
+class PeerTask(listener.Listener):
+    """Puts in force what any peer brings, the own watcher included.
+
+    There is one way for a version to come into force here, so a daemon
+    that reads the platform and one that hears from peers can't differ.
+
+    :param env: the daemon's environment.
+    :param view: takes the versions and the loads.
+    :param settings: the daemon's settings.
+    """
+
+    def __init__(
+        self,
+        env: environments.Environment,
+        view: views.View,
+        settings: settings_.Settings,
+    ) -> None:
+        self._env = env
+        self._view = view
+        self._follower = followers.Follower(env.invariants)
+        self.peer = peers.Peer(
+            _among_peers(settings), env.clock, env.chance, env.invariants, self
+        )
+        self._task = task.PeerTask(self.peer, env.clock)
+
+    def start(self) -> None:
+        """Listen, and start to find the others."""
+        self._task.start()
+
+    def stop(self) -> None:
+        """Say goodbye to the others."""
+        self._task.stop()
+
+    def dropped(self) -> dict[str, int]:
+        """Return how many messages were dropped, by reason."""
+        return self._task.dropped()
+
+    def offer_table(self, delta: deltas.Delta) -> None:
+        """Spread what the own watcher read.
+
+        :param delta: from the platform.
+        """
+        self.peer.offer_table(
+            tabledelta.TableDelta(
+                delta.revision, delta.base, tuple(map(_packed, delta.rows))
+            )
+        )
+
+    def trouble(self) -> str:
+        """Return why rows that arrived are not in force, if they are not."""
+        return "; ".join(map(str, self._follower.refused))
+
+    def on_table(self, delta: tabledelta.TableDelta) -> None:
+        self._follower.take(
+            deltas.Delta(
+                delta.base, delta.version, tuple(map(_opened, delta.changes))
+            )
+        )
+        if self._follower.refused or not self._follower.table:
+            return
+        if self._view.adopt(self._follower.table):
+            self._env.log.info(
+                "table in force", extra={"version": self._view.version}
+            )
+
+    def on_load(self, report: load.LoadReport) -> None:
+        self._view.load_by_upstream[report.upstream] = report
+
+    def on_new_life(self) -> None:
+        self._env.log.warning("declared dead by peers, or stopped; rejoining")
+
+
+def _among_peers(
+    settings: settings_.Settings,
+) -> peersettings.PeerSettings:
+    return peersettings.PeerSettings(
+        settings.name,
+        settings.datacentre,
+        f"tcp://{settings.peers}",
+        tuple(f"tcp://{seed}" for seed in settings.seeds),
+        expected=settings.daemons_here,
+        public_key=settings.peer_public_key,
+        secret_key=settings.peer_secret_key,
+        allowed_keys=settings.fleet_public_keys,
+    )
+
+
+def _packed(row: rows.Row) -> change.Change:
+    value = msgspec.msgpack.encode(row.value) if row.value else b""
+    return change.Change(row.table, row.key, row.version, value)
+
+
+def _opened(packed: change.Change) -> rows.Row:
+    value = msgspec.msgpack.decode(packed.value) if packed.value else {}
+    return rows.Row(packed.table, packed.key, value, packed.version)
--- a/src/citronvalve/daemon/settings.py
+++ b/src/citronvalve/daemon/settings.py
@@ -20,7 +20,9 @@
     bytes a caller may send, ``stop_notice`` ms between turning not ready
     and closing the listener, for the balancer to notice, ``write_timeout``
     ms that a caller may take no byte of its answer.  The keys are CURVE
-    keys in Z85, all three or none.
+    keys in Z85, all three or none.  ``daemons_here`` is how many daemons
+    the data centre should have, or 0: what is lent behind a cut stays within
+    a part of each limit by it.
     """
 
     name: str
@@ -36,6 +38,7 @@
     peer_public_key: str = ""
     peer_secret_key: str = ""
     fleet_public_keys: tuple[str, ...] = ()
+    daemons_here: int = 0
     log_level: str = "INFO"
 
 
@@ -52,6 +55,7 @@
 _LEVELS = ("TRACE", "DEBUG", "INFO", "NOTICE", "WARNING", "ERROR")
 _MOST_BODY = 64 * 1024 * 1024
 _HIGHEST_PORT = 65_535
+_MOST_DAEMONS_HERE = 256
 
 
 def _address(value: Any) -> bool:
@@ -98,6 +102,9 @@
     "peer_public_key": Field(_key, _Z85),
     "peer_secret_key": Field(_key, _Z85),
     "fleet_public_keys": Field(_list_of(_key), f"list keys; {_Z85}"),
+    "daemons_here": Field(
+        _number(0, _MOST_DAEMONS_HERE), f"give 0 to {_MOST_DAEMONS_HERE}"
+    ),
     "log_level": Field(_LEVELS.__contains__, f"give one of {_LEVELS}"),
 }
 
--- a/src/citronvalve/daemon/tabletask.py
+++ b/src/citronvalve/daemon/tabletask.py
@@ -1,23 +1,28 @@
-"""Brings new versions of the operators' table into force."""
+"""Reads new versions of the operators' table, when it is this one's turn."""
 
 import eventlet
 
+from citronvalve.daemon import peertask
 from citronvalve.entry import environment as environments
 from citronvalve.entry import view as views
 from citronvalve.model import clock
 from citronvalve.model import missing
 from citronvalve.platform import tableservice
-from citronvalve.table import follower as followers
 from citronvalve.table import poller as pollers
 from citronvalve.table import watcher as watchers
 
 
 class TableTask:
-    """Reads what changed in the table, and follows it.
+    """Reads what changed in the table, and spreads it.
+
+    Two members of a data centre read it: 1,600 daemons that each looked
+    twice a second would take more than the platform serves.  One that has
+    no table yet looks as well, and stops at the first.
 
     :param env: the daemon's environment.
-    :param view: takes the versions.
+    :param view: shows the version in force.
     :param table: the platform's table service.
+    :param peering: brings versions into force, here and elsewhere.
     """
 
     def __init__(
@@ -25,14 +30,15 @@
         env: environments.Environment,
         view: views.View,
         table: tableservice.TableService,
+        peering: peertask.PeerTask,
     ) -> None:
         self._env = env
         self._view = view
+        self._peering = peering
         self._watcher = watchers.Watcher(
             watchers.Timing(), env.chance, env.invariants
         )
         self._poller = pollers.Poller(table, self._watcher, env.clock)
-        self._follower = followers.Follower(env.invariants)
         self._trouble = ""
 
     def run(self) -> None:
@@ -42,20 +48,26 @@
             eventlet.sleep(self._watcher.wait() / clock.SECOND)
 
     def step(self) -> None:
-        """Read once."""
+        """Read once, if it is this daemon's turn."""
+        peer = self._peering.peer
+        if peer.is_watcher() or not self._view.table:
+            self._watcher.skip_to(peer.table_version())
+            self._read()
+        confirmed_at = peer.table_confirmed_at()
+        if confirmed_at is not None:
+            self._view.confirm(confirmed_at)
+
+    def _read(self) -> None:
+        asked_at = self._env.clock.now()
         told = self._poller.poll()
         if missing.is_missing(told):
             self._note(told.reason)
             return
         if told is not None:
-            self._follower.take(told)
-        self._note("; ".join(map(str, self._follower.refused)))
-        if self._trouble or not self._follower.table:
-            return
-        if self._view.adopt(self._follower.table):
-            self._env.log.info(
-                "table in force", extra={"version": self._view.version}
-            )
+            self._peering.offer_table(told)
+        if self._peering.peer.table_version() == self._watcher.revision:
+            self._peering.peer.confirm_table(asked_at)
+        self._note(self._peering.trouble())
 
     def _note(self, trouble: str) -> None:
         # One line when it begins and one when it ends: an hour's outage
--- a/src/citronvalve/entry/view.py
+++ b/src/citronvalve/entry/view.py
@@ -44,6 +44,13 @@
         """Return ms since the version was last known to be the newest."""
         return self._clock.now() - self._confirmed_at
 
+    def confirm(self, at: clock.Ms) -> None:
+        """Note that the version in force was the newest at a moment.
+
+        :param at: monotonic ms.
+        """
+        self._confirmed_at = max(self._confirmed_at, at)
+
     def adopt(self, table: declared.Declared) -> bool:
         """Put a version in force, unless it is an old one.
 
--- a/src/citronvalve/peers/core.py
+++ b/src/citronvalve/peers/core.py
@@ -4,6 +4,7 @@
 
 from citronvalve.model import clock
 from citronvalve.model import invariant
+from citronvalve.model import load
 from citronvalve.peers import ask as asks
 from citronvalve.peers import codec
 from citronvalve.peers import confirmation as confirmations
@@ -12,6 +13,7 @@
 from citronvalve.peers import gossiper
 from citronvalve.peers import lent as lents
 from citronvalve.peers import listener as listeners
+from citronvalve.peers import loadrumor
 from citronvalve.peers import member as members
 from citronvalve.peers import notice as notices
 from citronvalve.peers import outgoing
@@ -141,6 +143,14 @@
         """
         return self._sync.offer(delta)
 
+    def offer_load(self, report: load.LoadReport) -> None:
+        """Take in a load that this daemon measured.
+
+        :param report: of an upstream that it keeps.
+        """
+        self.state.loads.offer(report)
+        self._listener.on_load(report)
+
     def confirmation(self, version: int) -> confirmations.Confirmation:
         """Return who has confirmed a version of the table.
 
@@ -182,12 +192,14 @@
         near = sender.datacentre == state.settings.datacentre
         if near:
             self._merge(message, now)
+        self._sync.hear_age(message, now)
         for summary in message.summaries:
             state.remote.hear(summary, now)
             if summary.datacentre == state.settings.datacentre:
                 self.schedule.add_seeds([c.address for c in summary.contacts])
         for rumor in message.loads:
-            state.loads.hear(rumor, now, far=not near)
+            if state.loads.hear(rumor, now, far=self._is_far(rumor)):
+                self._listener.on_load(state.loads.report(rumor.upstream))
         for fact in message.crashes:
             state.crashes.hear(fact, now)
         if message.page is not None:
@@ -195,6 +207,9 @@
         out = self._sync.ask(sender, message.version)
         return out + self._replies(sender, message, near, now)
 
+    def _is_far(self, rumor: loadrumor.LoadRumor) -> bool:
+        return rumor.keeper not in self.state.membership.member_by_name
+
     def _merge(self, message: gossips.Gossip, now: clock.Ms) -> None:
         state = self.state
         own = state.settings.name
--- a/src/citronvalve/peers/gatekeeper.py
+++ b/src/citronvalve/peers/gatekeeper.py
@@ -1,5 +1,7 @@
 """Lets in only those peers that hold the fleet's own key."""
 
+from collections.abc import Iterable
+
 import eventlet
 from eventlet.green import zmq
 from zmq.utils import z85
@@ -16,11 +18,11 @@
     since its public one is the fleet's.
 
     :param context: the context of the sockets to guard.
-    :param public_key: the fleet's public key in Z85.
+    :param keys: the public keys in Z85 that are let in.
     """
 
-    def __init__(self, context: zmq.Context, public_key: str) -> None:
-        self._key = z85.decode(public_key.encode())
+    def __init__(self, context: zmq.Context, keys: Iterable[str]) -> None:
+        self._keys = {z85.decode(key.encode()) for key in keys}
         self._socket = context.socket(zmq.REP)
         self._socket.setsockopt(zmq.LINGER, 0)
         self._socket.bind(_ENDPOINT)
@@ -39,7 +41,7 @@
 
     def _answer(self, frames: list[bytes]) -> list[bytes]:
         version, request = frames[0], frames[1]
-        known = frames[5] == b"CURVE" and frames[6] == self._key
+        known = frames[5] == b"CURVE" and frames[6] in self._keys
         if known:
             return [version, request, b"200", b"OK", b"fleet", b""]
         self.refused += 1
--- a/src/citronvalve/peers/gossip.py
+++ b/src/citronvalve/peers/gossip.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from citronvalve.model import clock
 from citronvalve.peers import beat
 from citronvalve.peers import crashfact
 from citronvalve.peers import loadrumor
@@ -9,6 +10,9 @@
 from citronvalve.peers import summary
 from citronvalve.peers import tablepage
 
+#: An age of nothing that ever happened.
+NEVER: clock.Ms = -1
+
 
 class Gossip(NamedTuple):
     """A batch of news; every part is bounded in number.
@@ -16,6 +20,7 @@
     ``echo``: the receiver's life that the sender knows, 0 for none.
     ``version``, ``digest``: the sender's table.
     ``roster``: digest of the members that the sender sees; 0 is not told.
+    ``table_age``: ms since a watcher found this version to be the newest.
     ``reply``: whether the sender needs an answer at once.
     """
 
@@ -24,6 +29,7 @@
     digest: int
     roster: int = 0
     reply: bool = False
+    table_age: clock.Ms = NEVER
     members: tuple[member.Member, ...] = ()
     beats: tuple[beat.Beat, ...] = ()
     loads: tuple[loadrumor.LoadRumor, ...] = ()
--- a/src/citronvalve/peers/gossiper.py
+++ b/src/citronvalve/peers/gossiper.py
@@ -72,6 +72,7 @@
                 _SUMMARIES, lambda name: state.remote.rumor(name, now)
             ),
             page=self._page(held.version if held is not None else 0),
+            table_age=self._table_age(now),
         )
 
     def roster(self, target: str, now: clock.Ms) -> gossip.Gossip:
@@ -105,6 +106,7 @@
             crashes=state.crashes.facts(now)[-_CRASHES_ABROAD:],
             summaries=(self.summary(),),
             page=self._page(held.version if held is not None else 0),
+            table_age=self._table_age(now),
         )
 
     def introduction(self, now: clock.Ms) -> gossip.Gossip:
@@ -140,6 +142,10 @@
             tuple(summaries.Contact(m.name, m.address) for m in chosen),
         )
 
+    def _table_age(self, now: clock.Ms) -> clock.Ms:
+        at = self._state.table.confirmed_at
+        return gossip.NEVER if at is None else max(0, now - at)
+
     def _beats(self) -> tuple[beat.Beat, ...]:
         # The own heartbeat is in every message: others may have stopped
         # telling of it, and an answer to a suspicion without it says
--- a/src/citronvalve/peers/listener.py
+++ b/src/citronvalve/peers/listener.py
@@ -1,5 +1,6 @@
 """What the rest of the daemon hears from the peers."""
 
+from citronvalve.model import load
 from citronvalve.peers import loan
 from citronvalve.peers import tabledelta
 
@@ -22,5 +23,11 @@
         :param granted: it replaces the last loan of its key.
         """
 
+    def on_load(self, report: load.LoadReport) -> None:
+        """A newer load of an upstream is known, measured here or told.
+
+        :param report: in own time.
+        """
+
     def on_new_life(self) -> None:
         """This daemon had been declared dead; it keeps nothing now."""
--- a/src/citronvalve/peers/loadbook.py
+++ b/src/citronvalve/peers/loadbook.py
@@ -57,6 +57,14 @@
             name: held.report for name, held in self._held_by_upstream.items()
         }
 
+    def report(self, name: str) -> load.LoadReport | None:
+        """Return the newest report of an upstream, or ``None``.
+
+        :param name: the upstream.
+        """
+        held = self._held_by_upstream.get(name)
+        return held.report if held is not None else None
+
     def offer(self, report: load.LoadReport) -> None:
         """Take in an own measurement.
 
--- a/src/citronvalve/peers/membership.py
+++ b/src/citronvalve/peers/membership.py
@@ -198,6 +198,11 @@
             if beat == held.beat:
                 self.beats.heard(held.name)
             return False
+        self._invariants.hold(
+            "a dead incarnation does not come back",
+            held.state in _ALIVE,
+            f"{held}",
+        )
         self.member_by_name[held.name] = held._replace(
             beat=beat,
             version=max(version, held.version),
--- a/src/citronvalve/peers/peer.py
+++ b/src/citronvalve/peers/peer.py
@@ -15,6 +15,7 @@
 from citronvalve.peers import member
 from citronvalve.peers import peersettings
 from citronvalve.peers import rendezvous
+from citronvalve.peers import share
 from citronvalve.peers import status as statuses
 from citronvalve.peers import tabledelta
 
@@ -86,12 +87,29 @@
         """
         return self.is_acting() and (self.keeper_of(key) == self.settings.name)
 
-    def keeps_upstream(self, name: str) -> bool:
-        """Tell whether this daemon polls an upstream of its data centre.
+    def polls(self, upstream: str, datacentre: str) -> bool:
+        """Tell whether this daemon asks an upstream for its load.
 
-        :param name: the upstream.
+        The members of its data centre share that out; where no daemon is,
+        every other data centre looks for itself.  While the keeper is
+        silent the next in rank asks too: reports would otherwise grow old
+        and a healthy upstream get no work until the keeper's death.
+
+        :param upstream: the upstream.
+        :param datacentre: where it stands.
         """
-        return self.keeps(f"upstream/{name}")
+        if not self.is_acting():
+            return False
+        state = self._state
+        home = self.settings.datacentre
+        if datacentre != home and datacentre in state.remote.names():
+            return False
+        suspects = set(state.membership.suspects())
+        ranked = rendezvous.rank(
+            f"upstream/{upstream}", state.membership.alive()
+        )
+        own = ranked.index(self.settings.name)
+        return all(name in suspects for name in ranked[:own])
 
     def is_watcher(self) -> bool:
         """Tell whether this daemon reads the platform's table."""
@@ -113,6 +131,35 @@
         """
         return self.core.offer_table(delta)
 
+    def confirm_table(self, at: clock.Ms) -> None:
+        """Note that the platform had nothing newer.
+
+        :param at: monotonic ms at which it was asked.
+        """
+        self._state.table.confirm(at)
+
+    def table_confirmed_at(self) -> clock.Ms | None:
+        """Return when the version was last known to be the newest.
+
+        It is monotonic ms, or None when no watcher ever said so.
+        """
+        return self._state.table.confirmed_at
+
+    def place(self) -> share.Place:
+        """Return this daemon's place among all that share the upstreams."""
+        state = self._state
+        mates = sorted(state.membership.alive())
+        far = {
+            s.datacentre: s.members for s in state.remote.all(0) if s.members
+        }
+        before = sum(
+            count
+            for name, count in far.items()
+            if name < self.settings.datacentre
+        )
+        rank = before + mates.index(self.settings.name)
+        return share.Place(rank, len(mates) + sum(far.values()))
+
     def confirmation(self, version: int) -> confirmation.Confirmation:
         """Return who has confirmed a version of the table.
 
@@ -125,7 +172,7 @@
 
         :param report: of an upstream that it keeps.
         """
-        self._state.loads.offer(report)
+        self.core.offer_load(report)
 
     def loads(self) -> dict[str, load.LoadReport]:
         """Return the newest report of each upstream, in own time."""
--- a/src/citronvalve/peers/peersettings.py
+++ b/src/citronvalve/peers/peersettings.py
@@ -14,6 +14,7 @@
     centre should have, 0 when nobody says: a part of them that starts anew
     behind a cut then lends no more than its part.  ``public_key`` and
     ``secret_key`` are the fleet's CURVE pair in Z85; empty means no keys.
+    ``allowed_keys`` are let in beside it, while the pair is being changed.
     """
 
     name: str
@@ -24,3 +25,4 @@
     expected: int = 0
     public_key: str = ""
     secret_key: str = ""
+    allowed_keys: tuple[str, ...] = ()
--- a/src/citronvalve/peers/share.py
+++ b/src/citronvalve/peers/share.py
@@ -1,10 +1,18 @@
 """The fixed share of a limit that each known member stands for."""
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from citronvalve.peers import rendezvous
 
 
+class Place(NamedTuple):
+    """A daemon's rank among all that share something, and their number."""
+
+    rank: int
+    members: int
+
+
 #: Starts the names that stand for members never heard of.
 _UNMET = "?"
 
--- a/src/citronvalve/peers/standing.py
+++ b/src/citronvalve/peers/standing.py
@@ -18,6 +18,7 @@
     :param clock_: the clock.
     :param timing: the fleet's spans.
     :param invariants: where promises are asserted.
+    :param first: whether there is no seed to find others by.
     :ivar met: whether any peer was ever heard; a daemon that started while
         all its seeds were out of reach can't know what others hold.
     """
@@ -27,7 +28,9 @@
         clock_: clock.Clock,
         timing: timings.Timing,
         invariants: invariant.Invariants,
+        first: bool = False,
     ) -> None:
+        self._first = first
         self._clock = clock_
         self._timing = timing
         self._invariants = invariants
@@ -77,10 +80,17 @@
             self.buried(self.incarnation)
             return True
         waited = self._clock.now() - self._began
-        if self.joining() and not others and waited >= self._timing.alone:
+        if self.joining() and not others and waited >= self._patience():
             self._known_since = self._clock.now()
         return False
 
+    def _patience(self) -> clock.Ms:
+        # Without seeds there is nobody to wait for.  A peer abroad that
+        # answered would have told of members here.
+        if self._first:
+            return 0
+        return self._timing.alone // (2 if self.met else 1)
+
     def echoed(self, incarnation: int) -> None:
         """A peer answered to a life of this daemon.
 
--- a/src/citronvalve/peers/state.py
+++ b/src/citronvalve/peers/state.py
@@ -36,7 +36,8 @@
         self.clock = clock_
         self.rng = rng
         self.invariants = invariants
-        self.standing = standing.Standing(clock_, timing, invariants)
+        first = not set(settings.seeds) - {settings.address}
+        self.standing = standing.Standing(clock_, timing, invariants, first)
         self.membership = membership.Membership(timing, invariants)
         self.remote = remote.Remote(settings.datacentre)
         self.table = tablecopy.TableCopy(invariants)
@@ -47,7 +48,7 @@
             timing,
             self.standing,
             invariants,
-            first=not set(settings.seeds) - {settings.address},
+            first=first,
             expected=settings.expected,
         )
         # Which data centres take loads of this one; empty means all, as in
--- a/src/citronvalve/peers/tablecopy.py
+++ b/src/citronvalve/peers/tablecopy.py
@@ -6,6 +6,7 @@
 
 import xxhash
 
+from citronvalve.model import clock
 from citronvalve.model import invariant
 from citronvalve.peers import change as changes
 from citronvalve.peers import tabledelta
@@ -49,6 +50,15 @@
         # since the fault may lie in a row held here.
         self._whole = False
         self.refused = 0
+        self.confirmed_at: clock.Ms | None = None
+
+    def confirm(self, at: clock.Ms) -> None:
+        """Note that the version was the newest at a moment.
+
+        :param at: monotonic ms.
+        """
+        if self.confirmed_at is None or at > self.confirmed_at:
+            self.confirmed_at = at
 
     def apply(self, delta: tabledelta.TableDelta) -> bool:
         """Take a delta in whole; tell whether the version rose.
--- a/src/citronvalve/peers/tablesync.py
+++ b/src/citronvalve/peers/tablesync.py
@@ -4,6 +4,7 @@
 
 from citronvalve.model import clock
 from citronvalve.peers import envelope
+from citronvalve.peers import gossip
 from citronvalve.peers import listener as listeners
 from citronvalve.peers import outgoing
 from citronvalve.peers import state as states
@@ -56,6 +57,20 @@
         if self._state.table.take(page):
             self._on_risen(before)
 
+    def hear_age(self, message: gossip.Gossip, now: clock.Ms) -> None:
+        """Learn from a peer that this version was the newest lately.
+
+        :param message: what the peer told.
+        :param now: monotonic time in ms.
+        """
+        table = self._state.table
+        same = (message.version, message.digest) == (
+            table.version,
+            table.digest,
+        )
+        if same and message.table_age != gossip.NEVER:
+            table.confirm(now - message.table_age)
+
     def ask(self, sender: envelope.Sender, version: int) -> _Out:
         """Ask a peer for what is missing here, one peer at a time.
 
--- a/src/citronvalve/peers/task.py
+++ b/src/citronvalve/peers/task.py
@@ -41,7 +41,8 @@
         settings = self._peer.settings
         if settings.secret_key:
             self._gatekeeper = gatekeeper.Gatekeeper(
-                self._sockets.context, settings.public_key
+                self._sockets.context,
+                (settings.public_key, *settings.allowed_keys),
             )
         self._sockets.bind()
         self._threads = [
--- a/src/citronvalve/peers/timing.py
+++ b/src/citronvalve/peers/timing.py
@@ -40,7 +40,7 @@
     renew: clock.Ms = 2_000
     repair: clock.Ms = 1_000
     relay: clock.Ms = 1_000
-    refresh: clock.Ms = 5_000
+    refresh: clock.Ms = 1_000
     forget: clock.Ms = 60_000
 
     @property
