--- a/src/citronvalve/daemon/tabletask.py
+++ b/src/citronvalve/daemon/tabletask.py
@@ -1,32 +1,34 @@
-"""Brings new versions of the operators' table into force."""
+"""Reads new versions of the operators' table, when it is this one's turn."""
 
 import eventlet
 
-from citronvalve.daemon import spreading as spreadings
+from citronvalve.daemon import peertask
 from citronvalve.entry import environment as environments
 from citronvalve.entry import view as views
 from citronvalve.model import clock
 from citronvalve.model import missing
 from citronvalve.platform import tableservice
-from citronvalve.table import delta as deltas
-from citronvalve.table import follower as followers
 from citronvalve.table import poller as pollers
 from citronvalve.table import watcher as watchers
 
+
 #: A daemon that is no watcher looks this often all the same, so that one
 #: whose peers can't reach it still gets an edit within 9 s.  At 1,600
 #: daemons these are 200 reads a second of the 2,000 that the platform serves.
-REST: clock.Ms = 8_000
+_REST: clock.Ms = 8_000
 
 
 class TableTask:
-    """Reads what changed in the table, and follows it.
+    """Reads what changed in the table, and spreads it.
+
+    Two members of a data centre read it: 1,600 daemons that each looked
+    twice a second would take more than the platform serves.  One that has
+    no table yet looks as well.
 
     :param env: the daemon's environment.
-    :param view: takes the versions.
+    :param view: shows the version in force.
     :param table: the platform's table service.
-    :param spreading: the way to and from the other daemons.
-    :ivar trouble: why the newest version is not read or not in force.
+    :param peering: brings versions into force, here and elsewhere.
     """
 
     def __init__(
@@ -34,71 +36,58 @@
         env: environments.Environment,
         view: views.View,
         table: tableservice.TableService,
-        spreading: spreadings.Spreading,
+        peering: peertask.PeerTask,
     ) -> None:
         self._env = env
         self._view = view
+        self._peering = peering
         self._watcher = watchers.Watcher(
             watchers.Timing(), env.chance, env.invariants
         )
         self._poller = pollers.Poller(table, self._watcher, env.clock)
-        self._follower = followers.Follower(env.invariants)
-        self._spreading = spreading
         self._looked_at: clock.Ms | None = None
-        self.trouble = ""
-        spreading.on_delta = self.take
+        self._trouble = ""
 
     def run(self) -> None:
         """Read for ever."""
         while True:
-            if self._is_due():
-                self.step()
+            self.step()
             eventlet.sleep(self._watcher.wait() / clock.SECOND)
 
     def step(self) -> None:
-        """Look once."""
-        self._looked_at = self._env.clock.now()
-        # Peers may have brought newer rows than the last look did.
-        self._watcher.skip_to(self._follower.revision)
+        """Read once, if it is this daemon's turn."""
+        peer = self._peering.peer
+        if self._is_due():
+            self._watcher.skip_to(peer.table_version())
+            self._read()
+        confirmed_at = peer.table_confirmed_at()
+        if confirmed_at is not None:
+            self._view.confirm(confirmed_at)
+
+    def _is_due(self) -> bool:
+        if self._looked_at is None or not self._view.table:
+            return True
+        rested = self._env.clock.now() - self._looked_at >= _REST
+        return rested or self._peering.peer.is_watcher()
+
+    def _read(self) -> None:
+        asked_at = self._looked_at = self._env.clock.now()
         told = self._poller.poll()
         if missing.is_missing(told):
             self._note(told.reason)
             return
         if told is not None:
-            self._spreading.offer(told)
-        self._note("; ".join(map(str, self._follower.refused)))
-        if not self.trouble and self._follower.table:
-            # The platform has no newer version: the age starts anew.
-            self._adopt()
-
-    def take(self, delta: deltas.Delta) -> None:
-        """Follow a delta.
-
-        :param delta: of the platform or of a peer.
-        """
-        taken = self._follower.take(delta)
-        if isinstance(taken, missing.Stale):
-            self._env.log.error("table rows lost", extra={"why": taken.reason})
-        elif taken:
-            self._adopt()
-
-    def _is_due(self) -> bool:
-        if self._looked_at is None or self._spreading.is_watcher():
-            return True
-        return self._env.clock.now() - self._looked_at >= REST
-
-    def _adopt(self) -> None:
-        if self._view.adopt(self._follower.table):
-            self._env.log.info(
-                "table in force", extra={"version": self._view.version}
-            )
+            self._peering.offer_table(told)
+        if self._peering.peer.table_version() == self._watcher.revision:
+            self._peering.peer.confirm_table(asked_at)
+        self._note(self._peering.trouble())
 
     def _note(self, trouble: str) -> None:
         # One line when it begins and one when it ends: an hour's outage
         # would else fill the log with one line a look.
-        if bool(trouble) != bool(self.trouble):
+        if bool(trouble) != bool(self._trouble):
             if trouble:
                 self._env.log.warning("table not read", extra={"why": trouble})
             else:
                 self._env.log.notice("table read again")
-        self.trouble = trouble
+        self._trouble = trouble
