--- a/src/citronvalve/cli/daemons.py
+++ b/src/citronvalve/cli/daemons.py
@@ -3,7 +3,8 @@
 from collections.abc import Iterable
 import concurrent.futures
 import os
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
 import msgspec
 import urllib3
--- a/src/citronvalve/cli/status.py
+++ b/src/citronvalve/cli/status.py
@@ -1,7 +1,8 @@
 """Shows how far the committed table is in force."""
 
 import time
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
 from citronvalve.cli import daemons
 from citronvalve.cli import exitcode
--- a/src/citronvalve/groups/book.py
+++ b/src/citronvalve/groups/book.py
@@ -1,6 +1,7 @@
 """The rows of a data centre's groups, as last read from the table."""
 
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
 import msgspec
 
--- a/src/citronvalve/peers/codec.py
+++ b/src/citronvalve/peers/codec.py
@@ -1,7 +1,8 @@
 """Turns messages into bytes and back; what does not fit is junk."""
 
 import collections
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
 import msgspec
 
--- a/src/citronvalve/peers/outgoing.py
+++ b/src/citronvalve/peers/outgoing.py
@@ -1,6 +1,7 @@
 """A message on its way out."""
 
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
 
 class Outgoing(NamedTuple):
--- a/src/citronvalve/table/columns.py
+++ b/src/citronvalve/table/columns.py
@@ -5,7 +5,8 @@
 import re
 import types
 import typing
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
 import msgspec
 
--- a/src/citronvalve/table/document.py
+++ b/src/citronvalve/table/document.py
@@ -2,7 +2,8 @@
 
 import difflib
 import json
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
 import json5
 
--- a/src/citronvalve/table/edit.py
+++ b/src/citronvalve/table/edit.py
@@ -1,6 +1,7 @@
 """Edits of the table, and what may come of them."""
 
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
 from citronvalve.model import clock
 from citronvalve.model import missing
--- a/src/citronvalve/table/kinds.py
+++ b/src/citronvalve/table/kinds.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable
 import typing
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
 from citronvalve.model import declared
 from citronvalve.table import bounds
--- a/src/citronvalve/table/mistake.py
+++ b/src/citronvalve/table/mistake.py
@@ -1,6 +1,7 @@
 """One thing that is wrong with a declaration."""
 
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
 from citronvalve.model import errors
 
--- a/src/citronvalve/table/state.py
+++ b/src/citronvalve/table/state.py
@@ -1,6 +1,7 @@
 """The stored rows of the table at one version, and how changes fold in."""
 
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
 from citronvalve.platform import rows
 from citronvalve.table import layout
--- a/src/citronvalve/table/typed.py
+++ b/src/citronvalve/table/typed.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
 from citronvalve.model import declared
 from citronvalve.table import columns
--- a/tests/machinery.py
+++ b/tests/machinery.py
@@ -3,17 +3,20 @@
 import hypothesis
 from hypothesis import stateful
 
+from tests import soak
+
 #: Enough to take every rule in every order of three, within seconds.
 _EXAMPLES = 60
 _STEPS = 40
 
 
-def run(machine: type[stateful.RuleBasedStateMachine]) -> dict[str, int]:
+def run(name: str) -> dict[str, int]:
     """Run a machine on a fixed seed.
 
-    :param machine: one of an area's ``MACHINES``.
+    :param name: of one of an area's ``MACHINES``.
     :return: how often each promise was looked at.
     """
+    (machine,) = soak.machines(name)
     stateful.run_state_machine_as_test(
         machine,
         settings=hypothesis.settings(
