--- a/src/citronvalve/peers/granting.py
+++ b/src/citronvalve/peers/granting.py
@@ -138,7 +138,9 @@
         :param known: the members that count.
         :param now: monotonic time in ms.
         """
-        if not self._standing.acting():
+        # Right after a stop the monotonic clock may not have moved, and a
+        # loan that has run out for its keeper would look good here.
+        if self._standing.paused():
             return 0
         held = self.borrower.held(key, now)
         if held or key.kind is not loankey.LoanKind.TEAM:
--- a/src/citronvalve/peers/standing.py
+++ b/src/citronvalve/peers/standing.py
@@ -64,6 +64,10 @@
         )
         return True
 
+    def paused(self) -> bool:
+        """Tell whether the process was just stopped for a while."""
+        return self._pause.paused()
+
     def joining(self) -> bool:
         """Tell whether peers have yet to answer to this life."""
         return self._known_since is None
