--- a/src/citronvalve/peers/borrower.py
+++ b/src/citronvalve/peers/borrower.py
@@ -103,11 +103,20 @@
     def held(self, key: loankey.LoanKey, now: clock.Ms) -> int:
         """Return how many slots are lent at this moment.
 
+        :param key: the limit.
+        :param now: monotonic time in ms.
+        """
+        loan = self.loan(key, now)
+        return loan.slots if loan is not None else 0
+
+    def loan(self, key: loankey.LoanKey, now: clock.Ms) -> loans.Loan | None:
+        """Return the loan in force, even one of no slots, or None.
+
         :param key: the limit.
         :param now: monotonic time in ms.
         """
         loan = self._loan_by_key.get(key)
-        return loan.slots if loan is not None and loan.until > now else 0
+        return loan if loan is not None and loan.until > now else None
 
     def answered(self, key: loankey.LoanKey, now: clock.Ms) -> bool:
         """Tell whether a keeper lately said how much it lends, even none.
@@ -115,8 +124,7 @@
         :param key: the limit.
         :param now: monotonic time in ms.
         """
-        loan = self._loan_by_key.get(key)
-        return loan is not None and loan.until > now
+        return self.loan(key, now) is not None
 
     def clear(self) -> None:
         """Drop all loans: a life that is over holds none."""
--- a/src/citronvalve/peers/granting.py
+++ b/src/citronvalve/peers/granting.py
@@ -151,6 +151,16 @@
         whole = share.padded(known, self._expected)
         return share.shares(key.keeper_key, limit, whole).get(self._name, 0)
 
+    def loan(self, key: loankey.LoanKey, now: clock.Ms) -> loans.Loan | None:
+        """Return the loan in force, or None.
+
+        :param key: the limit.
+        :param now: monotonic time in ms.
+        """
+        if self._standing.paused():
+            return None
+        return self.borrower.loan(key, now)
+
     def _may_lend(self, key: loankey.LoanKey, now: clock.Ms) -> bool:
         # Without an answer the borrower falls back to its share; an answer
         # of none would leave a team with nothing while the keeper settles.
--- a/src/citronvalve/peers/peer.py
+++ b/src/citronvalve/peers/peer.py
@@ -4,13 +4,14 @@
 
 from citronvalve.model import clock
 from citronvalve.model import invariant
-from citronvalve.model import load
+from citronvalve.model import load as loads_
 from citronvalve.peers import change
 from citronvalve.peers import codec as codecs
 from citronvalve.peers import confirmation
 from citronvalve.peers import core as cores
 from citronvalve.peers import crashfact
 from citronvalve.peers import listener as listeners
+from citronvalve.peers import loan
 from citronvalve.peers import loankey
 from citronvalve.peers import member
 from citronvalve.peers import peersettings
@@ -167,14 +168,14 @@
         """
         return self.core.confirmation(version)
 
-    def offer_load(self, report: load.LoadReport) -> None:
+    def offer_load(self, report: loads_.LoadReport) -> None:
         """Spread a load that this daemon measured.
 
         :param report: of an upstream that it keeps.
         """
         self.core.offer_load(report)
 
-    def loads(self) -> dict[str, load.LoadReport]:
+    def loads(self) -> dict[str, loads_.LoadReport]:
         """Return the newest report of each upstream, in own time."""
         return self._state.loads.reports()
 
@@ -229,6 +230,28 @@
             key, self._state.membership.known(), self._clock.now()
         )
 
+    def loan(self, key: loankey.LoanKey) -> loan.Loan | None:
+        """Return the loan in force, or None.
+
+        :param key: the limit.
+        """
+        return self._state.grants.loan(key, self._clock.now())
+
+    def lends_for(self, datacentre: str) -> bool:
+        """Tell whether cold upstreams of a data centre are lent from here.
+
+        Keepers are members of the upstream's own data centre, or there
+        would be one keeper in each.  Where no daemon is, one of the others
+        stands in.
+
+        :param datacentre: where an upstream stands.
+        """
+        home = self.settings.datacentre
+        others = self._state.remote.names()
+        if datacentre in (home, *others):
+            return datacentre == home
+        return rendezvous.first(f"home/{datacentre}", (home, *others)) == home
+
     def hint_vms(self, addresses: list[str]) -> None:
         """Take addresses of daemons from the platform's lagging list.
 
