--- a/src/citronvalve/peers/granting.py
+++ b/src/citronvalve/peers/granting.py
@@ -138,7 +138,9 @@
         :param known: the members that count.
         :param now: monotonic time in ms.
         """
-        if not self._standing.acting():
+        # Right after a stop the monotonic clock may not have moved, and a
+        # loan that has run out for its keeper would look good here.
+        if self._standing.paused():
             return 0
         held = self.borrower.held(key, now)
         if held or key.kind is not loankey.LoanKind.TEAM:
@@ -149,11 +151,25 @@
         whole = share.padded(known, self._expected)
         return share.shares(key.keeper_key, limit, whole).get(self._name, 0)
 
+    def loan(self, key: loankey.LoanKey, now: clock.Ms) -> loans.Loan | None:
+        """Return the loan in force, or None.
+
+        :param key: the limit.
+        :param now: monotonic time in ms.
+        """
+        if self._standing.paused():
+            return None
+        return self.borrower.loan(key, now)
+
     def _may_lend(self, key: loankey.LoanKey, now: clock.Ms) -> bool:
         # Without an answer the borrower falls back to its share; an answer
         # of none would leave a team with nothing while the keeper settles.
         if not self.lender.limit(key):
             return False
+        # Where operators say that one daemon is all there is, no other
+        # can have lent.
+        if self._expected == 1 and len(self._views.known()) == 1:
+            return True
         # A daemon that started on the far side of a cut knows of nobody,
         # and would take itself for the whole data centre.
         if not (self._standing.met or self._first):
--- a/src/citronvalve/peers/standing.py
+++ b/src/citronvalve/peers/standing.py
@@ -18,7 +18,7 @@
     :param clock_: the clock.
     :param timing: the fleet's spans.
     :param invariants: where promises are asserted.
-    :param first: whether there is no seed to find others by.
+    :param first: whether there is nobody here to wait for.
     :ivar met: whether any peer was ever heard; a daemon that started while
         all its seeds were out of reach can't know what others hold.
     """
@@ -64,6 +64,10 @@
         )
         return True
 
+    def paused(self) -> bool:
+        """Tell whether the process was just stopped for a while."""
+        return self._pause.paused()
+
     def joining(self) -> bool:
         """Tell whether peers have yet to answer to this life."""
         return self._known_since is None
