Wire the groups into the daemon

Cause: declared group rows made no groups; requests could go to declared upstreams only. Ruled out: watching and leading in one loop (a slow platform would let the states of serving groups go stale).

--- a/src/citronvalve/daemon/daemon.py
+++ b/src/citronvalve/daemon/daemon.py
@@ -9,6 +9,7 @@
 import logbook
 
 from citronvalve.daemon import firstfit
+from citronvalve.daemon import grouptask
 from citronvalve.daemon import listener
 from citronvalve.daemon import loadtask
 from citronvalve.daemon import operators
@@ -28,6 +29,7 @@
 from citronvalve.model import invariant
 from citronvalve.platform import client as platform_client
 from citronvalve.platform import httptable
+from citronvalve.platform import httpvms
 from citronvalve.upstreams import engineclient
 from citronvalve.upstreams import loadclient
 from citronvalve.upstreams import plainclient
@@ -104,6 +106,7 @@
         while self._progress.count:
             eventlet.sleep(_DRAIN_LOOK / clock.SECOND)
         self._record.drain()
+        self._grouping.stop()
         self._peering.stop()
         self._env.log.info("stopped")
 
@@ -112,7 +115,15 @@
     ) -> list:
         table = httptable.HttpTable(platform)
         loads = loadclient.LoadClient(kept, self._env.clock)
+        self._grouping = grouptask.GroupTask(
+            self._env,
+            self._view,
+            self._settings,
+            table,
+            httpvms.HttpVms(platform),
+        )
         return [
+            self._grouping,
             tabletask.TableTask(self._env, self._view, table, self._peering),
             loadtask.LoadTask(self._view, loads, self._peering),
             self._record,
--- a/src/citronvalve/daemon/firstfit.py
+++ b/src/citronvalve/daemon/firstfit.py
@@ -39,7 +39,12 @@
             return _nowhere(work)
         chosen = min(fit, key=lambda u: (self._running[u.name], u.name))
         self._running[chosen.name] += 1
-        return dispatches.Placement(work, chosen.name, chosen.address)
+        return dispatches.Placement(
+            work,
+            chosen.name,
+            chosen.address,
+            self._view.fence(chosen.name),
+        )
 
     def release(
         self, placement: dispatches.Placement, ending: dispatches.Ending
@@ -52,7 +57,7 @@
             return []
         return [
             upstream
-            for upstream in table.upstream_by_name.values()
+            for upstream in self._view.upstreams()
             if work.target in upstream.serves
             and upstream.state is declared.Service.IN
             and self._alive(upstream)
--- a/src/citronvalve/daemon/loadtask.py
+++ b/src/citronvalve/daemon/loadtask.py
@@ -40,17 +40,24 @@
 
     def step(self) -> None:
         """Ask every kept upstream once and wait for the answers."""
-        table = self._view.table
-        if not table:
-            return
         kept = [
             upstream
-            for upstream in table.upstream_by_name.values()
+            for upstream in self._known()
             if self._peer.polls(upstream.name, upstream.datacentre)
         ]
         for report in self._pool.imap(self._ask, kept):
             if isinstance(report, load.LoadReport):
                 self._peer.offer_load(report)
 
+    def _known(self) -> list[declared.Upstream]:
+        # Groups that do not serve are asked too: elsewhere their reports
+        # are what says that they do.
+        table = self._view.table
+        if not table:
+            return []
+        routes = self._view.route_by_group.values()
+        made = [route.upstream for route in routes]
+        return [*table.upstream_by_name.values(), *made]
+
     def _ask(self, upstream: declared.Upstream) -> object:
         return self._client.report(upstream.name, upstream.address)
--- a/src/citronvalve/entry/view.py
+++ b/src/citronvalve/entry/view.py
@@ -1,11 +1,15 @@
 """What this daemon knows at present: the table and the loads."""
 
+from citronvalve.entry import grouproute
 from citronvalve.model import clock
 from citronvalve.model import declared
 from citronvalve.model import invariant
 from citronvalve.model import load
 from citronvalve.model import missing
 
+#: A group state older than this is not routed on: its watcher may have
+#: stopped, and a VM died since.  Equal to the bound on detection.
+_ROUTE_FRESH: clock.Ms = 3_000
 _NEVER_FALLS = "an accepted table version is never replaced by a lower one"
 
 
@@ -15,6 +19,7 @@
     :param now: clock of the daemon.
     :param invariants: asserts that versions never fall.
     :ivar load_by_upstream: the newest report of each upstream.
+    :ivar route_by_group: the groups last seen to serve.
     """
 
     def __init__(
@@ -28,6 +33,7 @@
         self._team_by_digest: dict[str, declared.Team] = {}
         self._confirmed_at: clock.Ms = now.now()
         self.load_by_upstream: dict[str, load.LoadReport] = {}
+        self.route_by_group: dict[str, grouproute.GroupRoute] = {}
 
     @property
     def table(self) -> declared.Declared | missing.Stale:
@@ -44,6 +50,29 @@
         """Return ms since the version was last known to be the newest."""
         return self._clock.now() - self._confirmed_at
 
+    def upstreams(self) -> list[declared.Upstream]:
+        """Return declared upstreams, and groups that serve now.
+
+        Asked for each request: a group that closed is not among them.
+        """
+        if not self._declared:
+            return []
+        now = self._clock.now()
+        made = [
+            route.upstream
+            for route in self.route_by_group.values()
+            if now - route.seen_at < _ROUTE_FRESH
+        ]
+        return [*self._declared.upstream_by_name.values(), *made]
+
+    def fence(self, upstream: str) -> int:
+        """Return the fence that a request to an upstream carries.
+
+        :param upstream: its name; 0 for one that is no group.
+        """
+        route = self.route_by_group.get(upstream)
+        return route.fence if route else 0
+
     def confirm(self, at: clock.Ms) -> None:
         """Note that the version in force was the newest at a moment.
 
--- a/src/citronvalve/groups/engines.py
+++ b/src/citronvalve/groups/engines.py
@@ -18,8 +18,10 @@
 )
 Held = holding.Holding | missing.Unavailable | missing.AnswerLost
 
-#: Address and order.  Named here, where ``order`` is still the module.
-Given = tuple[str, order.Order]
+#: Named here, where ``order`` is still the module and not the method.
+Order = order.Order
+#: Address and order.
+Given = tuple[str, Order]
 
 
 class Engines(abc.ABC):
@@ -31,7 +33,7 @@
     """
 
     @abc.abstractmethod
-    def order(self, address: str, given: order.Order) -> Answer:
+    def order(self, address: str, given: Order) -> Answer:
         """Give an order.
 
         :param address: host:port of the engine.
