Show replica groups with citronvalve groups

Cause: operators could not see why a declared group does not serve. Conclusion: the drill reads it from a real platform, as text and as JSON.

--- a/tests/groups/drill.feature
+++ b/tests/groups/drill.feature
@@ -7,6 +7,7 @@
     another group's answer or a refusal, never one of half a group.
     Given 5 VMs of one domain, 2 daemons, and a declared group of 3
     Then each daemon answers from the group
+    And the operators' tool shows 1 serving group
     When a VM of the group that is not rank 0 is killed
     Then within 3 s each daemon refuses and says that nothing was run
     And no answer was cut or made by half a group
--- a/tests/groups/steps/drill_steps.py
+++ b/tests/groups/steps/drill_steps.py
@@ -1,6 +1,9 @@
 """Steps on groups of real processes."""
 
+import json
 import signal
+import subprocess
+import sys
 import time
 
 import behave
@@ -119,6 +122,22 @@
         assert held["rank"] == rank, held
 
 
+@behave.then("the operators' tool shows {count:d} serving group")
+def step_tool(context, count):
+    command = (sys.executable, "-m", "citronvalve.cli.main", "groups")
+    platform = ("--platform", context.made.fleet.platform)
+    done = subprocess.run(
+        [*command, "--json", *platform], capture_output=True, check=True
+    )
+    shown = json.loads(done.stdout)["groups"]
+    assert [each["state"] for each in shown] == ["serving"] * count, shown
+    assert shown[0]["since"] > 0 and shown[0]["reason"], shown
+    text = subprocess.run(
+        [*command, *platform], capture_output=True, check=True, text=True
+    ).stdout
+    assert "serving" in text and shown[0]["group"] in text, text
+
+
 @behave.when("the daemon that leads is killed")
 def step_kill_leader(context):
     (lease,) = _scan(context, book.LEASES)
