Carry plain-service calls with a key through the record

Cause: the entry dispatched a call that may not be repeated without any record, so that a caller's second try at another daemon ran it again.

Ruled out: placing the call before claiming its key. It saves two writes for a call that is then refused; but a repeat would find 'ran: no' for want of a slot though its first try had run, and a stored answer would need a slot.

Change: entry.keyed claims the key, dispatches and records the outcome; the daemon owns one recorder a start, and drains it before it ends. A daemon that stops says 'ran: unknown' to a keyed call, whose first try may have run elsewhere. A method that may be repeated ignores the key, and a call without a key is dispatched once, as before.

--- a/src/citronvalve/daemon/daemon.py
+++ b/src/citronvalve/daemon/daemon.py
@@ -12,12 +12,14 @@
 from citronvalve.daemon import listener
 from citronvalve.daemon import loadtask
 from citronvalve.daemon import operators
+from citronvalve.daemon import recordtask
 from citronvalve.daemon import settings as settings_
 from citronvalve.daemon import spreading
 from citronvalve.daemon import tabletask
 from citronvalve.entry import app
 from citronvalve.entry import chat
 from citronvalve.entry import environment as environments
+from citronvalve.entry import keyed
 from citronvalve.entry import metrics
 from citronvalve.entry import plain
 from citronvalve.entry import progress as progresses
@@ -49,7 +51,9 @@
         self._progress = progresses.Progress()
         self._view = views.View(self._env.clock, self._env.invariants)
         kept = pools.Pools()
-        self._tasks = self._make_tasks(kept)
+        platform = platform_client.PlatformClient(settings.platform)
+        self._record = recordtask.RecordTask(self._env, platform)
+        self._tasks = self._make_tasks(kept, platform)
         self._callers = listener.Listener(
             settings.callers, self._make_app(kept), settings.write_timeout
         )
@@ -93,10 +97,12 @@
         self._callers.close()
         while self._progress.count:
             eventlet.sleep(_DRAIN_LOOK / clock.SECOND)
+        self._record.drain()
         self._env.log.info("stopped")
 
-    def _make_tasks(self, kept: pools.Pools) -> list:
-        platform = platform_client.PlatformClient(self._settings.platform)
+    def _make_tasks(
+        self, kept: pools.Pools, platform: platform_client.PlatformClient
+    ) -> list:
         table = httptable.HttpTable(platform)
         loads = loadclient.LoadClient(kept, self._env.clock)
         return [
@@ -104,6 +110,7 @@
                 self._env, self._view, table, spreading.Alone()
             ),
             loadtask.LoadTask(self._view, loads),
+            self._record,
         ]
 
     def _make_app(self, kept: pools.Pools) -> app.App:
@@ -114,7 +121,12 @@
             self._env,
             self._view,
             chat.Chat(self._env, dispatch, engines),
-            plain.Plain(self._env, dispatch, services),
+            plain.Plain(
+                self._env,
+                dispatch,
+                services,
+                keyed.Keyed(self._record.recorder),
+            ),
             self._progress,
         )
 
--- a/src/citronvalve/entry/app.py
+++ b/src/citronvalve/entry/app.py
@@ -15,8 +15,10 @@
 from citronvalve.entry import streambody
 from citronvalve.entry import view as views
 from citronvalve.model import clock
+from citronvalve.model import ran
 from citronvalve.model import refusal
 
+_KEY = "Idempotency-Key"
 _CHAT = "/v1/chat/completions"
 _RETRY_UNREADY: clock.Ms = 2_000
 
@@ -72,7 +74,7 @@
     ) -> responses.Response:
         table = self._view.table
         if self._progress.closed or not table:
-            return responses.refused(self._unready(), call.request)
+            return responses.refused(self._unready(call), call.request)
         handler = self._find(call)
         if handler is None:
             return responses.refused(_no_path(call), call.request)
@@ -99,7 +101,7 @@
             made.append(("Connection", "close"))
         return made
 
-    def _unready(self) -> refusal.Refusal:
+    def _unready(self, call: calls.Call) -> refusal.Refusal:
         why = (
             "this daemon is stopping"
             if self._progress.closed
@@ -109,7 +111,10 @@
             refusal.RefusalKind.STOPPING,
             why,
             "send it again; the balancer knows other daemons",
-            retry_after=_RETRY_UNREADY,
+            # The record was not asked: a call with a key may be the repeat
+            # of one that has run.
+            ran.Ran.UNKNOWN if call.header(_KEY) else ran.Ran.NO,
+            _RETRY_UNREADY,
         )
 
 
--- a/src/citronvalve/entry/plain.py
+++ b/src/citronvalve/entry/plain.py
@@ -9,12 +9,14 @@
 from citronvalve.entry import dispatch as dispatches
 from citronvalve.entry import environment as environments
 from citronvalve.entry import handler
+from citronvalve.entry import keyed as keying
 from citronvalve.entry import response as responses
 from citronvalve.entry import work as works
 from citronvalve.model import clock
 from citronvalve.model import declared
 from citronvalve.model import ran
 from citronvalve.model import refusal
+from citronvalve.once import fingerprint
 from citronvalve.upstreams import plaincall
 from citronvalve.upstreams import plainclient
 from citronvalve.upstreams import trouble
@@ -40,6 +42,7 @@
     :param env: the daemon's environment.
     :param dispatch: decides where each try goes.
     :param client: calls the services.
+    :param keyed: lets a call with a key run at most once.
     """
 
     path = "service"
@@ -49,10 +52,12 @@
         env: environments.Environment,
         dispatch: dispatches.Dispatch,
         client: plainclient.PlainClient,
+        keyed: keying.Keyed,
     ) -> None:
         self._env = env
         self._dispatch = dispatch
         self._client = client
+        self._keyed = keyed
 
     def answer(
         self,
@@ -99,17 +104,34 @@
     def _pass_on(
         self, call: calls.Call, work: works.Work, path: str, body: bytes
     ) -> responses.Response:
-        result = self._run(call, work, path, body)
+        result = self._once(call, work, path, body)
         if isinstance(result, refusal.Refusal):
             return responses.refused(result, call.request)
         line = f"{result.status} {_phrase(result.status)}"
         return responses.whole(result.body, result.content_type, line)
 
+    def _once(
+        self, call: calls.Call, work: works.Work, path: str, body: bytes
+    ) -> plaincall.PlainAnswer | refusal.Refusal:
+        # Without a key nothing links a repeat to its first try: such a call
+        # is dispatched once and never tried again after it may have run.
+        key = call.key()
+        if work.repeatable or not key:
+            return self._run(call, work, path, body)
+        digest = fingerprint.digest(call.method, _target(call), body)
+        asked = keying.call(work, key, digest, self._env.clock.now())
+        return self._keyed.run(
+            asked, lambda: self._run(call, work, path, body)
+        )
+
     def _run(
         self, call: calls.Call, work: works.Work, path: str, body: bytes
     ) -> plaincall.PlainAnswer | refusal.Refusal:
         after = dispatches.FIRST
         outcome = ran.Ran.NO
+        if self._remaining(work) <= 0:
+            # The claim of the key took all the time there was.
+            return _late(outcome)
         for left in reversed(range(MOST_TRIES)):
             placed = self._dispatch.place(work, after)
             if isinstance(placed, refusal.Refusal):
@@ -168,6 +190,10 @@
     )
 
 
+def _target(call: calls.Call) -> str:
+    return f"{call.path}?{call.environ.get('QUERY_STRING', '')}"
+
+
 def _ending(
     result: plaincall.PlainAnswer | trouble.Trouble,
 ) -> dispatches.Ending:
--- a/src/citronvalve/once/recorder.py
+++ b/src/citronvalve/once/recorder.py
@@ -28,7 +28,7 @@
 from citronvalve.platform import tableservice
 
 #: Longest key, in characters; common clients send a UUID of 36.
-LONGEST_KEY = 200
+LONGEST_KEY = 255
 
 #: How long a caller waits for its claim at most: one call of the platform
 #: that times out after 2 s and one more that settles it.  After that the
--- a/tests/machinery.py
+++ b/tests/machinery.py
@@ -3,6 +3,8 @@
 import hypothesis
 from hypothesis import stateful
 
+from tests import soak
+
 #: Enough to take every rule in every order of three, within seconds.
 _EXAMPLES = 60
 _STEPS = 40
@@ -25,3 +27,11 @@
         ),
     )
     return machine.CHECKS.count_by_name
+
+
+def run_named(name: str) -> dict[str, int]:
+    """Run a machine on a fixed seed.
+
+    :param name: of one of any area's ``MACHINES``.
+    """
+    return run(*soak.machines(name))
