Never pass on a plain answer whose end is not known

Cause: read with a limit on its size, the HTTP library took the end of the connection for the end of the body. A service that died in the middle of an answer of 8 bytes gave its caller '201' with 4 of them.

Ruled out: reading without the limit, which does check the length; an answer of any size would then fill the daemon's memory. Accepting an answer that states neither length nor chunks: a head that was cut looks the same.

Change: the client compares what it read with the stated length. An answer that can't be known to be whole is broken; of a call that may not be repeated the caller hears 'unknown'. A service that ends its answers by closing the connection has to state their length.

--- a/src/citronvalve/upstreams/plainclient.py
+++ b/src/citronvalve/upstreams/plainclient.py
@@ -81,11 +81,10 @@
     response: urllib3.BaseHTTPResponse, address: str
 ) -> plaincall.PlainAnswer | trouble.Trouble:
     body = response.read(LARGEST_ANSWER + 1, decode_content=False)
-    if len(body) > LARGEST_ANSWER:
+    wrong = _incomplete(response, body)
+    if wrong:
         response.close()
-        return trouble.Trouble(
-            trouble.TroubleKind.BROKEN, "the answer is too large", address
-        )
+        return trouble.Trouble(trouble.TroubleKind.BROKEN, wrong, address)
     response.release_conn()
     if response.status == 503 and engineclient.says_not_run(body):
         return trouble.Trouble(
@@ -93,3 +92,18 @@
         )
     kind = response.headers.get("Content-Type", _OCTETS)
     return plaincall.PlainAnswer(response.status, kind, body)
+
+
+def _incomplete(response: urllib3.BaseHTTPResponse, body: bytes) -> str:
+    """Tell why an answer can't be passed on as whole; empty if it can.
+
+    Read with a limit, the library takes the end of the connection for the
+    end of the body: half a certificate would go out as a whole one.
+    """
+    if len(body) > LARGEST_ANSWER:
+        return "the answer is too large"
+    if response.length_remaining:
+        return f"the answer lacks {response.length_remaining} bytes"
+    if response.length_remaining is None and not response.chunked:
+        return "the answer has no length and no chunks to tell its end by"
+    return ""
