--- a/src/citronvalve/table/columns.py
+++ b/src/citronvalve/table/columns.py
@@ -4,7 +4,8 @@
 import enum
 import types
 import typing
-from typing import Any, NamedTuple
+from typing import Any
+from typing import NamedTuple
 
 import msgspec
 
--- a/tests/answers/steps/assembler_steps.py
+++ b/tests/answers/steps/assembler_steps.py
@@ -60,7 +60,7 @@
 
 @behave.when('the machine "{name}" runs')
 def step_machine(context, name):
-    context.count_by_promise = machinery.run_named(name)
+    context.count_by_promise = machinery.run(name)
 
 
 @behave.then("both promises were looked at")
--- a/tests/machinery.py
+++ b/tests/machinery.py
@@ -10,12 +10,13 @@
 _STEPS = 40
 
 
-def run(machine: type[stateful.RuleBasedStateMachine]) -> dict[str, int]:
+def run(name: str) -> dict[str, int]:
     """Run a machine on a fixed seed.
 
-    :param machine: one of an area's ``MACHINES``.
+    :param name: of one of an area's ``MACHINES``.
     :return: how often each promise was looked at.
     """
+    (machine,) = soak.machines(name)
     stateful.run_state_machine_as_test(
         machine,
         settings=hypothesis.settings(
@@ -27,11 +28,3 @@
         ),
     )
     return machine.CHECKS.count_by_name
-
-
-def run_named(name: str) -> dict[str, int]:
-    """Run a machine on a fixed seed.
-
-    :param name: of one of any area's ``MACHINES``.
-    """
-    return run(*soak.machines(name))
--- a/tests/once/steps/once_steps.py
+++ b/tests/once/steps/once_steps.py
@@ -256,7 +256,7 @@
 
 @behave.when('the machine "{name}" runs')
 def step_machine(context, name):
-    context.count_by_promise = machinery.run_named(name)
+    context.count_by_promise = machinery.run(name)
 
 
 @behave.then("these promises were looked at")
--- a/tests/table/steps/edits_steps.py
+++ b/tests/table/steps/edits_steps.py
@@ -16,7 +16,6 @@
 from standins import hostiletable
 from tests import machinery
 from tests.table import helpers
-from tests.table import machines
 
 
 def _version(context):
@@ -189,7 +188,7 @@
 
 @behave.when("the machine {name} has run")
 def step_machine(context, name):
-    context.count_by_name = machinery.run(getattr(machines, name))
+    context.count_by_name = machinery.run(name)
 
 
 @behave.then("each of its promises was looked at")
