--- a/src/citronvalve/daemon/daemon.py
+++ b/src/citronvalve/daemon/daemon.py
@@ -15,6 +15,7 @@
 from citronvalve.daemon import peertask
 from citronvalve.daemon import recordtask
 from citronvalve.daemon import settings as settings_
+from citronvalve.daemon import sweeptask
 from citronvalve.daemon import tabletask
 from citronvalve.entry import app
 from citronvalve.entry import chat
@@ -116,6 +117,7 @@
             tabletask.TableTask(self._env, self._view, table, self._peering),
             loadtask.LoadTask(self._view, loads, self._peering),
             self._record,
+            sweeptask.SweepTask(self._env, self._view, self._record.sweeper),
         ]
 
     def _make_app(self, kept: pools.Pools) -> app.App:
--- a/src/citronvalve/daemon/recordtask.py
+++ b/src/citronvalve/daemon/recordtask.py
@@ -5,6 +5,7 @@
 from citronvalve.once import greenwaiting
 from citronvalve.once import loop
 from citronvalve.once import recorder as recorders
+from citronvalve.once import sweeper
 from citronvalve.platform import client as platform_client
 from citronvalve.platform import httpobjects
 from citronvalve.platform import httptable
@@ -38,12 +39,14 @@
         # Two starts of one daemon must not share names of attempts: the
         # second would take the first one's rows for its own.
         start = env.chance.getrandbits(_START_BITS)
+        name = f"{env.name}-{start:016x}"
+        stores = recorders.Stores(
+            httptable.HttpTable(platform), httpobjects.HttpObjects(platform)
+        )
+        self.sweeper = sweeper.Sweeper(name, *stores, env.invariants)
         self.recorder = recorders.Recorder(
-            f"{env.name}-{start:016x}",
-            recorders.Stores(
-                httptable.HttpTable(platform),
-                httpobjects.HttpObjects(platform),
-            ),
+            name,
+            stores,
             env.clock,
             waiting,
             env.chance,
--- /dev/null
+++ b/src/citronvalve/daemon/sweeptask.py
@@ -0,0 +1,54 @@
+"""The task that sweeps the rows of keys whose time is over."""
+
+import eventlet
+
+from citronvalve.entry import environment as environments
+from citronvalve.entry import view as views
+from citronvalve.model import clock
+from citronvalve.once import sweeper
+
+#: Rounds come this far apart, and up to twice as far: daemons that started
+#: together would otherwise sweep the same minute at the same time.
+_APART: clock.Ms = 30 * clock.SECOND
+
+#: Minutes in one round.  Eight daemons then catch up with a day that none
+#: swept within half an hour.
+_MOST = 8
+
+
+class SweepTask:
+    """Sweeps a few minutes' rows now and then.
+
+    :param env: the daemon's environment.
+    :param view: holds the table, which says how long keys are kept.
+    :param sweep: the sweep.
+    """
+
+    def __init__(
+        self,
+        env: environments.Environment,
+        view: views.View,
+        sweep: sweeper.Sweeper,
+    ) -> None:
+        self._env = env
+        self._view = view
+        self._sweeper = sweep
+
+    def run(self) -> None:
+        """Sweep until the daemon ends."""
+        while True:
+            span = _APART + self._env.chance.randrange(_APART)
+            eventlet.sleep(span / clock.SECOND)
+            self._round()
+
+    def _round(self) -> None:
+        table = self._view.table
+        if not table:
+            return
+        for _ in range(_MOST):
+            done = self._sweeper.sweep(
+                self._env.clock.wall(), table.switches.keep_keys
+            )
+            if done is None:
+                return
+            self._env.log.debug("swept", extra=done._asdict())
--- a/src/citronvalve/once/pacer.py
+++ b/src/citronvalve/once/pacer.py
@@ -20,13 +20,14 @@
         self._tokens = float(BURST)
         self._at = now
 
-    def wait(self, now: clock.Ms) -> clock.Ms:
+    def wait(self, now: clock.Ms, spare: int = 0) -> clock.Ms:
         """Return ms until the next transaction may go; 0 is at once.
 
         :param now: monotonic time in ms.
+        :param spare: how many more it must leave to others.
         """
         self._fill(now)
-        short = 1.0 - self._tokens
+        short = 1.0 + spare - self._tokens
         if short <= 0:
             return 0
         return max(1, round(short * clock.SECOND / self.rate))
--- /dev/null
+++ b/src/citronvalve/once/sweeper.py
@@ -0,0 +1,200 @@
+"""Deletes the rows of keys whose time is over, a minute's at a time."""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from citronvalve.model import clock
+from citronvalve.model import invariant
+from citronvalve.model import missing
+from citronvalve.once import batch as batches
+from citronvalve.once import record as records
+from citronvalve.once import swept
+from citronvalve.platform import objectstore
+from citronvalve.platform import rows
+from citronvalve.platform import tableservice
+
+_TABLE = "once-sweep"
+_KEY = "minute"
+
+#: Kept longer than stated by so much: rows are listed by the wall clock of
+#: the daemon that wrote them, which may be behind.
+MARGIN: clock.Ms = 10 * clock.MINUTE
+
+#: How far back a row of another daemon vouches for this one's clock.
+_WITNESS_MINUTES = 3
+
+#: Keys in one transaction; a day of 100 requests a second is swept at two
+#: transactions a second of the platform's several hundred.
+_MOST = 256
+_TRIES = 3
+
+_IN_TIME = "a row is swept only after its time"
+
+
+class _Listed(NamedTuple):
+    """A row that lists keys, written together with them."""
+
+    table: str
+    key: str
+    version: int
+    places: tuple[str, ...]
+    objects: tuple[str, ...]
+
+
+class Sweeper:
+    """One daemon's share of the sweep; any number may sweep at once.
+
+    :param daemon: name of this start of the daemon.
+    :param table: holds the rows.
+    :param objects: holds large answers.
+    :param promises: counts the invariants.
+    """
+
+    def __init__(
+        self,
+        daemon: str,
+        table: tableservice.TableService,
+        objects: objectstore.ObjectStore,
+        promises: invariant.Invariants,
+    ) -> None:
+        self._daemon = daemon
+        self._table = table
+        self._objects = objects
+        self._promises = promises
+
+    def sweep(self, wall: clock.Ms, keep: clock.Ms) -> swept.Swept | None:
+        """Delete the rows of the oldest minute that is over.
+
+        A daemon killed at any step leaves the minute to be swept again.
+
+        :param wall: wall time in ms.
+        :param keep: ms that the answer to a key is kept.
+        :return: None when nothing is due or the platform fails.
+        """
+        pointer = self._pointer(wall)
+        if missing.is_missing(pointer):
+            return None
+        minute = pointer.value[_KEY] + 1
+        last = (wall - keep - MARGIN) // clock.MINUTE
+        if minute >= last or not self._witnessed(wall):
+            return None
+        over = (minute + 1) * clock.MINUTE + keep
+        self._promises.hold(_IN_TIME, over <= wall, f"minute {minute}")
+        count = self._minute(batches.minute_table(minute * clock.MINUTE))
+        if count is None or not self._move(pointer, minute):
+            return None
+        return swept.Swept(minute, count)
+
+    def _pointer(self, wall: clock.Ms) -> rows.Row | missing.Missing:
+        row = self._table.read(_TABLE, _KEY)
+        if isinstance(row, missing.NotFound):
+            # The first daemon ever: no row is older than this minute.
+            self._commit_pointer(rows.NO_ROW, wall // clock.MINUTE - 1)
+        return row
+
+    def _move(self, pointer: rows.Row, minute: int) -> bool:
+        done = self._commit_pointer(pointer.version, minute)
+        return isinstance(done, rows.Committed)
+
+    def _commit_pointer(self, version: int, minute: int) -> object:
+        return self._table.commit(
+            rows.Transaction(
+                f"{self._daemon}-sweep-{minute}",
+                (rows.Condition(_TABLE, _KEY, version),),
+                (rows.Write(_TABLE, _KEY, {_KEY: minute}),),
+            )
+        )
+
+    def _witnessed(self, wall: clock.Ms) -> bool:
+        """Tell whether another daemon's clock agrees with this one's.
+
+        A clock a day ahead would have rows deleted that were just written,
+        and their keys would run again.  No other daemon writes into the
+        minutes that such a clock takes for the present.
+        """
+        return any(
+            not row.key.startswith(self._daemon)
+            for back in range(_WITNESS_MINUTES)
+            for row in self._rows(
+                batches.minute_table(wall - back * clock.MINUTE)
+            )
+        )
+
+    def _rows(self, table: str) -> tuple[rows.Row, ...]:
+        scan = self._table.scan(table)
+        return () if missing.is_missing(scan) else scan.rows
+
+    def _minute(self, table: str) -> int | None:
+        scan = self._table.scan(table)
+        if missing.is_missing(scan):
+            return None
+        count = 0
+        for part in _parts(scan.rows):
+            deleted = self._part(part)
+            if deleted is None:
+                return None
+            count += deleted
+        return count
+
+    def _part(self, part: list[_Listed]) -> int | None:
+        version_by_place = {
+            place: listed.version for listed in part for place in listed.places
+        }
+        for listed in part:
+            for name in listed.objects:
+                # The store can't delete; an empty object is what is left.
+                self._objects.put(name, b"")
+        for _ in range(_TRIES):
+            result = self._table.commit(_deletion(part, version_by_place))
+            if isinstance(result, rows.Committed):
+                return len(version_by_place)
+            if not isinstance(result, rows.Conflict):
+                return None
+            # A key whose row has another version was written again later,
+            # and is listed there; one without a row was given back.
+            now = {row.key: row.version for row in result.rows}
+            version_by_place = {
+                place: version
+                for place, version in version_by_place.items()
+                if now.get(place) == version
+            }
+        return None
+
+
+def _parts(found: tuple[rows.Row, ...]) -> Iterator[list[_Listed]]:
+    part: list[_Listed] = []
+    size = 0
+    for row in found:
+        listed = _Listed(
+            row.table,
+            row.key,
+            row.version,
+            tuple(row.value["places"]),
+            tuple(row.value["objects"]),
+        )
+        if part and size + len(listed.places) > _MOST:
+            yield part
+            part, size = [], 0
+        part.append(listed)
+        size += len(listed.places)
+    if part:
+        yield part
+
+
+def _deletion(
+    part: list[_Listed], version_by_place: dict[str, int]
+) -> rows.Transaction:
+    return rows.Transaction(
+        "sweep",
+        tuple(
+            rows.Condition(records.TABLE, place, version)
+            for place, version in version_by_place.items()
+        ),
+        (
+            *(
+                rows.Write(records.TABLE, place, None)
+                for place in version_by_place
+            ),
+            *(rows.Write(listed.table, listed.key, None) for listed in part),
+        ),
+    )
--- a/src/citronvalve/once/writer.py
+++ b/src/citronvalve/once/writer.py
@@ -21,6 +21,11 @@
 #: is settled at once by trying again, which is why it is no failure yet.
 _MOST_LOST = 2
 
+#: Transactions that outcomes leave to claims.  A caller waits for a claim
+#: and nobody for an outcome, which rides in the next claim's batch when
+#: transactions are scarce, and goes by itself within 100 ms otherwise.
+_SPARE = 2
+
 _ONE_BATCH = "one batch is in flight at a time"
 _ONE_CLAIM = "a transaction changes a key once"
 
@@ -100,7 +105,9 @@
 
         :param now: monotonic time in ms.
         """
-        return max(self.closed_for(now), self.pacer.wait(now))
+        claims = any(j.kind is jobs.JobKind.CLAIM for j in self._waiting)
+        paced = self.pacer.wait(now, 0 if claims else _SPARE)
+        return max(self.closed_for(now), paced)
 
     def take(self, now: clock.Ms, wall: clock.Ms) -> batches.Batch | None:
         """Take the next batch to commit; None when it is not time.
--- a/tests/once/world.py
+++ b/tests/once/world.py
@@ -23,6 +23,9 @@
 TEAM = "kanta"
 DEADLINE = 1_000
 
+#: What the service adds to each certificate.
+BODY = b""
+
 
 class Request:
     """A caller's request and how far one daemon has come with it.
@@ -169,7 +172,7 @@
             return outcome.Outcome(_SEEN[self.fault])
         if self.fault == "lost by a balancer":
             return outcome.of_answer(answers.Answer(502, "text/html", b"?"))
-        body = f"certificate {self.runs.total()}".encode()
+        body = f"certificate {self.runs.total()}".encode() + BODY
         return outcome.of_answer(answers.Answer(201, "text/plain", body))
 
 
