--- a/benchmarks/entry.py
+++ b/benchmarks/entry.py
@@ -29,15 +29,19 @@
 
 def run() -> Iterator[figure.Figure]:
     """Yield the figures of one daemon before one engine."""
-    with _deployed("--token-time=0", "--first-time=1") as (made, pid):
+    with deployed("--token-time=0", "--first-time=1") as (made, pid):
         yield from _requests(made, pid)
         yield from _refusals(made)
-    with _deployed("--token-time=50", "--first-time=50") as (made, pid):
+    with deployed("--token-time=50", "--first-time=50") as (made, pid):
         yield from _memory(made, pid)
 
 
 @contextlib.contextmanager
-def _deployed(*options: str) -> Iterator[tuple[deployments.Deployment, int]]:
+def deployed(*options: str) -> Iterator[tuple[deployments.Deployment, int]]:
+    """Start one daemon before one engine; give them and the daemon's id.
+
+    :param options: of the engine's command line.
+    """
     with tempfile.TemporaryDirectory() as folder:
         with fleets.Fleet(pathlib.Path(folder)) as fleet:
             made = deployments.Deployment(fleet, ("sapporo",))
