Never say 'not run' of a keyed call whose record was not read

Cause: a repeat whose deadline was malformed, whose token had been replaced or whose service had left the table was told 'ran: no', though its first try may have run at another daemon.

Change: a refusal made before the record is asked says 'ran: unknown' to a call with a key. A key that is malformed can't have run, and keeps 'no'.

Without it the 4 new scenarios fail.

--- a/src/citronvalve/entry/app.py
+++ b/src/citronvalve/entry/app.py
@@ -15,10 +15,8 @@
 from citronvalve.entry import streambody
 from citronvalve.entry import view as views
 from citronvalve.model import clock
-from citronvalve.model import ran
 from citronvalve.model import refusal
 
-_KEY = "Idempotency-Key"
 _CHAT = "/v1/chat/completions"
 _RETRY_UNREADY: clock.Ms = 2_000
 
@@ -74,14 +72,14 @@
     ) -> responses.Response:
         table = self._view.table
         if self._progress.closed or not table:
-            return responses.refused(self._unready(call), call.request)
+            return _unrecorded(self._unready(), call)
         handler = self._find(call)
         if handler is None:
             return responses.refused(_no_path(call), call.request)
         log.path = handler.path
         team = identity.team(call, self._view)
         if isinstance(team, refusal.Refusal):
-            return responses.refused(team, call.request)
+            return _unrecorded(team, call)
         log.team = team.name
         return handler.answer(call, team, table)
 
@@ -101,7 +99,7 @@
             made.append(("Connection", "close"))
         return made
 
-    def _unready(self, call: calls.Call) -> refusal.Refusal:
+    def _unready(self) -> refusal.Refusal:
         why = (
             "this daemon is stopping"
             if self._progress.closed
@@ -111,13 +109,16 @@
             refusal.RefusalKind.STOPPING,
             why,
             "send it again; the balancer knows other daemons",
-            # The record was not asked: a call with a key may be the repeat
-            # of one that has run.
-            ran.Ran.UNKNOWN if call.header(_KEY) else ran.Ran.NO,
-            _RETRY_UNREADY,
+            retry_after=_RETRY_UNREADY,
         )
 
 
+def _unrecorded(
+    refused: refusal.Refusal, call: calls.Call
+) -> responses.Response:
+    return responses.refused(call.unrecorded(refused), call.request)
+
+
 def _no_path(call: calls.Call) -> refusal.Refusal:
     return refusal.Refusal(
         refusal.RefusalKind.NOT_FOUND,
--- a/src/citronvalve/entry/call.py
+++ b/src/citronvalve/entry/call.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from citronvalve.model import clock
+from citronvalve.model import ran
 from citronvalve.model import refusal
 
 _KEY_LENGTH = 255
@@ -62,6 +63,19 @@
             )
         return given
 
+    def unrecorded(self, refused: refusal.Refusal) -> refusal.Refusal:
+        """Return a refusal made before the key's record was asked.
+
+        This try was not run, but one with the same key may have been, at
+        another daemon or before the table changed.  A caller who reads "no"
+        would have its certificate made a second time, under a new key.
+
+        :param refused: the refusal, whatever it says of the run.
+        """
+        if not self.header("Idempotency-Key"):
+            return refused
+        return refused._replace(ran=ran.Ran.UNKNOWN)
+
     def deadline(
         self, default: clock.Ms, longest: clock.Ms
     ) -> clock.Ms | refusal.Refusal:
--- a/src/citronvalve/entry/plain.py
+++ b/src/citronvalve/entry/plain.py
@@ -66,18 +66,18 @@
         table: declared.Declared,
     ) -> responses.Response:
         name, _, rest = call.path[len(PREFIX) :].partition("/")
+        key = call.key()
+        if isinstance(key, refusal.Refusal):
+            return responses.refused(key, call.request)
         service = table.service_by_name.get(name)
         if service is None:
-            return responses.refused(_no_service(name), call.request)
+            return _unrecorded(_no_service(name), call)
         deadline = call.deadline(service.deadline, self._env.bounds.deadline)
         if isinstance(deadline, refusal.Refusal):
-            return responses.refused(deadline, call.request)
-        key = call.key()
-        if isinstance(key, refusal.Refusal):
-            return responses.refused(key, call.request)
+            return _unrecorded(deadline, call)
         body = call.body(self._env.bounds.body)
         if isinstance(body, refusal.Refusal):
-            return responses.refused(body, call.request)
+            return _unrecorded(body, call)
         work = self._work(call, team, service, deadline, body)
         return self._pass_on(call, work, f"/{rest}", body)
 
@@ -209,6 +209,12 @@
         return "Unknown"
 
 
+def _unrecorded(
+    refused: refusal.Refusal, call: calls.Call
+) -> responses.Response:
+    return responses.refused(call.unrecorded(refused), call.request)
+
+
 def _no_service(name: str) -> refusal.Refusal:
     return refusal.Refusal(
         refusal.RefusalKind.NOT_FOUND,
--- a/tests/entry/badinput.feature
+++ b/tests/entry/badinput.feature
@@ -37,6 +37,20 @@
       | a body too large   | 413    | too-large | 1048576         |
       | a deadline of soon | 400    | malformed | X-Deadline-Ms   |
 
+  Scenario Outline: a repeat with a key is refused before its record is read
+    The first try has run at another daemon, and its answer was lost.  The
+    repeat goes wrong in a way of its own.  "Not run" would have the caller
+    order a second certificate.
+    When a caller calls a service with a key and <mistake>
+    Then it is told that it may have run
+
+    Examples:
+      | mistake            |
+      | an unknown name    |
+      | a deadline of soon |
+      | a wrong token      |
+      | a body too large   |
+
   Scenario Outline: bytes that are no HTTP request
     When a caller sends raw <bytes>
     Then the connection ends with an error of 400
--- a/tests/entry/steps/badinput_steps.py
+++ b/tests/entry/steps/badinput_steps.py
@@ -52,6 +52,7 @@
     "a deadline of soon": _chat(
         b"{}", {"X-Deadline-Ms": "soon"}, "/v1/services/records/x"
     ),
+    "a wrong token": _chat(b"{}", path="/v1/services/records/x", token="no"),
 }
 
 _RAW = {
@@ -92,6 +93,18 @@
     _send(context, *_CHAT_BY_MISTAKE[mistake])
 
 
+@behave.when("a caller calls a service with a key and {mistake}")
+def step_call_keyed(context, mistake):
+    method, path, raw, headers, token = _CALL_BY_MISTAKE[mistake]
+    keyed = headers | {"Idempotency-Key": "k1"}
+    _send(context, method, path, raw, keyed, token)
+
+
+@behave.then("it is told that it may have run")
+def step_may_have_run(context):
+    assert context.problem["ran"] == "unknown", context.problem
+
+
 @behave.when("a caller calls a service with {mistake}")
 def step_call(context, mistake):
     _send(context, *_CALL_BY_MISTAKE[mistake])
