Refuse a file that would empty a section, unless told

Cause: a section that a file names is declared as a whole, so a template that goes wrong would leave every daemon without upstreams or teams within a second. Ruled out: a question on the terminal, which scripts can't answer.

--- a/benchmarks/table.py
+++ b/benchmarks/table.py
@@ -26,8 +26,9 @@
 _SIZES = (100, 1_000, 12_000)
 _PLACES = 31
 _MS = 1_000
+_BULKS = 5
 
-#: A million tokens of bounds are not needed here; time for each figure in s.
+#: Time for each figure in s.
 _SPAN = 0.5
 
 Values = dict[str, dict[str, Any]]
@@ -121,6 +122,27 @@
     return _ms(run)
 
 
+def _bulk(store: memorytable.MemoryTable) -> float:
+    """Return ms that a daemon stands still for the largest edit."""
+    seen = reading.read_state(store)
+    told = tuple(seen.row_by_key.values())
+    first = deltas.Delta(0, seen.revision, told)
+    head = seen.row_by_key[layout.HEAD]
+    to = seen.revision + 1
+    some = [r for r in told if r.value][1 : planning.MOST_CHANGES + 1]
+    version = {**head.value, "version": seen.version + 1}
+    more = [row._replace(version=to) for row in some if row is not head]
+    more.append(head._replace(value=version, version=to))
+    best = float("inf")
+    for _ in range(_BULKS):
+        following = follower.Follower(invariant.Invariants())
+        following.take(first)
+        began = time.perf_counter()
+        following.take(deltas.Delta(to - 1, to, tuple(more)))
+        best = min(best, time.perf_counter() - began)
+    return best * _MS
+
+
 def _bytes(store: memorytable.MemoryTable, after: int) -> int:
     return len(msgspec.json.encode(store.scan(layout.TABLE, after)))
 
@@ -173,6 +195,8 @@
             yield measured
             name = measured.name.partition(" at ")[0]
             ends.setdefault(name, []).append(measured.value)
+    name = f"follow an edit of {planning.MOST_CHANGES} rows at {_SIZES[-1]}"
+    yield figure.Figure(name, _bulk(_stored(_SIZES[-1])), "ms")
     for name, found in ends.items():
         if name.startswith(("edits", "bytes of a delta")):
             continue
--- a/src/citronvalve/cli/editing.py
+++ b/src/citronvalve/cli/editing.py
@@ -18,16 +18,20 @@
 from citronvalve.table import rowedits
 
 
-def plan(file: str, *, platform: str = "") -> report.Report:
+def plan(
+    file: str, *, allow_removals: bool = False, platform: str = ""
+) -> report.Report:
     """Show what applying a declaration would change.
 
     :param file: declaration in JSON with comments.
+    :param allow_removals: most rows of a section may go.
     :param platform: URL of the platform.
     """
     declaration = _read(file)
     if declaration.mistakes:
         return outcomes.mistakes(declaration.mistakes)
-    planned = session.edits(platform).plan(planning.declaring(declaration))
+    wanted = planning.declaring(declaration, allow_removals)
+    planned = session.edits(platform).plan(wanted)
     if missing.is_missing(planned):
         return outcomes.unavailable(planned)
     if planned.mistakes:
@@ -53,6 +57,7 @@
     who: str,
     why: str,
     expect: int | None = None,
+    allow_removals: bool = False,
     platform: str = "",
 ) -> report.Report:
     """Make the table say what a declaration says.
@@ -61,12 +66,13 @@
     :param who: who makes the edit, for the audit trail.
     :param why: why, for the audit trail.
     :param expect: version that was planned on; another is a conflict.
+    :param allow_removals: most rows of a section may go.
     :param platform: URL of the platform.
     """
     declaration = _read(file)
     if declaration.mistakes:
         return outcomes.mistakes(declaration.mistakes)
-    wanted = planning.declaring(declaration)
+    wanted = planning.declaring(declaration, allow_removals)
     author = edit.Author(who, why)
     return outcomes.of(session.edits(platform).apply(wanted, author, expect))
 
--- a/src/citronvalve/table/planning.py
+++ b/src/citronvalve/table/planning.py
@@ -1,5 +1,6 @@
 """Works out what an edit changes; pure."""
 
+import collections
 from collections.abc import Callable
 from typing import Any
 
@@ -18,6 +19,12 @@
 #: call, which a slow store answers past the timeout.
 MOST_CHANGES = 2_000
 
+#: Share of a section that a file may remove unless told that it may.
+MOST_REMOVED = 0.5
+
+#: Rows below which that share says nothing.
+FEWEST_WIDE = 3
+
 Values = dict[str, dict[str, Any]]
 
 #: What an edit does to the values that are stored; it may raise
@@ -25,23 +32,50 @@
 Wanted = Callable[[Values], Values]
 
 
-def declaring(declaration: document.Document) -> Wanted:
+def declaring(
+    declaration: document.Document, removals: bool = False
+) -> Wanted:
     """Return the edit that makes the table say what a file declares.
 
     :param declaration: without mistakes.
+    :param removals: whether most of a section may go.
     """
 
     def wanted(stored: Values) -> Values:
-        kept = {
-            key: value
-            for key, value in stored.items()
-            if _section(key) not in declaration.sections
-        }
+        gone = [
+            key
+            for key in stored
+            if _section(key) in declaration.sections
+            and key not in declaration.value_by_key
+        ]
+        if not removals:
+            _refuse_wide(stored, gone)
+        kept = {key: stored[key] for key in stored.keys() - set(gone)}
         return kept | declaration.value_by_key
 
     return wanted
 
 
+def _refuse_wide(stored: Values, gone: list[str]) -> None:
+    # A file that was cut short or filled in wrongly declares an empty
+    # section as well as a full one, and within seconds no daemon anywhere
+    # would know an upstream or a team.
+    total = collections.Counter(map(_section, stored))
+    wide = [
+        mistake.Mistake(
+            section,
+            "",
+            count,
+            f"it would lose {count} of its {total[section]} rows",
+            "look at the file, or apply it with --allow-removals",
+        )
+        for section, count in collections.Counter(map(_section, gone)).items()
+        if count >= FEWEST_WIDE and count > total[section] * MOST_REMOVED
+    ]
+    if wide:
+        raise mistake.MistakesError(tuple(wide))
+
+
 def plan(stored: state.State, wanted: Wanted) -> edit.Plan:
     """Check the table as it would be, and tell what would change.
 
--- a/tests/table/edits.feature
+++ b/tests/table/edits.feature
@@ -105,6 +105,20 @@
     Then the edit is Accepted
     And upstreams/hakodate-1 is still there
 
+  Scenario Outline: a file that would empty a section
+    A template goes wrong and the file names a section with hardly a row.
+    Applied, it would leave no daemon anywhere with a team or an upstream.
+
+    When ann applies <count> of 8 teams <option>
+    Then the edit is <outcome>
+
+    Examples:
+      | count | option               | outcome  |
+      | 4     | .                    | Accepted |
+      | 3     | .                    | Refused  |
+      | 0     | .                    | Refused  |
+      | 0     | and allows removals  | Accepted |
+
   Scenario: an edit larger than one transaction may be
     When ann applies 2100 teams
     Then the edit is Refused
--- a/tests/table/steps/edits_steps.py
+++ b/tests/table/steps/edits_steps.py
@@ -111,7 +111,21 @@
     }
     context.keys = set(values)
     many = document.Document(frozenset({"teams", "limits"}), values, ())
-    helpers.apply(context, "ann", planning.declaring(many))
+    helpers.apply(context, "ann", planning.declaring(many, removals=True))
+
+
+@behave.when("ann applies {count:d} of {total:d} teams {option}")
+def step_some(context, count, total, option):
+    for most in (total, count):
+        values = {
+            f"teams/t{i}": {"name": f"t{i}", "token_sha256": f"{i:064x}"}
+            for i in range(most)
+        }
+        some = document.Document(frozenset({"teams"}), values, ())
+        # The limit on the example's team has to go with it.
+        some = some._replace(sections=some.sections | {"limits"})
+        allowed = most == total or option == "and allows removals"
+        helpers.apply(context, "ann", planning.declaring(some, allowed))
 
 
 @behave.then("the edit is {outcome}")
