Build the typed table in small steps, and name each section's field once

Cause: one function of 35 lines carried out every change, and two maps said which field holds a section. Change: a small builder, and the field lies in the kind.

--- a/src/citronvalve/table/kinds.py
+++ b/src/citronvalve/table/kinds.py
@@ -1,6 +1,5 @@
 """The kinds of rows, and the columns of each."""
 
-from collections.abc import Callable
 import re
 import typing
 from typing import Annotated, Any, NamedTuple
@@ -34,9 +33,14 @@
 
 
 class Kind(NamedTuple):
-    """One kind of row: its section in a declaration, and its record."""
+    """One kind of row: its section in a declaration, and its record.
+
+    ``field`` is the field of ``Declared`` that holds the rows by name; the
+    one row of switches has a field of its own.
+    """
 
     section: str
+    field: str
     record: type
     key_columns: tuple[str, ...]
     column_by_name: dict[str, Column]
@@ -55,7 +59,9 @@
 ALL = ("all",)
 
 
-def _kind(section: str, record: Any, key_columns: tuple[str, ...]) -> Kind:
+def _kind(
+    section: str, field: str, record: Any, key_columns: tuple[str, ...]
+) -> Kind:
     hints = typing.get_type_hints(record)
     defaults = record._field_defaults
     columns = {
@@ -73,7 +79,7 @@
         [_quick(column, key_columns) for column in columns.values()],
         forbid_unknown_fields=True,
     )
-    return Kind(section, record, key_columns, columns, quick)
+    return Kind(section, field, record, key_columns, columns, quick)
 
 
 def _quick(column: Column, key_columns: tuple[str, ...]) -> tuple:
@@ -100,24 +106,18 @@
 KIND_BY_SECTION: dict[str, Kind] = {
     kind.section: kind
     for kind in (
-        _kind("teams", declared.Team, _NAME),
-        _kind("models", declared.Model, _NAME),
-        _kind("datacentres", declared.Datacentre, _NAME),
-        _kind("upstreams", declared.Upstream, _NAME),
-        _kind("groups", declared.Group, _NAME),
-        _kind("services", declared.PlainService, _NAME),
-        _kind("limits", declared.Limit, ("team", "model", "datacentre")),
-        _kind("switches", declared.Switches, ()),
+        _kind("teams", "team_by_name", declared.Team, _NAME),
+        _kind("models", "model_by_name", declared.Model, _NAME),
+        _kind("datacentres", "datacentre_by_name", declared.Datacentre, _NAME),
+        _kind("upstreams", "upstream_by_name", declared.Upstream, _NAME),
+        _kind("groups", "group_by_name", declared.Group, _NAME),
+        _kind("services", "service_by_name", declared.PlainService, _NAME),
+        _kind(
+            "limits",
+            "limit_by_key",
+            declared.Limit,
+            ("team", "model", "datacentre"),
+        ),
+        _kind("switches", "switches", declared.Switches, ()),
     )
 }
-
-#: How each section's records are looked up in a ``Declared``.
-LOOKUP_BY_SECTION: dict[str, Callable[[declared.Declared], dict]] = {
-    "teams": lambda table: table.team_by_name,
-    "models": lambda table: table.model_by_name,
-    "datacentres": lambda table: table.datacentre_by_name,
-    "upstreams": lambda table: table.upstream_by_name,
-    "groups": lambda table: table.group_by_name,
-    "services": lambda table: table.service_by_name,
-    "limits": lambda table: table.limit_by_key,
-}
--- a/src/citronvalve/table/planning.py
+++ b/src/citronvalve/table/planning.py
@@ -111,13 +111,13 @@
     # Defaults are stored as well: else a release with another default would
     # change behaviour without an edit.
     complete: dict[str, Any] = {}
-    for section, lookup in kinds.LOOKUP_BY_SECTION.items():
-        for name, record in lookup(checked.table).items():
-            names = name if isinstance(name, tuple) else (name,)
-            complete[layout.key(section, *names)] = record._asdict()
-    switches = layout.key("switches", *kinds.ALL)
-    if switches in after:
-        complete[switches] = checked.table.switches._asdict()
+    for kind in kinds.KIND_BY_SECTION.values():
+        held = getattr(checked.table, kind.field)
+        if kind.key_columns:
+            rows = (record._asdict() for record in held.values())
+            complete.update((kind.key_of(row), row) for row in rows)
+        elif kind.key_of({}) in after:
+            complete[kind.key_of({})] = held._asdict()
     # As JSON gives it back, so that it compares with what is stored.
     return msgspec.json.decode(msgspec.json.encode(complete))
 
--- a/src/citronvalve/table/typed.py
+++ b/src/citronvalve/table/typed.py
@@ -15,16 +15,6 @@
 #: The table before its first edit.
 EMPTY = declared.Declared(0, {}, {}, {}, {}, {}, {}, {}, declared.Switches())
 
-_FIELD_BY_SECTION = {
-    "teams": "team_by_name",
-    "models": "model_by_name",
-    "datacentres": "datacentre_by_name",
-    "upstreams": "upstream_by_name",
-    "groups": "group_by_name",
-    "services": "service_by_name",
-    "limits": "limit_by_key",
-}
-
 
 class Typed(NamedTuple):
     """The table, and what is wrong with it; use it only when nothing is."""
@@ -64,32 +54,67 @@
     :param changes: key and columns, or None for a row that went.
     :param version: the version that the changes make.
     """
-    copied: dict[str, dict] = {}
-    switches = before.switches
-    wrong: list[mistake.Mistake] = []
+    builder = _Builder(before)
     for key, value in changes:
+        builder.change(key, value)
+    return builder.built(version)
+
+
+class _Builder:
+    """Carries changes out on copies of only the sections that they touch.
+
+    :param before: the table so far.
+    """
+
+    def __init__(self, before: declared.Declared) -> None:
+        self._before = before
+        self._new_by_field: dict[str, Any] = {}
+        self._wrong: list[mistake.Mistake] = []
+
+    def change(self, key: str, value: dict[str, Any] | None) -> None:
+        """Put a row, or take it away with None."""
         section, *names = key.split(layout.SEPARATOR)
-        if section == "switches":
-            checked = _checked(section, key, value or {})
-            switches = checked.record or switches
-            wrong += checked.mistakes
-            continue
-        field = _FIELD_BY_SECTION.get(section)
-        if field is None:
-            wrong.append(_no_section(key, section))
-            continue
-        if field not in copied:
-            copied[field] = dict(getattr(before, field))
-        name = names[0] if len(names) == 1 else tuple(names)
+        kind = kinds.KIND_BY_SECTION.get(section)
+        if kind is None:
+            self._wrong.append(_no_section(key, section))
+        elif not kind.key_columns:
+            # The one row of switches has its defaults while it is away.
+            record = self._checked(kind, key, value or {})
+            if record:
+                self._new_by_field[kind.field] = record
+        else:
+            name = names[0] if len(names) == 1 else tuple(names)
+            self._put(kind, key, name, value)
+
+    def built(self, version: int) -> Typed:
+        """Return the table with all that was wrong."""
+        table = self._before._replace(version=version, **self._new_by_field)
+        return Typed(table, tuple(self._wrong))
+
+    def _put(
+        self,
+        kind: kinds.Kind,
+        key: str,
+        name: str | tuple[str, ...],
+        value: dict[str, Any] | None,
+    ) -> None:
+        if kind.field not in self._new_by_field:
+            copied = dict(getattr(self._before, kind.field))
+            self._new_by_field[kind.field] = copied
+        record_by_name = self._new_by_field[kind.field]
         if value is None:
-            copied[field].pop(name, None)
-            continue
-        checked = _checked(section, key, value)
-        wrong += checked.mistakes
-        if checked.record:
-            copied[field][name] = checked.record
-    table = before._replace(version=version, switches=switches, **copied)
-    return Typed(table, tuple(wrong))
+            record_by_name.pop(name, None)
+            return
+        record = self._checked(kind, key, value)
+        if record:
+            record_by_name[name] = record
+
+    def _checked(
+        self, kind: kinds.Kind, key: str, value: dict[str, Any]
+    ) -> Any:
+        checked = columns.check(kind, key, value)
+        self._wrong += checked.mistakes
+        return checked.record
 
 
 def known(
@@ -123,7 +148,3 @@
         "no such section",
         "edit with the release that wrote it",
     )
-
-
-def _checked(section: str, key: str, value: dict[str, Any]) -> columns.Checked:
-    return columns.check(kinds.KIND_BY_SECTION[section], key, value)
