Let the demo form replica groups out of listed VMs

Cause: the demo stood in for the groups by engines at fixed addresses. Change: two VMs a data centre are only listed by the platform; the leader forms a group of each pair, and the demo waits until both serve. Ruled out: keeping both kinds in one data centre only; each has both now. Conclusion: the demo shows each part that the users named.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -13,6 +13,9 @@
 
 _PLACES = ("sapporo", "hakodate")
 _DAEMONS = 4
+_GROUP_SIZE = 2
+_GROUP_SECONDS = 10.0
+_LOOK_SECONDS = 0.1
 _MODEL = deployments.MODEL
 _PROMPT = "Describe the stitching of bag 42."
 
@@ -31,6 +34,7 @@
         """Run every step; return how many went wrong."""
         steps: tuple[Callable[[], None], ...] = (
             self._start,
+            self._groups,
             self._stream,
             self._whole,
             self._certificate,
@@ -44,13 +48,29 @@
     def _start(self) -> None:
         self._made.records("records-1", _PLACES[0])
         for place in _PLACES:
-            self._made.engine(f"{place}-vm-1", place)
-            self._made.engine(f"{place}-vm-2", place)
+            self._made.engine(f"{place}-single", place)
+            self._made.group(f"{place}-group", place, _GROUP_SIZE)
+            for number in range(_GROUP_SIZE):
+                vm = f"{place}-vm-{number}"
+                self._made.vm(vm, place, f"{place}-rack", "--load-time=100")
         self._made.daemons(_DAEMONS)
         self._made.start()
         count = len(self._made.fleet.process_by_name)
         self._check(True, f"{count} processes; the table is in force")
 
+    def _groups(self) -> None:
+        until = time.monotonic() + _GROUP_SECONDS
+        while self._serving() < len(_PLACES) and time.monotonic() < until:
+            time.sleep(_LOOK_SECONDS)
+        self._check(
+            self._serving() == len(_PLACES),
+            f"a replica group of {_GROUP_SIZE} VMs serves in each data centre",
+        )
+
+    def _serving(self) -> int:
+        told = self._made.command("groups")
+        return sum(one["state"] == "serving" for one in told["groups"])
+
     def _stream(self) -> None:
         seen = self._made.caller(0).chat(_MODEL, _PROMPT, tokens=24)
         expected = answer.whole(_MODEL, _PROMPT, 24)
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -7,6 +7,8 @@
 import time
 from typing import Any
 
+import urllib3
+
 from standins import client
 from standins import fleet as fleets
 
@@ -49,6 +51,7 @@
             "datacentres": {name: {"region": "north"} for name in datacentres},
             "services": {SERVICE: {"repeatable": ["GET", "HEAD"]}},
             "upstreams": {},
+            "groups": {},
         }
         if not fleet.platform:
             fleet.start_platform()
@@ -64,6 +67,38 @@
         self._declare(name, datacentre, address, "engine", MODEL)
         return address
 
+    def vm(
+        self, name: str, datacentre: str, domain: str, *options: str
+    ) -> str:
+        """Start an empty VM that the platform lists; return its address.
+
+        :param name: its name.
+        :param datacentre: where it stands.
+        :param domain: its fabric domain.
+        :param options: of the stand-in's command line.
+        """
+        address = self.fleet.start_engine(name, *options)
+        urllib3.request(
+            "POST",
+            f"http://{self.fleet.platform}/vms",
+            json=[name, datacentre, domain, address, 8, "live"],
+        )
+        return address
+
+    def group(self, name: str, datacentre: str, size: int) -> None:
+        """Declare one replica group.
+
+        :param name: its row's key.
+        :param datacentre: where its VMs are.
+        :param size: VMs of the group.
+        """
+        self.declaration["groups"][name] = {
+            "datacentre": datacentre,
+            "model": MODEL,
+            "size": size,
+            "replicas": 1,
+        }
+
     def records(self, name: str, datacentre: str, *options: str) -> str:
         """Start a record service, declare it, return its address.
 
@@ -93,11 +128,18 @@
         """
         path = self.fleet.folder / "table.json5"
         path.write_text(json.dumps(self.declaration))
+        told = self.command("apply", str(path), "--who=operator", "--why", why)
+        return told.get("version", 0) if not told["exit_code"] else 0
+
+    def command(self, *words: str) -> dict[str, Any]:
+        """Run the operators' tool and return what it told.
+
+        :param words: its command line, less where the platform is.
+        """
         done = subprocess.run(
             [
-                *(sys.executable, "-m", "citronvalve.cli.main", "apply"),
-                *(str(path), "--who", "operator", "--why", why, "--json"),
-                *("--platform", self.fleet.platform),
+                *(sys.executable, "-m", "citronvalve.cli.main", *words),
+                *("--json", "--platform", self.fleet.platform),
             ],
             capture_output=True,
             text=True,
@@ -105,8 +147,7 @@
         )
         if done.returncode:
             print(done.stdout, done.stderr)
-            return 0
-        return json.loads(done.stdout)["version"]
+        return json.loads(done.stdout)
 
     def in_force(self, version: int) -> bool:
         """Wait until all daemons know a version and every upstream's load.
