Keep the promises of admission, and prove the decisions by callers' outcomes

Cause: at 2x saturation 11.6% of the accepted requests were given up in the queue, and six daemons that filled the free slots of old reports could together exceed an upstream. Change: fixed parts, turns by slots in use, waits corrected by their own error, part of the slots kept from long work, doubts that a report settles, retries that refill.

--- /dev/null
+++ b/benchmarks/fullscan.py
@@ -0,0 +1,33 @@
+"""Placement that looks at every upstream, to weigh two choices against."""
+
+import collections.abc
+import random
+
+from citronvalve.policy import candidate
+from citronvalve.policy import placement
+from citronvalve.policy import room
+
+
+class FullScan(placement.Placement):
+    """The cheapest of all that have room."""
+
+    def pick(
+        self,
+        index: room.RoomIndex,
+        holders: collections.abc.Iterable[candidate.Candidate],
+        wish: placement.Wish,
+        rng: random.Random,
+    ) -> candidate.Candidate | None:
+        found = [
+            item
+            for tier in range(room.TIERS)
+            for item in index.all(tier)
+            if item.has_room() and wish.allows(item)
+        ]
+        return min(
+            found,
+            key=lambda item: placement.price(
+                item, wish, placement.DISTANCES[item.tier]
+            ),
+            default=None,
+        )
--- a/benchmarks/world.py
+++ b/benchmarks/world.py
@@ -20,7 +20,8 @@
 _TICK: clock.Ms = 50
 _REPORT: clock.Ms = 1_000
 _LOAN: clock.Ms = 1_000
-_GOSSIP: clock.Ms = 1_000
+#: A lost upstream is urgent news, told at the next tick of the peers.
+_GOSSIP: clock.Ms = 250
 
 
 class Call(NamedTuple):
--- a/src/citronvalve/policy/admission.py
+++ b/src/citronvalve/policy/admission.py
@@ -14,6 +14,9 @@
 #: the deadlines has nothing left for work that runs long or comes after.
 _HOLD = 0.6
 
+#: Share of what is left of its slack that later arrivals may use up.
+_KEEP = 0.8
+
 #: Longest wait in times of the mean service time.  A deeper queue serves
 #: no more under lasting load; it only makes everyone in it wait.
 _DEEPEST = 4
@@ -23,12 +26,16 @@
     """What this daemon can serve of a model.
 
     ``slots`` is for all teams, ``rate`` for the team in question, and
-    ``typical`` is the mean service time in ms.
+    ``typical`` is the mean service time in ms of what arrives, ``started``
+    of what was started, and ``margin`` what waits have lately exceeded
+    their prediction by.
     """
 
     slots: float
     rate: float
     typical: clock.Ms
+    started: clock.Ms
+    margin: clock.Ms = 0
 
 
 class Forecast(NamedTuple):
@@ -60,7 +67,7 @@
         return Forecast(0, False)
     line = queue.line(item.team)
     rate = supply.rate * _CAUTION
-    first = supply.typical / supply.slots
+    first = supply.started / supply.slots
     ahead = 0
     at = 0
     for at, other in enumerate(line, 1):
@@ -71,11 +78,16 @@
     shared = queue.cost / (supply.slots * _CAUTION)
     wait = round(first + min(ahead / rate, shared))
     slack = item.deadline - now - item.bound
-    if wait > min(slack * _HOLD, supply.typical * _DEEPEST):
+    # A team with nothing waiting has the next slot, and nobody after it can
+    # take that; only its own queue makes a wait uncertain.
+    most = min(slack * _HOLD, supply.typical * _DEEPEST) if line else slack
+    if wait + supply.margin > most:
         return Forecast(wait, False)
     ahead += item.cost
     for other in line[at:]:
-        if now + first + ahead / rate + other.bound > other.deadline:
+        # Part of the slack is kept: what comes after takes more of it.
+        spare = (other.deadline - now - other.bound) * _KEEP
+        if first + ahead / rate > spare:
             return Forecast(wait, False)
         ahead += other.cost
     return Forecast(wait, True)
--- a/src/citronvalve/policy/attempt.py
+++ b/src/citronvalve/policy/attempt.py
@@ -23,6 +23,10 @@
         "attempt_by_ticket",
         "attempts",
         "expected",
+        "forecast",
+        "is_long",
+        "never",
+        "queued_at",
         "ran",
         "suspect",
         "tried",
@@ -36,10 +40,17 @@
         self.work = item
         self.expected = expected
         self.suspect = suspect
+        #: As it was when it last started.
+        self.is_long = False
+        #: The wait that was predicted when it was queued, and when it was.
+        self.forecast: clock.Ms | None = None
+        self.queued_at: clock.Ms = 0
         self.attempts = 0
         self.ran = ran.Ran.NO
-        #: Upstreams that failed it; another attempt goes elsewhere.
+        #: Upstreams that failed it; another attempt goes elsewhere if it
+        #: can, and to those that answered wrongly it never goes again.
         self.tried: set[str] = set()
+        self.never: set[str] = set()
         self.waiting: fairshare.Waiting | None = None
         self.attempt_by_ticket: dict[decision.Ticket, Attempt] = {}
 
--- a/src/citronvalve/policy/backlog.py
+++ b/src/citronvalve/policy/backlog.py
@@ -1,16 +1,24 @@
 """What waits for one model, and what was started of late."""
 
+import collections
 import collections.abc
 
 from citronvalve.model import clock
 from citronvalve.policy import admission
 from citronvalve.policy import attempt
 from citronvalve.policy import fairshare
+from citronvalve.policy import surprise
 from citronvalve.policy import usage
 
 #: Gain of one start in the mean service time of the model's mix.
 _GAIN = 0.05
 
+#: Work of this many times the mean service time is long.
+_LONG = 4
+
+#: Share of the slots that long work may hold.
+_LONG_SHARE = 0.75
+
 _Weights = collections.abc.Callable[[str], float]
 
 
@@ -25,8 +33,20 @@
         self._usage = usage.Usage()
         self._weight_of = weight_of
         self._typical = 0.0
+        self._started = 0.0
+        self._surprise_by_flow: dict[tuple[str, bool], surprise.Surprise]
+        self._surprise_by_flow = collections.defaultdict(surprise.Surprise)
+        self._long_running = 0
         self._order = 0
 
+    def arrived(self, entry: attempt.Entry) -> None:
+        """Count a request that arrives, whatever becomes of it.
+
+        :param entry: the request.
+        """
+        gain = _GAIN if self._typical else 1.0
+        self._typical += gain * (entry.expected.mean - self._typical)
+
     def forecast(
         self,
         entry: attempt.Entry,
@@ -42,28 +62,58 @@
         :param now: monotonic ms.
         """
         team = entry.work.team
+        is_long = self._is_long(entry)
+        if is_long:
+            slots *= _LONG_SHARE
         waiting = self.queue.teams()
         rate = self._usage.rate(team, slots, self._weight_of, waiting, now)
         typical = round(self._typical) or entry.expected.mean
-        supply = admission.Supply(slots, min(rate, most), typical)
+        margin = self._surprise_by_flow[team, is_long].margin(now)
+        started = round(self._started) or typical
+        supply = admission.Supply(
+            slots, min(rate, most), typical, started, margin
+        )
         item = self._waiting(entry)
-        return admission.forecast(self.queue, item, supply, now)
+        seen = admission.forecast(self.queue, item, supply, now)
+        entry.forecast = seen.wait
+        return seen
+
+    def may_start(self, entry: attempt.Entry, slots: float) -> bool:
+        """Tell whether a request may take a slot now.
+
+        Made for a mix of long and short work.  Long work that takes each
+        slot as it comes free soon has them all, and work that is due
+        within a second waits for many; a part of the slots is kept for it.
+
+        :param entry: the request.
+        :param slots: slots of this model for all teams.
+        """
+        if not self._is_long(entry):
+            return True
+        return self._long_running < max(1.0, slots * _LONG_SHARE)
 
-    def push(self, entry: attempt.Entry) -> None:
+    def push(self, entry: attempt.Entry, now: clock.Ms) -> None:
         """Let a request wait.
 
         :param entry: the request.
+        :param now: monotonic ms.
         """
+        entry.queued_at = now
         self._order += 1
         entry.waiting = self._waiting(entry)
         self.queue.push(entry.waiting)
 
-    def remove(self, entry: attempt.Entry) -> None:
+    def remove(self, entry: attempt.Entry, now: clock.Ms) -> None:
         """Take a request out, if it waits.
 
         :param entry: the request.
+        :param now: monotonic ms.
         """
         if entry.waiting is not None:
+            if entry.forecast is not None:
+                error = now - entry.queued_at - entry.forecast
+                flow = entry.work.team, self._is_long(entry)
+                self._surprise_by_flow[flow].add(error, now)
             self.queue.remove(entry.waiting)
             entry.waiting = None
 
@@ -74,10 +124,23 @@
         :param now: monotonic ms.
         """
         team, cost = entry.work.team, entry.expected.mean
-        self.queue.charge(team, cost, self._weight_of(team))
+        entry.is_long = self._is_long(entry)
+        self._long_running += entry.is_long
+        self.queue.start(team, cost, self._weight_of(team))
         self._usage.add(team, cost, now)
-        gain = _GAIN if self._typical else 1.0
-        self._typical += gain * (cost - self._typical)
+        gain = _GAIN if self._started else 1.0
+        self._started += gain * (cost - self._started)
+
+    def ended(self, entry: attempt.Entry) -> None:
+        """Count an attempt that ended.
+
+        :param entry: the request.
+        """
+        self.queue.end(entry.work.team)
+        self._long_running -= entry.is_long
+
+    def _is_long(self, entry: attempt.Entry) -> bool:
+        return 0 < self._typical * _LONG < entry.expected.mean
 
     def _waiting(self, entry: attempt.Entry) -> fairshare.Waiting:
         item = entry.work
--- a/src/citronvalve/policy/candidate.py
+++ b/src/citronvalve/policy/candidate.py
@@ -2,21 +2,18 @@
 
 import collections
 import enum
-import math
-import random
 from typing import NamedTuple
+import zlib
 
 from citronvalve.model import clock
 from citronvalve.model import declared
 from citronvalve.model import load
 from citronvalve.policy import circuit
+from citronvalve.policy import limits
 from citronvalve.policy import outlier
 from citronvalve.policy import ramp
 from citronvalve.policy import shift
 
-#: A report older than this tells nothing of the load any more.
-STALE: clock.Ms = 10_000
-
 #: A group serves only while all of its VMs are seen: its state is fresh
 #: or it gets nothing.  Reports come every second and up to three late.
 GROUP_FRESH: clock.Ms = 5_000
@@ -75,10 +72,15 @@
         self.allowance = 0
         #: Requests there that have already cost another upstream.
         self.suspects = 0
+        #: Whether a report with a new start id has yet to be acted on.
+        self.started_afresh = False
+        #: When a connection to it last broke.
+        self.doubted_at: clock.Ms = 0
         #: When it last died, as far as this daemon knows.
         self.lost_at: clock.Ms = 0
         self._others = 0
-        self._share = 0
+        self._most = 0
+        self._offset = zlib.crc32(upstream.name.encode())
         self._history = collections.deque([(0, 0)])
 
     @property
@@ -99,32 +101,20 @@
         self.upstream = upstream
         self.ramp.upstream = upstream
 
-    def observe(
-        self, report: load.LoadReport, members: int, rng: random.Random
-    ) -> None:
+    def observe(self, report: load.LoadReport) -> None:
         """Take in a report; one older than the last is dropped.
 
-        Made for reports that are seconds old when many daemons read them:
-        were each to fill the free slots it sees, they would fill them many
-        times.  Each may keep what it had there at the time of the report
-        and take its part of what was free; the parts add up to the whole.
-        A part of a slot is given by chance, anew with each report.
-
         :param report: the report.
-        :param members: daemons that place work there.
-        :param rng: source of chance.
         """
         if self.report is not None and report.seen_at < self.report.seen_at:
             return
-        self.report = report
+        old, self.report = self.report, report
+        if old is not None and old.start_id != report.start_id:
+            self.started_afresh = True
         self.ramp.see(report)
         mine = self._own_at(report.seen_at)
-        held = report.running + report.queued
-        self._others = max(0, held - mine)
-        part = (report.bears - held) / members
-        whole = math.floor(part)
-        extra = rng.random() < part - whole
-        self._share = max(0, min(mine + whole + extra, report.bears))
+        self._others = max(0, report.running + report.queued - mine)
+        self._most = report.bears
 
     def start(self, now: clock.Ms) -> None:
         """Count a request sent there.
@@ -149,8 +139,12 @@
         self.ramp.restart(moment)
 
     def filled(self) -> None:
-        """Note that it refused work as full: no more until a report."""
-        self._share = min(self._share, self.own)
+        """Note that it refused work: hardly more until a report.
+
+        One is left, since it may have refused for another reason, and with
+        none there would be nobody to ask when all refused once.
+        """
+        self._most = min(self._most, max(1, self.own))
 
     def bar(self, now: clock.Ms) -> Bar | None:
         """Return why it gets nothing new, or None.
@@ -171,23 +165,18 @@
         }
         return next((bar for bar, holds in reasons.items() if holds), None)
 
-    def refresh(self, now: clock.Ms, members: int) -> int:
+    def refresh(self, now: clock.Ms, share: limits.Share) -> int:
         """Work out the allowance anew; return by how much it changed.
 
         :param now: monotonic ms.
-        :param members: daemons that place work there.
+        :param share: this daemon's place among those that use it.
         """
-        old, self.allowance = self.allowance, self._allowed(now, members)
+        old, self.allowance = self.allowance, self._allowed(now, share)
         return self.allowance - old
 
     def has_room(self) -> bool:
         """Tell whether one more request may go there."""
-        if self.own >= self.allowance or not self.place.has_room():
-            return False
-        if self.tier == 0:
-            return True
-        most = max(1, int(self.upstream.slots * shift.SPILL_SHARE))
-        return self.running < most
+        return self.own < self.allowance and self.place.has_room()
 
     def lent(self, now: clock.Ms) -> int:
         """Return the slots that a loan allows now.
@@ -196,18 +185,28 @@
         """
         return self.loan.slots if now < self.loan.until else 0
 
-    def _allowed(self, now: clock.Ms, members: int) -> int:
+    def _allowed(self, now: clock.Ms, share: limits.Share) -> int:
         if self.upstream.weight <= 0 or self.bar(now) is not None:
             return 0
         if self.ramp.is_cold(now):
             most = min(self.lent(now), self.ramp.bound(now))
-        elif now - self.report.seen_at > STALE:
-            most = max(1, self.upstream.slots // members)
         else:
-            most = self._share
+            most = self._part(share)
         half_open = self.circuit.state is circuit.State.HALF_OPEN
         return min(1, most) if half_open else most
 
+    def _part(self, share: limits.Share) -> int:
+        """Return this daemon's fixed part of a warm upstream.
+
+        Made for reports that are seconds old when many daemons read them:
+        were each to fill the free slots it sees, they would fill them many
+        times.  The parts of all daemons add up to the whole whatever they
+        know.  Who gets the odd slots differs from upstream to upstream.
+        """
+        rank = (share.rank + self._offset) % share.members
+        part = limits.Share(rank, share.members).of(self.upstream.slots)
+        return min(part, self._most)
+
     def _count(self, step: int, now: clock.Ms) -> None:
         self.own += step
         self._history.append((now, self.own))
--- a/src/citronvalve/policy/crashfence.py
+++ b/src/citronvalve/policy/crashfence.py
@@ -9,6 +9,11 @@
 _MOST_FINGERPRINTS = 10_000
 
 
+#: A sound upstream reports within this time after a connection to it broke.
+#: One that doesn't is taken for dead.
+_DOUBT: clock.Ms = 5_000
+
+
 class Loss(NamedTuple):
     """An upstream died with a request on it.
 
@@ -25,11 +30,14 @@
 
     Made for the request whose caller sends it again after each crash: with
     no fence it takes the upstreams down one by one.  Different upstreams
-    must be lost, since one that keeps dying by itself proves nothing.
+    must be lost, since one that keeps dying by itself proves nothing.  A
+    connection that broke is only a doubt: the request waits until the
+    upstream's next report, or its absence, tells which it was.
     """
 
     def __init__(self) -> None:
         self._lost_by_print: dict[str, dict[str, clock.Ms]] = {}
+        self._doubts: dict[str, dict[str, clock.Ms]] = {}
 
     def lose(self, fingerprint: str, upstream: str, now: clock.Ms) -> None:
         """Note that an upstream died with a request on it.
@@ -39,11 +47,64 @@
         :param upstream: who died.
         :param now: monotonic ms.
         """
+        self._doubts.get(upstream, {}).pop(fingerprint, None)
         lost = self._lost_by_print.setdefault(fingerprint, {})
         lost[upstream] = max(now, lost.get(upstream, now))
         if len(self._lost_by_print) > _MOST_FINGERPRINTS:
             del self._lost_by_print[next(iter(self._lost_by_print))]
 
+    def doubt(self, fingerprint: str, upstream: str, now: clock.Ms) -> None:
+        """Note that a connection broke, which a death would explain.
+
+        :param fingerprint: the request's.
+        :param upstream: whose connection it was.
+        :param now: monotonic ms.
+        """
+        self._doubts.setdefault(upstream, {})[fingerprint] = now
+
+    def confirm(self, upstream: str, now: clock.Ms) -> bool:
+        """Turn doubts into losses: it is gone, or started afresh.
+
+        :param upstream: who died.
+        :param now: monotonic ms.
+        :return: whether there was a doubt.
+        """
+        doubts = self._doubts.pop(upstream, {})
+        for fingerprint in doubts:
+            self.lose(fingerprint, upstream, now)
+        return bool(doubts)
+
+    def overdue(self, now: clock.Ms) -> list[str]:
+        """Return upstreams that have been silent since they were doubted.
+
+        :param now: monotonic ms.
+        """
+        return [
+            name
+            for name, doubts in self._doubts.items()
+            if any(now - at >= _DOUBT for at in doubts.values())
+        ]
+
+    def trust(self, upstream: str) -> None:
+        """Drop doubts: it reported after them, and is the same as before.
+
+        :param upstream: who reported.
+        """
+        self._doubts.pop(upstream, None)
+
+    def clear(self, fingerprint: str) -> None:
+        """Drop all that speaks against a request: it has just been done.
+
+        One that crashes upstreams is never done.  One that only ran beside
+        it is, and must not be refused for it.
+
+        :param fingerprint: the request's.
+        """
+        if fingerprint:
+            self._lost_by_print.pop(fingerprint, None)
+            for doubts in self._doubts.values():
+                doubts.pop(fingerprint, None)
+
     def losses(self, fingerprint: str, now: clock.Ms, span: clock.Ms) -> int:
         """Return how many different upstreams were lost.
 
@@ -51,11 +112,20 @@
         :param now: monotonic ms.
         :param span: how long a loss counts, in ms.
         """
-        lost = self._lost_by_print.get(fingerprint)
-        if not lost or not fingerprint:
+        if not fingerprint:
             return 0
+        lost = self._lost_by_print.get(fingerprint, {})
         return sum(now - at < span for at in lost.values())
 
+    def doubts(self, fingerprint: str) -> int:
+        """Return how many upstreams may have been lost, and may not.
+
+        :param fingerprint: the request's.
+        """
+        if not fingerprint or not self._doubts:
+            return 0
+        return sum(fingerprint in seen for seen in self._doubts.values())
+
     def learn(self, loss: Loss, now: clock.Ms) -> None:
         """Take in a loss that a peer saw.
 
--- a/src/citronvalve/policy/dispatcher.py
+++ b/src/citronvalve/policy/dispatcher.py
@@ -44,7 +44,7 @@
         invariants: invariant.Invariants,
         chooser: placement.Placement | None = None,
     ) -> None:
-        self.fleet = fleet.Fleet(home, rng)
+        self.fleet = fleet.Fleet(home)
         self.limits = limits.Limits()
         self.judge = judge.Judge(self.fleet)
         self._starter = starter.Starter(
@@ -132,6 +132,7 @@
 
         :param now: monotonic ms.
         """
+        self.judge.tick(now)
         self.fleet.tick(now)
         for late in self._starter.overdue(now):
             self.judge.overdue(late, now)
@@ -146,6 +147,7 @@
         :param now: monotonic ms.
         """
         self.fleet.observe(report, now)
+        self.judge.observed(report.upstream, now)
 
     def lend(
         self, upstream: str, slots: int, until: clock.Ms, now: clock.Ms
@@ -166,6 +168,10 @@
         """
         return self.fleet.wants(now)
 
+    def open_requests(self) -> int:
+        """Return how many accepted requests have not ended."""
+        return len(self._requests)
+
     def tell(self, now: clock.Ms) -> tuple[crashfence.Loss, ...]:
         """Return what peers should know of lost upstreams.
 
--- a/src/citronvalve/policy/estimate.py
+++ b/src/citronvalve/policy/estimate.py
@@ -5,9 +5,9 @@
 from citronvalve.model import clock
 from citronvalve.policy import work
 
-#: Guess before anything was measured.  Too low only lets the first few
+#: Guess before a size was measured.  Too low only lets the first few
 #: requests in; too high would refuse them, and nothing would be measured.
-_FIRST: clock.Ms = 500
+_FIRST: clock.Ms = 200
 
 #: Gain of one new sample once a size has been seen often: about the last
 #: ten answers count, which follows a new version within seconds of load.
@@ -26,7 +26,7 @@
 
 #: Deviations above the mean that an answer is given to finish.  Measured
 #: in benchmarks/policy.py: fewer lets accepted work finish late.
-_DEVIATIONS = 2.0
+_DEVIATIONS = 3.5
 
 
 class Expected(NamedTuple):
@@ -89,7 +89,7 @@
         if unit is None or now - unit.at >= _STALE:
             return Expected(_FIRST, _FIRST)
         mean = round(unit.mean * _units(item)) or 1
-        return Expected(mean, mean)
+        return Expected(mean, min(mean, _FIRST))
 
     def learn(self, item: work.Work, took: clock.Ms, now: clock.Ms) -> None:
         """Take in one answer.
--- a/src/citronvalve/policy/fairshare.py
+++ b/src/citronvalve/policy/fairshare.py
@@ -24,21 +24,26 @@
 class _Line:
     """One team's work, and how much service it has had."""
 
-    __slots__ = ("by_deadline", "cost", "virtual")
+    __slots__ = ("by_deadline", "cost", "running", "virtual", "weight")
 
     def __init__(self) -> None:
         self.by_deadline: list[Waiting] = []
         self.cost = 0
         self.virtual = 0.0
+        self.running = 0
+        self.weight = 1.0
 
 
 class FairQueue:
-    """Weighted fair queueing across teams, earliest deadline first in one.
+    """Weighted fair shares across teams, earliest deadline first in one.
 
     Made for one team that sends several times its share: its own line
-    grows, and the others' work still finds the next free slot.  Fairness
-    is by service time and not by requests, since a team of long requests
-    would else get many times the upstreams of a team of short ones.
+    grows, and the others' work still finds the next free slot.  The next
+    slot goes to the team with the fewest in use for its weight, and among
+    equals to the one least served: equal slots at all times are equal
+    service.  Charging the whole cost at the start, as weighted fair
+    queueing does, would make a team's short work wait for seconds after
+    each of its long ones.
     """
 
     def __init__(self) -> None:
@@ -91,24 +96,37 @@
         self._cost -= item.cost
 
     def teams(self) -> list[str]:
-        """Return the teams that wait, the one least served first."""
+        """Return the teams that wait, whose turn it is first."""
         line_by_team = self._line_by_team
         waiting = [t for t, n in line_by_team.items() if n.by_deadline]
-        return sorted(waiting, key=lambda t: line_by_team[t].virtual)
+        return sorted(waiting, key=lambda t: _turn(line_by_team[t]))
 
-    def charge(self, team: str, cost: clock.Ms, weight: float) -> None:
-        """Count service that a team gets now.
+    def start(self, team: str, cost: clock.Ms, weight: float) -> None:
+        """Count an attempt that starts.
 
-        :param team: its name.
-        :param cost: expected service time in ms.
+        :param team: whose it is.
+        :param cost: its expected service time in ms.
         :param weight: the team's weight, above 0.
         """
         line = self._line_by_team.setdefault(team, _Line())
-        start = max(line.virtual, self._virtual if not line.cost else 0.0)
-        line.virtual = start + cost / weight
-        self._virtual = max(self._virtual, start)
+        begin = max(line.virtual, self._virtual if not line.cost else 0.0)
+        line.virtual = begin + cost / weight
+        line.weight = weight
+        line.running += 1
+        self._virtual = max(self._virtual, begin)
+
+    def end(self, team: str) -> None:
+        """Count an attempt that ended.
+
+        :param team: whose it was.
+        """
+        self._line_by_team[team].running -= 1
 
     def waiting(self) -> collections.abc.Iterator[Waiting]:
         """Yield all that waits, in no order that means anything."""
         for line in self._line_by_team.values():
             yield from line.by_deadline
+
+
+def _turn(line: _Line) -> tuple[float, float]:
+    return (line.running + 1) / line.weight, line.virtual
--- a/src/citronvalve/policy/fleet.py
+++ b/src/citronvalve/policy/fleet.py
@@ -2,7 +2,6 @@
 
 import collections
 import collections.abc
-import random
 from typing import NamedTuple
 
 from citronvalve.model import clock
@@ -28,22 +27,22 @@
 
     upstream: str
     bound: int
+    datacentre: str
+    start_id: str
 
 
 class Fleet:
     """Keeps candidates, their allowances, and sums of these by model.
 
     :param home: this daemon's data centre.
-    :param rng: source of chance.
     """
 
-    def __init__(self, home: str, rng: random.Random) -> None:
+    def __init__(self, home: str) -> None:
         self.candidate_by_name: dict[str, candidate.Candidate] = {}
         self.index_by_model: dict[str, room.RoomIndex] = {}
         self.shift_by_datacentre: dict[str, shift.Shift] = {}
         self._home = home
-        self._rng = rng
-        self._members = 1
+        self._share = limits.Share(0, 1)
         self._looked_at = 0
         self._slots_by_model: dict[str, collections.Counter] = {}
 
@@ -53,7 +52,7 @@
         :param share: this daemon's place among them.
         :param now: monotonic ms.
         """
-        self._members = share.members
+        self._share = share
         self._refresh(self.candidate_by_name.values(), now)
 
     def declare(
@@ -89,7 +88,7 @@
         """
         item = self.candidate_by_name.get(report.upstream)
         if item is not None:
-            item.observe(report, self._members, self._rng)
+            item.observe(report)
             self.changed(item, now)
 
     def lend(
@@ -131,7 +130,7 @@
         :param now: monotonic ms.
         """
         item.circuit.tick(now)
-        delta = item.refresh(now, self._members)
+        delta = item.refresh(now, self._share)
         for model in item.upstream.serves if delta else ():
             slots = self._slots_by_model[model]
             slots[item.upstream.datacentre] += delta
@@ -161,13 +160,42 @@
             if model in item.upstream.serves
         ]
 
+    def why_none(self, model: str, now: clock.Ms) -> str:
+        """Tell in words why a model has no slots.
+
+        :param model: the model or plain service.
+        :param now: monotonic ms.
+        """
+        counts: collections.Counter = collections.Counter()
+        for item in self.serving(model):
+            bar = item.bar(now)
+            cold = "it is cold, and no slots of it are lent to this daemon"
+            full = "it bears no more"
+            open_ = cold if item.ramp.is_cold(now) else full
+            counts[bar.value if bar else open_] += 1
+        told = (f"{many} since {why}" for why, many in counts.items())
+        return "; ".join(told) or "none is declared"
+
+    def start_id(self, upstream: str) -> str:
+        """Return the start of an upstream that was seen last.
+
+        :param upstream: its name.
+        """
+        item = self.candidate_by_name.get(upstream)
+        return item.report.start_id if item and item.report else ""
+
     def wants(self, now: clock.Ms) -> tuple[Want, ...]:
         """Return the cold upstreams that need a loan.
 
         :param now: monotonic ms.
         """
         return tuple(
-            Want(item.name, item.ramp.bound(now))
+            Want(
+                item.name,
+                item.ramp.bound(now),
+                item.upstream.datacentre,
+                item.report.start_id,
+            )
             for item in self.candidate_by_name.values()
             if item.bar(now) is None and item.ramp.is_cold(now)
         )
@@ -194,7 +222,7 @@
             if place is None:
                 place = shift.Shift(row.state)
                 self.shift_by_datacentre[name] = place
-            if place.declare(row.state, most[name] // self._members):
+            if place.declare(row.state, most[name] // self._share.members):
                 back.add(name)
         return back
 
--- a/src/citronvalve/policy/outcome.py
+++ b/src/citronvalve/policy/outcome.py
@@ -15,8 +15,14 @@
     NOT_RUN = "not-run"
     #: The upstream was full, said so, and did not run it.
     BUSY = "busy"
-    #: An error or silence after it was sent; it may have run.
+    #: The connection broke: the upstream may have died of it.
     BROKEN = "broken"
+    #: The upstream fell silent; it may have run.
+    SILENT = "silent"
+    #: It answered what can't be passed on.
+    WRONG = "wrong"
+    #: It contradicted its answer; this request never goes there again.
+    DIVERGED = "diverged"
     #: The upstream died with the attempt on it.
     CRASHED = "crashed"
     #: Stopped because its caller left or another attempt won.
@@ -40,6 +46,9 @@
     Outcome.NOT_RUN: Meaning(ran.Ran.NO, fails=True),
     Outcome.BUSY: Meaning(ran.Ran.NO, fails=False),
     Outcome.BROKEN: Meaning(ran.Ran.UNKNOWN, fails=True),
+    Outcome.SILENT: Meaning(ran.Ran.UNKNOWN, fails=True),
+    Outcome.WRONG: Meaning(ran.Ran.UNKNOWN, fails=True),
+    Outcome.DIVERGED: Meaning(ran.Ran.UNKNOWN, fails=True),
     Outcome.CRASHED: Meaning(ran.Ran.UNKNOWN, fails=True, fatal=True),
     Outcome.CANCELLED: Meaning(ran.Ran.UNKNOWN, fails=False),
 }
@@ -49,5 +58,8 @@
     Outcome.NOT_RUN,
     Outcome.BUSY,
     Outcome.BROKEN,
+    Outcome.SILENT,
+    Outcome.WRONG,
+    Outcome.DIVERGED,
     Outcome.CRASHED,
 }
--- a/src/citronvalve/policy/refusals.py
+++ b/src/citronvalve/policy/refusals.py
@@ -5,6 +5,7 @@
 from citronvalve.model import clock
 from citronvalve.model import ran
 from citronvalve.model import refusal
+from citronvalve.policy import attempt
 from citronvalve.policy import comeback
 
 _REMEDY_BY_KIND: dict[refusal.RefusalKind, str] = {
@@ -55,3 +56,24 @@
             has_run,
             comeback.after(excess, self._rng),
         )
+
+    def late(
+        self,
+        entry: attempt.Entry,
+        now: clock.Ms,
+        wait: clock.Ms = 0,
+        kind: refusal.RefusalKind = refusal.RefusalKind.NO_TIME,
+    ) -> refusal.Refusal:
+        """Return the refusal of work that can't be done in time.
+
+        :param entry: the request.
+        :param now: monotonic ms.
+        :param wait: ms that it would wait first.
+        :param kind: why it can't.
+        """
+        deadline = entry.work.deadline
+        late = now + wait + entry.expected.bound - deadline
+        if deadline <= now:
+            kind = refusal.RefusalKind.DEADLINE_PASSED
+        detail = f"it would be done {late} ms after its deadline"
+        return self.give(kind, detail, late, entry.ran)
--- a/src/citronvalve/policy/requests.py
+++ b/src/citronvalve/policy/requests.py
@@ -21,6 +21,9 @@
 #: A suspect's second copy is told to come back after about this long.
 _SUSPECT_WAIT: clock.Ms = 2_000
 
+#: Places of a team's line that are looked at for work that may start now.
+_LOOK = 4
+
 
 class Requests:
     """Accepts requests, queues them, and gives each exactly one end.
@@ -57,19 +60,23 @@
         self._entry_by_request: dict[str, attempt.Entry] = {}
         self._out: list[decision.Decision] = []
 
+    def __len__(self) -> int:
+        return len(self._entry_by_request)
+
     def submit(self, item: work.Work, now: clock.Ms) -> decision.Verdict:
         """Start, queue or refuse a request at once.
 
         :param item: the request.
         :param now: monotonic ms.
         """
-        losses = self._losses(item, now)
-        denied = self._fenced(item, losses)
+        denied = self._fenced(item, now)
         if denied is not None:
             return denied
         expected = self._judge.estimate.expect(item, now)
-        entry = attempt.Entry(item, expected, losses > 0)
+        suspect = self._judge.is_suspect(item.fingerprint, now)
+        entry = attempt.Entry(item, expected, suspect)
         line = self._backlog(item.model)
+        line.arrived(entry)
         if not line.queue and not entry.is_hopeless(now):
             begun = self._start(entry, now)
             if begun is not None:
@@ -80,28 +87,31 @@
     def conclude(
         self, ended: attempt.Attempt, how: outcome.Outcome, now: clock.Ms
     ) -> None:
-        """Decide what an ended attempt means for its request.
+        """Decide what an attempt's end means for its request.
 
         :param ended: the attempt.
         :param how: its outcome.
         :param now: monotonic ms.
         """
         entry = ended.entry
+        self._backlog(entry.work.model).ended(entry)
         request = entry.work.request
         if self._entry_by_request.get(request) is not entry:
             return
         if how is outcome.Outcome.DONE:
-            self._end(entry)
+            self._end(entry, now)
             return
         entry.tried.add(ended.candidate.name)
+        if how is outcome.Outcome.DIVERGED:
+            entry.never.add(ended.candidate.name)
         if outcome.MEANING_BY_OUTCOME[how].ran is not ran.Ran.NO:
             entry.ran = ran.Ran.UNKNOWN
         if entry.attempt_by_ticket:
             return
         if how is outcome.Outcome.CANCELLED:
-            self._end(entry)
+            self._end(entry, now)
         elif not self._again(entry, how, now):
-            self._refuse(entry, self._failure(entry, how, now))
+            self._refuse(entry, self._failure(entry, how, now), now)
 
     def drop(self, request: str, now: clock.Ms) -> None:
         """Forget a request whose caller has left.
@@ -111,7 +121,7 @@
         """
         entry = self._entry_by_request.get(request)
         if entry is not None:
-            self._end(entry)
+            self._end(entry, now)
             self.pump(entry.work.model, now)
 
     def pump(self, model: str, now: clock.Ms) -> None:
@@ -133,7 +143,7 @@
             for item in list(line.queue.waiting()):
                 entry = self._entry_by_request[item.request]
                 if entry.is_hopeless(now):
-                    self._refuse(entry, self._late(entry, now))
+                    self._refuse(entry, self._refusals.late(entry, now), now)
             self.pump(model, now)
 
     def hedge(self, late: attempt.Attempt, now: clock.Ms) -> None:
@@ -152,7 +162,9 @@
             return
         if self._judge.switches.hedge_share <= 0 or entry.suspect:
             return
-        if self._backlog(entry.work.model).queue or not self._hedges.spend():
+        if self._backlog(entry.work.model).queue or not self._hedges.spend(
+            now
+        ):
             return
         entry.tried.add(late.candidate.name)
         begun = self._start(entry, now, hedge=True)
@@ -173,18 +185,18 @@
             self._backlog_by_model[model] = line
         return line
 
-    def _losses(self, item: work.Work, now: clock.Ms) -> int:
-        span = self._judge.switches.fence_for
-        return self._judge.fence.losses(item.fingerprint, now, span)
-
-    def _fenced(self, item: work.Work, losses: int) -> refusal.Refusal | None:
-        if losses >= self._judge.switches.crashes_to_fence:
-            detail = f"{losses} upstreams were lost while running it"
+    def _fenced(
+        self, item: work.Work, now: clock.Ms
+    ) -> refusal.Refusal | None:
+        print_ = item.fingerprint
+        if self._judge.is_fenced(print_, now):
+            detail = "upstreams were lost while running it"
             return self._refusals.give(_Kind.FENCED_OFF, detail)
-        if losses and not self._starter.may_run_beside(item.fingerprint):
+        suspect = self._judge.is_suspect(print_, now)
+        if suspect and not self._starter.may_run_beside(print_):
             # Two copies at once could cost two more upstreams before the
             # first is known to have cost one.
-            detail = "an upstream was lost with it; another try is running"
+            detail = "it may have cost an upstream; another try is running"
             give = self._refusals.give
             return give(_Kind.FENCED_OFF, detail, _SUSPECT_WAIT)
         return None
@@ -195,7 +207,8 @@
         item = entry.work
         slots = self._fleet.slots(item.model)
         if slots <= 0:
-            detail = f"no upstream of {item.model} is in service"
+            why = self._fleet.why_none(item.model, now)
+            detail = f"no upstream of {item.model} is in service: {why}"
             return self._refusals.give(_Kind.NO_UPSTREAM, detail)
         places = self._fleet.shift_by_datacentre
         most = self._limits.most(item.team, item.model, places, now)
@@ -203,9 +216,9 @@
         if not seen.fits:
             limited = most < slots and not entry.is_hopeless(now)
             kind = _Kind.OVER_LIMIT if limited else _Kind.NO_TIME
-            return self._late(entry, now, seen.wait, kind)
+            return self._refusals.late(entry, now, seen.wait, kind)
         self._accept(entry)
-        line.push(entry)
+        line.push(entry, now)
         self.pump(item.model, now)
         return self._own_start(entry, seen.wait)
 
@@ -227,73 +240,79 @@
     def _start(
         self, entry: attempt.Entry, now: clock.Ms, hedge: bool = False
     ) -> decision.Start | None:
+        line = self._backlog(entry.work.model)
+        if not line.may_start(entry, self._fleet.slots(entry.work.model)):
+            return None
         begun = self._starter.start(entry, now, hedge)
         if begun is not None:
-            self._backlog(entry.work.model).started(entry, now)
+            line.started(entry, now)
         return begun
 
     def _start_next(self, line: backlog.Backlog, now: clock.Ms) -> bool:
         for team in line.queue.teams():
-            item = line.queue.line(team)[0]
-            entry = self._entry_by_request[item.request]
-            if entry.is_hopeless(now):
-                self._refuse(entry, self._late(entry, now))
-                return True
-            begun = self._start(entry, now)
-            if begun is not None:
-                line.remove(entry)
-                self._out.append(begun)
-                return True
+            for item in line.queue.line(team)[:_LOOK]:
+                entry = self._entry_by_request[item.request]
+                if self._settle(entry, line, now):
+                    return True
         return False
 
+    def _settle(
+        self, entry: attempt.Entry, line: backlog.Backlog, now: clock.Ms
+    ) -> bool:
+        if entry.is_hopeless(now):
+            self._refuse(entry, self._refusals.late(entry, now), now)
+            return True
+        if self._judge.is_fenced(entry.work.fingerprint, now):
+            why = self._failure(entry, outcome.Outcome.CRASHED, now)
+            self._refuse(entry, why, now)
+            return True
+        begun = self._start(entry, now)
+        if begun is None:
+            return False
+        line.remove(entry, now)
+        self._out.append(begun)
+        return True
+
     def _again(
         self, entry: attempt.Entry, how: outcome.Outcome, now: clock.Ms
     ) -> bool:
         if not retries.may_repeat(how, entry.work.repeatable):
             return False
-        losses = self._losses(entry.work, now)
-        entry.suspect = losses > 0
-        if losses >= self._judge.switches.crashes_to_fence:
+        print_ = entry.work.fingerprint
+        entry.suspect = self._judge.is_suspect(print_, now)
+        if self._judge.is_fenced(print_, now):
             return False
-        if entry.is_hopeless(now) or not self._retries.spend():
+        if entry.is_hopeless(now) or not self._retries.spend(now):
             return False
-        self._backlog(entry.work.model).push(entry)
+        entry.forecast = None
+        self._backlog(entry.work.model).push(entry, now)
         return True
 
     def _failure(
         self, entry: attempt.Entry, how: outcome.Outcome, now: clock.Ms
     ) -> refusal.Refusal:
-        losses = self._losses(entry.work, now)
-        fenced = losses >= self._judge.switches.crashes_to_fence
+        fenced = self._judge.is_fenced(entry.work.fingerprint, now)
+        if not fenced and entry.is_hopeless(now):
+            # Another try would end after the deadline, so that this is
+            # already known to be the end.
+            return self._refusals.late(entry, now, 0, _Kind.DEADLINE_PASSED)
         kind = _Kind.FENCED_OFF if fenced else _Kind.UPSTREAM_FAILED
         detail = f"attempt {entry.attempts} ended: {how.value}"
         return self._refusals.give(kind, detail, has_run=entry.ran)
 
-    def _late(
-        self,
-        entry: attempt.Entry,
-        now: clock.Ms,
-        wait: clock.Ms = 0,
-        kind: _Kind = _Kind.NO_TIME,
-    ) -> refusal.Refusal:
-        deadline = entry.work.deadline
-        late = now + wait + entry.expected.bound - deadline
-        if deadline <= now:
-            kind = _Kind.DEADLINE_PASSED
-        detail = f"it would be done {late} ms after its deadline"
-        return self._refusals.give(kind, detail, late, entry.ran)
-
-    def _refuse(self, entry: attempt.Entry, why: refusal.Refusal) -> None:
-        self._end(entry)
+    def _refuse(
+        self, entry: attempt.Entry, why: refusal.Refusal, now: clock.Ms
+    ) -> None:
+        self._end(entry, now)
         self._out.append(decision.Refuse(entry.work.request, why))
 
-    def _end(self, entry: attempt.Entry) -> None:
+    def _end(self, entry: attempt.Entry, now: clock.Ms) -> None:
         ended = self._entry_by_request.pop(entry.work.request, None)
         self._invariants.hold(
             "accepted work ends exactly once",
             ended is entry,
             entry.work.request,
         )
-        self._backlog(entry.work.model).remove(entry)
+        self._backlog(entry.work.model).remove(entry, now)
         for ticket, left in entry.attempt_by_ticket.items():
             self._out.append(decision.Cancel(ticket, left.candidate.name))
--- a/src/citronvalve/policy/retries.py
+++ b/src/citronvalve/policy/retries.py
@@ -1,12 +1,17 @@
 """How many attempts may follow failed ones."""
 
+from citronvalve.model import clock
 from citronvalve.model import invariant
 from citronvalve.model import ran
 from citronvalve.policy import outcome
 
-#: Retries that may come before any first try has earned one; without
-#: these the first failure after a start would always reach the caller.
-RESERVE = 2.0
+#: Second attempts that need not be earned, refilled with time.  A quiet
+#: daemon has too few first tries to earn one before it is needed, and so
+#: few more attempts can overload nobody.
+RESERVE = 10.0
+
+#: Refill of the reserve, in attempts a second.
+_REFILL = 2.0
 
 #: Most that idle time may save up.  When every upstream fails at once, more
 #: would let a long quiet spell pay for a storm of retries.
@@ -29,6 +34,7 @@
         self._saved = RESERVE
         self._earned = RESERVE
         self._spent = 0
+        self._at: clock.Ms | None = None
 
     def earn(self, share: float) -> None:
         """Count a first try.
@@ -38,8 +44,12 @@
         self._earned += share
         self._saved = min(self._saved + share, _MOST_SAVED)
 
-    def spend(self) -> bool:
-        """Take one second attempt, or return False."""
+    def spend(self, now: clock.Ms) -> bool:
+        """Take one second attempt, or return False.
+
+        :param now: monotonic ms.
+        """
+        self._refill(now)
         if self._saved < 1:
             return False
         self._saved -= 1
@@ -51,6 +61,14 @@
         )
         return True
 
+    def _refill(self, now: clock.Ms) -> None:
+        passed = 0 if self._at is None else now - self._at
+        self._at = now
+        due = min(_REFILL * passed / clock.SECOND, RESERVE - self._saved)
+        if due > 0:
+            self._saved += due
+            self._earned += due
+
 
 def may_repeat(ended: outcome.Outcome, repeatable: bool) -> bool:
     """Tell whether another attempt can do no harm.
--- a/src/citronvalve/policy/shift.py
+++ b/src/citronvalve/policy/shift.py
@@ -26,10 +26,6 @@
 #: learn from, little enough to lose.
 _FIRST = 2
 
-#: Share of a remote upstream's slots that this daemon fills.  The rest is
-#: left to callers of that data centre, whom a spill would else push out.
-SPILL_SHARE = 0.9
-
 
 class Shift:
     """One data centre as this daemon uses it.
--- a/src/citronvalve/policy/starter.py
+++ b/src/citronvalve/policy/starter.py
@@ -13,6 +13,7 @@
 from citronvalve.policy import judge
 from citronvalve.policy import limits
 from citronvalve.policy import placement
+from citronvalve.policy import room
 
 #: An attempt is overdue after this many times its bound, and again after
 #: each doubling.
@@ -142,31 +143,54 @@
         index = self._fleet.index_by_model.get(item.model)
         if index is None:
             return None
-        if entry.suspect and not self.may_run_beside(item.fingerprint):
+        print_ = item.fingerprint
+        if entry.suspect and not self.may_run_beside(print_):
             return None
-        belief = self._judge.affinity.holders(item.prefixes, now)
+        if entry.suspect and self._judge.must_wait(print_, now):
+            return None
+        chosen = self._pick(entry, index, entry.tried, now)
+        if chosen is None and entry.tried and not self._elsewhere(entry, now):
+            # The only one left may be better by now, and a broken
+            # connection to it need not mean that the next one breaks.
+            chosen = self._pick(entry, index, entry.never, now)
+        return chosen
+
+    def _pick(
+        self,
+        entry: attempt.Entry,
+        index: room.RoomIndex,
+        barred: set[str],
+        now: clock.Ms,
+    ) -> candidate.Candidate | None:
+        belief = self._judge.affinity.holders(entry.work.prefixes, now)
         by_name = self._fleet.candidate_by_name
         holders = sorted(belief, key=belief.__getitem__, reverse=True)
         wish = placement.Wish(
-            lambda target: self._allows(entry, target, now),
+            lambda target: self._allows(entry, target, barred, now),
             belief,
-            item.prompt_tokens,
+            entry.work.prompt_tokens,
             entry.expected.mean,
         )
-        return self._chooser.pick(
-            index,
-            [by_name[n] for n in holders if n in by_name],
-            wish,
-            self._rng,
+        likely = [by_name[name] for name in holders if name in by_name]
+        return self._chooser.pick(index, likely, wish, self._rng)
+
+    def _elsewhere(self, entry: attempt.Entry, now: clock.Ms) -> bool:
+        return any(
+            item.name not in entry.tried and item.bar(now) is None
+            for item in self._fleet.serving(entry.work.model)
         )
 
     def _allows(
-        self, entry: attempt.Entry, target: candidate.Candidate, now: clock.Ms
+        self,
+        entry: attempt.Entry,
+        target: candidate.Candidate,
+        barred: set[str],
+        now: clock.Ms,
     ) -> bool:
         # Time may have closed it since the last look: a loan or a group's
         # state ran out.
         self._fleet.changed(target, now)
-        if not target.has_room() or target.name in entry.tried:
+        if not target.has_room() or target.name in barred:
             return False
         if entry.work.model not in target.upstream.serves:
             return False
