--- a/src/citronvalve/entry/view.py
+++ b/src/citronvalve/entry/view.py
@@ -57,13 +57,16 @@
         """
         if not self._declared:
             return []
+        return [*self._declared.upstream_by_name.values(), *self.groups()]
+
+    def groups(self) -> tuple[declared.Upstream, ...]:
+        """Return the groups that serve now, as upstreams, by name."""
         now = self._clock.now()
-        made = [
+        return tuple(
             route.upstream
-            for route in self.route_by_group.values()
+            for _, route in sorted(self.route_by_group.items())
             if now - route.seen_at < _ROUTE_FRESH
-        ]
-        return [*self._declared.upstream_by_name.values(), *made]
+        )
 
     def fence(self, upstream: str) -> int:
         """Return the fence that a request to an upstream carries.
