--- a/tests/groups/steps/drill_steps.py
+++ b/tests/groups/steps/drill_steps.py
@@ -69,6 +69,7 @@
     while not _answers(context):
         assert time.monotonic() < until, _scan(context, book.groups_table(_DC))
         time.sleep(0.1)
+    context.group = _group(context)
 
 
 def _scan(context, table):
@@ -84,23 +85,19 @@
 
 @behave.when("a VM of the group that is not rank 0 is killed")
 def step_kill(context):
-    group = _group(context)
-    vm = group["members"][1][0]
-    context.fence = group["fence"]
+    context.fence = context.group["fence"]
+    vm = context.group["members"][1][0]
     context.made.fleet.process_by_name[vm].send(signal.SIGKILL)
     context.killed = vm
     context.killed_at = time.monotonic()
 
 
-@behave.then("within 3 s each daemon refuses unrun, or a new group answers")
-def step_refuses(context):
+def _until_refused(context, is_renewed):
     context.seen = []
     waiting = set(context.left)
     while waiting:
         spent = time.monotonic() - context.killed_at
-        # A request may also have waited in the queue for the new group,
-        # which has a higher fence; that is no answer of the half group.
-        renewed = _group(context)["fence"] > context.fence
+        renewed = is_renewed()
         for daemon in sorted(waiting):
             answer = _ask(context, daemon)
             context.seen.append(answer)
@@ -112,6 +109,18 @@
         assert not waiting or spent < 3, context.seen
 
 
+@behave.then("within 3 s each daemon refuses and says that nothing was run")
+def step_refuses(context):
+    _until_refused(context, lambda: False)
+
+
+@behave.then("within 3 s each daemon refuses unrun, or a new group answers")
+def step_refuses_or_renews(context):
+    # A request may also have waited in the queue for the new group, which
+    # has a higher fence; that is no answer of the half group.
+    _until_refused(context, lambda: _group(context)["fence"] > context.fence)
+
+
 @behave.then("no answer was passed off as whole that half a group made")
 def step_whole(context):
     # Rank 0 answers only while it hears from all VMs of its group.  An
@@ -158,3 +167,24 @@
     context.made.fleet.process_by_name[name].send(signal.SIGKILL)
     number = int(name.rpartition("-")[2])
     context.left = [each for each in (0, 1) if each != number]
+
+
+@behave.when("the platform's services are {how}")
+def step_platform(context, how):
+    for service in ("table", "vms"):
+        urllib3.request(
+            "POST",
+            f"http://{context.made.fleet.platform}/faults",
+            json={
+                "service": service,
+                "fault": "down",
+                "calls": -1 if how == "down" else 0,
+            },
+        )
+
+
+@behave.then("each daemon answers for {seconds:d} s")
+def step_answers_on(context, seconds):
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        assert _answers(context)
