--- a/tests/cli/tool.feature
+++ b/tests/cli/tool.feature
@@ -37,6 +37,7 @@
       | audit 9                                                       | 1    | no such audit entry         |
       | status                                                        | 2    | CITRONVALVE_DAEMONS         |
       | status 127.0.0.1:1                                            | 4    | no answer                   |
+      | settings check examples/daemon.json5                          | 0    | is right                    |
       | settings check no-such-file                                   | 2    | No such file                |
       | settings check examples/table.json5                           | 2    | teams                       |
       | no-such-command                                               | 2    | invalid choice              |
