Measure an edit right after a watcher was killed

Cause: the target of 3 s with a watcher killed had a drill but no figure. Change: the bench kills the first watcher of each data centre in turn.

--- a/benchmarks/inforce.py
+++ b/benchmarks/inforce.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 import pathlib
 import random
+import signal
 import tempfile
 import time
 
@@ -10,6 +11,7 @@
 
 from benchmarks import figure
 from citronvalve.model import clock
+from citronvalve.peers import rendezvous
 from citronvalve.platform import client
 from citronvalve.platform import httptable
 from citronvalve.table import edit
@@ -29,25 +31,50 @@
 _APART = (0.05, 0.75)
 
 
-class _Watch:
-    """Sees when a version is in force on every daemon.
+class _Drill:
+    """Edits the table, and sees when that is in force on every daemon.
 
     :param fleet: the daemons.
     """
 
     def __init__(self, fleet: fleets.Fleet) -> None:
+        self._fleet = fleet
         self._pool = urllib3.PoolManager(num_pools=_DAEMONS)
-        self._urls = [
-            f"http://{addresses.operators}/status"
-            for addresses in fleet.addresses_by_daemon.values()
-        ]
-
-    def until(self, version: int, began: float) -> float:
-        """Return ms since a moment until all have the version."""
-        left = list(self._urls)
+        self._chance = random.Random(1)
+        self._weight = 100
+        platform = client.PlatformClient(fleet.platform)
+        table = httptable.HttpTable(platform)
+        self._editor = editor.Editor(table, clock.SystemClock(), self._chance)
+
+    def pause(self) -> None:
+        """Wait, so that an edit falls anywhere between two looks."""
+        time.sleep(self._chance.uniform(*_APART))
+
+    def edit(self) -> float:
+        """Return ms from the commit of an edit until all have it."""
+        self._weight = self._weight % 900 + 1
+        key = f"teams/{deployments.TEAM}"
+        wanted = rowedits.setting(key, {"weight": self._weight})
+        done = self._editor.apply(wanted, edit.Author("bench", "bench"))
+        if not isinstance(done, edit.Accepted):
+            raise RuntimeError(f"the edit failed: {done}")
+        return self._until(done.version, time.monotonic())
+
+    def kill_watcher(self) -> None:
+        """Kill the first watcher of a data centre that has two daemons."""
+        for name, addresses in self._fleet.addresses_by_daemon.items():
+            alive = self._status(addresses)["peers"]["alive"]
+            if len(alive) > 1 and rendezvous.first("watcher", alive) == name:
+                process = self._fleet.process_by_name[name]
+                process.send(signal.SIGKILL)
+                process.wait()
+                del self._fleet.addresses_by_daemon[name]
+                return
+
+    def _until(self, version: int, began: float) -> float:
+        left = list(self._fleet.addresses_by_daemon.values())
         while left and time.monotonic() - began < _GIVE_UP:
-            told = self._pool.request("GET", left[0]).json()
-            if told["table_version"] >= version:
+            if self._status(left[0])["table_version"] >= version:
                 left.pop(0)
             else:
                 time.sleep(_LOOK)
@@ -55,21 +82,22 @@
             raise RuntimeError(f"not in force at {left}")
         return (time.monotonic() - began) * _MS
 
+    def _status(self, addresses: fleets.DaemonAddresses) -> dict:
+        url = f"http://{addresses.operators}/status"
+        return self._pool.request("GET", url).json()
 
-def _edits(fleet: fleets.Fleet, count: int) -> Iterator[float]:
-    chance = random.Random(1)
-    table = httptable.HttpTable(client.PlatformClient(fleet.platform))
-    operator = editor.Editor(table, clock.SystemClock(), chance)
-    watch = _Watch(fleet)
-    for number in range(count):
-        time.sleep(chance.uniform(*_APART))
-        wanted = rowedits.setting(
-            f"teams/{deployments.TEAM}", {"weight": 1 + number % 900}
-        )
-        done = operator.apply(wanted, edit.Author("bench", "bench"))
-        began = time.monotonic()
-        if isinstance(done, edit.Accepted):
-            yield watch.until(done.version, began)
+
+def _edits(drill: _Drill) -> Iterator[float]:
+    for _ in range(_EDITS):
+        drill.pause()
+        yield drill.edit()
+
+
+def _kills(drill: _Drill) -> Iterator[float]:
+    for _ in _PLACES:
+        drill.pause()
+        drill.kill_watcher()
+        yield drill.edit()
 
 
 def _quantile(found: list[float], share: float) -> float:
@@ -83,9 +111,13 @@
             made = deployments.Deployment(fleet, _PLACES)
             made.daemons(_DAEMONS)
             made.start()
-            found = list(_edits(fleet, _EDITS))
+            drill = _Drill(fleet)
+            found = list(_edits(drill))
+            killed = list(_kills(drill))
     name = f"edit in force on {_DAEMONS} daemons"
     for share in (0.5, 0.99):
         value = _quantile(found, share)
         yield figure.Figure(f"{name}, p{share * 100:.0f}", value, "ms")
     yield figure.Figure(f"{name}, worst of {len(found)}", max(found), "ms")
+    name = "the same right after a watcher was killed"
+    yield figure.Figure(f"{name}, worst of {len(killed)}", max(killed), "ms")
