--- a/src/citronvalve/cli/main.py
+++ b/src/citronvalve/cli/main.py
@@ -11,6 +11,7 @@
 
 from citronvalve.cli import checking
 from citronvalve.cli import editing
+from citronvalve.cli import grouping
 from citronvalve.cli import looking
 from citronvalve.cli import reference
 from citronvalve.cli import report
@@ -51,7 +52,7 @@
             body["remedy"] = done.remedy
         print(msgspec.json.encode(body).decode())
         return code
-    print(done.text, file=sys.stderr if code else sys.stdout)
+    print(done.text)
     if done.remedy:
         print(f"remedy: {done.remedy}", file=sys.stderr)
     return code
@@ -70,6 +71,7 @@
     },
     "audit": _command(looking.trail),
     "status": _command(status.status),
+    "groups": _command(grouping.groups),
     "settings": {"check": _command(checking.check)},
 }
 
