Share the store's writes among the daemons that are there

Cause: each daemon paced its transactions for a fleet of eight, so that a larger fleet would exceed the store's writes, and a smaller one waited for turns that nobody took.

Change: a daemon takes 300 transactions a second over the number of members that it sees, 100 at most, and looks again each second.

With a fixed eighth 2 of the 3 new scenarios fail.

--- a/src/citronvalve/daemon/daemon.py
+++ b/src/citronvalve/daemon/daemon.py
@@ -56,7 +56,9 @@
         self._peering = peertask.PeerTask(self._env, self._view, settings)
         kept = pools.Pools()
         platform = platform_client.PlatformClient(settings.platform)
-        self._record = recordtask.RecordTask(self._env, platform)
+        self._record = recordtask.RecordTask(
+            self._env, platform, lambda: len(self._peering.peer.members())
+        )
         self._tasks = self._make_tasks(kept, platform)
         self._callers = listener.Listener(
             settings.callers, self._make_app(kept), settings.write_timeout
--- a/src/citronvalve/daemon/recordtask.py
+++ b/src/citronvalve/daemon/recordtask.py
@@ -1,19 +1,23 @@
 """The task that writes the record of requests that run at most once."""
 
+from collections.abc import Callable
+
+import eventlet
+
 from citronvalve.entry import environment as environments
 from citronvalve.model import clock
 from citronvalve.once import greenwaiting
 from citronvalve.once import loop
+from citronvalve.once import pacer
 from citronvalve.once import recorder as recorders
 from citronvalve.once import sweeper
 from citronvalve.platform import client as platform_client
 from citronvalve.platform import httpobjects
 from citronvalve.platform import httptable
 
-#: Transactions a second of one daemon.  The platform takes some 300 writes
-#: a second, shared here by at most 8 daemons; with more, each one's share
-#: has to be smaller, and its callers wait longer for their batch.
-_RATE = 37.0
+#: How often the share of the store's writes is looked at again.  While it
+#: lags, 8 daemons that become 16 ask for twice their share for a second.
+_LOOK: clock.Ms = 1_000
 
 #: How long a daemon that ends waits for outcomes to be written.  Those that
 #: are left stay "unknown", which is true.
@@ -27,14 +31,17 @@
 
     :param env: the daemon's environment.
     :param platform: the client of the platform.
+    :param daemons: tells how many daemons share the platform.
     """
 
     def __init__(
         self,
         env: environments.Environment,
         platform: platform_client.PlatformClient,
+        daemons: Callable[[], int],
     ) -> None:
         self._env = env
+        self._daemons = daemons
         waiting = greenwaiting.GreenWaiting()
         # Two starts of one daemon must not share names of attempts: the
         # second would take the first one's rows for its own.
@@ -51,14 +58,21 @@
             waiting,
             env.chance,
             env.invariants,
-            _RATE,
+            pacer.share(daemons()),
         )
         self._loop = loop.Loop(self.recorder, waiting, env.clock)
 
     def run(self) -> None:
         """Write batches until the daemon ends."""
+        eventlet.spawn(self._share)
         self._loop.run()
 
+    def _share(self) -> None:
+        while True:
+            rate = pacer.share(self._daemons())
+            self.recorder.writer.pacer.rate = rate
+            eventlet.sleep(_LOOK / clock.SECOND)
+
     def drain(self) -> None:
         """Wait until every outcome is written, for a while."""
         left = self._loop.drain(_DRAIN)
--- a/src/citronvalve/once/pacer.py
+++ b/src/citronvalve/once/pacer.py
@@ -7,6 +7,26 @@
 #: store's second by 32 writes at most, a tenth of what it takes.
 BURST = 4
 
+#: Transactions a second that all daemons together may make for keys.  The
+#: platform takes several hundred; this is the least that the words allow,
+#: and edits and orders to groups are a few a second beside it.
+STORE_WRITES = 300
+
+#: No daemon makes more than this, however few there are: one in flight at
+#: a time and a round trip of 10 ms allow no more.
+_MOST = 100.0
+
+
+def share(daemons: int) -> float:
+    """Return the transactions a second of one daemon.
+
+    Daemons that are cut off from others count too few.  The store then
+    answers late, which makes the batches larger instead of more.
+
+    :param daemons: how many share the store, this one included.
+    """
+    return min(_MOST, STORE_WRITES / max(1, daemons))
+
 
 class Pacer:
     """A token bucket over whole milliseconds.
--- a/tests/once/once.feature
+++ b/tests/once/once.feature
@@ -173,6 +173,19 @@
       | 255  | answer    |
       | 256  | malformed |
 
+  Scenario Outline: <daemons> daemons share the store's writes
+    Each daemon may make its share of transactions, so that all of them
+    together do not exceed what the platform takes.
+    Given a pacer for <daemons> daemons
+    When it is asked for transactions for 10 seconds
+    Then it lets <count> of them go, give or take 5
+
+    Examples:
+      | daemons | count |
+      | 1       | 1000  |
+      | 8       | 375   |
+      | 60      | 50    |
+
   Scenario: anything at any moment
     Callers repeat requests at any daemon while daemons die, while time
     passes, while the platform and the service fail, all in any order.
--- a/tests/once/steps/once_steps.py
+++ b/tests/once/steps/once_steps.py
@@ -7,6 +7,7 @@
 from citronvalve.model import ran
 from citronvalve.once import answer
 from citronvalve.once import outcome
+from citronvalve.once import pacer
 from citronvalve.once import recorder
 from standins import faults
 from tests import machinery
@@ -254,6 +255,25 @@
     assert context.world.service.runs.total() == count
 
 
+@behave.given("a pacer for {daemons:d} daemons")
+def step_pacer(context, daemons):
+    context.pacer = pacer.Pacer(pacer.share(daemons), 0)
+
+
+@behave.when("it is asked for transactions for {seconds:d} seconds")
+def step_paced(context, seconds):
+    context.taken = 0
+    for now in range(seconds * 1_000):
+        if not context.pacer.wait(now):
+            context.pacer.take(now)
+            context.taken += 1
+
+
+@behave.then("it lets {count:d} of them go, give or take {some:d}")
+def step_lets(context, count, some):
+    assert abs(context.taken - count) <= some, context.taken
+
+
 @behave.when('the machine "{name}" runs')
 def step_machine(context, name):
     context.count_by_promise = machinery.run(name)
