--- a/src/citronvalve/peers/peer.py
+++ b/src/citronvalve/peers/peer.py
@@ -279,6 +279,7 @@
             self.settings.datacentre,
             state.standing.incarnation,
             self.is_acting(),
+            self.is_watcher(),
             state.standing.rejoins,
             tuple(sorted(membership.alive())),
             tuple(sorted(membership.suspects())),
--- a/src/citronvalve/peers/status.py
+++ b/src/citronvalve/peers/status.py
@@ -17,7 +17,8 @@
 class PeerStatus(NamedTuple):
     """One daemon's view.
 
-    ``acting``: whether it may keep, watch and lend; ``rejoins``: how often
+    ``acting``: whether it may keep, watch and lend; ``watcher``: whether it
+    reads the platform's table; ``rejoins``: how often
     it had been declared dead or was stopped.
     """
 
@@ -25,6 +26,7 @@
     datacentre: str
     incarnation: int
     acting: bool
+    watcher: bool
     rejoins: int
     alive: tuple[str, ...]
     suspect: tuple[str, ...]
