--- a/src/citronvalve/peers/membership.py
+++ b/src/citronvalve/peers/membership.py
@@ -70,8 +70,17 @@
         ]
 
     def dead(self) -> list[members.Member]:
-        """Return the dead, so that one may knock at their old address."""
-        return [self.member_by_name[name] for name in self._died_at_by_name]
+        """Return the dead, so that one may knock at their old address.
+
+        Those that no longer count are among them: two members that were
+        cut off from each other only, for long, hold each other dead while
+        all others see both, and hearsay can't tell them so.
+        """
+        return [
+            member
+            for member in self.member_by_name.values()
+            if member.state is members.MemberState.DEAD
+        ]
 
     def digest(self) -> int:
         """Return a number that agrees when two rosters agree."""
--- a/standins/memorylinks.py
+++ b/standins/memorylinks.py
@@ -72,6 +72,7 @@
         self.clock = manualclock.ManualClock(1_000_000)
         self.node_by_name: dict[str, Node] = {}
         self.stopped: set[str] = set()
+        self.stopped_at_by_name: dict[str, clock.Ms] = {}
         self.cut: set[frozenset[str]] = set()
         self.messages = 0
         self.after_each: Callable[[], None] = lambda: None
@@ -133,6 +134,7 @@
         :param name: its name.
         """
         self.stopped.add(name)
+        self.stopped_at_by_name[name] = self.clock.now()
 
     def wake(self, name: str) -> None:
         """Let a stopped process run; what waited comes first.
--- a/tests/peers/failures.feature
+++ b/tests/peers/failures.feature
@@ -64,6 +64,14 @@
       | 1        | 1     |
       | 3        | 0     |
 
+  Scenario: two members are cut off from each other only, for long
+    Each buries the other and forgets it after 60 s, while all others see
+    both.  When the link is back, what the others tell of them is not
+    enough: a life that was buried does not come back by hearsay.
+    Given 4 members that lend a cold upstream's only slot
+    When d0-2 and d0-3 don't hear of each other for 80000 ms
+    Then within 20000 ms of the end they see each other
+
   Scenario: news of a dead life arrives late
     A member was buried; an old message tells that this life is alive.  If it
     came back by hearsay, work would go to a daemon that is gone.
--- a/tests/peers/steps/failure_steps.py
+++ b/tests/peers/steps/failure_steps.py
@@ -193,6 +193,35 @@
     assert _held(context, _COLD) == ({"d0-0": slots} if slots else {})
 
 
+@behave.when("d0-2 and d0-3 don't hear of each other for {span:d} ms")
+def step_apart(context, span):
+    # The view that a long cut of that one link leaves behind: each holds
+    # the other's present life dead, and has forgotten it.
+    for one, other in (("d0-2", "d0-3"), ("d0-3", "d0-2")):
+        state = _state(context, one)
+        membership = state.membership
+        held = membership.member_by_name[other]
+        dead = held._replace(state=member.MemberState.DEAD)
+        membership._put(dead, state.clock.now())
+        membership.forget(other)
+    context.links.cut_between({"d0-2"}, {"d0-3"})
+    context.links.run(span)
+    assert "d0-3" not in _state(context, "d0-2").membership.alive()
+    context.links.heal()
+
+
+@behave.then("within {span:d} ms of the end they see each other")
+def step_meet(context, span):
+    _within(
+        context,
+        span,
+        lambda: all(
+            len(_state(context, name).membership.alive()) == 4
+            for name in context.names
+        ),
+    )
+
+
 @behave.when("d0-2 is buried and an old record of it arrives at d0-0")
 def step_old_record(context):
     membership = _state(context, "d0-0").membership
