Never give a drill the same port twice

Cause: an experiment's daemon met 'Address already in use': thirty random picks of 22,000 meet one another in 2 runs of 100, before any listens. Ruled out: a counter from a fixed port, since suites run side by side. Change: a process remembers the ports it gave. Conclusion: what is left is a clash between two processes' picks.

--- a/standins/process.py
+++ b/standins/process.py
@@ -18,6 +18,7 @@
 
 #: Suites run side by side; the same seed would give them the same ports.
 _CHANCE = random.SystemRandom()
+_GIVEN: set[int] = set()
 
 
 def free_address() -> str:
@@ -28,9 +29,14 @@
     """
     while True:
         port = _CHANCE.randrange(_LOWEST_PORT, _HIGHEST_PORT)
+        # Thirty picks of a fleet that has not listened yet would meet one
+        # another in 2 runs of 100.
+        if port in _GIVEN:
+            continue
         with contextlib.closing(socket.socket()) as probe:
             with contextlib.suppress(OSError):
                 probe.bind((_HOST, port))
+                _GIVEN.add(port)
                 return f"{_HOST}:{port}"
 
 
