--- a/src/citronvalve/peers/core.py
+++ b/src/citronvalve/peers/core.py
@@ -13,11 +13,11 @@
 from citronvalve.peers import gossiper
 from citronvalve.peers import lent as lents
 from citronvalve.peers import listener as listeners
-from citronvalve.peers import loadrumor
 from citronvalve.peers import member as members
 from citronvalve.peers import notice as notices
 from citronvalve.peers import outgoing
 from citronvalve.peers import peersettings
+from citronvalve.peers import replier
 from citronvalve.peers import schedule
 from citronvalve.peers import state as states
 from citronvalve.peers import tableask
@@ -62,7 +62,9 @@
         self._sync = tablesync.TableSync(
             self.state, listener, lambda: self._beat(clock_.now())
         )
-        self._roster_sent_at: clock.Ms | None = None
+        self._replier = replier.Replier(
+            self.state, self._gossiper, self.schedule.pacer
+        )
         self.state.live(clock_.now())
         self._handler_by_type = {
             gossips.Gossip: self._on_gossip,
@@ -128,7 +130,7 @@
         state.standing.met = True
         if near and type(received.message) is not notices.Notice:
             if state.membership.is_dead(sender.name, sender.incarnation):
-                return self._notify(sender, now)
+                return self._replier.notify(sender)
             self._introduce(sender, now)
         handler = self._handler_by_type[type(received.message)]
         out = handler(sender, received.message, now)
@@ -198,17 +200,15 @@
             if summary.datacentre == state.settings.datacentre:
                 self.schedule.add_seeds([c.address for c in summary.contacts])
         for rumor in message.loads:
-            if state.loads.hear(rumor, now, far=self._is_far(rumor)):
+            far = rumor.keeper not in state.membership.member_by_name
+            if state.loads.hear(rumor, now, far):
                 self._listener.on_load(state.loads.report(rumor.upstream))
         for fact in message.crashes:
             state.crashes.hear(fact, now)
         if message.page is not None:
             self._sync.take(message.page)
         out = self._sync.ask(sender, message.version)
-        return out + self._replies(sender, message, near, now)
-
-    def _is_far(self, rumor: loadrumor.LoadRumor) -> bool:
-        return rumor.keeper not in self.state.membership.member_by_name
+        return out + self._replier.reply(sender, message, near)
 
     def _merge(self, message: gossips.Gossip, now: clock.Ms) -> None:
         state = self.state
@@ -234,33 +234,6 @@
         if over or record.incarnation > standing.incarnation:
             standing.buried(record.incarnation)
 
-    def _replies(
-        self,
-        sender: envelope.Sender,
-        message: gossips.Gossip,
-        near: bool,
-        now: clock.Ms,
-    ) -> _Out:
-        state = self.state
-        if not near:
-            if not message.reply:
-                return []
-            reply = self._gossiper.introduction(now)
-            return [outgoing.Outgoing(sender.address, reply)]
-        astray = message.roster not in (0, state.membership.digest())
-        if astray and self._roster_due(now):
-            self._roster_sent_at = now
-            reply = self._gossiper.roster(sender.name, now)
-            return [outgoing.Outgoing(sender.address, reply)]
-        if message.reply:
-            reply = self._gossiper.near(sender.name, now)
-            return [outgoing.Outgoing(sender.address, reply)]
-        return []
-
-    def _roster_due(self, now: clock.Ms) -> bool:
-        at = self._roster_sent_at
-        return at is None or now - at >= self.state.settings.timing.repair
-
     def _on_notice(
         self, sender: envelope.Sender, message: notices.Notice, now: int
     ) -> _Out:
@@ -303,20 +276,6 @@
                 now,
             )
 
-    def _notify(self, sender: envelope.Sender, now: clock.Ms) -> _Out:
-        target = f"notice/{sender.name}"
-        if not self.schedule.pacer.free(target, now):
-            return []
-        self.schedule.pacer.sent(target, now)
-        held = self.state.membership.member_by_name[sender.name]
-        over = held.incarnation
-        if held.state in (
-            members.MemberState.ALIVE,
-            members.MemberState.SUSPECT,
-        ):
-            over -= 1
-        return [outgoing.Outgoing(sender.address, notices.Notice(over))]
-
     def _beat(self, now: clock.Ms) -> None:
         self._beat_at = now
         self.state.live(now)
