Refuse at once when no slot is left, let copies of a suspect wait

A caller whose stream broke waited for seconds in a queue that no upstream served any more; and copies of a harmless request were refused as suspects (422) because a VM of their group was lost. Ruled out: waiting until the group is back. Nothing tells for how long, and the same request is refused at once when it arrives a moment later.

--- a/src/citronvalve/daemon/decided.py
+++ b/src/citronvalve/daemon/decided.py
@@ -122,21 +122,26 @@
     def _claim(
         self, key: str, case: _Case
     ) -> dispatches.Placement | refusal.Refusal:
-        if case.answer is None:
-            self._wait(key, case)
-        answer, case.answer = case.answer, None
-        if isinstance(answer, refusal.Refusal):
-            del self._case_by_key[key]
-            return answer
-        case.ticket = answer.ticket
-        row = self._dispatcher.fleet.candidate_by_name[answer.upstream]
-        return dispatches.Placement(
-            case.item,
-            answer.upstream,
-            row.upstream.address,
-            self._view.fence(answer.upstream),
-            answer.priority,
-        )
+        while True:
+            if case.answer is None:
+                self._wait(key, case)
+            answer, case.answer = case.answer, None
+            if isinstance(answer, refusal.Refusal):
+                del self._case_by_key[key]
+                return answer
+            case.ticket = answer.ticket
+            row = self._view.upstream(answer.upstream)
+            if row is not None:
+                return dispatches.Placement(
+                    case.item,
+                    answer.upstream,
+                    row.address,
+                    self._view.fence(answer.upstream),
+                    answer.priority,
+                )
+            # Its group closed since the decision; it was not sent.
+            how, now = outcome.Outcome.BUSY, self._now()
+            self.carry_out(self._dispatcher.finished(case.ticket, how, now))
 
     def _wait(self, key: str, case: _Case) -> None:
         case.waiter = eventlet.event.Event()
--- a/src/citronvalve/entry/view.py
+++ b/src/citronvalve/entry/view.py
@@ -68,6 +68,19 @@
             if now - route.seen_at < _ROUTE_FRESH
         )
 
+    def upstream(self, name: str) -> declared.Upstream | None:
+        """Return an upstream as it is at this moment, if it is there.
+
+        :param name: a declared upstream, or a group that serves now.
+        """
+        route = self.route_by_group.get(name)
+        if route is not None:
+            fresh = self._clock.now() - route.seen_at < _ROUTE_FRESH
+            return route.upstream if fresh else None
+        if not self._declared:
+            return None
+        return self._declared.upstream_by_name.get(name)
+
     def fence(self, upstream: str) -> int:
         """Return the fence that a request to an upstream carries.
 
--- a/src/citronvalve/policy/fleet.py
+++ b/src/citronvalve/policy/fleet.py
@@ -238,7 +238,9 @@
             return
         if old is not None:
             self._remove(old)
-        place = self.shift_by_datacentre[upstream.datacentre]
+        place = self.shift_by_datacentre.setdefault(
+            upstream.datacentre, shift.Shift(declared.Service.OUT)
+        )
         tier = self._tier(table, upstream.datacentre)
         item = candidate.Candidate(upstream, place, tier, grouped)
         self.candidate_by_name[upstream.name] = item
@@ -257,8 +259,8 @@
         if datacentre == self._home:
             return 0
         here = table.datacentre_by_name.get(self._home)
-        there = table.datacentre_by_name[datacentre]
-        near = here is not None and here.region == there.region
+        there = table.datacentre_by_name.get(datacentre)
+        near = here and there and here.region == there.region
         return 1 if near else 2
 
 
--- a/src/citronvalve/policy/requests.py
+++ b/src/citronvalve/policy/requests.py
@@ -18,9 +18,6 @@
 
 _Kind = refusal.RefusalKind
 
-#: A suspect's second copy is told to come back after about this long.
-_SUSPECT_WAIT: clock.Ms = 2_000
-
 #: Places of a team's line that are looked at for work that may start now.
 _LOOK = 4
 
@@ -140,10 +137,14 @@
         :param now: monotonic ms.
         """
         for model, line in self._backlog_by_model.items():
+            # Without any slot nothing tells how long the wait would be.
+            nowhere = line.queue and self._fleet.slots(model) <= 0
             for item in list(line.queue.waiting()):
                 entry = self._entry_by_request[item.request]
                 if entry.is_hopeless(now):
                     self._refuse(entry, self._refusals.late(entry, now), now)
+                elif nowhere:
+                    self._refuse(entry, self._nowhere(entry, now), now)
             self.pump(model, now)
 
     def hedge(self, late: attempt.Attempt, now: clock.Ms) -> None:
@@ -192,13 +193,6 @@
         if self._judge.is_fenced(print_, now):
             detail = "upstreams were lost while running it"
             return self._refusals.give(_Kind.FENCED_OFF, detail)
-        suspect = self._judge.is_suspect(print_, now)
-        if suspect and not self._starter.may_run_beside(print_):
-            # Two copies at once could cost two more upstreams before the
-            # first is known to have cost one.
-            detail = "it may have cost an upstream; another try is running"
-            give = self._refusals.give
-            return give(_Kind.FENCED_OFF, detail, _SUSPECT_WAIT)
         return None
 
     def _queue(
@@ -207,9 +201,7 @@
         item = entry.work
         slots = self._fleet.slots(item.model)
         if slots <= 0:
-            why = self._fleet.why_none(item.model, now)
-            detail = f"no upstream of {item.model} is in service: {why}"
-            return self._refusals.give(_Kind.NO_UPSTREAM, detail)
+            return self._nowhere(entry, now)
         places = self._fleet.shift_by_datacentre
         most = self._limits.most(item.team, item.model, places, now)
         seen = line.forecast(entry, slots, most, now)
@@ -222,6 +214,13 @@
         self.pump(item.model, now)
         return self._own_start(entry, seen.wait)
 
+    def _nowhere(self, entry: attempt.Entry, now: clock.Ms) -> refusal.Refusal:
+        model = entry.work.model
+        why = self._fleet.why_none(model, now)
+        detail = f"no upstream of {model} is in service: {why}"
+        give = self._refusals.give
+        return give(_Kind.NO_UPSTREAM, detail, has_run=entry.ran)
+
     def _own_start(
         self, entry: attempt.Entry, wait: clock.Ms
     ) -> decision.Verdict:
@@ -282,6 +281,9 @@
         entry.suspect = self._judge.is_suspect(print_, now)
         if self._judge.is_fenced(print_, now):
             return False
+        if self._fleet.slots(entry.work.model) <= 0:
+            # Nobody is left to ask, and nothing tells for how long.
+            return False
         if entry.is_hopeless(now) or not self._retries.spend(now):
             return False
         entry.forecast = None
--- a/src/citronvalve/policy/starter.py
+++ b/src/citronvalve/policy/starter.py
@@ -140,13 +140,17 @@
         self, entry: attempt.Entry, now: clock.Ms
     ) -> candidate.Candidate | None:
         item = entry.work
+        entry.suspect = self._judge.is_suspect(item.fingerprint, now)
         index = self._fleet.index_by_model.get(item.model)
         if index is None:
             return None
         print_ = item.fingerprint
+        # Two copies at once could cost two more upstreams before the first
+        # is known to have cost one.  The second waits: most suspects turn
+        # out to be harmless, and then all copies run.
         if entry.suspect and not self.may_run_beside(print_):
             return None
-        if entry.suspect and self._judge.must_wait(print_, now):
+        if self._judge.must_wait(print_, now):
             return None
         chosen = self._pick(entry, index, entry.tried, now)
         if chosen is None and entry.tried and not self._elsewhere(entry, now):
