--- a/src/citronvalve/policy/refusals.py
+++ b/src/citronvalve/policy/refusals.py
@@ -7,6 +7,7 @@
 from citronvalve.model import refusal
 from citronvalve.policy import attempt
 from citronvalve.policy import comeback
+from citronvalve.policy import outcome
 
 _REMEDY_BY_KIND: dict[refusal.RefusalKind, str] = {
     refusal.RefusalKind.NO_TIME: "come back later, or allow more time",
@@ -77,3 +78,44 @@
             kind = refusal.RefusalKind.DEADLINE_PASSED
         detail = f"it would be done {late} ms after its deadline"
         return self.give(kind, detail, late, entry.ran)
+
+    def failed(
+        self,
+        entry: attempt.Entry,
+        how: outcome.Outcome,
+        fenced: bool,
+        now: clock.Ms,
+    ) -> refusal.Refusal:
+        """Return the refusal of work whose last attempt failed.
+
+        :param entry: the request.
+        :param how: how the attempt ended.
+        :param fenced: whether it has cost too many upstreams.
+        :param now: monotonic ms.
+        """
+        if not fenced and entry.is_hopeless(now):
+            # Another try would end after the deadline, so that this is
+            # already known to be the end.
+            passed = refusal.RefusalKind.DEADLINE_PASSED
+            return self.late(entry, now, 0, passed)
+        kind = refusal.RefusalKind.UPSTREAM_FAILED
+        if fenced:
+            kind = refusal.RefusalKind.FENCED_OFF
+        detail = f"attempt {entry.attempts} ended: {how.value}"
+        return self.give(kind, detail, has_run=entry.ran)
+
+    def fenced(self) -> refusal.Refusal:
+        """Return the refusal of a request that crashes upstreams."""
+        detail = "upstreams were lost while running it"
+        return self.give(refusal.RefusalKind.FENCED_OFF, detail)
+
+    def nowhere(self, entry: attempt.Entry, why: str) -> refusal.Refusal:
+        """Return the refusal of work that no upstream can take.
+
+        :param entry: the request.
+        :param why: what keeps the upstreams away.
+        """
+        model = entry.work.model
+        detail = f"no upstream of {model} is in service: {why}"
+        kind = refusal.RefusalKind.NO_UPSTREAM
+        return self.give(kind, detail, has_run=entry.ran)
--- a/src/citronvalve/policy/requests.py
+++ b/src/citronvalve/policy/requests.py
@@ -66,9 +66,8 @@
         :param item: the request.
         :param now: monotonic ms.
         """
-        denied = self._fenced(item, now)
-        if denied is not None:
-            return denied
+        if self._judge.is_fenced(item.fingerprint, now):
+            return self._refusals.fenced()
         expected = self._judge.estimate.expect(item, now)
         suspect = self._judge.is_suspect(item.fingerprint, now)
         entry = attempt.Entry(item, expected, suspect)
@@ -108,7 +107,9 @@
         if how is outcome.Outcome.CANCELLED:
             self._end(entry, now)
         elif not self._again(entry, how, now):
-            self._refuse(entry, self._failure(entry, how, now), now)
+            fenced = self._judge.is_fenced(entry.work.fingerprint, now)
+            why = self._refusals.failed(entry, how, fenced, now)
+            self._refuse(entry, why, now)
 
     def drop(self, request: str, now: clock.Ms) -> None:
         """Forget a request whose caller has left.
@@ -144,7 +145,13 @@
                 if entry.is_hopeless(now):
                     self._refuse(entry, self._refusals.late(entry, now), now)
                 elif nowhere:
-                    self._refuse(entry, self._nowhere(entry, now), now)
+                    self._refuse(
+                        entry,
+                        self._refusals.nowhere(
+                            entry, self._fleet.why_none(entry.work.model, now)
+                        ),
+                        now,
+                    )
             self.pump(model, now)
 
     def hedge(self, late: attempt.Attempt, now: clock.Ms) -> None:
@@ -186,22 +193,15 @@
             self._backlog_by_model[model] = line
         return line
 
-    def _fenced(
-        self, item: work.Work, now: clock.Ms
-    ) -> refusal.Refusal | None:
-        print_ = item.fingerprint
-        if self._judge.is_fenced(print_, now):
-            detail = "upstreams were lost while running it"
-            return self._refusals.give(_Kind.FENCED_OFF, detail)
-        return None
-
     def _queue(
         self, entry: attempt.Entry, line: backlog.Backlog, now: clock.Ms
     ) -> decision.Verdict:
         item = entry.work
         slots = self._fleet.slots(item.model)
         if slots <= 0:
-            return self._nowhere(entry, now)
+            return self._refusals.nowhere(
+                entry, self._fleet.why_none(entry.work.model, now)
+            )
         places = self._fleet.shift_by_datacentre
         most = self._limits.most(item.team, item.model, places, now)
         seen = line.forecast(entry, slots, most, now)
@@ -214,13 +214,6 @@
         self.pump(item.model, now)
         return self._own_start(entry, seen.wait)
 
-    def _nowhere(self, entry: attempt.Entry, now: clock.Ms) -> refusal.Refusal:
-        model = entry.work.model
-        why = self._fleet.why_none(model, now)
-        detail = f"no upstream of {model} is in service: {why}"
-        give = self._refusals.give
-        return give(_Kind.NO_UPSTREAM, detail, has_run=entry.ran)
-
     def _own_start(
         self, entry: attempt.Entry, wait: clock.Ms
     ) -> decision.Verdict:
@@ -262,7 +255,9 @@
             self._refuse(entry, self._refusals.late(entry, now), now)
             return True
         if self._judge.is_fenced(entry.work.fingerprint, now):
-            why = self._failure(entry, outcome.Outcome.CRASHED, now)
+            why = self._refusals.failed(
+                entry, outcome.Outcome.CRASHED, True, now
+            )
             self._refuse(entry, why, now)
             return True
         begun = self._start(entry, now)
@@ -290,18 +285,6 @@
         self._backlog(entry.work.model).push(entry, now)
         return True
 
-    def _failure(
-        self, entry: attempt.Entry, how: outcome.Outcome, now: clock.Ms
-    ) -> refusal.Refusal:
-        fenced = self._judge.is_fenced(entry.work.fingerprint, now)
-        if not fenced and entry.is_hopeless(now):
-            # Another try would end after the deadline, so that this is
-            # already known to be the end.
-            return self._refusals.late(entry, now, 0, _Kind.DEADLINE_PASSED)
-        kind = _Kind.FENCED_OFF if fenced else _Kind.UPSTREAM_FAILED
-        detail = f"attempt {entry.attempts} ended: {how.value}"
-        return self._refusals.give(kind, detail, has_run=entry.ran)
-
     def _refuse(
         self, entry: attempt.Entry, why: refusal.Refusal, now: clock.Ms
     ) -> None:
