--- a/src/citronvalve/policy/requests.py
+++ b/src/citronvalve/policy/requests.py
@@ -18,9 +18,6 @@
 
 _Kind = refusal.RefusalKind
 
-#: A suspect's second copy is told to come back after about this long.
-_SUSPECT_WAIT: clock.Ms = 2_000
-
 #: Places of a team's line that are looked at for work that may start now.
 _LOOK = 4
 
@@ -69,9 +66,8 @@
         :param item: the request.
         :param now: monotonic ms.
         """
-        denied = self._fenced(item, now)
-        if denied is not None:
-            return denied
+        if self._judge.is_fenced(item.fingerprint, now):
+            return self._refusals.fenced()
         expected = self._judge.estimate.expect(item, now)
         suspect = self._judge.is_suspect(item.fingerprint, now)
         entry = attempt.Entry(item, expected, suspect)
@@ -111,7 +107,9 @@
         if how is outcome.Outcome.CANCELLED:
             self._end(entry, now)
         elif not self._again(entry, how, now):
-            self._refuse(entry, self._failure(entry, how, now), now)
+            fenced = self._judge.is_fenced(entry.work.fingerprint, now)
+            why = self._refusals.failed(entry, how, fenced, now)
+            self._refuse(entry, why, now)
 
     def drop(self, request: str, now: clock.Ms) -> None:
         """Forget a request whose caller has left.
@@ -140,10 +138,20 @@
         :param now: monotonic ms.
         """
         for model, line in self._backlog_by_model.items():
+            # Without any slot nothing tells how long the wait would be.
+            nowhere = line.queue and self._fleet.slots(model) <= 0
             for item in list(line.queue.waiting()):
                 entry = self._entry_by_request[item.request]
                 if entry.is_hopeless(now):
                     self._refuse(entry, self._refusals.late(entry, now), now)
+                elif nowhere:
+                    self._refuse(
+                        entry,
+                        self._refusals.nowhere(
+                            entry, self._fleet.why_none(entry.work.model, now)
+                        ),
+                        now,
+                    )
             self.pump(model, now)
 
     def hedge(self, late: attempt.Attempt, now: clock.Ms) -> None:
@@ -185,31 +193,15 @@
             self._backlog_by_model[model] = line
         return line
 
-    def _fenced(
-        self, item: work.Work, now: clock.Ms
-    ) -> refusal.Refusal | None:
-        print_ = item.fingerprint
-        if self._judge.is_fenced(print_, now):
-            detail = "upstreams were lost while running it"
-            return self._refusals.give(_Kind.FENCED_OFF, detail)
-        suspect = self._judge.is_suspect(print_, now)
-        if suspect and not self._starter.may_run_beside(print_):
-            # Two copies at once could cost two more upstreams before the
-            # first is known to have cost one.
-            detail = "it may have cost an upstream; another try is running"
-            give = self._refusals.give
-            return give(_Kind.FENCED_OFF, detail, _SUSPECT_WAIT)
-        return None
-
     def _queue(
         self, entry: attempt.Entry, line: backlog.Backlog, now: clock.Ms
     ) -> decision.Verdict:
         item = entry.work
         slots = self._fleet.slots(item.model)
         if slots <= 0:
-            why = self._fleet.why_none(item.model, now)
-            detail = f"no upstream of {item.model} is in service: {why}"
-            return self._refusals.give(_Kind.NO_UPSTREAM, detail)
+            return self._refusals.nowhere(
+                entry, self._fleet.why_none(entry.work.model, now)
+            )
         places = self._fleet.shift_by_datacentre
         most = self._limits.most(item.team, item.model, places, now)
         seen = line.forecast(entry, slots, most, now)
@@ -263,7 +255,9 @@
             self._refuse(entry, self._refusals.late(entry, now), now)
             return True
         if self._judge.is_fenced(entry.work.fingerprint, now):
-            why = self._failure(entry, outcome.Outcome.CRASHED, now)
+            why = self._refusals.failed(
+                entry, outcome.Outcome.CRASHED, True, now
+            )
             self._refuse(entry, why, now)
             return True
         begun = self._start(entry, now)
@@ -282,24 +276,15 @@
         entry.suspect = self._judge.is_suspect(print_, now)
         if self._judge.is_fenced(print_, now):
             return False
+        if self._fleet.slots(entry.work.model) <= 0:
+            # Nobody is left to ask, and nothing tells for how long.
+            return False
         if entry.is_hopeless(now) or not self._retries.spend(now):
             return False
         entry.forecast = None
         self._backlog(entry.work.model).push(entry, now)
         return True
 
-    def _failure(
-        self, entry: attempt.Entry, how: outcome.Outcome, now: clock.Ms
-    ) -> refusal.Refusal:
-        fenced = self._judge.is_fenced(entry.work.fingerprint, now)
-        if not fenced and entry.is_hopeless(now):
-            # Another try would end after the deadline, so that this is
-            # already known to be the end.
-            return self._refusals.late(entry, now, 0, _Kind.DEADLINE_PASSED)
-        kind = _Kind.FENCED_OFF if fenced else _Kind.UPSTREAM_FAILED
-        detail = f"attempt {entry.attempts} ended: {how.value}"
-        return self._refusals.give(kind, detail, has_run=entry.ran)
-
     def _refuse(
         self, entry: attempt.Entry, why: refusal.Refusal, now: clock.Ms
     ) -> None:
