Give up a request in one place, and let handlers share their start

Ruled out: a module for hedging alone, which needs all that requests hold. Change: _give_up, _nowhere, and Handler's own constructor. No behaviour. Measured: tests/policy 35 and tests/entry 48 scenarios pass, as before.

--- a/src/citronvalve/entry/chat.py
+++ b/src/citronvalve/entry/chat.py
@@ -40,8 +40,7 @@
         dispatch: dispatches.Dispatch,
         client: engineclient.EngineClient,
     ) -> None:
-        self._env = env
-        self._dispatch = dispatch
+        super().__init__(env, dispatch)
         self._client = client
 
     def answer(
--- a/src/citronvalve/entry/handler.py
+++ b/src/citronvalve/entry/handler.py
@@ -3,16 +3,30 @@
 import abc
 
 from citronvalve.entry import call as calls
+from citronvalve.entry import dispatch as dispatches
+from citronvalve.entry import environment as environments
 from citronvalve.entry import response as responses
 from citronvalve.model import declared
 
 
 class Handler(abc.ABC):
-    """Answers the calls of an authenticated team."""
+    """Answers the calls of an authenticated team.
+
+    :param env: the daemon's environment.
+    :param dispatch: decides where each try goes.
+    """
 
     #: The kind of path in logs and metrics.
     path = ""
 
+    def __init__(
+        self,
+        env: environments.Environment,
+        dispatch: dispatches.Dispatch,
+    ) -> None:
+        self._env = env
+        self._dispatch = dispatch
+
     @abc.abstractmethod
     def answer(
         self,
--- a/src/citronvalve/entry/plain.py
+++ b/src/citronvalve/entry/plain.py
@@ -54,8 +54,7 @@
         client: plainclient.PlainClient,
         keyed: keying.Keyed,
     ) -> None:
-        self._env = env
-        self._dispatch = dispatch
+        super().__init__(env, dispatch)
         self._client = client
         self._keyed = keyed
 
--- a/src/citronvalve/policy/requests.py
+++ b/src/citronvalve/policy/requests.py
@@ -31,7 +31,6 @@
     :param starts: starts attempts.
     :param answers: builds refusals.
     :param invariants: asserts the promises.
-
     :ivar weight_by_team: from the table.
     """
 
@@ -107,9 +106,7 @@
         if how is outcome.Outcome.CANCELLED:
             self._end(entry, now)
         elif not self._again(entry, how, now):
-            fenced = self._judge.is_fenced(entry.work.fingerprint, now)
-            why = self._refusals.failed(entry, how, fenced, now)
-            self._refuse(entry, why, now)
+            self._give_up(entry, how, now)
 
     def drop(self, request: str, now: clock.Ms) -> None:
         """Forget a request whose caller has left.
@@ -145,13 +142,7 @@
                 if entry.is_hopeless(now):
                     self._refuse(entry, self._refusals.late(entry, now), now)
                 elif nowhere:
-                    self._refuse(
-                        entry,
-                        self._refusals.nowhere(
-                            entry, self._fleet.why_none(entry.work.model, now)
-                        ),
-                        now,
-                    )
+                    self._refuse(entry, self._nowhere(entry, now), now)
             self.pump(model, now)
 
     def hedge(self, late: attempt.Attempt, now: clock.Ms) -> None:
@@ -170,9 +161,8 @@
             return
         if self._judge.switches.hedge_share <= 0 or entry.suspect:
             return
-        if self._backlog(entry.work.model).queue or not self._hedges.spend(
-            now
-        ):
+        idle = not self._backlog(entry.work.model).queue
+        if not (idle and self._hedges.spend(now)):
             return
         entry.tried.add(late.candidate.name)
         begun = self._start(entry, now, hedge=True)
@@ -199,9 +189,7 @@
         item = entry.work
         slots = self._fleet.slots(item.model)
         if slots <= 0:
-            return self._refusals.nowhere(
-                entry, self._fleet.why_none(entry.work.model, now)
-            )
+            return self._nowhere(entry, now)
         places = self._fleet.shift_by_datacentre
         most = self._limits.most(item.team, item.model, places, now)
         seen = line.forecast(entry, slots, most, now)
@@ -214,6 +202,10 @@
         self.pump(item.model, now)
         return self._own_start(entry, seen.wait)
 
+    def _nowhere(self, entry: attempt.Entry, now: clock.Ms) -> refusal.Refusal:
+        why = self._fleet.why_none(entry.work.model, now)
+        return self._refusals.nowhere(entry, why)
+
     def _own_start(
         self, entry: attempt.Entry, wait: clock.Ms
     ) -> decision.Verdict:
@@ -255,10 +247,7 @@
             self._refuse(entry, self._refusals.late(entry, now), now)
             return True
         if self._judge.is_fenced(entry.work.fingerprint, now):
-            why = self._refusals.failed(
-                entry, outcome.Outcome.CRASHED, True, now
-            )
-            self._refuse(entry, why, now)
+            self._give_up(entry, outcome.Outcome.CRASHED, now)
             return True
         begun = self._start(entry, now)
         if begun is None:
@@ -285,6 +274,13 @@
         self._backlog(entry.work.model).push(entry, now)
         return True
 
+    def _give_up(
+        self, entry: attempt.Entry, how: outcome.Outcome, now: clock.Ms
+    ) -> None:
+        fenced = self._judge.is_fenced(entry.work.fingerprint, now)
+        why = self._refusals.failed(entry, how, fenced, now)
+        self._refuse(entry, why, now)
+
     def _refuse(
         self, entry: attempt.Entry, why: refusal.Refusal, now: clock.Ms
     ) -> None:
