Part the peers' test files by what they are about

Cause: two test files had grown past 300 lines, with faults, machines, loans and spreading in one place each. Ruled out: parting by size alone. No step or check changed.

--- /dev/null
+++ b/tests/peers/steps/spreading_steps.py
@@ -0,0 +1,145 @@
+"""Steps about what peers spread: the table, crashes and loads."""
+
+import random
+
+import behave
+
+from citronvalve.model import clock
+from citronvalve.model import invariant
+from citronvalve.model import load
+from citronvalve.peers import change
+from citronvalve.peers import crashfact
+from citronvalve.peers import tablecopy
+from citronvalve.peers import tabledelta
+from standins import memorylinks
+from tests.peers import small
+
+
+def _rows(count, size):
+    return tuple(
+        change.Change("table", f"row-{number}", number, b"v" * size)
+        for number in range(1, count + 1)
+    )
+
+
+@behave.given("a copy of a table of 40 rows at version 40")
+def step_copy(context):
+    context.copy = tablecopy.TableCopy(invariant.Invariants())
+    context.copy.apply(tabledelta.TableDelta(40, 0, _rows(40, 10)))
+
+
+@behave.when("another copy takes it with one row spoilt")
+def step_spoilt(context):
+    context.other = tablecopy.TableCopy(invariant.Invariants())
+    page = context.copy.page_after(context.other.wanted())
+    bad = page.changes[3]._replace(value=b"spoilt")
+    changes = (*page.changes[:3], bad, *page.changes[4:])
+    assert not context.other.take(page._replace(changes=changes))
+
+
+@behave.then("the spoilt table is refused, and the whole one is taken next")
+def step_refused(context):
+    assert (context.other.version, context.other.refused) == (0, 1)
+    page = context.copy.page_after(context.other.wanted())
+    assert context.other.take(page)
+    assert context.other.digest == context.copy.digest
+
+
+@behave.given("3 members that hold {count:d} rows of {size:d} bytes")
+def step_large(context, count, size):
+    small.begin(context, 3)
+    delta = tabledelta.TableDelta(count, 0, _rows(count, size))
+    context.links.node_by_name["d0-0"].core.offer_table(delta)
+    context.links.run(10 * clock.SECOND)
+    assert {small.state(context, n).table.version for n in context.names} == {
+        count
+    }
+    context.count = count
+
+
+@behave.when("a fourth member starts")
+def step_fourth(context):
+    context.links.start("d0-3", "d0", ("d0-1",))
+
+
+@behave.then("within {span:d} ms it holds them all, and never held a part")
+def step_all(context, span):
+    table = small.state(context, "d0-3").table
+    seen = set()
+
+    def _done():
+        seen.add(len(table.rows()))
+        return table.version == context.count
+
+    small.within(context, span, _done)
+    assert seen == {0, context.count}, seen
+
+
+@behave.when("d0-2 is stopped and an edit comes")
+def step_edit(context):
+    context.links.stop("d0-2")
+    delta = tabledelta.TableDelta(7, 0, _rows(7, 10))
+    context.links.node_by_name["d0-1"].core.offer_table(delta)
+
+
+@behave.then("{span:d} ms later d0-0 names d0-2 as silent")
+def step_silent(context, span):
+    context.links.run(span)
+    core = context.links.node_by_name["d0-0"].core
+    assert core.confirmation(7).silent == ("d0-2",), core.confirmation(7)
+
+
+@behave.given("3 data centres of 3 members with {loss:d}% loss")
+def step_places(context, loss):
+    context.links = memorylinks.Links(random.Random(3), loss=loss / 100)
+    context.names = [f"d{d}-{m}" for d in range(3) for m in range(3)]
+    for name in context.names:
+        context.links.start(name, name[:2], ("d0-0", "d1-0"))
+    context.links.run(10 * clock.SECOND)
+
+
+@behave.when("one member sees a crash")
+def step_crash(context):
+    state = small.state(context, "d1-2")
+    fact = crashfact.CrashFact("request", "engine-1", "start-1", 0)
+    state.crashes.hear(fact, state.clock.now())
+
+
+@behave.then("within {span:d} ms every member knows of it")
+def step_known(context, span):
+    small.within(
+        context,
+        span,
+        lambda: all(
+            small.state(context, name).crashes.facts(
+                small.state(context, name).clock.now()
+            )
+            for name in context.names
+        ),
+    )
+
+
+@behave.when("one member measures a load")
+def step_load(context):
+    node = context.links.node_by_name["d1-2"]
+    report = load.LoadReport("engine-1", "s", 1, 0, 8, node.clock.now())
+    node.core.offer_load(report)
+    context.measured_at = context.links.clock.now()
+
+
+@behave.then(
+    "within {span:d} ms every member knows it, at its true age to {most:d} ms"
+)
+def step_age(context, span, most):
+    def _reports():
+        return [
+            small.state(context, name).loads.report("engine-1")
+            for name in context.names
+        ]
+
+    small.within(context, span, lambda: all(_reports()))
+    true_age = context.links.clock.now() - context.measured_at
+    for name in context.names:
+        state = small.state(context, name)
+        age = state.clock.now() - state.loads.report("engine-1").seen_at
+        assert abs(age - true_age) <= most, (name, age, true_age)
