Call the clients of the table service and object store storage

Cause: the users' machines get an adapter in a folder named platform, and one word would then mean two things. Ruled out: naming the adapter's folder otherwise, since the users name it. Change: src/citronvalve/platform becomes src/citronvalve/storage, and its tests with it; nothing else.

--- a/benchmarks/watcherkilled.py
+++ b/benchmarks/watcherkilled.py
@@ -9,8 +9,8 @@
 
 from benchmarks import figure
 from citronvalve.model import clock
-from citronvalve.platform import client
-from citronvalve.platform import httptable
+from citronvalve.storage import client
+from citronvalve.storage import httptable
 from citronvalve.table import edit
 from citronvalve.table import editor
 from citronvalve.table import rowedits
--- a/src/citronvalve/cli/grouping.py
+++ b/src/citronvalve/cli/grouping.py
@@ -15,7 +15,7 @@
 from citronvalve.model import declared
 from citronvalve.model import invariant
 from citronvalve.model import missing
-from citronvalve.platform import tableservice
+from citronvalve.storage import tableservice
 from citronvalve.table import mistake
 from citronvalve.table import reading
 
--- a/src/citronvalve/cli/looking.py
+++ b/src/citronvalve/cli/looking.py
@@ -9,7 +9,7 @@
 from citronvalve.cli import report
 from citronvalve.cli import session
 from citronvalve.model import missing
-from citronvalve.platform import tableservice
+from citronvalve.storage import tableservice
 from citronvalve.table import audit
 from citronvalve.table import edit
 from citronvalve.table import layout
--- a/src/citronvalve/cli/session.py
+++ b/src/citronvalve/cli/session.py
@@ -5,8 +5,8 @@
 import time
 
 from citronvalve.model import clock
-from citronvalve.platform import client
-from citronvalve.platform import httptable
+from citronvalve.storage import client
+from citronvalve.storage import httptable
 from citronvalve.table import editor
 
 #: Names the platform for all commands of a shell.
--- a/src/citronvalve/cli/status.py
+++ b/src/citronvalve/cli/status.py
@@ -11,7 +11,7 @@
 from citronvalve.cli import session
 from citronvalve.model import errors
 from citronvalve.model import missing
-from citronvalve.platform import tableservice
+from citronvalve.storage import tableservice
 from citronvalve.table import layout
 
 _LOOK_SECONDS = 0.2
--- a/src/citronvalve/daemon/daemon.py
+++ b/src/citronvalve/daemon/daemon.py
@@ -30,10 +30,10 @@
 from citronvalve.entry import view as views
 from citronvalve.model import clock
 from citronvalve.model import invariant
-from citronvalve.platform import client as platform_client
-from citronvalve.platform import httptable
-from citronvalve.platform import httpvms
 from citronvalve.policy import dispatcher
+from citronvalve.storage import client as platform_client
+from citronvalve.storage import httptable
+from citronvalve.storage import httpvms
 from citronvalve.upstreams import engineclient
 from citronvalve.upstreams import loadclient
 from citronvalve.upstreams import plainclient
--- a/src/citronvalve/daemon/grouptask.py
+++ b/src/citronvalve/daemon/grouptask.py
@@ -18,9 +18,9 @@
 from citronvalve.groups import state
 from citronvalve.model import clock
 from citronvalve.model import declared
-from citronvalve.platform import rows
-from citronvalve.platform import tableservice
-from citronvalve.platform import vmlist
+from citronvalve.storage import rows
+from citronvalve.storage import tableservice
+from citronvalve.storage import vmlist
 
 _EVERY: clock.Ms = 1_000
 #: Read-backs and orders side by side: a dark domain of 32 VMs costs one
--- a/src/citronvalve/daemon/peertask.py
+++ b/src/citronvalve/daemon/peertask.py
@@ -14,7 +14,7 @@
 from citronvalve.peers import peersettings
 from citronvalve.peers import tabledelta
 from citronvalve.peers import task
-from citronvalve.platform import rows
+from citronvalve.storage import rows
 from citronvalve.table import delta as deltas
 from citronvalve.table import follower as followers
 
--- a/src/citronvalve/daemon/recordtask.py
+++ b/src/citronvalve/daemon/recordtask.py
@@ -11,9 +11,9 @@
 from citronvalve.once import pacer
 from citronvalve.once import recorder as recorders
 from citronvalve.once import sweeper
-from citronvalve.platform import client as platform_client
-from citronvalve.platform import httpobjects
-from citronvalve.platform import httptable
+from citronvalve.storage import client as platform_client
+from citronvalve.storage import httpobjects
+from citronvalve.storage import httptable
 
 #: How often the share of the store's writes is looked at again.  While it
 #: lags, 8 daemons that become 16 ask for twice their share for a second.
--- a/src/citronvalve/daemon/tabletask.py
+++ b/src/citronvalve/daemon/tabletask.py
@@ -7,7 +7,7 @@
 from citronvalve.entry import view as views
 from citronvalve.model import clock
 from citronvalve.model import missing
-from citronvalve.platform import tableservice
+from citronvalve.storage import tableservice
 from citronvalve.table import poller as pollers
 from citronvalve.table import watcher as watchers
 
--- a/src/citronvalve/groups/book.py
+++ b/src/citronvalve/groups/book.py
@@ -10,7 +10,7 @@
 from citronvalve.groups import record
 from citronvalve.model import errors
 from citronvalve.model import invariant
-from citronvalve.platform import rows
+from citronvalve.storage import rows
 
 LEASES = "group_leases"
 
--- a/src/citronvalve/groups/change.py
+++ b/src/citronvalve/groups/change.py
@@ -6,7 +6,7 @@
 from citronvalve.groups import owner
 from citronvalve.groups import record
 from citronvalve.model import invariant
-from citronvalve.platform import rows
+from citronvalve.storage import rows
 
 
 class Change(NamedTuple):
--- a/src/citronvalve/groups/leader.py
+++ b/src/citronvalve/groups/leader.py
@@ -17,8 +17,8 @@
 from citronvalve.model import clock
 from citronvalve.model import declared
 from citronvalve.model import missing
-from citronvalve.platform import rows
-from citronvalve.platform import vmlist
+from citronvalve.storage import rows
+from citronvalve.storage import vmlist
 
 #: Rounds of decisions and orders in one step: a group whose engines answer
 #: at once is formed, and its load begun, within the step that found a VM
--- a/src/citronvalve/groups/leasekeeper.py
+++ b/src/citronvalve/groups/leasekeeper.py
@@ -4,7 +4,7 @@
 from citronvalve.groups import lease
 from citronvalve.groups import timing
 from citronvalve.model import clock
-from citronvalve.platform import rows
+from citronvalve.storage import rows
 
 
 class LeaseKeeper:
--- a/src/citronvalve/groups/means.py
+++ b/src/citronvalve/groups/means.py
@@ -9,8 +9,8 @@
 from citronvalve.groups import weightloads
 from citronvalve.model import clock
 from citronvalve.model import invariant
-from citronvalve.platform import tableservice
-from citronvalve.platform import vmlist
+from citronvalve.storage import tableservice
+from citronvalve.storage import vmlist
 
 
 def _say_nothing(_line: str) -> None:
--- a/src/citronvalve/groups/situation.py
+++ b/src/citronvalve/groups/situation.py
@@ -8,7 +8,7 @@
 from citronvalve.groups import wanted
 from citronvalve.model import clock
 from citronvalve.model import declared
-from citronvalve.platform import vmlist
+from citronvalve.storage import vmlist
 
 
 class Situation(NamedTuple):
--- a/src/citronvalve/groups/survey.py
+++ b/src/citronvalve/groups/survey.py
@@ -8,7 +8,7 @@
 from citronvalve.groups import record
 from citronvalve.groups import situation
 from citronvalve.groups import standing
-from citronvalve.platform import vmlist
+from citronvalve.storage import vmlist
 
 
 def is_stray(held: holding.Holding) -> bool:
--- a/src/citronvalve/once/batch.py
+++ b/src/citronvalve/once/batch.py
@@ -9,7 +9,7 @@
 from citronvalve.once import job as jobs
 from citronvalve.once import record as records
 from citronvalve.once import settled
-from citronvalve.platform import rows
+from citronvalve.storage import rows
 
 #: Changes in one transaction.  At 3,000 keyed requests a second over 8
 #: daemons and 37 transactions a second each, some 20 are enough; the rest
--- a/src/citronvalve/once/job.py
+++ b/src/citronvalve/once/job.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from citronvalve.once import record as records
-from citronvalve.platform import rows
+from citronvalve.storage import rows
 
 
 class JobKind(enum.StrEnum):
--- a/src/citronvalve/once/recorder.py
+++ b/src/citronvalve/once/recorder.py
@@ -24,8 +24,8 @@
 from citronvalve.once import vault
 from citronvalve.once import waiting as waits
 from citronvalve.once import writer as writers
-from citronvalve.platform import objectstore
-from citronvalve.platform import tableservice
+from citronvalve.storage import objectstore
+from citronvalve.storage import tableservice
 
 #: Longest key, in characters; common clients send a UUID of 36.
 LONGEST_KEY = 255
--- a/src/citronvalve/once/sweeper.py
+++ b/src/citronvalve/once/sweeper.py
@@ -9,9 +9,9 @@
 from citronvalve.once import batch as batches
 from citronvalve.once import record as records
 from citronvalve.once import swept
-from citronvalve.platform import objectstore
-from citronvalve.platform import rows
-from citronvalve.platform import tableservice
+from citronvalve.storage import objectstore
+from citronvalve.storage import rows
+from citronvalve.storage import tableservice
 
 _TABLE = "once-sweep"
 _KEY = "minute"
--- a/src/citronvalve/once/vault.py
+++ b/src/citronvalve/once/vault.py
@@ -5,7 +5,7 @@
 from citronvalve.model import missing
 from citronvalve.once import answer as answers
 from citronvalve.once import kept as keeping
-from citronvalve.platform import objectstore
+from citronvalve.storage import objectstore
 
 #: Largest body in a row, in bytes.  A certificate is a few kilobytes; at
 #: some 20 answers a transaction, larger ones would make the store's writes
--- a/src/citronvalve/platform/httpobjects.py
+++ b/src/citronvalve/storage/httpobjects.py
@@ -3,8 +3,8 @@
 import urllib.parse
 
 from citronvalve.model import missing
-from citronvalve.platform import client
-from citronvalve.platform import objectstore
+from citronvalve.storage import client
+from citronvalve.storage import objectstore
 
 
 class HttpObjects(objectstore.ObjectStore):
--- a/src/citronvalve/platform/httptable.py
+++ b/src/citronvalve/storage/httptable.py
@@ -5,9 +5,9 @@
 import msgspec
 
 from citronvalve.model import missing
-from citronvalve.platform import client
-from citronvalve.platform import rows
-from citronvalve.platform import tableservice
+from citronvalve.storage import client
+from citronvalve.storage import rows
+from citronvalve.storage import tableservice
 
 
 class ConflictBody(msgspec.Struct):
--- a/src/citronvalve/platform/httpvms.py
+++ b/src/citronvalve/storage/httpvms.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from citronvalve.model import missing
-from citronvalve.platform import client
-from citronvalve.platform import vmlist
+from citronvalve.storage import client
+from citronvalve.storage import vmlist
 
 
 class HttpVms(vmlist.VmList):
--- a/src/citronvalve/platform/tableservice.py
+++ b/src/citronvalve/storage/tableservice.py
@@ -3,7 +3,7 @@
 import abc
 
 from citronvalve.model import missing
-from citronvalve.platform import rows
+from citronvalve.storage import rows
 
 
 class TableService(abc.ABC):
--- a/src/citronvalve/table/audit.py
+++ b/src/citronvalve/table/audit.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from citronvalve.model import missing
-from citronvalve.platform import rows
-from citronvalve.platform import tableservice
+from citronvalve.storage import rows
+from citronvalve.storage import tableservice
 from citronvalve.table import edit
 from citronvalve.table import layout
 
--- a/src/citronvalve/table/delta.py
+++ b/src/citronvalve/table/delta.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from citronvalve.platform import rows
+from citronvalve.storage import rows
 
 
 class Delta(NamedTuple):
--- a/src/citronvalve/table/follower.py
+++ b/src/citronvalve/table/follower.py
@@ -7,7 +7,7 @@
 from citronvalve.model import declared
 from citronvalve.model import invariant
 from citronvalve.model import missing
-from citronvalve.platform import rows
+from citronvalve.storage import rows
 from citronvalve.table import delta as deltas
 from citronvalve.table import layout
 from citronvalve.table import mistake
--- a/src/citronvalve/table/reading.py
+++ b/src/citronvalve/table/reading.py
@@ -2,7 +2,7 @@
 
 from citronvalve.model import declared
 from citronvalve.model import missing
-from citronvalve.platform import tableservice
+from citronvalve.storage import tableservice
 from citronvalve.table import layout
 from citronvalve.table import mistake
 from citronvalve.table import state
--- a/src/citronvalve/table/state.py
+++ b/src/citronvalve/table/state.py
@@ -3,7 +3,7 @@
 from typing import Any
 from typing import NamedTuple
 
-from citronvalve.platform import rows
+from citronvalve.storage import rows
 from citronvalve.table import layout
 
 
--- a/src/citronvalve/table/watcher.py
+++ b/src/citronvalve/table/watcher.py
@@ -6,7 +6,7 @@
 from citronvalve.model import clock
 from citronvalve.model import invariant
 from citronvalve.model import missing
-from citronvalve.platform import rows
+from citronvalve.storage import rows
 from citronvalve.table import delta as deltas
 from citronvalve.table import layout
 
--- a/standins/hostiletable.py
+++ b/standins/hostiletable.py
@@ -5,8 +5,8 @@
 import enum
 
 from citronvalve.model import missing
-from citronvalve.platform import rows
-from citronvalve.platform import tableservice
+from citronvalve.storage import rows
+from citronvalve.storage import tableservice
 
 
 class Fate(enum.Enum):
--- a/standins/memoryobjects.py
+++ b/standins/memoryobjects.py
@@ -1,7 +1,7 @@
 """An object store in memory."""
 
 from citronvalve.model import missing
-from citronvalve.platform import objectstore
+from citronvalve.storage import objectstore
 from standins import faults
 
 
--- a/standins/memorytable.py
+++ b/standins/memorytable.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 
 from citronvalve.model import missing
-from citronvalve.platform import rows
-from citronvalve.platform import tableservice
+from citronvalve.storage import rows
+from citronvalve.storage import tableservice
 from standins import faults
 
 
--- a/standins/memoryvms.py
+++ b/standins/memoryvms.py
@@ -2,7 +2,7 @@
 
 from citronvalve.model import clock
 from citronvalve.model import missing
-from citronvalve.platform import vmlist
+from citronvalve.storage import vmlist
 from standins import faults
 
 
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -21,8 +21,8 @@
 
 from citronvalve.model import clock  # noqa: E402
 from citronvalve.model import missing  # noqa: E402
-from citronvalve.platform import rows  # noqa: E402
-from citronvalve.platform import vmlist  # noqa: E402
+from citronvalve.storage import rows  # noqa: E402
+from citronvalve.storage import vmlist  # noqa: E402
 from standins import faults  # noqa: E402
 from standins import memoryobjects  # noqa: E402
 from standins import memorytable  # noqa: E402
--- a/standins/triptable.py
+++ b/standins/triptable.py
@@ -1,7 +1,7 @@
 """A view of a table service whose calls pass the points of a trip."""
 
-from citronvalve.platform import rows
-from citronvalve.platform import tableservice
+from citronvalve.storage import rows
+from citronvalve.storage import tableservice
 from standins import trip
 
 
--- a/tests/cli/steps/tool_steps.py
+++ b/tests/cli/steps/tool_steps.py
@@ -16,8 +16,8 @@
 
 from citronvalve.cli import main
 from citronvalve.cli import reference
-from citronvalve.platform import client
-from citronvalve.platform import httptable
+from citronvalve.storage import client
+from citronvalve.storage import httptable
 from citronvalve.table import kinds
 from citronvalve.table import reading
 
--- a/tests/groups/steps/closing_steps.py
+++ b/tests/groups/steps/closing_steps.py
@@ -2,7 +2,7 @@
 
 import behave
 
-from citronvalve.platform import vmlist
+from citronvalve.storage import vmlist
 from standins import faults
 from tests.groups import world
 
--- a/tests/groups/steps/drill_steps.py
+++ b/tests/groups/steps/drill_steps.py
@@ -11,7 +11,7 @@
 import urllib3
 
 from citronvalve.groups import book
-from citronvalve.platform import rows
+from citronvalve.storage import rows
 from standins import deployment as deployments
 from tests import drill
 
--- a/tests/groups/steps/leading_steps.py
+++ b/tests/groups/steps/leading_steps.py
@@ -9,7 +9,7 @@
 from citronvalve.groups import record
 from citronvalve.groups import wanted
 from citronvalve.model import invariant
-from citronvalve.platform import rows
+from citronvalve.storage import rows
 from standins import faults
 from standins import memorytable
 from tests.groups import world
--- a/tests/groups/world.py
+++ b/tests/groups/world.py
@@ -12,7 +12,7 @@
 from citronvalve.model import declared
 from citronvalve.model import invariant
 from citronvalve.model import manualclock
-from citronvalve.platform import vmlist
+from citronvalve.storage import vmlist
 from standins import fakeengine
 from standins import fakeengines
 from standins import faults
--- a/tests/platform/steps/clients_steps.py
+++ b/tests/storage/steps/clients_steps.py
@@ -13,11 +13,11 @@
 
 from citronvalve.model import clock
 from citronvalve.model import manualclock
-from citronvalve.platform import client
-from citronvalve.platform import httpobjects
-from citronvalve.platform import httptable
-from citronvalve.platform import httpvms
-from citronvalve.platform import rows
+from citronvalve.storage import client
+from citronvalve.storage import httpobjects
+from citronvalve.storage import httptable
+from citronvalve.storage import httpvms
+from citronvalve.storage import rows
 from standins import fleet
 from standins import silentproxy
 
--- a/tests/table/machines.py
+++ b/tests/table/machines.py
@@ -8,7 +8,7 @@
 from citronvalve.model import invariant
 from citronvalve.model import manualclock
 from citronvalve.model import missing
-from citronvalve.platform import rows
+from citronvalve.storage import rows
 from citronvalve.table import audit
 from citronvalve.table import edit
 from citronvalve.table import editor
--- a/tests/table/steps/edits_steps.py
+++ b/tests/table/steps/edits_steps.py
@@ -4,7 +4,7 @@
 import json5
 
 from citronvalve.model import missing
-from citronvalve.platform import rows
+from citronvalve.storage import rows
 from citronvalve.table import audit
 from citronvalve.table import document
 from citronvalve.table import edit
--- a/tests/table/steps/rows_steps.py
+++ b/tests/table/steps/rows_steps.py
@@ -5,7 +5,7 @@
 import behave
 import json5
 
-from citronvalve.platform import rows
+from citronvalve.storage import rows
 from citronvalve.table import document
 from citronvalve.table import edit
 from citronvalve.table import kinds
--- a/tests/table/steps/watching_steps.py
+++ b/tests/table/steps/watching_steps.py
@@ -7,7 +7,7 @@
 from citronvalve.model import invariant
 from citronvalve.model import manualclock
 from citronvalve.model import missing
-from citronvalve.platform import rows
+from citronvalve.storage import rows
 from citronvalve.table import delta
 from citronvalve.table import follower
 from citronvalve.table import layout
