Form all replica groups at once at the first start

Cause: groups were formed eight loads at a time, and the last were open seconds after the first requests: 722 of 1,394 refused for want of a replica. Ruled out: the weight store's width before the first request: 54 loads side by side were ready within 2.5 s of their orders. Change: no bound on loads before the first request; while the list still grows only the model in most need is formed.

--- a/src/citronvalve/replicas/planner.py
+++ b/src/citronvalve/replicas/planner.py
@@ -36,6 +36,10 @@
 #: Steps of an epoch within one lease; a leader forms far fewer.
 _EPOCHS = 100_000
 
+#: At the first start, the list is taken to be still growing for so long
+#: after a runner came; they come some tens of ms apart.
+_FILLING: clock.Ms = 500
+
 #: Orders remembered before those that may be given again are dropped.
 _MOST_GIVEN = 1_000
 
@@ -80,6 +84,8 @@
         self._given: dict[tuple, clock.Ms] = {}
         self._last_model: dict[tuple[str, int], str] = {}
         self._staging: dict[str, tuple[str, clock.Ms]] = {}
+        self._listed = 0
+        self._grown_at: clock.Ms = 0
         self._loads = slidingcount.SlidingCount(clock.SECOND)
         self._out: list[orders.Order | orders.Look] = []
 
@@ -111,6 +117,9 @@
             self._given = {
                 k: at for k, at in self._given.items() if now - at < _AGAIN
             }
+        if len(runner_by_id) > self._listed:
+            self._grown_at = now
+        self._listed = len(runner_by_id)
         self.lives.listed(runner_by_id, now)
         sizes = {m.name: m.size for m in self.spec.model_by_name.values()}
         found = standings.census(self.lives.known(), sizes)
@@ -312,11 +321,11 @@
         count_by_model: collections.Counter[str],
         now: clock.Ms,
     ) -> bool:
-        if self.early and self._loading(now) >= self.spec.loads_at_once:
-            return False
         for model in need.ranked(self.spec.model_by_name, count_by_model):
             domain = self._fitting(by_domain, model)
             if domain is None:
+                if self._is_filling(now):
+                    return False
                 continue
             members = self._members(by_domain[domain], model)
             if not self._has_weights(members, model, now):
@@ -395,14 +404,11 @@
         self._pending[key] = pending
         self._join(pending, now)
 
-    def _loading(self, now: clock.Ms) -> int:
-        joining = sum(len(p.members) for p in self._pending.values())
-        staging = sum(
-            now - since < self.spec.model_by_name[name].load
-            for name, since in self._staging.values()
-            if name in self.spec.model_by_name
-        )
-        return joining + staging
+    def _is_filling(self, now: clock.Ms) -> bool:
+        # Runners register one by one at the first start.  Replicas of the
+        # smaller model would take the places of the larger one, which is
+        # in more need and only does not fit yet.
+        return self.early and now - self._grown_at < _FILLING
 
     def _stage_spares(
         self,
@@ -447,7 +453,7 @@
         name, since = self._staging.get(runner.id, ("", 0))
         if name and now - since < self.spec.model_by_name[name].load + _AGAIN:
             return
-        if self.early and self._loading(now) >= self.spec.loads_at_once:
+        if self.early and self._is_filling(now):
             return
         most = max(1, int(_LOAD_SHARE * self.spec.loads_per_second))
         if not self.early and self._loads.count(now) >= most:
