Keep the members of a lost head bound until it broke, and tell a cut from deaths

Cause: members that had left told of no group any more and were free at once, while a head behind a cut may go on serving; and a leader that is cut off sees every runner of another data centre go silent. Ruled out: waiting for the list alone: a runner cut off from the store leaves the list and serves on. Change: members stay bound for the time a head that stands still takes to break; a data centre with lost runners counts as reachable only while one in another domain there answers.

--- a/src/citronvalve/daemon/conductor.py
+++ b/src/citronvalve/daemon/conductor.py
@@ -125,7 +125,7 @@
     def _look(self, planner: planners.Planner, target: runners.Runner) -> None:
         seen = self._giver.look(target)
         if isinstance(seen, runners.Runner):
-            planner.lives.answered(target.id)
+            planner.lives.answered(target.id, self._env.clock.now())
             return
         gone = seen is orders_.Told.NOBODY
         planner.lives.silent(target.id, gone)
--- a/src/citronvalve/replicas/lives.py
+++ b/src/citronvalve/replicas/lives.py
@@ -11,6 +11,11 @@
 #: doubt.
 _AGAIN: clock.Ms = 400
 
+#: How often a witness in another domain is looked at, and how long its
+#: answer counts.
+_WITNESS: clock.Ms = 500
+_BELIEVED: clock.Ms = 1_500
+
 #: One that left the list and answers is looked at less often.
 _UNLISTED_AGAIN: clock.Ms = 2_000
 
@@ -40,6 +45,8 @@
         self._doubt_by_id: dict[str, _Doubt] = {}
         self._unlisted: dict[str, tuple[runners.Runner, clock.Ms]] = {}
         self._listed: dict[str, runners.Runner] = {}
+        self._answered: dict[str, clock.Ms] = {}
+        self._witnessed_at: clock.Ms = -_WITNESS
 
     def listed(
         self, runner_by_id: dict[str, runners.Runner], now: clock.Ms
@@ -114,6 +121,26 @@
         """
         return runner in self._doubt_by_id
 
+    def is_reachable(self, datacentre: str) -> bool:
+        """Tell whether a data centre can be reached from here.
+
+        When a link between data centres is cut, every runner behind it goes
+        silent, and each of them lives.  A whole domain may fail at once, so
+        it takes one in another domain that answers to tell them apart.
+
+        :param datacentre: its name.
+        """
+        there = [
+            r for r in self._listed.values() if r.datacentre == datacentre
+        ]
+        lost = {r.domain for r in there if self.is_lost(r.id)}
+        if not lost:
+            return True
+        witnesses = [r for r in there if r.domain not in lost]
+        if not witnesses:
+            return len({r.domain for r in there}) == 1
+        return any(r.id in self._answered for r in witnesses)
+
     def is_gone(self, runner: str) -> bool:
         """Tell whether a runner's process has certainly ended.
 
@@ -127,7 +154,7 @@
 
         :param now: monotonic ms.
         """
-        due = []
+        due = self._witnesses_due(now)
         for runner, doubt in self._doubt_by_id.items():
             pause = _AGAIN if runner in self._listed else _UNLISTED_AGAIN
             if doubt.failed:
@@ -139,11 +166,37 @@
                 due.append(runner)
         return due
 
-    def answered(self, runner: str) -> None:
+    def _witnesses_due(self, now: clock.Ms) -> list[str]:
+        # While some are lost, one of each other domain is looked at too.
+        lost_by_datacentre: dict[str, set[str]] = {}
+        for runner in self._listed.values():
+            if self.is_lost(runner.id):
+                domains = lost_by_datacentre.setdefault(
+                    runner.datacentre, set()
+                )
+                domains.add(runner.domain)
+        due: dict[str, str] = {}
+        for runner in self._listed.values():
+            lost = lost_by_datacentre.get(runner.datacentre)
+            if not lost or runner.domain in lost or runner.leaving:
+                continue
+            due.setdefault(runner.domain, runner.id)
+        if now - self._witnessed_at < _WITNESS:
+            return []
+        self._answered = {
+            r: at for r, at in self._answered.items() if now - at < _BELIEVED
+        }
+        if due:
+            self._witnessed_at = now
+        return list(due.values())
+
+    def answered(self, runner: str, now: clock.Ms) -> None:
         """Note that a runner answered a look.
 
         :param runner: its id.
+        :param now: monotonic ms.
         """
+        self._answered[runner] = now
         if runner in self._listed:
             self._doubt_by_id.pop(runner, None)
             return
--- a/src/citronvalve/replicas/planner.py
+++ b/src/citronvalve/replicas/planner.py
@@ -1,6 +1,7 @@
 """Decides which replicas to form, open, close and give up."""
 
 import collections
+from typing import NamedTuple
 
 from citronvalve.model import clock
 from citronvalve.policy import slidingcount
@@ -47,6 +48,14 @@
 _Phase = phases.Phase
 
 
+class _Headless(NamedTuple):
+    """A replica whose head is lost; its members are bound until it breaks."""
+
+    head: str
+    until: clock.Ms
+    members: set[str]
+
+
 class Planner:
     """Plans for one service; pure but for what it remembers.
 
@@ -79,7 +88,7 @@
         self._epoch = lease * _EPOCHS
         self._pending: dict[membership.GroupKey, pendings.Pending] = {}
         self._dissolved: dict[membership.GroupKey, clock.Ms] = {}
-        self._headless: dict[membership.GroupKey, clock.Ms] = {}
+        self._headless: dict[membership.GroupKey, _Headless] = {}
         self._head_by_key: dict[membership.GroupKey, str] = {}
         self._given: dict[tuple, clock.Ms] = {}
         self._last_model: dict[tuple[str, int], str] = {}
@@ -134,6 +143,7 @@
                 busy.update(r.id for r in standing.member_by_rank.values())
                 if key not in self._dissolved:
                     count_by_model[key.model] += 1
+        busy |= self._bound_to_lost_heads(now)
         for key, pending in list(self._pending.items()):
             self._advance(pending, found.get(key), now)
             if key in self._pending:
@@ -179,6 +189,8 @@
         if head is None:
             return self._await_break(standing, now)
         self._headless.pop(key, None)
+        if not self.lives.is_reachable(head.datacentre):
+            return True
         if standing.phase in phases.SERVING:
             if self._is_sound(standing, spare):
                 self._dissolved.pop(key, None)
@@ -223,16 +235,33 @@
         # until then a member that joined elsewhere would belong to two.
         key = standing.key
         self._dissolved.setdefault(key, now)
-        members = standing.member_by_rank.values()
+        members = list(standing.member_by_rank.values())
+        datacentre = members[0].datacentre
         head = self._head_by_key.get(key)
         if head is not None and self._has_moved_on(head, key):
             return False
-        since = self._headless.get(key)
-        if since is None:
-            since = self._headless[key] = now
+        if not self.lives.is_reachable(datacentre):
+            # The head is behind a cut, and may well be serving there.
+            return True
+        held = self._headless.get(key)
+        if held is None:
+            until = now + self._stall + _BREAK_MARGIN
+            held = self._headless[key] = _Headless(head or "", until, set())
         for runner in members:
+            # Kept in mind, since those that have left tell of no group.
+            held.members.add(runner.id)
             self._give(orders.Order(_Kind.LEAVE, runner.id, key), now)
-        return now - since < self._stall + _BREAK_MARGIN
+        return True
+
+    def _bound_to_lost_heads(self, now: clock.Ms) -> set[str]:
+        bound: set[str] = set()
+        for key, held in list(self._headless.items()):
+            moved = held.head and self._has_moved_on(held.head, key)
+            if now >= held.until or moved:
+                del self._headless[key]
+            else:
+                bound |= held.members
+        return bound
 
     def _has_moved_on(self, head: str, key: membership.GroupKey) -> bool:
         if self.lives.is_gone(head):
