Take no refusing port for a death, and wait for a head that is told of late

Ruled out: a late order: the join was the leader's own, at once answered. Change: silence and refusal are the same; an unknown head is waited for as long as entries take to come back; a replica given up after its head was told to open keeps its members until the head is seen closed.

--- a/src/citronvalve/daemon/conductor.py
+++ b/src/citronvalve/daemon/conductor.py
@@ -57,7 +57,7 @@
         runner = self._directory.runner_by_id.get(head)
         planner = runner and self._planner_by_service.get(runner.service)
         if planner:
-            planner.accuse(head, self._env.clock.now())
+            planner.accuse(head)
 
     def run(self) -> None:
         """Plan for ever."""
@@ -107,10 +107,16 @@
             if isinstance(act, orders_.Look):
                 self._pool.spawn_n(self._look, planner, target)
             else:
-                self._pool.spawn_n(self._give, target, act)
+                self._pool.spawn_n(self._give, planner, target, act)
 
-    def _give(self, target: runners.Runner, what: orders_.Order) -> None:
+    def _give(
+        self,
+        planner: planners.Planner,
+        target: runners.Runner,
+        what: orders_.Order,
+    ) -> None:
         told = self._giver.give(target, what)
+        planner.told(what, told)
         self._env.metrics.ordered(what.kind, told.name.lower())
         self._env.log.change(
             "order given",
@@ -127,11 +133,9 @@
         if isinstance(seen, runners.Runner):
             planner.lives.answered(target.id, self._env.clock.now())
             return
-        gone = seen is orders_.Told.NOBODY
-        planner.lives.silent(target.id, gone)
+        planner.lives.silent(target.id)
         self._env.log.change(
             "runner silent",
             runner=target.id,
-            gone=gone,
             lost=planner.lives.is_lost(target.id),
         )
--- a/src/citronvalve/replicas/lives.py
+++ b/src/citronvalve/replicas/lives.py
@@ -24,13 +24,11 @@
 
 
 class _Doubt:
-    __slots__ = ("failed", "gone", "looked_at", "since")
+    __slots__ = ("failed", "looked_at")
 
-    def __init__(self, now: clock.Ms) -> None:
+    def __init__(self) -> None:
         self.failed = 0
-        self.gone = False
         self.looked_at: clock.Ms | None = None
-        self.since = now
 
 
 class Lives:
@@ -58,7 +56,7 @@
         """
         for gone in self._listed.keys() - runner_by_id.keys():
             self._unlisted[gone] = self._listed[gone], now
-            self.accuse(gone, now)
+            self.accuse(gone)
         for here, runner in runner_by_id.items():
             held = self._listed.get(here)
             if held is None or held.born != runner.born:
@@ -71,13 +69,12 @@
                 del self._unlisted[gone]
                 self._doubt_by_id.pop(gone, None)
 
-    def accuse(self, runner: str, now: clock.Ms) -> None:
+    def accuse(self, runner: str) -> None:
         """Note that a runner may be lost.
 
         :param runner: its id.
-        :param now: monotonic ms.
         """
-        self._doubt_by_id.setdefault(runner, _Doubt(now))
+        self._doubt_by_id.setdefault(runner, _Doubt())
 
     def known(self) -> list[runners.Runner]:
         """Return all runners that may live, listed or not."""
@@ -112,7 +109,7 @@
         :param runner: its id.
         """
         doubt = self._doubt_by_id.get(runner)
-        return doubt is not None and (doubt.gone or doubt.failed >= _LOOKS)
+        return doubt is not None and doubt.failed >= _LOOKS
 
     def is_doubted(self, runner: str) -> bool:
         """Tell whether a runner is being looked at.
@@ -141,14 +138,6 @@
             return len({r.domain for r in there}) == 1
         return any(r.id in self._answered for r in witnesses)
 
-    def is_gone(self, runner: str) -> bool:
-        """Tell whether a runner's process has certainly ended.
-
-        :param runner: its id.
-        """
-        doubt = self._doubt_by_id.get(runner)
-        return doubt is not None and doubt.gone
-
     def due(self, now: clock.Ms) -> list[str]:
         """Return the runners that are to be looked at now.
 
@@ -202,15 +191,16 @@
             return
         doubt = self._doubt_by_id.get(runner)
         if doubt is not None:
-            doubt.failed, doubt.gone = 0, False
+            doubt.failed = 0
 
-    def silent(self, runner: str, gone: bool) -> None:
+    def silent(self, runner: str) -> None:
         """Note that a look had no answer.
 
+        A port that refuses proves no more than silence: a link that is cut
+        may refuse in the runner's place, which lives behind it.
+
         :param runner: its id.
-        :param gone: its port refused, so the process has ended.
         """
         doubt = self._doubt_by_id.get(runner)
         if doubt is not None:
             doubt.failed += 1
-            doubt.gone = doubt.gone or gone
--- a/src/citronvalve/replicas/order.py
+++ b/src/citronvalve/replicas/order.py
@@ -48,7 +48,5 @@
     HOLDS = enum.auto()
     #: It does not fit the runner's state, or its epoch is too low.
     REFUSED = enum.auto()
-    #: Nobody listens there: the process is gone.
-    NOBODY = enum.auto()
     #: No answer; it may be carried out later.
     SILENT = enum.auto()
--- a/src/citronvalve/replicas/planner.py
+++ b/src/citronvalve/replicas/planner.py
@@ -30,6 +30,16 @@
 #: usual answer takes one to two seconds.
 _FINISH: clock.Ms = 4_000
 
+#: Entries that lapsed while the list was away are back within so long.
+_BACK: clock.Ms = 2_500
+
+#: A head that was told to open and then to close has been seen so after this
+#: time: it opens within some hundred ms, and the list follows.
+_SEEN: clock.Ms = 1_500
+
+#: An order that had no answer is carried out up to so much later.
+_LATEST: clock.Ms = 12_500
+
 #: Part of the weight store's rate that is used.  A leader that took over
 #: does not know what its predecessor has started within the last second.
 _LOAD_SHARE = 0.5
@@ -56,6 +66,13 @@
     members: set[str]
 
 
+class _Doubtful(NamedTuple):
+    """A replica that was given up after its head had been told to open."""
+
+    members: tuple[str, ...]
+    until: clock.Ms
+
+
 class Planner:
     """Plans for one service; pure but for what it remembers.
 
@@ -88,8 +105,11 @@
         self._epoch = lease * _EPOCHS
         self._pending: dict[membership.GroupKey, pendings.Pending] = {}
         self._dissolved: dict[membership.GroupKey, clock.Ms] = {}
+        self._doubtful: dict[membership.GroupKey, _Doubtful] = {}
+        self._unknown_since: dict[membership.GroupKey, clock.Ms] = {}
         self._headless: dict[membership.GroupKey, _Headless] = {}
         self._head_by_key: dict[membership.GroupKey, str] = {}
+        self._open_answered: set[membership.GroupKey] = set()
         self._given: dict[tuple, clock.Ms] = {}
         self._last_model: dict[tuple[str, int], str] = {}
         self._staging: dict[str, tuple[str, clock.Ms]] = {}
@@ -98,20 +118,19 @@
         self._loads = slidingcount.SlidingCount(clock.SECOND)
         self._out: list[orders.Order | orders.Look] = []
 
-    def accuse(self, head: str, now: clock.Ms) -> None:
+    def accuse(self, head: str) -> None:
         """Take in that a replica stands still: any member may be lost.
 
         :param head: the head's id.
-        :param now: monotonic ms.
         """
         held = self.lives.find(head)
-        self.lives.accuse(head, now)
+        self.lives.accuse(head)
         if held is None or held.membership is None:
             return
         for runner in self.lives.known():
             other = runner.membership
             if other is not None and other.key == held.membership.key:
-                self.lives.accuse(runner.id, now)
+                self.lives.accuse(runner.id)
 
     def step(
         self, runner_by_id: dict[str, runners.Runner], now: clock.Ms
@@ -144,6 +163,7 @@
                 if key not in self._dissolved:
                     count_by_model[key.model] += 1
         busy |= self._bound_to_lost_heads(now)
+        busy |= self._bound_to_doubtful_heads(now)
         for key, pending in list(self._pending.items()):
             self._advance(pending, found.get(key), now)
             if key in self._pending:
@@ -189,6 +209,7 @@
         if head is None:
             return self._await_break(standing, now)
         self._headless.pop(key, None)
+        self._unknown_since.pop(key, None)
         if not self.lives.is_reachable(head.datacentre):
             return True
         if standing.phase in phases.SERVING:
@@ -243,6 +264,8 @@
         if not self.lives.is_reachable(datacentre):
             # The head is behind a cut, and may well be serving there.
             return True
+        if not self._is_missed(key, head, now):
+            return True
         held = self._headless.get(key)
         if held is None:
             until = now + self._stall + _BREAK_MARGIN
@@ -253,6 +276,16 @@
             self._give(orders.Order(_Kind.LEAVE, runner.id, key), now)
         return True
 
+    def _is_missed(
+        self, key: membership.GroupKey, head: str | None, now: clock.Ms
+    ) -> bool:
+        """Tell whether a head is lost, and not only told of later."""
+        if head is not None and self.lives.find(head) is not None:
+            return self.lives.is_lost(head)
+        # After an outage of the list its entries come back one by one.
+        since = self._unknown_since.setdefault(key, now)
+        return now - since >= _BACK
+
     def _bound_to_lost_heads(self, now: clock.Ms) -> set[str]:
         bound: set[str] = set()
         for key, held in list(self._headless.items()):
@@ -264,8 +297,6 @@
         return bound
 
     def _has_moved_on(self, head: str, key: membership.GroupKey) -> bool:
-        if self.lives.is_gone(head):
-            return True
         now_there = self.lives.find(head)
         if now_there is None or self.lives.is_lost(head):
             return False
@@ -309,11 +340,35 @@
         del self._pending[pending.key]
         self._dissolved[pending.key] = now
         if pending.opened:
-            # The order to open may still be on its way.
-            self._give(
-                orders.Order(_Kind.CUT, pending.members[0], pending.key), now
+            # The head may be open though the list does not show it yet, or
+            # open later if the order had no answer.  A member that joined
+            # another group meanwhile would belong to two.
+            answered = pending.key in self._open_answered
+            span = _SEEN if answered else _LATEST
+            self._doubtful[pending.key] = _Doubtful(
+                pending.members, now + span
             )
 
+    def told(self, what: orders.Order, told: orders.Told) -> None:
+        """Take in what came back of an order.
+
+        :param what: the order.
+        :param told: the runner's answer.
+        """
+        if what.kind is _Kind.OPEN and told is not orders.Told.SILENT:
+            self._open_answered.add(what.key)
+
+    def _bound_to_doubtful_heads(self, now: clock.Ms) -> set[str]:
+        bound: set[str] = set()
+        for key, held in list(self._doubtful.items()):
+            head = held.members[0]
+            if now >= held.until or self._has_moved_on(head, key):
+                del self._doubtful[key]
+                continue
+            bound.update(held.members)
+            self._give(orders.Order(_Kind.CUT, head, key), now)
+        return bound
+
     def _join(self, pending: pendings.Pending, now: clock.Ms) -> None:
         for member in pending.members:
             runner = self.lives.find(member)
