Test the adapter and the following of tables against a small store of rows

Cause: nothing tested what the adapter makes of the store's refusals, lost answers, dropped history and unreadable entries; a 503 counted as a write that may have been done, though the store says that nothing was. Change: a stand-in of the store; the client is told which statuses mean that nothing was done.

--- a/src/citronvalve/storage/client.py
+++ b/src/citronvalve/storage/client.py
@@ -56,6 +56,7 @@
     :param address: host:port.
     :param timeout: ms that one call may take in all.
     :param now: clock by which idle connections are dropped.
+    :param undone: statuses by which the platform says that it did nothing.
     """
 
     def __init__(
@@ -63,8 +64,10 @@
         address: str,
         timeout: clock.Ms = 2_000,
         now: clock.Clock | None = None,
+        undone: frozenset[int] = frozenset(),
     ) -> None:
         self.address = address
+        self._undone = undone
         self._timeout = timeout
         self._clock = now or clock.SystemClock()
         self._used_at = self._clock.now()
@@ -125,6 +128,8 @@
         except (urllib3.exceptions.HTTPError, OSError) as error:
             self._drop_pool()
             return missing.AnswerLost(str(error), where)
+        if answer.status in self._undone:
+            return missing.Unavailable(f"status {answer.status}", where)
         return answer if answer.status < 500 else _failed(answer, where)
 
     def _shares(self) -> tuple[clock.Ms, clock.Ms]:
--- /dev/null
+++ b/tests/adapter/environment.py
@@ -0,0 +1,21 @@
+"""The adapter lies beside the package, and runs on green threads."""
+
+import pathlib
+import sys
+
+from citronvalve.daemon import green
+
+_FOLDER = pathlib.Path(__file__).parent.parent.parent / "platform"
+
+
+def before_all(context):
+    """Make the adapter importable as the program does, and patch."""
+    sys.path.insert(0, str(_FOLDER))
+    green.patch()
+
+
+def after_scenario(context, scenario):
+    """Close what the scenario opened."""
+    store = getattr(context, "store", None)
+    if store is not None:
+        store.close()
--- /dev/null
+++ b/tests/adapter/steps/adapter_steps.py
@@ -0,0 +1,340 @@
+"""Steps about the adapter of the users' platform."""
+
+import copy
+import json
+import pathlib
+import tempfile
+
+import behave
+import eventlet
+
+from citronvalve.model import clock
+from citronvalve.model import decisionlog
+from citronvalve.model import missing
+from citronvalve.routes import kind
+from citronvalve.storage import client
+from citronvalve.storage import rows
+from citronvalve.storage import tail
+from standins import rowstore
+
+_TIMEOUT = 700
+
+
+class _Quiet(decisionlog.DecisionLog):
+    def note(self, event, request="", **inputs):
+        pass
+
+    def change(self, event, **inputs):
+        pass
+
+
+class _Held(tail.Reader):
+    def __init__(self):
+        self.keys = set()
+
+    def whole(self, found):
+        self.keys = {row.key for row in found}
+
+    def changed(self, found, gone):
+        self.keys = (self.keys | {row.key for row in found}) - set(gone)
+
+
+@behave.given("a store of rows")
+def step_store(context):
+    from adapter import store
+
+    context.store = rowstore.RowStore()
+    context.service = store.Store(
+        client.PlatformClient(
+            context.store.address, _TIMEOUT, undone=store.UNDONE
+        )
+    )
+
+
+@behave.given('the store is "{trouble}"')
+def step_trouble(context, trouble):
+    context.store.trouble = "" if trouble == "well" else trouble
+
+
+@behave.given("{count:d} rows of a table")
+def step_rows(context, count):
+    for number in range(count):
+        context.store.put("t", f"key-{number:05d}", {"n": number})
+
+
+@behave.given("the table is followed")
+def step_follow(context):
+    context.held = _Held()
+    context.clock = clock.SystemClock()
+    context.tail = tail.Tail(
+        context.service, "t", context.held, _Quiet(), context.clock, None
+    )
+    context.tail.step()
+    assert len(context.held.keys) == 3
+
+
+def _write(context):
+    context.outcome = context.service.commit(
+        rows.Transaction(
+            "try",
+            (rows.Condition("t", "new", rows.NO_ROW),),
+            (rows.Write("t", "new", {"a": 1}),),
+        )
+    )
+
+
+@behave.when("a row is written that must not exist")
+def step_write(context):
+    _write(context)
+
+
+@behave.when("a row is written twice that must not exist")
+def step_write_twice(context):
+    _write(context)
+    _write(context)
+    assert context.outcome.rows[0].value == {"a": 1}
+
+
+@behave.when("the table is read whole")
+def step_read(context):
+    context.found = context.service.scan("t")
+
+
+@behave.when("the row is dropped and written again")
+def step_again(context):
+    before = context.service.scan("t").revision
+    context.store.drop("t", "key-00000")
+    context.store.put("t", "key-00000", {"n": 7})
+    context.found = context.service.follow("t", before, 0)
+
+
+@behave.when("a row goes and the history is forgotten")
+def step_forget(context):
+    context.store.drop("t", "key-00001")
+    context.store.forgotten = 10_000
+
+
+@behave.given("another daemon vouches for what is known")
+@behave.when("another daemon vouches for what is known")
+def step_vouch(context):
+    context.calls = dict(context.store.calls)
+    context.tail.vouch(context.tail.revision, 10)
+
+
+@behave.when("news arrive that begin after what is known")
+def step_gap(context):
+    newer = context.tail.revision + 5
+    context.tail.offer(newer, rows.Scan(newer + 1, (), ("key-00000",)))
+
+
+@behave.then('the outcome is "{name}"')
+def step_outcome(context, name):
+    assert type(context.outcome).__name__ == name, context.outcome
+
+
+@behave.then("{count:d} rows are found")
+def step_found(context, count):
+    assert len(context.found.rows) == count
+
+
+@behave.then("the changes hold the row and drop none")
+def step_kept(context):
+    assert [r.value for r in context.found.rows] == [{"n": 7}]
+    assert not context.found.deleted
+
+
+@behave.then("the follower holds {count:d} rows after two more calls")
+def step_holds(context, count):
+    context.tail.step()
+    context.tail.step()
+    assert len(context.held.keys) == count, context.held.keys
+
+
+@behave.then("the follower makes no call for {seconds:g} s")
+def step_no_call(context, seconds):
+    until = context.clock.now() + round(seconds * 1_000) - 60
+    while context.clock.now() < until:
+        context.tail.step()
+        eventlet.sleep(0.02)
+    assert context.store.calls == context.calls, context.store.calls
+
+
+@behave.then("after that it makes one")
+def step_calls(context):
+    eventlet.sleep(0.15)
+    context.tail.step()
+    assert context.store.calls != context.calls
+
+
+@behave.then("the follower reads for itself at once")
+def step_reads(context):
+    assert len(context.held.keys) == 3
+    context.tail.step()
+    assert context.store.calls != context.calls
+
+
+_ENTRY = {
+    "Service": "svc",
+    "Address": "10.0.0.9:8080",
+    "Zone": "zone-a",
+    "Version": "v1",
+    "Slots": 13,
+    "State": "ready",
+    "ColdRemainingMs": 0,
+    "Stage": "both",
+    "Models": [],
+    "Sequence": 4,
+    "Domain": "d1",
+    "Staged": ["m"],
+    "born": 1700000000000,
+}
+_OPEN = {"Name": "m~7", "epoch": 7, "rank": 0, "State": "open"}
+_ENTRY_BY_WHAT = {
+    "all its fields": {},
+    "fields that nobody knows": {"Shade": "blue"},
+    "a group that is open": {"group": _OPEN},
+    "a state of draining": {"State": "draining"},
+    "no service": {"Service": None},
+    "a number as address": {"Address": 7},
+    "an address without a port": {"Address": "10.0.0.9"},
+    "a state that nobody knows": {"State": "dancing"},
+    "no group but null": {"group": None},
+    "a phase that nobody knows": {"group": _OPEN | {"State": "humming"}},
+}
+
+
+@behave.when("a runner's entry has {what}")
+def step_entry(context, what):
+    from adapter import entries
+
+    value = {}
+    if what in _ENTRY_BY_WHAT:
+        value = _ENTRY | _ENTRY_BY_WHAT[what]
+    row = rows.Row("servers", "i-1", value, 12)
+    context.runner = entries.Entries(clock.SystemClock()).decode(row)
+
+
+@behave.then("it names {named}")
+def step_named(context, named):
+    found = context.runner
+    if named == "no runner":
+        assert found is None
+        return
+    assert found.id == "i-1" and found.datacentre == "zone-a"
+    assert found.is_open_head == (named == "a head")
+    assert found.leaving == (named == "a leaver")
+
+
+_CONFIGURATION = {
+    "Version": 7,
+    "Routes": [
+        {
+            "Name": "r",
+            "Host": "H.example",
+            "Prefix": "/a/",
+            "Kind": "streaming",
+            "TimeoutMs": 8000,
+            "TargetLatencyMs": 400,
+            "Priority": 1,
+            "TrafficSplit": [
+                {"Service": "s", "Weight": 90},
+                {"Service": "t", "Weight": 10},
+            ],
+            "MaxAttempts": 2,
+            "StreamResume": True,
+            "TargetGapMs": 250,
+        }
+    ],
+    "Services": [
+        {
+            "Name": "s",
+            "HealthPath": "/health",
+            "MaxConnections": 464,
+            "ColdStartS": 3.0,
+            "ColdPerS": 36.0,
+            "Engine": {
+                "Slots": 13,
+                "step_ms": 6.45,
+                "Models": [{"Name": "m", "size": 6, "LoadS": 16.0}],
+            },
+        }
+    ],
+    "Limits": {"MaxHeaderBytes": 100, "IdleTimeoutMs": 15000},
+    "Tenants": [{"Name": "team", "ApiKeys": ["k"], "Priority": 1}],
+}
+
+
+def _spoiled(what):
+    made = copy.deepcopy(_CONFIGURATION)
+    if what == "a kind that nobody knows":
+        made["Routes"][0]["Kind"] = "sometimes"
+    elif what == "no teams":
+        del made["Tenants"]
+    elif what == "a word as version":
+        made["Version"] = "seven"
+    elif what == "no routes":
+        del made["Routes"]
+    return made
+
+
+@behave.when("the configuration has {what}")
+def step_configuration(context, what):
+    from adapter import configuration
+
+    row = rows.Row("op", "config", _spoiled(what), 3)
+    context.read = configuration.decode(row)
+
+
+@behave.then("it is {read}")
+def step_read_as(context, read):
+    made = context.read
+    if read == "refused":
+        assert missing.is_missing(made)
+        return
+    route = made.find("h.example", "/a/b")
+    assert route, made
+    check = {
+        "read, with both shares": lambda: (
+            len(route.shares) == 2
+            and made.service_by_name["s"].engine.model_by_name["m"].size == 6
+            and made.holder_by_key["k"].name == "team"
+        ),
+        "read, as run once at most": lambda: (
+            route.kind is kind.RequestKind.AT_MOST_ONCE
+        ),
+        "read, and asks for no key": lambda: not made.needs_key,
+    }
+    assert check[read](), made
+
+
+@behave.when("the settings file of the platform's pages is read")
+def step_settings(context):
+    from adapter import settingsfile
+
+    value = {
+        "NodeName": "front-a-1",
+        "Zone": "a",
+        "Ip": "10.1.0.40",
+        "Listen": {"Front": "10.1.0.40:8227", "Ready": "10.1.0.40:8220"},
+        "InternalPorts": [7340, 7355],
+        "Bootstrap": True,
+        "Bounds": {"RetryBudgetSlack": 130, "GraceS": 8, "ColdSlack": 5},
+        "Platform": {"Address": "10.200.1.7:8223", "form": "table"},
+        "NewField": [1],
+    }
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "local.json"
+        path.write_text(json.dumps(value))
+        file = settingsfile.read(str(path))
+    context.settings = settingsfile.translate(file)
+
+
+@behave.then("the daemon's settings hold its addresses and bounds")
+def step_held(context):
+    settings = context.settings
+    assert settings.callers == "10.1.0.40:8227"
+    assert settings.operators == "10.1.0.40:8220"
+    assert settings.peers == "10.1.0.40:7340"
+    assert settings.repeats.slack == 130
+    assert settings.grace == 8_000
+    assert settings.first_start is True
