Trial: stage the other model on members, form what is quick first, weigh models by load

Change: quick formations first; need by load seen, then share over size; a member's host holds the other model's weights; a standing replica is left at once by all who wait for it; a leader that can't renew goes silent; a runner that left is kept at most 1.5 s (one reached 2,046 ms after it left).

--- a/src/citronvalve/daemon/conductor.py
+++ b/src/citronvalve/daemon/conductor.py
@@ -7,10 +7,12 @@
 from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
 from citronvalve.model import clock
+from citronvalve.policy import upstreamchoice
 from citronvalve.replicas import order as orders_
 from citronvalve.replicas import orders as givers
 from citronvalve.replicas import planner as planners
 from citronvalve.replicas import runner as runners
+from citronvalve.routes import service as services
 
 #: Between two plans when nothing has happened.
 _EVERY: clock.Ms = 100
@@ -24,6 +26,7 @@
 
     :param env: the daemon's environment.
     :param directory: the list of runners and the catalogue.
+    :param book: the loads of the replicas.
     :param giver: speaks to runners.
     :param stall: ms until a head that stands still is broken.
     :param lease: returns the version of the lease, or 0.
@@ -34,6 +37,7 @@
         self,
         env: environments.Environment,
         directory: directories.Directory,
+        book: upstreamchoice.LoadBook,
         giver: givers.Orders,
         stall: clock.Ms,
         lease: Callable[[], int],
@@ -41,6 +45,7 @@
     ) -> None:
         self._env = env
         self._directory = directory
+        self._book = book
         self._giver = giver
         self._stall = stall
         self._lease = lease
@@ -85,8 +90,20 @@
                 self._planner_by_service[name] = planner
             planner.spec = service.engine
             planner.early = self._early()
+            planner.need.see(self._load_by_model(name, service, now), now)
             self._carry_out(planner, self._runners(name), now)
 
+    def _load_by_model(
+        self, name: str, service: services.Service, now: clock.Ms
+    ) -> dict[str, float]:
+        return {
+            model: sum(
+                self._book.of(head.upstream).total(now)
+                for head in self._directory.heads(name, model)
+            )
+            for model in service.engine.model_by_name
+        }
+
     def _runners(self, service: str) -> dict[str, runners.Runner]:
         return {
             runner.id: runner
--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -126,14 +126,20 @@
         self._conductor = conductor.Conductor(
             env,
             self.directory,
+            self._book,
             self._ports.orders,
             self._settings.stall,
             lambda: self._lease.held,
             self._is_early,
         )
-        self._news.on_standstill = self._conductor.accuse
+        self._news.on_standstill = self._on_standstill
         self._stalls.on_stall = self._news.tell_standstill
 
+    def _on_standstill(self, upstream: str) -> None:
+        self._stalls.told(upstream)
+        if self._lease.held:
+            self._conductor.accuse(upstream)
+
     def _make_listeners(self) -> None:
         self._callers = acceptor.Acceptor(
             self._settings.callers,
--- a/src/citronvalve/daemon/newstask.py
+++ b/src/citronvalve/daemon/newstask.py
@@ -81,7 +81,7 @@
         :param base: revision after which the rows changed.
         :param scan: what was read.
         """
-        if not self._lease.held or not (scan.rows or scan.deleted):
+        if not self._lease.leads or not (scan.rows or scan.deleted):
             return
         changes = news.Changes(
             self._lease.held,
@@ -94,16 +94,15 @@
         self._tell_all(changes)
 
     def tell_standstill(self, upstream: str) -> None:
-        """Tell the leader of an upstream that stands still.
+        """Tell all daemons of an upstream that stands still.
+
+        The leader looks into it; the others send it nothing meanwhile.
 
         :param upstream: its id.
         """
-        leader = self._lease.leader
-        address = self._lease.address_by_name.get(leader)
-        if leader == self._env.name:
+        if self._lease.held:
             self.on_standstill(upstream)
-        elif address:
-            self._send(address, news.Standstill(upstream))
+        self._tell_all(news.Standstill(upstream))
 
     def _receive(self) -> None:
         while True:
@@ -121,7 +120,7 @@
     def _beat(self) -> None:
         while True:
             self._greet()
-            if self._lease.held:
+            if self._lease.leads:
                 self._tell_all(self._own_beat())
             eventlet.sleep(_BEAT / clock.SECOND)
 
--- a/src/citronvalve/daemon/runnerlist.py
+++ b/src/citronvalve/daemon/runnerlist.py
@@ -14,6 +14,10 @@
 #: of its return; what is missing after that is gone.
 _RETURN: clock.Ms = 2_300
 
+#: No entry is kept longer than this after it left: a runner that leaves gets
+#: no request two seconds after the store has said so.
+_KEPT: clock.Ms = 1_500
+
 Decode = Callable[[rows.Row], runners.Runner | None]
 
 
@@ -70,7 +74,7 @@
         trouble = self.trouble_at()
         for key, since in list(self._missing_since.items()):
             recent = trouble is not None and since - trouble < _RETURN
-            if recent and now - since < _RETURN:
+            if recent and now - since < _KEPT:
                 continue
             del self._missing_since[key]
             self._drop(key, "left the list")
--- a/src/citronvalve/forward/stalls.py
+++ b/src/citronvalve/forward/stalls.py
@@ -32,6 +32,7 @@
     ) -> None:
         self._env = env
         self._book = book
+        self._standing: set[str] = set()
         self.on_stall: Callable[[str], None] = lambda _: None
 
     def heard(self, upstream: str) -> None:
@@ -39,7 +40,24 @@
 
         :param upstream: its id.
         """
-        self._book.of(upstream).heard_at = self._env.clock.now()
+        held = self._book.of(upstream)
+        held.heard_at = self._env.clock.now()
+        if upstream in self._standing:
+            # It was only slow.
+            self._standing.discard(upstream)
+            held.avoid_until = 0
+
+    def stands_still(self, upstream: str) -> bool:
+        """Tell whether an upstream was found standing still lately.
+
+        :param upstream: its id.
+        """
+        if upstream not in self._standing:
+            return False
+        if self._book.of(upstream).avoid_until > self._env.clock.now():
+            return True
+        self._standing.discard(upstream)
+        return False
 
     def silent(self, upstream: str) -> bool:
         """Note a silence; tell whether the upstream as a whole is silent.
@@ -50,17 +68,32 @@
         held = self._book.of(upstream)
         if now - held.heard_at < _LIVELY:
             return False
-        if held.avoid_until <= now:
-            held.avoid_until = now + _AVOIDED
-            self._env.log.change(
-                "upstream stands still",
-                upstream=upstream,
-                silent_ms=now - held.heard_at,
-                own_requests=held.mine,
-            )
+        if upstream not in self._standing:
+            self._mark(upstream, now)
             self.on_stall(upstream)
         return True
 
+    def told(self, upstream: str) -> None:
+        """Take another daemon's word that an upstream stands still.
+
+        :param upstream: its id; ignored if it was heard here just now.
+        """
+        now = self._env.clock.now()
+        lively = now - self._book.of(upstream).heard_at < _LIVELY
+        if not lively and upstream not in self._standing:
+            self._mark(upstream, now)
+
+    def _mark(self, upstream: str, now: clock.Ms) -> None:
+        held = self._book.of(upstream)
+        self._standing.add(upstream)
+        held.avoid_until = now + _AVOIDED
+        self._env.log.change(
+            "upstream stands still",
+            upstream=upstream,
+            silent_ms=now - held.heard_at if held.heard_at else None,
+            own_requests=held.mine,
+        )
+
     def avoid(self, upstream: str, span: clock.Ms) -> None:
         """Give an upstream no new work for a while.
 
--- a/src/citronvalve/replicas/lease.py
+++ b/src/citronvalve/replicas/lease.py
@@ -23,6 +23,9 @@
 #: A leader that was heard this lately need not be looked for in the store.
 _HEARD: clock.Ms = 1_000
 
+#: A leader that could not renew for so long goes silent.
+_SILENT: clock.Ms = 2_200
+
 #: Even then the list of daemons is read once in this time.
 _LIST: clock.Ms = 10_000
 
@@ -38,6 +41,7 @@
     :ivar held: version at which this daemon took the lead, or 0.
     :ivar leader: the daemon that leads, as far as is known.
     :ivar newest: the highest lease that was heard of.
+    :ivar renewed_at: monotonic ms of the last answer of the store, or None.
     :ivar address_by_name: where other daemons are reached.
     :ivar on_change: told when the lead was won or lost.
     """
@@ -61,6 +65,7 @@
         self._address = address
         self._heard_at: clock.Ms | None = None
         self._listed_at: clock.Ms | None = None
+        self.renewed_at: clock.Ms | None = None
         self.held = 0
         self.leader = ""
         self.newest = 0
@@ -86,6 +91,18 @@
         if self._row is None or (self._has_lapsed() and not heard):
             self._take()
 
+    @property
+    def leads(self) -> bool:
+        """Tell whether this daemon may speak as the leader.
+
+        One that can't reach the store reads an old list.  It goes silent,
+        so that another takes the lead, and goes on planning only as long as
+        no other has.
+        """
+        if not self.held or self.renewed_at is None:
+            return False
+        return self._clock.now() - self.renewed_at < _SILENT
+
     @property
     def daemons(self) -> int:
         """Return how many daemons are known."""
@@ -192,7 +209,7 @@
         )
         if isinstance(done, rows.Committed):
             self._row = rows.Row(TABLE, _KEY, value, done.revision)
-            self._seen_at = self._clock.now()
+            self._seen_at = self.renewed_at = self._clock.now()
         return done
 
     def _lose(self, why: str) -> None:
--- a/src/citronvalve/replicas/need.py
+++ b/src/citronvalve/replicas/need.py
@@ -2,25 +2,72 @@
 
 from collections.abc import Mapping
 
+from citronvalve.model import clock
 from citronvalve.routes import modelspec
 
+#: What was seen of the load loses half its weight in this time: bursts last
+#: some seconds, and a replica takes up to two to form.
+_HALF_LIFE: clock.Ms = 4_000
 
-def ranked(
-    models: Mapping[str, modelspec.ModelSpec],
-    count_by_model: Mapping[str, int],
-) -> list[modelspec.ModelSpec]:
-    """Return the models, the one in most need of a replica first.
+#: A model of which no replica is open shows no load; it is never taken to
+#: need less than this part of its declared share.
+_LEAST = 0.5
 
-    A model's work is its share times its pace; the need is the work that
-    each replica has once there is one more.  Made so that the model whose
-    replicas are the busiest grows first, whatever the sizes.
 
-    :param models: by name.
-    :param count_by_model: replicas that stand or are being formed.
+class Need:
+    """Weighs the models by their declared share, then by what is seen.
+
+    The declared share is of the runners' work, so a replica of twice the
+    size does twice as much of it; what is seen is requests at the replicas.
     """
 
-    def need(model: modelspec.ModelSpec) -> float:
-        replicas = count_by_model.get(model.name, 0) + 1
-        return model.share * model.pace / replicas
+    def __init__(self) -> None:
+        self._load_by_model: dict[str, float] = {}
+        self._at: clock.Ms | None = None
+
+    def see(self, load_by_model: Mapping[str, float], now: clock.Ms) -> None:
+        """Take in how many requests are at the replicas of each model.
+
+        :param load_by_model: running and waiting, over all replicas.
+        :param now: monotonic ms.
+        """
+        passed = 0 if self._at is None else now - self._at
+        kept = 0.5 ** (passed / _HALF_LIFE) if self._at is not None else 0.0
+        self._at = now
+        for model, load in load_by_model.items():
+            held = self._load_by_model.get(model, load)
+            self._load_by_model[model] = kept * held + (1 - kept) * load
+
+    def ranked(
+        self,
+        models: Mapping[str, modelspec.ModelSpec],
+        count_by_model: Mapping[str, int],
+    ) -> list[modelspec.ModelSpec]:
+        """Return the models, the one in most need of a replica first.
+
+        Made so that the model whose replicas are the busiest grows first:
+        the need is the work of each replica once there is one more.
+
+        :param models: by name.
+        :param count_by_model: replicas that stand or are being formed.
+        """
+        weight_by_model = self._weights(models)
+
+        def need(model: modelspec.ModelSpec) -> float:
+            replicas = count_by_model.get(model.name, 0) + 1
+            return weight_by_model[model.name] / replicas
+
+        return sorted(models.values(), key=lambda m: (-need(m), m.name))
 
-    return sorted(models.values(), key=lambda m: (-need(m), m.name))
+    def _weights(
+        self, models: Mapping[str, modelspec.ModelSpec]
+    ) -> dict[str, float]:
+        declared = {m.name: m.share / m.size for m in models.values()}
+        seen = sum(self._load_by_model.get(name, 0.0) for name in models)
+        if not seen:
+            return declared
+        scale = _LEAST * seen / sum(declared.values())
+        return {
+            name: max(self._load_by_model.get(name, 0.0), scale * weight)
+            for name, weight in declared.items()
+        }
--- a/src/citronvalve/replicas/planner.py
+++ b/src/citronvalve/replicas/planner.py
@@ -88,6 +88,7 @@
     :param lease: version of the lease that this leader holds.
     :ivar lives: who is there.
     :ivar early: before any request; loads are quick then.
+    :ivar need: which model needs a replica most.
     """
 
     def __init__(
@@ -101,6 +102,7 @@
         self.spec = spec
         self.lives = lives_.Lives()
         self.early = False
+        self.need = need.Need()
         self._stall = stall
         self._epoch = lease * _EPOCHS
         self._pending: dict[membership.GroupKey, pendings.Pending] = {}
@@ -172,6 +174,7 @@
                     count_by_model[key.model] += 1
         free = [r for r in self._candidates() if r.id not in busy]
         self._form(free, count_by_model, now)
+        self._stage_members(found, now)
         for runner in self.lives.due(now):
             if self.lives.find(runner) is not None:
                 self._out.append(orders.Look(runner))
@@ -395,7 +398,11 @@
         by_domain: dict[str, list[runners.Runner]] = {}
         for runner in free:
             by_domain.setdefault(runner.domain, []).append(runner)
-        while self._form_one(by_domain, count_by_model, now):
+        # A replica that can serve in two seconds goes before one that is in
+        # more need and has to load weights for many.
+        while self._form_one(by_domain, count_by_model, now, quick=True):
+            pass
+        while self._form_one(by_domain, count_by_model, now, quick=False):
             pass
         self._stage_spares(by_domain, count_by_model, now)
 
@@ -404,20 +411,19 @@
         by_domain: dict[str, list[runners.Runner]],
         count_by_model: collections.Counter[str],
         now: clock.Ms,
+        quick: bool,
     ) -> bool:
-        for model in need.ranked(self.spec.model_by_name, count_by_model):
-            domain = self._fitting(by_domain, model)
+        for model in self.need.ranked(self.spec.model_by_name, count_by_model):
+            domain = self._fitting(by_domain, model, quick)
             if domain is None:
                 if self._is_filling(now):
                     return False
                 continue
             members = self._members(by_domain[domain], model)
-            if not self._has_weights(members, model, now):
-                # Counted as formed, or the next in need would take them.
-                count_by_model[model.name] += 1
-                self._take(by_domain[domain], members)
-                return True
-            self._begin(members, model, now)
+            # Where weights are missing it is counted as formed all the
+            # same, or the next in need would take its members.
+            if quick or self._has_weights(members, model, now):
+                self._begin(members, model, now)
             count_by_model[model.name] += 1
             self._take(by_domain[domain], members)
             return True
@@ -427,21 +433,22 @@
         self,
         by_domain: dict[str, list[runners.Runner]],
         model: modelspec.ModelSpec,
+        quick: bool,
     ) -> str | None:
         # The domain that is left with the fewest: a larger rest may still
         # take a larger replica.
-        fits = [
-            (self._cost(there, model), len(there), domain)
-            for domain, there in by_domain.items()
-            if len(there) >= model.size
-        ]
+        fits = []
+        for domain, there in by_domain.items():
+            if len(there) < model.size:
+                continue
+            prices = [
+                self._price(r, model) for r in self._members(there, model)
+            ]
+            if quick and not self.early and max(prices) >= model.load:
+                continue
+            fits.append((sum(prices), len(there), domain))
         return min(fits)[2] if fits else None
 
-    def _cost(
-        self, there: list[runners.Runner], model: modelspec.ModelSpec
-    ) -> int:
-        return sum(self._price(r, model) for r in self._members(there, model))
-
     def _members(
         self, there: list[runners.Runner], model: modelspec.ModelSpec
     ) -> list[runners.Runner]:
@@ -513,6 +520,31 @@
                 held[model.name] += 1
                 self._stage(runner, model, now)
 
+    def _stage_members(
+        self,
+        found: dict[membership.GroupKey, standings.Standing],
+        now: clock.Ms,
+    ) -> None:
+        # A member keeps its own model's weights while it is in the group
+        # and can join another of that model at once, so what lies staged on
+        # its host had better be another model: whatever is left of a
+        # replica that lost a member can then form either within seconds.
+        others = {
+            name: [
+                m for m in self.spec.model_by_name.values() if m.name != name
+            ]
+            for name in self.spec.model_by_name
+        }
+        for key, standing in found.items():
+            if standing.phase is not _Phase.OPEN or not others[key.model]:
+                continue
+            wanted = max(others[key.model], key=lambda m: m.share / m.size)
+            for runner in standing.member_by_rank.values():
+                listed = self.lives.is_listed(runner.id)
+                doubted = self.lives.is_doubted(runner.id)
+                if listed and not doubted and wanted.name not in runner.staged:
+                    self._stage(runner, wanted, now)
+
     def _most_lost(
         self,
         held: collections.Counter[str],
--- a/src/citronvalve/storage/tail.py
+++ b/src/citronvalve/storage/tail.py
@@ -26,7 +26,7 @@
 
 #: Changes within this time come in one answer: at the start each runner
 #: changes several times a second, and each call is paid for.
-_GATHER: clock.Ms = 40
+_GATHER: clock.Ms = 70
 
 #: Pauses after a failure, the last one repeated; spread by chance.
 _PAUSES: tuple[clock.Ms, ...] = (50, 100, 200, 400)
