Refuse a request that has crashed three upstreams, at every daemon

Cause: nothing kept a request that crashes whoever runs it from the next upstream; a connection closed without an answer was read as garbled. Change: a broken connection's upstream is asked whether it still listens before another try; losses are told to all daemons; the third refuses the request.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -18,6 +18,7 @@
 from citronvalve.daemon import ports as ports_
 from citronvalve.daemon import runnerlist
 from citronvalve.forward import acceptor
+from citronvalve.forward import crashes
 from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
 from citronvalve.forward import forwarder
@@ -100,14 +101,17 @@
     def _make_forwarding(self) -> None:
         env, settings = self.env, self._settings
         self._stalls = stalls.Stalls(env, self._book)
+        kept = links.Links(env.clock)
+        self._crashes = crashes.Crashes(env, kept)
         self._means = means_.Means(
             env,
             self.directory,
             self._book,
-            links.Links(env.clock),
+            kept,
             placing.Placing(env, self.directory, self._book, settings.cold),
             repeats.Repeats(env, settings.repeats),
             self._stalls,
+            self._crashes,
         )
         self._forwarder = forwarder.Forwarder(
             self._means, intake.Intake(env, self.directory)
@@ -135,6 +139,8 @@
             self._is_early,
         )
         self._news.on_standstill = self._on_standstill
+        self._news.on_crash = self._crashes.learn
+        self._crashes.on_crash = self._news.tell_crash
         self._news.is_pressed = self._means.placing.is_pressed
         self._stalls.on_stall = self._news.tell_standstill
 
--- a/src/citronvalve/daemon/newstask.py
+++ b/src/citronvalve/daemon/newstask.py
@@ -48,6 +48,7 @@
     :param lease: who leads, and which daemons there are.
     :param book: the loads that are told and heard.
     :ivar tail_by_table: what the others' news are given to.
+    :ivar on_crash: told of a request that another daemon saw crash one.
     :ivar is_pressed: tells whether replicas are nearly full.
     :ivar on_standstill: told of an upstream that stands still.
     """
@@ -75,9 +76,11 @@
             news.Hello: self._on_hello,
             news.Beat: self._on_beat,
             news.Changes: self._on_changes,
+            news.Crash: self._on_crash,
             news.Loads: self._on_loads,
             news.Standstill: self._on_standstill,
         }
+        self.on_crash: Callable[[str, str], None] = lambda *_: None
         self.is_pressed: Callable[[], bool] = lambda: False
         self._greeted: set[str] = set()
         self.tail_by_table: dict[str, tails.Tail] = {}
@@ -124,6 +127,14 @@
             self.on_standstill(upstream)
         self._tell_all(news.Standstill(upstream))
 
+    def tell_crash(self, fingerprint: str, upstream: str) -> None:
+        """Tell all daemons of an upstream that was lost with a request.
+
+        :param fingerprint: the request's.
+        :param upstream: its id.
+        """
+        self._tell_all(news.Crash(fingerprint, upstream))
+
     def _receive(self) -> None:
         while True:
             data = self._sockets.receive()
@@ -210,6 +221,9 @@
             rows.Scan(message.revision, message.rows, message.gone),
         )
 
+    def _on_crash(self, message: news.Crash) -> None:
+        self.on_crash(message.fingerprint, message.upstream)
+
     def _on_loads(self, message: news.Loads) -> None:
         now = self._env.clock.now()
         known = self._book.load_by_upstream.keys()
--- /dev/null
+++ b/src/citronvalve/forward/crashes.py
@@ -0,0 +1,119 @@
+"""Requests that crash the upstreams which run them."""
+
+from collections.abc import Callable
+
+import xxhash
+
+from citronvalve.forward import callerrequest
+from citronvalve.forward import demand as demands
+from citronvalve.forward import environment as environments
+from citronvalve.forward import linkerror
+from citronvalve.forward import links as links_
+from citronvalve.model import clock
+from citronvalve.model import refusal
+from citronvalve.policy import crashfence
+
+#: Upstreams lost to one request before it is refused.  Whatever runs beside
+#: such a request is lost with it, once or twice by chance, hardly thrice.
+_LOST = 3
+
+#: A loss speaks against a request for so long.
+_SPAN: clock.Ms = 60_000
+
+
+class Crashes:
+    """Finds out whether an upstream died with a request, and tells others.
+
+    The caller of such a request sends it again, at any daemon: with no
+    fence it takes down one upstream after the other.
+
+    :param env: the daemon's environment.
+    :param links: tell whether an upstream still listens.
+    :ivar on_crash: told the fingerprint and the upstream.
+    """
+
+    def __init__(
+        self, env: environments.Environment, links: links_.Links
+    ) -> None:
+        self._env = env
+        self._links = links
+        self._fence = crashfence.CrashFence()
+        self.on_crash: Callable[[str, str], None] = lambda *_: None
+
+    def refuse(self, demand: demands.Demand) -> refusal.Refusal | None:
+        """Return the refusal of a request that is known to crash upstreams.
+
+        :param demand: the request.
+        """
+        lost = self._fence.losses(
+            fingerprint(demand.request, self._env.dialect.key),
+            self._env.clock.now(),
+            _SPAN,
+        )
+        if lost < _LOST:
+            return None
+        return refusal.Refusal(
+            refusal.RefusalKind.NO_UPSTREAM,
+            f"{lost} upstreams were lost while they ran it",
+            "change the request before sending it again",
+        )
+
+    def broke(
+        self, demand: demands.Demand, upstream: str, address: str
+    ) -> None:
+        """Look into a connection that broke while a request ran.
+
+        Done before the request is tried again, or its next victim would be
+        chosen before this one is counted.
+
+        :param demand: the request.
+        :param upstream: whose connection it was.
+        :param address: host:port.
+        """
+        try:
+            self._links.check(address)
+        except linkerror.LinkError as error:
+            mark = fingerprint(demand.request, self._env.dialect.key)
+            self.learn(mark, upstream)
+            self._env.log.change(
+                "upstream lost with a request",
+                upstream=upstream,
+                fingerprint=mark,
+                why=str(error),
+            )
+            self.on_crash(mark, upstream)
+
+    def done(self, demand: demands.Demand) -> None:
+        """Take back what speaks against a request that was answered.
+
+        :param demand: the request.
+        """
+        self._fence.clear(fingerprint(demand.request, self._env.dialect.key))
+
+    def learn(self, mark: str, upstream: str) -> None:
+        """Take in a loss that another daemon saw.
+
+        :param mark: the request's fingerprint.
+        :param upstream: who was lost.
+        """
+        self._fence.lose(mark, upstream, self._env.clock.now())
+
+
+def fingerprint(
+    request: callerrequest.CallerRequest, key_header: bytes
+) -> str:
+    """Return what stays the same when a caller sends a request again.
+
+    :param request: the caller's.
+    :param key_header: name of the header with the caller's key.
+    """
+    made = xxhash.xxh3_128()
+    for part in (
+        request.method,
+        request.target,
+        request.header(key_header),
+        request.body,
+    ):
+        made.update(b"%d:" % len(part))
+        made.update(part)
+    return made.hexdigest()
--- a/src/citronvalve/forward/link.py
+++ b/src/citronvalve/forward/link.py
@@ -82,6 +82,10 @@
                 ) from error
             if isinstance(event, h11.InformationalResponse):
                 continue
+            if isinstance(event, h11.ConnectionClosed):
+                raise linkerror.LinkError(
+                    _Trouble.BROKEN, "closed without an answer"
+                )
             if event is not h11.NEED_DATA:
                 return event
             self._parser.receive_data(self._receive(until))
@@ -175,5 +179,5 @@
 def _trouble(error: h11.RemoteProtocolError) -> linkerror.LinkTrouble:
     # The parser reports an end in the middle and bytes that are no answer
     # by the same type.
-    cut = "closed" in str(error) or "without sending" in str(error)
+    cut = "closed" in str(error).lower()
     return _Trouble.BROKEN if cut else _Trouble.GARBLED
--- a/src/citronvalve/forward/means.py
+++ b/src/citronvalve/forward/means.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from citronvalve.forward import crashes as crashes_
 from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
 from citronvalve.forward import links as links_
@@ -21,3 +22,4 @@
     placing: placings.Placing
     repeats: repeats_.Repeats
     stalls: stalls_.Stalls
+    crashes: crashes_.Crashes
--- a/src/citronvalve/forward/passage.py
+++ b/src/citronvalve/forward/passage.py
@@ -56,6 +56,10 @@
 
     def run(self) -> None:
         """Answer the caller."""
+        fenced = self._means.crashes.refuse(self._demand)
+        if fenced is not None:
+            self._refuse(fenced)
+            return
         while True:
             placed = self._means.placing.place(self._demand, self._tried)
             if isinstance(placed, refusal.Refusal):
@@ -64,6 +68,7 @@
             ended = self._try(placed)
             if ended.ending is _Ending.DELIVERED:
                 self.outcome, self.reason = "whole", str(ended.answer.status)
+                self._means.crashes.done(self._demand)
                 return
             if not self._may_go_on(ended):
                 self._end_with(ended)
@@ -102,6 +107,8 @@
         left = self._demand.until - self._means.env.clock.now()
         if left < _WORTH_A_TRY or self._refused > _MOST_REFUSED:
             return False
+        if self._means.crashes.refuse(self._demand) is not None:
+            return False
         if ended.ending is not _Ending.NOT_RUN:
             route = self._demand.route
             # What may have run and may not be repeated would run twice.
--- a/src/citronvalve/forward/trial.py
+++ b/src/citronvalve/forward/trial.py
@@ -359,4 +359,7 @@
             # What went silent may be all connections, while new ones work.
             self._means.links.drop(address)
             return attempts.Ended(_Ending.STALLED, str(error))
+        if error.trouble is _Trouble.BROKEN:
+            upstream = self._placed.upstream
+            self._means.crashes.broke(self._demand, upstream, address)
         return attempts.Ended(_Ending.BROKEN, str(error))
--- a/src/citronvalve/peers/news.py
+++ b/src/citronvalve/peers/news.py
@@ -40,6 +40,13 @@
     gone: tuple[str, ...]
 
 
+class Crash(msgspec.Struct, tag="crash", array_like=True, frozen=True):
+    """An upstream was lost while it ran a request."""
+
+    fingerprint: str
+    upstream: str
+
+
 class Loads(msgspec.Struct, tag="loads", array_like=True, frozen=True):
     """The sender's own requests by upstream: how many, and how many late."""
 
@@ -55,4 +62,4 @@
     upstream: str
 
 
-News = Hello | Beat | Changes | Loads | Standstill
+News = Hello | Beat | Changes | Crash | Loads | Standstill
--- a/standins/scriptedrunner.py
+++ b/standins/scriptedrunner.py
@@ -187,6 +187,11 @@
         sock.sendall(head + b"answer")
         return False
 
+    def _crashes(self, sock, fields) -> bool:
+        self.runs += 1
+        self.close()
+        return False
+
     def _no_http(self, sock, fields) -> bool:
         self.runs += 1
         sock.sendall(b"\x16\x03 what is this\r\n\r\n")
--- a/tests/forward/answers.feature
+++ b/tests/forward/answers.feature
@@ -81,6 +81,15 @@
     Then it gets 503, and 0 runs were made
     And it is told when to come back
 
+  Scenario: a request that crashes whoever runs it
+    Its caller sends it again after each crash. Other requests go on being
+    served by whoever is left.
+
+    Given five plain runners, of which four crash on what they run
+    When a caller keeps sending /any/poison until it is answered or refused without a try
+    Then at most 3 runners were lost to it
+    And a caller that calls /any/other is answered by a runner
+
   Scenario: the caller leaves while its stream runs
     The runner would work on for nobody.
 
--- a/tests/forward/steps/forward_steps.py
+++ b/tests/forward/steps/forward_steps.py
@@ -46,6 +46,13 @@
         one.close()
 
 
+@behave.given("five plain runners, of which four crash on what they run")
+def step_crashing(context):
+    scripts = {f"plain-{n}": ["crashes"] for n in range(1, 5)}
+    context.rig = rigs.Rig({**scripts, "plain-5": ["whole"]})
+    _prefer(context.rig, "plain-5")
+
+
 @behave.given("a daemon before a plain runner")
 def step_one(context):
     context.rig = rigs.Rig({"plain-1": ["whole"]})
@@ -245,3 +252,32 @@
 @behave.then("the connection is closed within {seconds:g} s")
 def step_cut(context, seconds):
     assert context.took is not None and context.took < seconds, context.took
+
+
+@behave.when(
+    "a caller keeps sending {path} until it is answered or refused without a "
+    "try"
+)
+def step_again(context, path):
+    for _ in range(8):
+        tried = context.rig.runs()
+        context.got = context.rig.send(path, body=b"poison")
+        eventlet.sleep(0.05)
+        if context.rig.runs() == tried:
+            return
+
+
+@behave.then("at most {count:d} runners were lost to it")
+def step_lost(context, count):
+    made = context.rig.runners
+    lost = sum(made[f"plain-{n}"].runs for n in range(1, 5))
+    assert lost <= count, lost
+
+
+@behave.then("a caller that calls {path} is answered by a runner")
+def step_other(context, path):
+    context.got = context.rig.send(path, body=b"other")
+    # The last of the crashing ones may be met first.
+    if not context.got.startswith(b"HTTP/1.1 200"):
+        context.got = context.rig.send(path, body=b"other")
+    step_whole(context)
