Part the planner: heads that bind, weights, forming, orders given

Cause: one module of 593 lines held five things; its memory of formations grew for ever, and a changed engine would have begun the epochs of a lease anew. Change: heads.py, weights.py, forming.py, orderbook.py; what nobody tells of is dropped; one counter of epochs a lease for all services.

--- a/src/citronvalve/daemon/conductor.py
+++ b/src/citronvalve/daemon/conductor.py
@@ -8,6 +8,7 @@
 from citronvalve.forward import environment as environments
 from citronvalve.model import clock
 from citronvalve.policy import upstreamchoice
+from citronvalve.replicas import lease as leases
 from citronvalve.replicas import order as orders_
 from citronvalve.replicas import orders as givers
 from citronvalve.replicas import planner as planners
@@ -51,6 +52,7 @@
         self._lease = lease
         self._early = early
         self._led = 0
+        self._epochs = leases.epochs(0)
         self._planner_by_service: dict[str, planners.Planner] = {}
         self._pool = eventlet.GreenPool(_AT_ONCE)
 
@@ -78,17 +80,17 @@
             # daemon that led in between.
             self._planner_by_service.clear()
             self._led = lease
+            self._epochs = leases.epochs(lease)
         now = self._env.clock.now()
         for name, service in self._directory.catalogue.service_by_name.items():
             if service.engine is None:
                 continue
             planner = self._planner_by_service.get(name)
-            if planner is None:
+            if planner is None or planner.spec != service.engine:
                 planner = planners.Planner(
-                    name, service.engine, self._stall, lease
+                    service.engine, self._stall, self._epochs
                 )
                 self._planner_by_service[name] = planner
-            planner.spec = service.engine
             planner.early = self._early()
             planner.need.see(self._load_by_model(name, service, now), now)
             self._carry_out(planner, self._runners(name), now)
--- /dev/null
+++ b/src/citronvalve/replicas/heads.py
@@ -0,0 +1,178 @@
+"""Members that no other group may have, since their head may serve."""
+
+from typing import NamedTuple
+
+from citronvalve.model import clock
+from citronvalve.replicas import lives as lives_
+from citronvalve.replicas import membership
+from citronvalve.replicas import order as orders
+from citronvalve.replicas import orderbook
+from citronvalve.replicas import pending as pendings
+from citronvalve.replicas import runner as runners
+from citronvalve.replicas import standing as standings
+
+#: Added to the time a head that stands still takes to break.
+_BREAK_MARGIN: clock.Ms = 500
+
+#: Entries that lapsed while the list was away are back within so long.
+_BACK: clock.Ms = 2_500
+
+#: A head that was told to open and then to close has been seen so after this
+#: time: it opens within some hundred ms, and the list follows.
+_SEEN: clock.Ms = 1_500
+
+#: An order that had no answer is carried out up to so much later.
+_LATEST: clock.Ms = 12_500
+
+#: Formations remembered before those that nobody tells of are dropped.
+_MOST_KNOWN = 1_000
+
+_Kind = orders.OrderKind
+
+
+class _Bond(NamedTuple):
+    """Members that are bound to a head until a moment."""
+
+    head: str
+    until: clock.Ms
+    members: set[str]
+
+
+class Heads:
+    """Knows which runners may still belong to a group that serves.
+
+    A head goes on accepting requests whatever its members do.  One that is
+    lost may only be out of sight, behind a cut, and serve there; one that
+    was told to open may do so late.  A member that joined another group
+    meanwhile would belong to two.
+
+    :param lives: who is there.
+    :param book: takes orders.
+    :param stall: ms until a head that stands still is broken.
+    """
+
+    def __init__(
+        self,
+        lives: lives_.Lives,
+        book: orderbook.OrderBook,
+        stall: clock.Ms,
+    ) -> None:
+        self._lives = lives
+        self._book = book
+        self._stall = stall
+        self._head_by_key: dict[membership.GroupKey, str] = {}
+        self._unknown_since: dict[membership.GroupKey, clock.Ms] = {}
+        self._lost: dict[membership.GroupKey, _Bond] = {}
+        self._doubtful: dict[membership.GroupKey, _Bond] = {}
+        self._open_answered: set[membership.GroupKey] = set()
+
+    def remember(self, known: list[runners.Runner]) -> None:
+        """Take in who is the head of what.
+
+        :param known: all runners with their own word.
+        """
+        told = set()
+        for runner in known:
+            held = runner.membership
+            if held is None:
+                continue
+            told.add(held.key)
+            if not held.rank:
+                self._head_by_key[held.key] = runner.id
+        if len(self._head_by_key) > _MOST_KNOWN:
+            told |= self._lost.keys() | self._doubtful.keys()
+            self._head_by_key = {
+                k: head for k, head in self._head_by_key.items() if k in told
+            }
+            self._open_answered &= told
+
+    def seen(self, key: membership.GroupKey) -> None:
+        """Note that a head is in sight.
+
+        :param key: its group.
+        """
+        self._lost.pop(key, None)
+        self._unknown_since.pop(key, None)
+
+    def await_break(self, standing: standings.Standing, now: clock.Ms) -> bool:
+        """Act on a group without a head; tell whether its members are bound.
+
+        Once all others have left it, a lost head stands still, and breaks.
+
+        :param standing: the group.
+        :param now: monotonic ms.
+        """
+        key = standing.key
+        members = list(standing.member_by_rank.values())
+        head = self._head_by_key.get(key)
+        if head is not None and self._has_moved_on(head, key):
+            return False
+        if not self._lives.is_reachable(members[0].datacentre):
+            return True
+        if not self._is_missed(key, head, now):
+            return True
+        bond = self._lost.get(key)
+        if bond is None:
+            until = now + self._stall + _BREAK_MARGIN
+            bond = self._lost[key] = _Bond(head or "", until, set())
+        for runner in members:
+            # Kept in mind, since those that have left tell of no group.
+            bond.members.add(runner.id)
+            self._book.give(orders.Order(_Kind.LEAVE, runner.id, key), now)
+        return True
+
+    def gave_up(self, pending: pendings.Pending, now: clock.Ms) -> None:
+        """Note that a group was given up after its head was told to open.
+
+        :param pending: the group.
+        :param now: monotonic ms.
+        """
+        answered = pending.key in self._open_answered
+        self._doubtful[pending.key] = _Bond(
+            pending.members[0],
+            now + (_SEEN if answered else _LATEST),
+            set(pending.members),
+        )
+
+    def told(self, what: orders.Order, told: orders.Told) -> None:
+        """Take in what came back of an order.
+
+        :param what: the order.
+        :param told: the runner's answer.
+        """
+        if what.kind is _Kind.OPEN and told is not orders.Told.SILENT:
+            self._open_answered.add(what.key)
+
+    def bound(self, now: clock.Ms) -> set[str]:
+        """Return the runners that no other group may have now.
+
+        :param now: monotonic ms.
+        """
+        for key, bond in self._doubtful.items():
+            self._book.give(orders.Order(_Kind.CUT, bond.head, key), now)
+        bound: set[str] = set()
+        for bonds in (self._lost, self._doubtful):
+            for key, bond in list(bonds.items()):
+                moved = bond.head and self._has_moved_on(bond.head, key)
+                if now >= bond.until or moved:
+                    del bonds[key]
+                else:
+                    bound |= bond.members
+        return bound
+
+    def _is_missed(
+        self, key: membership.GroupKey, head: str | None, now: clock.Ms
+    ) -> bool:
+        """Tell whether a head is lost, and not only told of later."""
+        if head is not None and self._lives.find(head) is not None:
+            return self._lives.is_lost(head)
+        # After an outage of the list its entries come back one by one.
+        since = self._unknown_since.setdefault(key, now)
+        return now - since >= _BACK
+
+    def _has_moved_on(self, head: str, key: membership.GroupKey) -> bool:
+        runner = self._lives.find(head)
+        if runner is None or self._lives.is_lost(head):
+            return False
+        held = runner.membership
+        return held is None or held.key != key
--- a/src/citronvalve/replicas/lease.py
+++ b/src/citronvalve/replicas/lease.py
@@ -1,6 +1,8 @@
 """Which daemon leads the replica groups."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
+import itertools
 
 from citronvalve.model import clock
 from citronvalve.model import decisionlog
@@ -30,6 +32,18 @@
 _LIST: clock.Ms = 10_000
 
 
+#: Epochs of one lease; a leader forms far fewer groups.
+_EPOCHS = 100_000
+
+
+def epochs(lease: int) -> Iterator[int]:
+    """Return the epochs of a lease, above those of all earlier ones.
+
+    :param lease: version at which the lead was taken.
+    """
+    return itertools.count(lease * _EPOCHS + 1)
+
+
 class Lease:
     """The one row that lasts; its version at taking makes the epochs.
 
--- a/src/citronvalve/replicas/pending.py
+++ b/src/citronvalve/replicas/pending.py
@@ -9,7 +9,6 @@
 
     :param key: the formation.
     :param members: ids, the head first.
-    :param now: monotonic ms.
     :param until: monotonic ms at which it is given up.
     :ivar opened: whether the head was told to open.
     """
@@ -18,11 +17,9 @@
         self,
         key: membership.GroupKey,
         members: tuple[str, ...],
-        now: clock.Ms,
         until: clock.Ms,
     ) -> None:
         self.key = key
         self.members = members
-        self.since = now
         self.until = until
         self.opened = False
--- a/tests/replicas/world.py
+++ b/tests/replicas/world.py
@@ -4,6 +4,7 @@
 reaches the list one step later.
 """
 
+from citronvalve.replicas import lease as leases
 from citronvalve.replicas import membership
 from citronvalve.replicas import order as orders
 from citronvalve.replicas import phase
@@ -90,7 +91,9 @@
 
     def lead(self, lease):
         """Let a daemon without any memory take the lead."""
-        self.planner = planners.Planner("svc", spec(self.models), STALL, lease)
+        self.planner = planners.Planner(
+            spec(self.models), STALL, leases.epochs(lease)
+        )
 
     def run(self, span):
         """Plan and carry out for some ms."""
