Tell a reset from the end of an answer

Ruled out: a crash that closes properly: this runner lived. Change: bytes are received by a call of our own that raises on a reset.

--- a/src/citronvalve/forward/callerconnection.py
+++ b/src/citronvalve/forward/callerconnection.py
@@ -13,6 +13,7 @@
 from citronvalve.forward import environment as environments
 from citronvalve.forward import headers
 from citronvalve.forward import problem
+from citronvalve.forward import receiving
 from citronvalve.forward import reply
 from citronvalve.model import clock
 from citronvalve.model import refusal
@@ -163,8 +164,7 @@
         # end of its bytes means that it has left.
         try:
             while self._ahead < _MOST_AHEAD:
-                self._sock.settimeout(None)
-                data = self._sock.recv(_PIECE)
+                data = receiving.receive(self._sock, _PIECE, None)
                 if not data:
                     break
                 self._ahead += len(data)
@@ -219,9 +219,8 @@
             left = until - self._env.clock.now()
             if left <= 0:
                 return None
-            self._sock.settimeout(left / clock.SECOND)
             try:
-                data = self._sock.recv(_PIECE)
+                data = receiving.receive(self._sock, _PIECE, left)
             except TimeoutError:
                 return None
             if data and not begun and wait > limits.header_timeout:
@@ -241,8 +240,7 @@
         self._sock.shutdown(socket.SHUT_WR)
         until = self._env.clock.now() + _LINGER
         while (left := until - self._env.clock.now()) > 0:
-            self._sock.settimeout(left / clock.SECOND)
-            if not self._sock.recv(_PIECE):
+            if not receiving.receive(self._sock, _PIECE, left):
                 break
         self._sock.close()
 
--- a/src/citronvalve/forward/link.py
+++ b/src/citronvalve/forward/link.py
@@ -8,6 +8,7 @@
 
 from citronvalve.forward import headers
 from citronvalve.forward import linkerror
+from citronvalve.forward import receiving
 from citronvalve.model import clock
 
 _PIECE = 65_536
@@ -165,9 +166,8 @@
         left = until - self._clock.now()
         if left <= 0:
             raise linkerror.LinkError(_Trouble.SILENT, "nothing came in time")
-        self._sock.settimeout(left / clock.SECOND)
         try:
-            return self._sock.recv(_PIECE)
+            return receiving.receive(self._sock, _PIECE, left)
         except TimeoutError as error:
             raise linkerror.LinkError(
                 _Trouble.SILENT, "nothing came in time"
--- a/standins/scriptedrunner.py
+++ b/standins/scriptedrunner.py
@@ -187,6 +187,16 @@
         sock.sendall(head + b"answer")
         return False
 
+    def _resets_unframed(self, sock, fields) -> bool:
+        self.runs += 1
+        head = self._head(fields, extra="Connection: close\r\n")
+        sock.sendall(head + b"answer")
+        eventlet.sleep(0.05)
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
+        )
+        return False
+
     def _crashes(self, sock, fields) -> bool:
         self.runs += 1
         self.close()
--- a/tests/forward/answers.feature
+++ b/tests/forward/answers.feature
@@ -48,6 +48,7 @@
       | answers_another_first |
       | unframed              |
       | crashes_unframed      |
+      | resets_unframed       |
 
   Scenario Outline: a request that may run once, runner <way>
     Whatever may have run is never sent on again, and no status that promises
@@ -71,6 +72,7 @@
       | answers_another_first | 200    | 1    |
       | unframed              | 200    | 1    |
       | crashes_unframed      | 502    | 1    |
+      | resets_unframed       | 502    | 1    |
 
   Scenario: nobody listens at any runner
     The list lags: the runners have gone. Nothing was sent, so the refusal
