Believe no answer from before a loss, and close a head only on its own word

Ruled out: a longer bond: the list may stand still for any time. Change: a data centre counts as reachable only by an answer after its last loss; a doubtful head's members are free only when it answered the order to close; a head that answered the order to open serves, whatever the list shows.

--- a/src/citronvalve/daemon/conductor.py
+++ b/src/citronvalve/daemon/conductor.py
@@ -152,7 +152,7 @@
         if isinstance(seen, runners.Runner):
             planner.lives.answered(target.id, self._env.clock.now())
             return
-        planner.lives.silent(target.id)
+        planner.lives.silent(target.id, self._env.clock.now())
         self._env.log.change(
             "runner silent",
             runner=target.id,
--- a/src/citronvalve/forward/receiving.py
+++ b/src/citronvalve/forward/receiving.py
@@ -1,7 +1,7 @@
 """Receives from a green socket without hiding how a connection ended."""
 
-from eventlet import hubs
 from eventlet.green import socket
+from eventlet import hubs
 
 from citronvalve.model import clock
 
--- a/src/citronvalve/replicas/forming.py
+++ b/src/citronvalve/replicas/forming.py
@@ -91,6 +91,9 @@
         )
         if lost or now >= pending.until:
             del self.pending_by_key[pending.key]
+            if not lost and self._heads.has_opened(pending.key):
+                # It serves; only the list does not show it yet.
+                return True
             if pending.opened:
                 self._heads.gave_up(pending, now)
             return False
--- a/src/citronvalve/replicas/heads.py
+++ b/src/citronvalve/replicas/heads.py
@@ -17,10 +17,6 @@
 #: Entries that lapsed while the list was away are back within so long.
 _BACK: clock.Ms = 2_500
 
-#: A head that was told to open and then to close has been seen so after this
-#: time: it opens within some hundred ms, and the list follows.
-_SEEN: clock.Ms = 1_500
-
 #: An order that had no answer is carried out up to so much later.
 _LATEST: clock.Ms = 12_500
 
@@ -65,6 +61,7 @@
         self._lost: dict[membership.GroupKey, _Bond] = {}
         self._doubtful: dict[membership.GroupKey, _Bond] = {}
         self._open_answered: set[membership.GroupKey] = set()
+        self._cut_answered: set[membership.GroupKey] = set()
 
     def remember(self, known: list[runners.Runner]) -> None:
         """Take in who is the head of what.
@@ -85,6 +82,7 @@
                 k: head for k, head in self._head_by_key.items() if k in told
             }
             self._open_answered &= told
+            self._cut_answered &= told
 
     def seen(self, key: membership.GroupKey) -> None:
         """Note that a head is in sight.
@@ -127,13 +125,20 @@
         :param pending: the group.
         :param now: monotonic ms.
         """
-        answered = pending.key in self._open_answered
+        # An order to open that had no answer may still be carried out.
+        late = 0 if self.has_opened(pending.key) else _LATEST
+        self._cut_answered.discard(pending.key)
         self._doubtful[pending.key] = _Bond(
-            pending.members[0],
-            now + (_SEEN if answered else _LATEST),
-            set(pending.members),
+            pending.members[0], now + late, set(pending.members)
         )
 
+    def has_opened(self, key: membership.GroupKey) -> bool:
+        """Tell whether a head has answered the order to open.
+
+        :param key: its group.
+        """
+        return key in self._open_answered
+
     def told(self, what: orders.Order, told: orders.Told) -> None:
         """Take in what came back of an order.
 
@@ -142,24 +147,43 @@
         """
         if what.kind is _Kind.OPEN and told is not orders.Told.SILENT:
             self._open_answered.add(what.key)
+        if what.kind is _Kind.CUT and told is not orders.Told.SILENT:
+            self._cut_answered.add(what.key)
 
     def bound(self, now: clock.Ms) -> set[str]:
         """Return the runners that no other group may have now.
 
         :param now: monotonic ms.
         """
-        for key, bond in self._doubtful.items():
-            self._book.give(orders.Order(_Kind.CUT, bond.head, key), now)
         bound: set[str] = set()
-        for bonds in (self._lost, self._doubtful):
-            for key, bond in list(bonds.items()):
-                moved = bond.head and self._has_moved_on(bond.head, key)
-                if now >= bond.until or moved:
-                    del bonds[key]
-                else:
-                    bound |= bond.members
+        for key, bond in list(self._lost.items()):
+            moved = bond.head and self._has_moved_on(bond.head, key)
+            if now >= bond.until or moved:
+                del self._lost[key]
+            else:
+                bound |= bond.members
+        for key, bond in list(self._doubtful.items()):
+            if self._is_settled(key, bond, now):
+                del self._doubtful[key]
+            else:
+                bound |= bond.members
+                self._book.give(orders.Order(_Kind.CUT, bond.head, key), now)
         return bound
 
+    def _is_settled(
+        self, key: membership.GroupKey, bond: _Bond, now: clock.Ms
+    ) -> bool:
+        """Tell whether a doubtful head has certainly stopped serving.
+
+        The list may be old, so only the head's own answer counts.
+        """
+        if self._lives.is_lost(bond.head):
+            # Its group is one without a head now, and waits for the break.
+            return True
+        if key in self._cut_answered and now >= bond.until:
+            return True
+        return self._has_moved_on(bond.head, key)
+
     def _is_missed(
         self, key: membership.GroupKey, head: str | None, now: clock.Ms
     ) -> bool:
--- a/src/citronvalve/replicas/lives.py
+++ b/src/citronvalve/replicas/lives.py
@@ -11,10 +11,9 @@
 #: doubt.
 _AGAIN: clock.Ms = 400
 
-#: How often a witness in another domain is looked at, and how long its
-#: answer counts.
-_WITNESS: clock.Ms = 500
-_BELIEVED: clock.Ms = 1_500
+#: How often others of a data centre are looked at after a loss there, until
+#: one of them answers.
+_WITNESS: clock.Ms = 300
 
 #: One that left the list and answers is looked at less often.
 _UNLISTED_AGAIN: clock.Ms = 2_000
@@ -24,11 +23,12 @@
 
 
 class _Doubt:
-    __slots__ = ("failed", "looked_at")
+    __slots__ = ("failed", "looked_at", "lost_at")
 
     def __init__(self) -> None:
         self.failed = 0
         self.looked_at: clock.Ms | None = None
+        self.lost_at: clock.Ms | None = None
 
 
 class Lives:
@@ -64,6 +64,9 @@
                 self._doubt_by_id.pop(here, None)
                 self._unlisted.pop(here, None)
         self._listed = dict(runner_by_id)
+        self._answered = {
+            r: at for r, at in self._answered.items() if r in self._listed
+        }
         for gone, (_, since) in list(self._unlisted.items()):
             if now - since > _KEPT:
                 del self._unlisted[gone]
@@ -122,21 +125,20 @@
         """Tell whether a data centre can be reached from here.
 
         When a link between data centres is cut, every runner behind it goes
-        silent, and each of them lives.  A whole domain may fail at once, so
-        it takes one in another domain that answers to tell them apart.
+        silent, and each of them lives.  So after the last loss there another
+        runner must have answered; an answer from before the loss may be from
+        before the cut.
 
         :param datacentre: its name.
         """
-        there = [
-            r for r in self._listed.values() if r.datacentre == datacentre
-        ]
-        lost = {r.domain for r in there if self.is_lost(r.id)}
-        if not lost:
+        lost = self._lost_at_by_datacentre().get(datacentre)
+        if lost is None:
             return True
-        witnesses = [r for r in there if r.domain not in lost]
-        if not witnesses:
-            return len({r.domain for r in there}) == 1
-        return any(r.id in self._answered for r in witnesses)
+        return any(
+            at >= lost
+            for runner, at in self._answered.items()
+            if self._is_in(runner, datacentre)
+        )
 
     def due(self, now: clock.Ms) -> list[str]:
         """Return the runners that are to be looked at now.
@@ -155,26 +157,35 @@
                 due.append(runner)
         return due
 
-    def _witnesses_due(self, now: clock.Ms) -> list[str]:
-        # While some are lost, one of each other domain is looked at too.
-        lost_by_datacentre: dict[str, set[str]] = {}
-        for runner in self._listed.values():
-            if self.is_lost(runner.id):
-                domains = lost_by_datacentre.setdefault(
-                    runner.datacentre, set()
-                )
-                domains.add(runner.domain)
-        due: dict[str, str] = {}
-        for runner in self._listed.values():
-            lost = lost_by_datacentre.get(runner.datacentre)
-            if not lost or runner.domain in lost or runner.leaving:
+    def _is_in(self, runner: str, datacentre: str) -> bool:
+        held = self._listed.get(runner)
+        return held is not None and held.datacentre == datacentre
+
+    def _lost_at_by_datacentre(self) -> dict[str, clock.Ms]:
+        newest: dict[str, clock.Ms] = {}
+        for runner, doubt in self._doubt_by_id.items():
+            held = self.find(runner)
+            if doubt.lost_at is None or held is None:
                 continue
-            due.setdefault(runner.domain, runner.id)
+            before = newest.get(held.datacentre, doubt.lost_at)
+            newest[held.datacentre] = max(before, doubt.lost_at)
+        return newest
+
+    def _witnesses_due(self, now: clock.Ms) -> list[str]:
+        # After a loss one runner of each domain there is looked at, until
+        # one of them has answered.
         if now - self._witnessed_at < _WITNESS:
             return []
-        self._answered = {
-            r: at for r, at in self._answered.items() if now - at < _BELIEVED
+        silent = {
+            datacentre
+            for datacentre in self._lost_at_by_datacentre()
+            if not self.is_reachable(datacentre)
         }
+        due: dict[str, str] = {}
+        for runner in self._listed.values():
+            usable = not runner.leaving and not self.is_lost(runner.id)
+            if runner.datacentre in silent and usable:
+                due.setdefault(runner.domain, runner.id)
         if due:
             self._witnessed_at = now
         return list(due.values())
@@ -192,15 +203,20 @@
         doubt = self._doubt_by_id.get(runner)
         if doubt is not None:
             doubt.failed = 0
+            doubt.lost_at = None
 
-    def silent(self, runner: str) -> None:
+    def silent(self, runner: str, now: clock.Ms) -> None:
         """Note that a look had no answer.
 
         A port that refuses proves no more than silence: a link that is cut
         may refuse in the runner's place, which lives behind it.
 
         :param runner: its id.
+        :param now: monotonic ms.
         """
         doubt = self._doubt_by_id.get(runner)
-        if doubt is not None:
-            doubt.failed += 1
+        if doubt is None:
+            return
+        doubt.failed += 1
+        if doubt.lost_at is None and doubt.failed >= _LOOKS:
+            doubt.lost_at = now
--- a/tests/replicas/planning.feature
+++ b/tests/replicas/planning.feature
@@ -111,6 +111,29 @@
     And the new head is accused of standing still
     Then for 14 s no runner is in two groups
 
+  Scenario: a cut right after a loss in the same data centre
+    Another runner there answered after the loss and before the cut. That it
+    answered then says nothing of the heads that go silent with the cut.
+
+    Given 6 domains of 11 runners serve
+    When a member of a "large" replica dies without a word
+    And the head is accused of standing still
+    And for 1 s nothing else happens
+    And every runner of the same data centre goes silent to the leader
+    And only its heads there come into doubt
+    Then for 6 s no order but those of the lost member's group is given there
+
+  Scenario: the list stands still while a new group opens
+    The store is away. The head has answered that it opens; whoever goes by
+    the old list would close a group that serves, or form another of it.
+
+    Given 6 domains of 11 runners serve
+    When a member of a "large" replica dies without a word
+    And the head is accused of standing still
+    And the list stands still as soon as the new head is told to open
+    Then for 8 s the new group is left alone
+    And no runner was ever in two groups, and none opened incomplete
+
   Scenario: a new leader that remembers nothing takes over while a group forms
     The old one ordered the joins and died before it told the head to open.
 
--- a/tests/replicas/steps/planning_steps.py
+++ b/tests/replicas/steps/planning_steps.py
@@ -273,17 +273,7 @@
 @behave.when("as soon as the new head is told to open, its last member dies")
 def step_dies_at_open(context):
     world = context.world
-    began = world.now
-    for _ in range(100):
-        world.step()
-        opened = [
-            act
-            for at, act in world.given
-            if at >= began and act.kind is orders.OrderKind.OPEN
-        ]
-        if opened:
-            break
-    context.head = opened[-1].runner
+    context.head = _until_told_to_open(world)
     world.crash(world.members(context.head)[-1])
     # The leader's own look comes before the list's word.
     for member in world.members(context.head):
@@ -299,3 +289,73 @@
 def step_two(context, seconds):
     context.world.run(seconds * 1_000)
     step_no_problem(context)
+
+
+@behave.when("every runner of the same data centre goes silent to the leader")
+def step_cut_same(context):
+    world = context.world
+    head = world.runner_by_id[context.head]
+    context.spared = {
+        r.id for r in world.runner_by_id.values() if r.domain == head.domain
+    }
+    step_cut(context, head.datacentre)
+
+
+@behave.then(
+    "for {seconds:d} s no order but those of the lost member's group is given "
+    "there"
+)
+def step_no_other(context, seconds):
+    world = context.world
+    began = world.now
+    world.run(seconds * 1_000)
+    there = {r.id for r in context.there} - context.spared
+    given = [a for at, a in world.given if at >= began and a.runner in there]
+    assert not given, given
+
+
+def _until_told_to_open(world):
+    began = world.now
+    for _ in range(100):
+        world.step()
+        opened = [
+            act
+            for at, act in world.given
+            if at >= began and act.kind is orders.OrderKind.OPEN
+        ]
+        if opened:
+            return opened[-1].runner
+    raise AssertionError("no head was told to open")
+
+
+@behave.when("the list stands still as soon as the new head is told to open")
+def step_list_stands(context):
+    world = context.world
+    context.head = _until_told_to_open(world)
+    # What was listed before the order is shown from now on.
+    world.frozen = dict(world.history[-1])
+
+
+@behave.then("for {seconds:d} s the new group is left alone")
+def step_alone(context, seconds):
+    world = context.world
+    began = world.now
+    members = set(world.members(context.head))
+    world.run(seconds * 1_000)
+    given = [
+        act
+        for at, act in world.given
+        if at >= began
+        and act.runner in members
+        and act.kind is not orders.OrderKind.OPEN
+        and act.kind is not orders.OrderKind.STAGE
+    ]
+    assert not given, given
+
+
+@behave.when("only its heads there come into doubt")
+def step_heads_doubted(context):
+    # A head's entry may lapse before those of its members.
+    for runner in context.there:
+        if runner.is_open_head:
+            context.world.planner.lives.accuse(runner.id)
--- a/tests/replicas/world.py
+++ b/tests/replicas/world.py
@@ -64,7 +64,8 @@
         self._done_at = {}
         self.dead = set()
         self.lag = 0
-        self._history = []
+        self.history = []
+        self.frozen = None
         self._left = {}
         self._last = {}
         self._broken_at = {}
@@ -103,16 +104,23 @@
 
     def step(self):
         """Make one plan and carry it out."""
-        self._history.append(dict(self.runner_by_id))
-        shown = self._history[max(0, len(self._history) - 1 - self.lag)]
+        self.history.append(dict(self.runner_by_id))
+        shown = (
+            self.frozen
+            or self.history[-1 - min(self.lag, len(self.history) - 1)]
+        )
         listed = {k: r for k, r in shown.items() if k not in self.unlisted}
         for act in self.planner.step(listed, self.now):
             if isinstance(act, orders.Look):
                 self._look(act.runner)
             elif act.runner in self.deaf:
                 self.late.append(act)
+                self.planner.told(act, orders.Told.SILENT)
             else:
                 self.carry_out(act)
+                gone = act.runner in self.dark | self.refusing
+                told = orders.Told.SILENT if gone else orders.Told.ACCEPTED
+                self.planner.told(act, told)
         self.now += STEP
         self._progress()
         self._check()
@@ -253,7 +261,7 @@
     def _look(self, name):
         lives = self.planner.lives
         if name in self.dark or name in self.refusing:
-            lives.silent(name)
+            lives.silent(name, self.now)
         else:
             lives.answered(name, self.now)
 
