Keep members of a head in doubt bound until it answers, also behind a cut

Ruled out: an old list alone: the earlier scenario of that holds. Change: a doubt ends only by the head's answer to the order to close, or long after it broke; the wait for a lost head to break counts from when its last member was seen to have left.

--- a/src/citronvalve/replicas/heads.py
+++ b/src/citronvalve/replicas/heads.py
@@ -109,13 +109,17 @@
             return True
         if not self._is_missed(key, head, now):
             return True
-        bond = self._lost.get(key)
-        if bond is None:
-            until = now + self._stall + _BREAK_MARGIN
-            bond = self._lost[key] = _Bond(head or "", until, set())
+        # Counted from when the last of them has left: an order to leave may
+        # not have arrived.  Those that have left are kept in mind, since
+        # they tell of no group any more.
+        before = self._lost.get(key)
+        self._lost[key] = _Bond(
+            head or "",
+            now + self._stall + _BREAK_MARGIN,
+            {runner.id for runner in members}
+            | (before.members if before else set()),
+        )
         for runner in members:
-            # Kept in mind, since those that have left tell of no group.
-            bond.members.add(runner.id)
             self._book.give(orders.Order(_Kind.LEAVE, runner.id, key), now)
         return True
 
@@ -175,13 +179,16 @@
     ) -> bool:
         """Tell whether a doubtful head has certainly stopped serving.
 
-        The list may be old, so only the head's own answer counts.
+        The list may be old, and an order that had no answer may be carried
+        out once a cut has healed, so only the head's own answer counts.
         """
-        if self._lives.is_lost(bond.head):
-            # Its group is one without a head now, and waits for the break.
-            return True
-        if key in self._cut_answered and now >= bond.until:
-            return True
+        if now >= bond.until:
+            # A head that is lost for so long broke with its members' leaving.
+            lost = self._lives.is_lost(bond.head)
+            if lost and now >= bond.until + self._stall + _LATEST:
+                return True
+            if key in self._cut_answered:
+                return True
         return self._has_moved_on(bond.head, key)
 
     def _is_missed(
--- a/tests/replicas/planning.feature
+++ b/tests/replicas/planning.feature
@@ -134,6 +134,18 @@
     Then for 8 s the new group is left alone
     And no runner was ever in two groups, and none opened incomplete
 
+  Scenario: the order to open arrives once a cut has healed
+    It had no answer, and neither had the order to close. The head opens in
+    the moment in which it can be seen again.
+
+    Given 6 domains of 11 runners serve
+    When a member of a "large" replica dies without a word
+    And the head is accused of standing still
+    And all orders to its data centre are held back once the new head is told to open
+    And for 6 s nothing else happens
+    And the cut heals and the orders arrive as they were given
+    Then for 14 s no runner is in two groups
+
   Scenario: a new leader that remembers nothing takes over while a group forms
     The old one ordered the joins and died before it told the head to open.
 
--- a/tests/replicas/steps/planning_steps.py
+++ b/tests/replicas/steps/planning_steps.py
@@ -359,3 +359,49 @@
     for runner in context.there:
         if runner.is_open_head:
             context.world.planner.lives.accuse(runner.id)
+
+
+@behave.when(
+    "all orders to its data centre are held back once the new head is told to "
+    "open"
+)
+def step_held_back(context):
+    world = context.world
+    began = world.now
+    there = {
+        r.id
+        for r in world.runner_by_id.values()
+        if r.datacentre == world.runner_by_id[context.head].datacentre
+    }
+    dead = set(world.dark)
+    for _ in range(100):
+        ready = [
+            name
+            for name in there
+            if world.is_ready_head(name) and name not in dead
+        ]
+        if ready:
+            break
+        world.step()
+    assert ready and world.now - began < 10_000
+    context.head, context.dead = ready[0], dead
+    world.deaf = there - dead
+    world.dark |= there
+    world.run(300)
+    world.planner.lives.accuse(context.head)
+
+
+@behave.when("the cut heals and the orders arrive as they were given")
+def step_heal(context):
+    world = context.world
+    world.dark = set(context.dead)
+    world.deaf = set()
+    late, world.late = world.late, []
+    opens = [a for a in late if a.kind is orders.OrderKind.OPEN]
+    assert opens, late
+    # The list shows it only some seconds later.
+    world.frozen = dict(world.runner_by_id)
+    for act in opens:
+        world.carry_out(act)
+    world.run(4_000)
+    world.frozen = None
--- a/tests/replicas/world.py
+++ b/tests/replicas/world.py
@@ -156,6 +156,16 @@
             and (model is None or r.membership.key.model == model)
         ]
 
+    def is_ready_head(self, name):
+        """Tell whether a runner heads a group whose members are all ready."""
+        held = self.runner_by_id[name].membership
+        if held is None or held.rank:
+            return False
+        members = [self.runner_by_id[m] for m in self.members(name)]
+        ready = all(m.membership.phase is phase.Phase.READY for m in members)
+        ready = ready and not any(m.id in self.dark for m in members)
+        return ready and len(members) == self.models[held.key.model].size
+
     def members(self, head):
         """Return the ids of a head's group."""
         key = self.runner_by_id[head].membership.key
