Bind a group's members while an order to open it may still be carried out

Change: after an unanswered order to open, the members are bound for that time unless the head has joined elsewhere.

--- a/src/citronvalve/daemon/conductor.py
+++ b/src/citronvalve/daemon/conductor.py
@@ -135,7 +135,7 @@
         what: orders_.Order,
     ) -> None:
         told = self._giver.give(target, what)
-        planner.told(what, told)
+        planner.told(what, told, self._env.clock.now())
         self._env.metrics.ordered(what.kind, told.name.lower())
         self._env.log.change(
             "order given",
--- a/src/citronvalve/replicas/heads.py
+++ b/src/citronvalve/replicas/heads.py
@@ -61,6 +61,7 @@
         self._lost: dict[membership.GroupKey, _Bond] = {}
         self._doubtful: dict[membership.GroupKey, _Bond] = {}
         self._open_answered: set[membership.GroupKey] = set()
+        self._open_silent: dict[membership.GroupKey, _Bond] = {}
         self._cut_answered: set[membership.GroupKey] = set()
 
     def remember(self, known: list[runners.Runner]) -> None:
@@ -74,6 +75,8 @@
             if held is None:
                 continue
             told.add(held.key)
+            if held.key in self._open_silent:
+                self._open_silent[held.key].members.add(runner.id)
             if not held.rank:
                 self._head_by_key[held.key] = runner.id
         if len(self._head_by_key) > _MOST_KNOWN:
@@ -129,11 +132,9 @@
         :param pending: the group.
         :param now: monotonic ms.
         """
-        # An order to open that had no answer may still be carried out.
-        late = 0 if self.has_opened(pending.key) else _LATEST
         self._cut_answered.discard(pending.key)
         self._doubtful[pending.key] = _Bond(
-            pending.members[0], now + late, set(pending.members)
+            pending.members[0], now, set(pending.members)
         )
 
     def has_opened(self, key: membership.GroupKey) -> bool:
@@ -143,15 +144,27 @@
         """
         return key in self._open_answered
 
-    def told(self, what: orders.Order, told: orders.Told) -> None:
+    def told(
+        self, what: orders.Order, told: orders.Told, now: clock.Ms
+    ) -> None:
         """Take in what came back of an order.
 
         :param what: the order.
         :param told: the runner's answer.
+        :param now: monotonic ms.
         """
-        if what.kind is _Kind.OPEN and told is not orders.Told.SILENT:
+        silent = told is orders.Told.SILENT
+        if what.kind is _Kind.OPEN and silent:
+            # It may be carried out after the group was opened by another
+            # order and closed again.
+            before = self._open_silent.get(what.key)
+            members = before.members if before else {what.runner}
+            self._open_silent[what.key] = _Bond(
+                what.runner, now + _LATEST, members
+            )
+        if what.kind is _Kind.OPEN and not silent:
             self._open_answered.add(what.key)
-        if what.kind is _Kind.CUT and told is not orders.Told.SILENT:
+        if what.kind is _Kind.CUT and not silent:
             self._cut_answered.add(what.key)
 
     def bound(self, now: clock.Ms) -> set[str]:
@@ -160,12 +173,13 @@
         :param now: monotonic ms.
         """
         bound: set[str] = set()
-        for key, bond in list(self._lost.items()):
-            moved = bond.head and self._has_moved_on(bond.head, key)
-            if now >= bond.until or moved:
-                del self._lost[key]
-            else:
-                bound |= bond.members
+        for bonds in (self._lost, self._open_silent):
+            for key, bond in list(bonds.items()):
+                moved = bond.head and self._has_moved_on(bond.head, key)
+                if now >= bond.until or moved:
+                    del bonds[key]
+                else:
+                    bound |= bond.members
         for key, bond in list(self._doubtful.items()):
             if self._is_settled(key, bond, now):
                 del self._doubtful[key]
@@ -182,13 +196,12 @@
         The list may be old, and an order that had no answer may be carried
         out once a cut has healed, so only the head's own answer counts.
         """
-        if now >= bond.until:
-            # A head that is lost for so long broke with its members' leaving.
-            lost = self._lives.is_lost(bond.head)
-            if lost and now >= bond.until + self._stall + _LATEST:
-                return True
-            if key in self._cut_answered:
-                return True
+        if key in self._cut_answered:
+            return True
+        # One that is lost for so long broke with its members' leaving.
+        lost = self._lives.is_lost(bond.head)
+        if lost and now >= bond.until + self._stall + _LATEST:
+            return True
         return self._has_moved_on(bond.head, key)
 
     def _is_missed(
--- a/src/citronvalve/replicas/planner.py
+++ b/src/citronvalve/replicas/planner.py
@@ -89,13 +89,16 @@
             if other is not None and other.key == held.membership.key:
                 self.lives.accuse(runner.id)
 
-    def told(self, what: orders.Order, told: orders.Told) -> None:
+    def told(
+        self, what: orders.Order, told: orders.Told, now: clock.Ms
+    ) -> None:
         """Take in what came back of an order.
 
         :param what: the order.
         :param told: the runner's answer.
+        :param now: monotonic ms.
         """
-        self._heads.told(what, told)
+        self._heads.told(what, told, now)
 
     def step(
         self, runner_by_id: dict[str, runners.Runner], now: clock.Ms
--- a/tests/replicas/planning.feature
+++ b/tests/replicas/planning.feature
@@ -146,6 +146,20 @@
     And the cut heals and the orders arrive as they were given
     Then for 14 s no runner is in two groups
 
+  Scenario: a late order to open finds its group closed again
+    The first order had no answer, the second opened the group; a member was
+    lost and the group closed. Then the first order is carried out, some
+    hundred ms before the list can show it.
+
+    Given 6 domains of 11 runners serve
+    And the list shows changes 0.5 s late
+    When a member of a "large" replica dies without a word
+    And the first order to open has no answer
+    And the head is accused of standing still
+    And the group that is formed then loses a member and is closed
+    And the first order to open is carried out
+    Then for 14 s no runner is in two groups
+
   Scenario: a new leader that remembers nothing takes over while a group forms
     The old one ordered the joins and died before it told the head to open.
 
--- a/tests/replicas/steps/planning_steps.py
+++ b/tests/replicas/steps/planning_steps.py
@@ -405,3 +405,45 @@
         world.carry_out(act)
     world.run(4_000)
     world.frozen = None
+
+
+@behave.when("the first order to open has no answer")
+def step_delay_open(context):
+    context.world.delay_opens = 1
+
+
+@behave.when("the group that is formed then loses a member and is closed")
+def step_formed_then_closed(context):
+    world = context.world
+    known = {head.id for head in world.open_heads()}
+    epochs = {r.membership.key for r in world.open_heads()}
+    for _ in range(100):
+        world.step()
+        new = [
+            head
+            for head in world.open_heads()
+            if head.membership.key not in epochs
+        ]
+        if new:
+            break
+    assert known and new and world.late, (new, world.late)
+    head = new[0]
+    world.run(1_000)
+    victim = [m for m in world.members(head.id) if m != head.id][-1]
+    world.crash(victim)
+    world.planner.accuse(head.id)
+    for _ in range(100):
+        world.step()
+        held = world.runner_by_id[head.id].membership
+        if held.phase.value == "ready":
+            return
+    raise AssertionError("the group was not closed")
+
+
+@behave.when("the first order to open is carried out")
+def step_late_open(context):
+    # The list shows the group closed, and not yet opened again.
+    context.world.run(300)
+    late, context.world.late = context.world.late, []
+    for act in late:
+        context.world.carry_out(act)
--- a/tests/replicas/world.py
+++ b/tests/replicas/world.py
@@ -64,6 +64,7 @@
         self._done_at = {}
         self.dead = set()
         self.lag = 0
+        self.delay_opens = 0
         self.history = []
         self.frozen = None
         self._left = {}
@@ -113,18 +114,24 @@
         for act in self.planner.step(listed, self.now):
             if isinstance(act, orders.Look):
                 self._look(act.runner)
-            elif act.runner in self.deaf:
+            elif act.runner in self.deaf or self._is_delayed(act):
                 self.late.append(act)
-                self.planner.told(act, orders.Told.SILENT)
+                self.planner.told(act, orders.Told.SILENT, self.now)
             else:
                 self.carry_out(act)
                 gone = act.runner in self.dark | self.refusing
                 told = orders.Told.SILENT if gone else orders.Told.ACCEPTED
-                self.planner.told(act, told)
+                self.planner.told(act, told, self.now)
         self.now += STEP
         self._progress()
         self._check()
 
+    def _is_delayed(self, act):
+        if self.delay_opens and act.kind is orders.OrderKind.OPEN:
+            self.delay_opens -= 1
+            return True
+        return False
+
     def carry_out(self, act):
         """Let a runner carry out an order, if it can."""
         self.given.append((self.now, act))
