--- a/src/citronvalve/forward/headers.py
+++ b/src/citronvalve/forward/headers.py
@@ -37,7 +37,7 @@
 
 
 def crossing(
-    headers: Iterable[Header], dropped: frozenset[bytes]
+    headers: Iterable[Header], dropped: frozenset[bytes] = frozenset()
 ) -> list[Header]:
     """Return the headers that are passed on.
 
--- a/src/citronvalve/forward/passage.py
+++ b/src/citronvalve/forward/passage.py
@@ -2,7 +2,9 @@
 
 from citronvalve.forward import attempt as attempts
 from citronvalve.forward import demand as demands
+from citronvalve.forward import headers
 from citronvalve.forward import means as means_
+from citronvalve.forward import relayed
 from citronvalve.forward import reply as replies
 from citronvalve.forward import trial as trials
 from citronvalve.model import clock
@@ -45,7 +47,7 @@
         self._refused = 0
         self._ran = ran.Ran.NO
         self._failed: attempts.Ended | None = None
-        self._relayed = trials.Relayed()
+        self._relayed = relayed.Relayed()
         self.outcome = "failed"
         self.reason = ""
 
@@ -144,7 +146,7 @@
             self._refuse(self._unknown(failed))
             return
         self._reply.whole(
-            status, trials.crossing(failed.answer.headers), failed.body
+            status, headers.crossing(failed.answer.headers), failed.body
         )
 
     def _refuse(self, refused: refusal.Refusal) -> None:
--- /dev/null
+++ b/src/citronvalve/forward/patience.py
@@ -0,0 +1,104 @@
+"""How long an upstream is waited for."""
+
+import h11
+
+from citronvalve.forward import demand as demands
+from citronvalve.forward import link as links_
+from citronvalve.forward import linkerror
+from citronvalve.forward import means as means_
+from citronvalve.model import clock
+from citronvalve.policy import upstreamchoice
+
+#: An upstream answers at the deadline itself; its word is waited for so long.
+_GRACE: clock.Ms = 150
+
+#: A stream from which nothing came for this many expected spans, and at
+#: least this many ms, may stand still: passes that read long prompts take up
+#: to four usual ones, and callers leave after two seconds.
+_SPANS = 5.0
+_LEAST_FIRST: clock.Ms = 450
+_LEAST_GAP: clock.Ms = 350
+
+#: While the replica is heard on other connections, this one alone may have
+#: been lost track of; it gets this many times the patience.
+_ALONE = 3
+
+#: Between two looks whether others have found the replica standing still:
+#: whoever waits for it then goes elsewhere at once.
+_LOOK: clock.Ms = 100
+
+#: A plain upstream that has said nothing for this many objectives hangs;
+#: what may be repeated is then sent to another.
+_PLAIN_OBJECTIVES = 2.5
+
+_Trouble = linkerror.LinkTrouble
+
+
+class Patience:
+    """Waits for the parts of an answer, as long as it makes sense.
+
+    :param means: tells of replicas that stand still.
+    :param demand: the request.
+    :param placed: the upstream, and what is expected.
+    :ivar last: whether no other try may follow; whatever comes is then
+        better than nothing, and is waited for as long as there is time.
+    """
+
+    def __init__(
+        self,
+        means: means_.Means,
+        demand: demands.Demand,
+        placed: upstreamchoice.Chosen,
+    ) -> None:
+        self._clock = means.env.clock
+        self._stalls = means.stalls
+        self._demand = demand
+        self._placed = placed
+        self.last = False
+
+    def first(self, link: links_.Link) -> h11.Event:
+        """Wait for a part of the answer's beginning, or of a whole answer.
+
+        :param link: the connection.
+        :raises linkerror.LinkError: when it is given up.
+        """
+        if self._demand.service.engine is not None:
+            expected = _SPANS * self._placed.forecast.first / 2
+            return self._wait(link, max(_LEAST_FIRST, round(expected)))
+        objective = self._demand.route.latency_objective
+        return self._wait(link, round(_PLAIN_OBJECTIVES * objective))
+
+    def next(self, link: links_.Link) -> h11.Event:
+        """Wait for the next part of a stream.
+
+        :param link: the connection.
+        :raises linkerror.LinkError: when it is given up.
+        """
+        expected = _SPANS * self._placed.forecast.gap
+        return self._wait(link, max(_LEAST_GAP, round(expected)))
+
+    def _wait(self, link: links_.Link, patience: clock.Ms) -> h11.Event:
+        end = self._demand.until + _GRACE
+        began = self._clock.now()
+        while True:
+            turn = min(end, self._clock.now() + _LOOK)
+            try:
+                return link.next(turn)
+            except linkerror.LinkError as error:
+                if error.trouble is not _Trouble.SILENT or turn >= end:
+                    raise
+                waited = self._clock.now() - began
+                if self._is_lost(waited, patience) and not self.last:
+                    raise
+
+    def _is_lost(self, waited: clock.Ms, patience: clock.Ms) -> bool:
+        if self._demand.service.engine is None:
+            return waited >= patience
+        upstream = self._placed.upstream
+        if self._stalls.stands_still(upstream):
+            return True
+        if waited < patience:
+            return False
+        if self._stalls.silent(upstream):
+            return True
+        return waited >= _ALONE * patience
--- /dev/null
+++ b/src/citronvalve/forward/relayed.py
@@ -0,0 +1,18 @@
+"""What a caller has got of a stream."""
+
+from citronvalve.model import clock
+
+
+class Relayed:
+    """What a caller has got of a stream, over all tries.
+
+    :ivar last: id of the last event, or None before the first.
+    :ivar at: monotonic ms of it.
+    :ivar longest: ms of the longest pause.
+    """
+
+    def __init__(self) -> None:
+        self.last: int | None = None
+        self.at: clock.Ms = 0
+        self.longest: clock.Ms = 0
+        self.events = 0
--- a/src/citronvalve/forward/trial.py
+++ b/src/citronvalve/forward/trial.py
@@ -10,7 +10,9 @@
 from citronvalve.forward import link as links_
 from citronvalve.forward import linkerror
 from citronvalve.forward import means as means_
+from citronvalve.forward import patience
 from citronvalve.forward import placing
+from citronvalve.forward import relayed as relayeds
 from citronvalve.forward import reply as replies
 from citronvalve.model import clock
 from citronvalve.policy import upstreamchoice
@@ -19,28 +21,6 @@
 #: Bodies of whole answers that are held until they are complete.
 _MOST_HELD = 8 * 1024 * 1024
 
-#: An upstream answers at the deadline itself; its word is waited for so long.
-_GRACE: clock.Ms = 150
-
-#: A stream from which nothing came for this many expected spans, and at
-#: least this many ms, may stand still: passes that read long prompts take up
-#: to four usual ones, and callers leave after two seconds.
-_SPANS = 5.0
-_LEAST_FIRST: clock.Ms = 450
-_LEAST_GAP: clock.Ms = 350
-
-#: While the replica is heard on other connections, this one alone may have
-#: been lost track of; it gets this many times the patience.
-_ALONE = 3
-
-#: Between two looks whether others have found the replica standing still:
-#: whoever waits for it then goes elsewhere at once.
-_LOOK: clock.Ms = 100
-
-#: A plain upstream that has said nothing for this many objectives hangs;
-#: what may be repeated is then sent to another.
-_PLAIN_OBJECTIVES = 2.5
-
 #: An upstream that answers that it is not the one, or not open, has changed
 #: since the list told of it; the list follows within about this time.
 _LIST_LAG: clock.Ms = 400
@@ -52,29 +32,6 @@
 _Trouble = linkerror.LinkTrouble
 
 
-class Relayed:
-    """What a caller has got of a stream, over all tries.
-
-    :ivar last: id of the last event, or None before the first.
-    :ivar at: monotonic ms of it.
-    :ivar longest: ms of the longest pause.
-    """
-
-    def __init__(self) -> None:
-        self.last: int | None = None
-        self.at: clock.Ms = 0
-        self.longest: clock.Ms = 0
-        self.events = 0
-
-
-def crossing(head: list[headers.Header]) -> list[headers.Header]:
-    """Return an answer's headers that go on to the caller.
-
-    :param head: as received.
-    """
-    return headers.crossing(head, frozenset())
-
-
 class Trial:
     """Sends a request to an upstream and brings its answer back.
 
@@ -91,7 +48,7 @@
         demand: demands.Demand,
         reply: replies.Reply,
         placed: upstreamchoice.Chosen,
-        relayed: Relayed,
+        relayed: relayeds.Relayed,
     ) -> None:
         self._means = means
         self._env = means.env
@@ -99,8 +56,8 @@
         self._reply = reply
         self._placed = placed
         self._relayed = relayed
+        self._patience = patience.Patience(means, demand, placed)
         self._load = means.book.of(placed.upstream)
-        self._last = False
         self._counted_begun = False
         self._address = ""
         self._got: answers.Answer | None = None
@@ -111,7 +68,7 @@
         :param last: whether no other may follow; it is then waited for as
             long as there is time.
         """
-        self._last = last
+        self._patience.last = last
         runner = self._means.directory.runner_by_id.get(self._placed.upstream)
         if runner is None:
             return attempts.Ended(_Ending.NOT_RUN, "it left the list")
@@ -161,7 +118,7 @@
             self._relay(link, got)
         else:
             body = self._body(link)
-            self._reply.whole(got.status, crossing(got.headers), body)
+            self._reply.whole(got.status, headers.crossing(got.headers), body)
             took = self._env.clock.now() - self._demand.request.arrived
             self._env.metrics.first_event(took, 0.0)
         self._load.circuit.succeeded()
@@ -194,7 +151,7 @@
     def _first(self, link: links_.Link) -> answers.Answer:
         request = self._demand.id.encode("latin-1")
         while True:
-            event = self._wait(link, self._first_wait())
+            event = self._patience.first(link)
             if not isinstance(event, h11.Response):
                 raise linkerror.LinkError(_Trouble.GARBLED, "no answer")
             got = answers.Answer(event.status_code, list(event.headers))
@@ -206,43 +163,6 @@
             self._body(link)
             link.again()
 
-    def _first_wait(self) -> clock.Ms:
-        if self._demand.service.engine is not None:
-            return max(
-                _LEAST_FIRST, round(_SPANS * self._placed.forecast.first / 2)
-            )
-        objective = self._demand.route.latency_objective
-        return round(_PLAIN_OBJECTIVES * objective)
-
-    def _wait(self, link: links_.Link, patience: clock.Ms) -> h11.Event:
-        """Wait for what comes next, as long as it makes sense."""
-        end = self._demand.until + _GRACE
-        began = self._env.clock.now()
-        while True:
-            turn = min(end, self._env.clock.now() + _LOOK)
-            try:
-                return link.next(turn)
-            except linkerror.LinkError as error:
-                if error.trouble is not _Trouble.SILENT or turn >= end:
-                    raise
-                waited = self._env.clock.now() - began
-                if self._is_lost(waited, patience) and not self._last:
-                    raise
-
-    def _is_lost(self, waited: clock.Ms, patience: clock.Ms) -> bool:
-        # A try that no other may follow is waited for all the same:
-        # whatever comes is better than nothing.
-        if self._demand.service.engine is None:
-            return waited >= patience
-        upstream = self._placed.upstream
-        if self._means.stalls.stands_still(upstream):
-            return True
-        if waited < patience:
-            return False
-        if self._means.stalls.silent(upstream):
-            return True
-        return waited >= _ALONE * patience
-
     def _begun(self) -> None:
         # It waits no longer, so it is behind nobody any more.
         if self._placed.late and not self._counted_begun:
@@ -272,7 +192,7 @@
     def _body(self, link: links_.Link) -> bytes:
         held = bytearray()
         while True:
-            event = self._wait(link, max(_LEAST_FIRST, self._first_wait()))
+            event = self._patience.first(link)
             if isinstance(event, h11.Data):
                 held += event.data
                 if len(held) > _MOST_HELD:
@@ -303,9 +223,8 @@
 
     def _relay(self, link: links_.Link, got: answers.Answer) -> None:
         cutter = eventcutter.EventCutter()
-        patience = max(_LEAST_GAP, round(_SPANS * self._placed.forecast.gap))
         while True:
-            event = self._wait(link, patience)
+            event = self._patience.next(link)
             if isinstance(event, h11.EndOfMessage):
                 self._check_end()
                 break
@@ -319,7 +238,7 @@
         if cutter.rest.strip():
             raise linkerror.LinkError(_Trouble.BROKEN, "half an event")
         if not self._reply.begun:
-            self._reply.begin(got.status, crossing(got.headers))
+            self._reply.begin(got.status, headers.crossing(got.headers))
         self._reply.finish()
         self._env.metrics.gap(self._relayed.longest)
 
@@ -340,7 +259,7 @@
         now = self._env.clock.now()
         relayed = self._relayed
         if not self._reply.begun:
-            self._reply.begin(got.status, crossing(got.headers))
+            self._reply.begin(got.status, headers.crossing(got.headers))
             took = now - self._demand.request.arrived
             self._env.metrics.first_event(took, self._placed.forecast.first)
         else:
