Take new settings on a signal, and drill the program as a process

Cause: a changed settings file was noted and not read. Change: the bounds of repeats, cold upstreams and the grace are taken anew; a file that can't be read is refused and the old settings stay. The program runs in a drill beside a store and a runner: start, serve, reload, refuse, stop with a request in progress, a bad file, check.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -29,6 +29,7 @@
 from citronvalve.forward import repeats
 from citronvalve.forward import stalls
 from citronvalve.model import clock
+from citronvalve.model import errors
 from citronvalve.policy import upstreamchoice
 from citronvalve.replicas import lease
 from citronvalve.routes import callerlimits
@@ -221,8 +222,21 @@
             self._stop.send()
 
     def _on_reload(self, *_: object) -> None:
-        hub = eventlet.hubs.get_hub()
-        hub.schedule_call_global(0, self.env.log.change, "reload asked")
+        eventlet.hubs.get_hub().schedule_call_global(0, self._reload)
+
+    def _reload(self) -> None:
+        try:
+            read = self._ports.reload()
+        except errors.SettingsError as error:
+            self.env.log.change("reload refused", why=str(error)[:300])
+            return
+        # Addresses and the name stay: they are those of this process.
+        self._settings = self._settings._replace(
+            repeats=read.repeats, cold=read.cold, grace=read.grace
+        )
+        self._means.repeats.terms = read.repeats
+        self._means.placing.cold = read.cold
+        self.env.log.change("reloaded", grace_ms=read.grace)
 
     def _drain(self) -> None:
         env = self.env
--- a/src/citronvalve/daemon/ports.py
+++ b/src/citronvalve/daemon/ports.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from citronvalve.daemon import entrysettings
 from citronvalve.forward import dialect
 from citronvalve.model import missing
 from citronvalve.replicas import orders
@@ -18,7 +19,8 @@
     ``open_table`` makes a table service with connections of its own, so
     that one that waits for changes holds up no other.  ``runners`` and
     ``operators`` name the tables of the upstreams and of the operators'
-    declarations; the three functions read their rows.
+    declarations; the three functions read their rows.  ``reload`` reads the
+    settings anew and raises :class:`errors.SettingsError` as at the start.
     """
 
     open_table: Callable[[], tableservice.TableService]
@@ -31,3 +33,4 @@
     orders: orders.Orders
     dialect: dialect.Dialect
     ready_path: str
+    reload: Callable[[], entrysettings.EntrySettings]
--- a/src/citronvalve/forward/placing.py
+++ b/src/citronvalve/forward/placing.py
@@ -1,6 +1,7 @@
 """Finds the upstream of a request, or the words to refuse it with."""
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from citronvalve.forward import attempt as attempts
 from citronvalve.forward import demand as demands
@@ -47,20 +48,18 @@
 #: Callers return within a third of the time that they have left.
 _RETURN_SHARE = 3
 
-#: Part of the bound on a cold upstream, as a factor and requests a second.
+#: Of a plain service nothing is predicted.
 _NO_FORECAST = enginepace.Forecast(0.0, 0.0, 0.0)
 
 
-class ColdTerms:
+class ColdTerms(NamedTuple):
     """How far a cold upstream's declared rate may be passed.
 
-    :param over: factor on the rate.
-    :param slack: requests a second on top.
+    ``over`` is a factor on the rate, ``slack`` requests a second on top.
     """
 
-    def __init__(self, over: float = 1.0, slack: float = 0.0) -> None:
-        self.over = over
-        self.slack = slack
+    over: float = 1.0
+    slack: float = 0.0
 
 
 class Placing:
@@ -70,6 +69,7 @@
     :param directory: the upstreams.
     :param book: their loads.
     :param cold: the bound on cold upstreams.
+    :ivar cold: the same; replaced when the settings change.
     """
 
     def __init__(
@@ -81,7 +81,7 @@
     ) -> None:
         self._env = env
         self._directory = directory
-        self._cold = cold
+        self.cold = cold
         self._pressed_at: clock.Ms | None = None
         self._choice = upstreamchoice.UpstreamChoice(book, env.chance)
         self._rates = coldrate.ColdRate()
@@ -215,7 +215,7 @@
         declared = demand.service.cold_rate
         if not declared:
             return 0.0
-        return declared * self._cold.over + self._cold.slack
+        return declared * self.cold.over + self.cold.slack
 
     def _sent(
         self, upstream: str, demand: demands.Demand, now: clock.Ms
--- a/src/citronvalve/forward/repeats.py
+++ b/src/citronvalve/forward/repeats.py
@@ -9,6 +9,7 @@
 
     :param env: the daemon's environment.
     :param terms: the declared bound.
+    :ivar terms: the same; replaced when the settings change.
     """
 
     def __init__(
@@ -17,7 +18,7 @@
         terms: repeatbudget.RepeatTerms,
     ) -> None:
         self._env = env
-        self._terms = terms
+        self.terms = terms
         self._budget_by_service: dict[str, repeatbudget.RepeatBudget] = {}
 
     def requested(self, service: str) -> None:
@@ -38,6 +39,7 @@
     def _budget(self, service: str) -> repeatbudget.RepeatBudget:
         held = self._budget_by_service.get(service)
         if held is None:
-            held = repeatbudget.RepeatBudget(self._terms)
+            held = repeatbudget.RepeatBudget(self.terms)
             self._budget_by_service[service] = held
+        held.terms = self.terms
         return held
--- a/src/citronvalve/policy/repeatbudget.py
+++ b/src/citronvalve/policy/repeatbudget.py
@@ -32,10 +32,11 @@
     from each other.
 
     :param terms: the declared bound.
+    :ivar terms: the same; share and slack may be replaced.
     """
 
     def __init__(self, terms: RepeatTerms) -> None:
-        self._terms = terms
+        self.terms = terms
         self._requests = slidingcount.SlidingCount(terms.window)
         self._repeats = slidingcount.SlidingCount(terms.window)
 
@@ -52,8 +53,8 @@
         :param daemons: how many share the slack.
         :param now: monotonic ms.
         """
-        earned = self._terms.share * self._requests.count(now)
-        slack = self._terms.slack / max(1, daemons)
+        earned = self.terms.share * self._requests.count(now)
+        slack = self.terms.slack / max(1, daemons)
         if self._repeats.count(now) + 1 > _USED * (earned + slack):
             return False
         self._repeats.add(now)
--- a/standins/scriptedrunner.py
+++ b/standins/scriptedrunner.py
@@ -15,14 +15,24 @@
 
     :param name: its id, with which it seals its answers.
     :param script: how to answer, by turn; the last one is repeated.
+    :param request: name of the header with a request's id.
+    :param seal: name of the header with its seal.
     :ivar requests: heads of the requests that came, as text.
     :ivar runs: how many it ran.
     :ivar bodies: of those requests.
     :ivar closed_on: connections on which it could not write any more.
     """
 
-    def __init__(self, name: str, script: list[str]) -> None:
+    def __init__(
+        self,
+        name: str,
+        script: list[str],
+        request: str = "X-Request-Id",
+        seal: str = "X-Seal",
+    ) -> None:
         self._name = name
+        self._request = request
+        self._seal = seal
         self._script = script
         self._socket = eventlet.listen(("127.0.0.1", 0))
         self.address = "127.0.0.1:%d" % self._socket.getsockname()[1]
@@ -71,10 +81,11 @@
         return getattr(self, f"_{way}")(sock, fields)
 
     def _head(self, fields, status=200, extra="", number=None) -> bytes:
-        number = number or fields.get("x-request-id", "")
+        number = number or fields.get(self._request.lower(), "")
         return (
-            f"HTTP/1.1 {status} Some\r\nX-Request-Id: {number}\r\n"
-            f"X-Seal: seal-of-{self._name}\r\nX-Load: 1,0,13\r\n{extra}\r\n"
+            f"HTTP/1.1 {status} Some\r\n{self._request}: {number}\r\n"
+            f"{self._seal}: seal-of-{self._name}\r\n"
+            f"X-Load: 1,0,13\r\n{extra}\r\n"
         ).encode()
 
     def _stream_head(self, fields) -> bytes:
@@ -132,6 +143,10 @@
         eventlet.sleep(_SILENCE)
         return False
 
+    def _takes_a_second(self, sock, fields) -> bool:
+        eventlet.sleep(1)
+        return self._whole(sock, fields)
+
     def _closes(self, sock, fields) -> bool:
         self.runs += 1
         return False
--- a/tests/adapter/decoding.feature
+++ b/tests/adapter/decoding.feature
@@ -22,7 +22,7 @@
 
   Scenario Outline: a configuration with <what>
     When the configuration has <what>
-    Then it is <read>
+    Then what is declared is <read>
 
     Examples:
       | what                      | read                      |
--- a/tests/adapter/steps/adapter_steps.py
+++ b/tests/adapter/steps/adapter_steps.py
@@ -285,7 +285,7 @@
     context.read = configuration.decode(row)
 
 
-@behave.then("it is {read}")
+@behave.then("what is declared is {read}")
 def step_read_as(context, read):
     made = context.read
     if read == "refused":
--- /dev/null
+++ b/tests/adapter/steps/program_steps.py
@@ -0,0 +1,253 @@
+"""Steps about the program on the users' machines."""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+import behave
+import eventlet
+from eventlet.green import socket
+from eventlet.green import subprocess as green_subprocess
+
+from standins import rowstore
+from standins import scriptedrunner
+
+_PROGRAM = pathlib.Path("platform/serve.py")
+_PATIENCE = 15
+
+
+def _free_port():
+    sock = socket.socket()
+    sock.bind(("127.0.0.1", 0))
+    port = sock.getsockname()[1]
+    sock.close()
+    return port
+
+
+def _file(context, **changes):
+    ports = context.ports
+    value = {
+        "NodeName": "front-a-1",
+        "Zone": "zone-a",
+        "Ip": "127.0.0.1",
+        "Listen": {
+            "Front": f"127.0.0.1:{ports[0]}",
+            "Ready": f"127.0.0.1:{ports[1]}",
+        },
+        "InternalPorts": [ports[2], ports[2]],
+        "Bootstrap": True,
+        "Bounds": {"RetryBudgetSlack": 130, "GraceS": 8},
+        "Platform": {"Address": context.store.address},
+    }
+    context.path.write_text(json.dumps(value | changes))
+
+
+def _prepare(context):
+    context.store = rowstore.RowStore()
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.path = pathlib.Path(folder.name) / "local.json"
+    context.log = pathlib.Path(folder.name) / "log"
+    context.ports = [_free_port() for _ in range(3)]
+
+
+def _start(context, *words):
+    env = {**os.environ, "CITRONVALVE_CONFIG": str(context.path)}
+    with context.log.open("wb") as out:
+        process = green_subprocess.Popen(
+            [sys.executable, "-W", "ignore", str(_PROGRAM), *words],
+            stdout=out,
+            stderr=subprocess.STDOUT,
+            env=env,
+        )
+    context.add_cleanup(_end, process)
+    return process
+
+
+def _end(process):
+    if process.poll() is None:
+        process.kill()
+        process.wait()
+
+
+def _eventually(condition, what):
+    until = time.monotonic() + _PATIENCE
+    while time.monotonic() < until:
+        if condition():
+            return
+        eventlet.sleep(0.05)
+    raise AssertionError(f"not in {_PATIENCE} s: {what}")
+
+
+def _said(context, event):
+    return f'"event":"{event}"' in context.log.read_text()
+
+
+def _ready(context):
+    got = scriptedrunner.exchange(
+        f"127.0.0.1:{context.ports[1]}",
+        b"GET /v1/ready HTTP/1.0\r\n\r\n",
+        1.0,
+    )
+    return b" 200 " in got.partition(b"\r\n")[0]
+
+
+def _ask(context):
+    return scriptedrunner.exchange(
+        f"127.0.0.1:{context.ports[0]}",
+        b"GET /a/b HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: k\r\n"
+        b"X-Attempt-Id: one\r\nX-Deadline-Ms: 3000\r\n"
+        b"Connection: close\r\n\r\n",
+        4.0,
+    )
+
+
+@behave.given("the program runs beside a store and a runner")
+def step_run(context):
+    _prepare(context)
+    context.runner = scriptedrunner.ScriptedRunner(
+        "i-1",
+        ["whole", "takes_a_second"],
+        "X-Attempt-Id",
+        "X-Runner-Seal",
+    )
+    context.add_cleanup(context.runner.close)
+    context.store.put(
+        "op",
+        "config",
+        {
+            "Version": 3,
+            "Routes": [
+                {
+                    "Name": "r",
+                    "Host": "h.example",
+                    "Prefix": "/a/",
+                    "Kind": "safe",
+                    "TimeoutMs": 3000,
+                    "TargetLatencyMs": 900,
+                    "Service": "s",
+                }
+            ],
+            "Services": [{"Name": "s"}],
+            "Tenants": [{"Name": "team-1", "ApiKeys": ["k"]}],
+        },
+    )
+    context.store.put(
+        "servers",
+        "i-1",
+        {
+            "Service": "s",
+            "Address": context.runner.address,
+            "Zone": "zone-a",
+            "State": "ready",
+            "Slots": 6,
+        },
+    )
+    _file(context)
+    context.process = _start(context)
+
+    def serves():
+        try:
+            return _ready(context)
+        except OSError:
+            return False
+
+    _eventually(serves, "the program is ready")
+
+
+@behave.when("a caller asks it for something")
+def step_ask(context):
+    context.got = _ask(context)
+
+
+@behave.then("the caller gets the whole answer of the runner")
+def step_answer(context):
+    assert context.got.startswith(b"HTTP/1.1 200"), context.got
+    assert context.got.endswith(b"answer of i-1"), context.got
+
+
+@behave.then("the runner has been given the team and not the key")
+def step_team(context):
+    asked = context.runner.requests[0].lower()
+    assert "x-tenant: team-1" in asked, asked
+    assert "x-expect-runner: i-1" in asked, asked
+    assert "x-api-key" not in asked, asked
+
+
+@behave.when("the settings file changes and the program is told so")
+def step_change(context):
+    _file(context, Bounds={"RetryBudgetSlack": 99, "GraceS": 6})
+    context.process.send_signal(signal.SIGHUP)
+
+
+@behave.then("it says that it has reloaded")
+def step_reloaded(context):
+    _eventually(lambda: _said(context, "reloaded"), "a line of the reload")
+
+
+@behave.when("a settings file that can't be read takes its place")
+def step_spoil(context):
+    context.path.write_text("{")
+    context.process.send_signal(signal.SIGHUP)
+
+
+@behave.then("it says that the reload was refused, and serves on")
+def step_refused(context):
+    _eventually(lambda: _said(context, "reload refused"), "a refusal")
+    assert _ready(context)
+
+
+@behave.when("it is told to stop while a request is in progress")
+def step_stop(context):
+    asking = eventlet.spawn(_ask, context)
+    _eventually(lambda: len(context.runner.requests) > 1, "a request")
+    context.process.send_signal(signal.SIGTERM)
+    _eventually(lambda: _said(context, "stopping"), "a line of the stop")
+    context.ready = _ready(context)
+    context.got = asking.wait()
+
+
+@behave.then("it is ready no more, and the caller gets the answer")
+def step_not_ready(context):
+    assert not context.ready
+    step_answer(context)
+
+
+@behave.then("it ends by itself with 0")
+def step_ended(context):
+    _eventually(lambda: context.process.poll() is not None, "its end")
+    assert context.process.poll() == 0, context.log.read_text()[-500:]
+
+
+@behave.when("the program is started with a settings file without an address")
+def step_no_address(context):
+    _prepare(context)
+    _file(context, Platform={})
+    context.process = _start(context)
+
+
+@behave.then("it ends with 2 and names the field")
+def step_names(context):
+    _eventually(lambda: context.process.poll() is not None, "its end")
+    assert context.process.poll() == 2
+    assert "Address" in context.log.read_text(), context.log.read_text()
+
+
+@behave.when("the program is asked to check a settings file")
+def step_check(context):
+    _prepare(context)
+    _file(context)
+    context.process = _start(context, "check", str(context.path))
+
+
+@behave.then("it prints the daemon's own settings")
+def step_printed(context):
+    _eventually(lambda: context.process.poll() is not None, "its end")
+    shown = json.loads(context.log.read_text())
+    assert shown["grace"] == 8_000
+    assert shown["repeats"]["slack"] == 130
