--- /dev/null
+++ b/tests/routes/steps/catalogue_steps.py
@@ -0,0 +1,169 @@
+"""Steps about routes, keys and versions."""
+
+import collections
+import random
+
+import behave
+
+from citronvalve.forward import callerrequest
+from citronvalve.forward import dialect
+from citronvalve.forward import directory as directories
+from citronvalve.forward import environment as environments
+from citronvalve.forward import intake
+from citronvalve.model import decisionlog
+from citronvalve.model import manualclock
+from citronvalve.routes import catalogue
+from citronvalve.routes import keyholder
+from citronvalve.routes import kind
+from citronvalve.routes import route
+from citronvalve.routes import share
+
+
+class _Quiet(decisionlog.DecisionLog):
+    def note(self, event, request="", **inputs):
+        pass
+
+    def change(self, event, **inputs):
+        pass
+
+
+def _route(name, host, prefix, shares=(share.Share("s", 1.0),)):
+    return route.Route(
+        name,
+        host,
+        prefix,
+        kind.RequestKind.IDEMPOTENT,
+        tuple(shares),
+        1_000,
+        100,
+    )
+
+
+def _catalogue(routes, version=1, keys=()):
+    return catalogue.Catalogue(
+        version,
+        {(r.host, r.prefix): r for r in routes},
+        {},
+        {key: keyholder.KeyHolder("team") for key in keys},
+    )
+
+
+@behave.given(
+    "routes for /a/, /a/b/ and /c/ of h.example and /a/ of g.example"
+)
+def step_routes(context):
+    context.catalogue = _catalogue(
+        [
+            _route("h-a", "h.example", "/a/"),
+            _route("h-ab", "h.example", "/a/b/"),
+            _route("h-c", "h.example", "/c/"),
+            _route("g-a", "g.example", "/a/"),
+        ]
+    )
+
+
+@behave.when("a request for {path} of {host} comes")
+def step_request(context, path, host):
+    context.found = context.catalogue.find(host, path)
+
+
+@behave.then("its route is {name}")
+def step_route(context, name):
+    found = context.found.name if context.found else "none"
+    assert found == name, found
+
+
+@behave.given("a directory that holds version 7 with a key")
+def step_directory(context):
+    context.directory = directories.Directory("z")
+    assert context.directory.adopt(_catalogue([], 7, ["k"]))
+
+
+@behave.when("version 5 without the key arrives")
+def step_older(context):
+    assert not context.directory.adopt(_catalogue([], 5))
+
+
+@behave.then("version 7 is in force, with the key")
+def step_in_force(context):
+    assert context.directory.catalogue.version == 7
+    assert "k" in context.directory.catalogue.holder_by_key
+
+
+@behave.given("a route split 90 to 10 to 0")
+def step_split(context):
+    parts = [
+        share.Share(name, weight)
+        for name, weight in (("a", 90), ("b", 10), ("c", 0))
+    ]
+    context.route = _route("r", "h", "/", parts)
+
+
+@behave.when("{count:d} requests are sent")
+def step_send(context, count):
+    chance = random.Random(5)
+    context.count = count
+    context.picked = collections.Counter(
+        context.route.pick(chance) for _ in range(count)
+    )
+
+
+@behave.then("the shares are within 3 in 100 of 90, 10 and 0")
+def step_shares(context):
+    for name, wanted in (("a", 0.9), ("b", 0.1), ("c", 0.0)):
+        seen = context.picked[name] / context.count
+        assert abs(seen - wanted) <= 0.03, context.picked
+    assert not context.picked["c"]
+
+
+@behave.given("an intake whose catalogue was confirmed 10 s ago")
+def step_intake(context):
+    context.clock = manualclock.ManualClock()
+    context.clock.advance(100_000)
+    env = environments.Environment(
+        "d",
+        "z",
+        context.clock,
+        random.Random(1),
+        _Quiet(),
+        dialect.Dialect(),
+    )
+    context.directory = directories.Directory("z")
+    context.directory.adopt(_catalogue([_route("r", "h", "/a/")]))
+    context.directory.known = True
+    context.directory.confirmed_at = context.clock.now() - 10_000
+    context.intake = intake.Intake(env, context.directory)
+
+
+def _ask(context):
+    context.refused = context.intake.admit(
+        callerrequest.CallerRequest(
+            b"GET",
+            b"/b/x",
+            [(b"host", b"h"), (b"x-request-id", b"1")],
+            b"",
+            context.clock.now(),
+        )
+    )
+
+
+@behave.when("a request for an unknown path comes")
+def step_unknown(context):
+    _ask(context)
+
+
+@behave.when("its catalogue is confirmed and the request comes again")
+def step_confirmed(context):
+    context.directory.confirmed_at = context.clock.now()
+    _ask(context)
+
+
+@behave.then("it is refused with {status:d} and told when to come back")
+def step_come_back(context, status):
+    assert context.refused.status == status, context.refused
+    assert context.refused.retry_after > 0
+
+
+@behave.then("it is refused with {status:d}")
+def step_refused(context, status):
+    assert context.refused.status == status, context.refused
