Ask anew and wait after a cut has healed, before anything is closed or formed there

When a zone came back from a cut, runners that had gone silent behind it still counted as lost: played again, the leader told members of sound groups to leave (39.65 s to 40.9 s), and orders held up by the cut arrived among new ones. Ruled out: a late order to open by itself: its members were bound. Change: a data centre of which nobody answered for a second is behind a cut; when it answers again its runners are asked anew, and nothing is closed, formed or left there for 2.5 s, in which its entries come back.

--- a/src/citronvalve/replicas/heads.py
+++ b/src/citronvalve/replicas/heads.py
@@ -108,8 +108,6 @@
         head = self._head_by_key.get(key)
         if head is not None and self._has_moved_on(head, key):
             return False
-        if not self._lives.is_reachable(members[0].datacentre):
-            return True
         if not self._is_missed(key, head, now):
             return True
         # Counted from when the last of them has left: an order to leave may
--- a/src/citronvalve/replicas/lives.py
+++ b/src/citronvalve/replicas/lives.py
@@ -18,6 +18,14 @@
 #: One that left the list and answers is looked at less often.
 _UNLISTED_AGAIN: clock.Ms = 2_000
 
+#: A data centre of which nobody answers for so long is behind a cut; after a
+#: single loss another runner there answers within a third of it.
+_CUT: clock.Ms = 1_000
+
+#: Once a cut has healed, what is known of the data centre is old for so long:
+#: its entries come back within two seconds, orders that were held up arrive.
+_SETTLING: clock.Ms = 2_500
+
 #: One that left the list is kept in mind for this long.
 _KEPT: clock.Ms = 30_000
 
@@ -45,6 +53,8 @@
         self._listed: dict[str, runners.Runner] = {}
         self._answered: dict[str, clock.Ms] = {}
         self._witnessed_at: clock.Ms = -_WITNESS
+        self._silent_since: dict[str, clock.Ms] = {}
+        self._healed_at: dict[str, clock.Ms] = {}
 
     def listed(
         self, runner_by_id: dict[str, runners.Runner], now: clock.Ms
@@ -157,6 +167,40 @@
                 due.append(runner)
         return due
 
+    def is_settled(self, datacentre: str, now: clock.Ms) -> bool:
+        """Tell whether what is known of a data centre can be acted on.
+
+        :param datacentre: its name.
+        :param now: monotonic ms.
+        """
+        if not self.is_reachable(datacentre):
+            return False
+        healed = self._healed_at.get(datacentre)
+        return healed is None or now - healed >= _SETTLING
+
+    def watch_cuts(self, now: clock.Ms) -> None:
+        """Note which data centres are behind a cut, and which are back.
+
+        Whoever went silent behind a cut is asked anew when it has healed;
+        taken for lost, it would lose its group, which served all the while.
+
+        :param now: monotonic ms.
+        """
+        for datacentre in self._lost_at_by_datacentre():
+            if not self.is_reachable(datacentre):
+                self._silent_since.setdefault(datacentre, now)
+                continue
+            since = self._silent_since.pop(datacentre, None)
+            if since is not None and now - since >= _CUT:
+                self._healed_at[datacentre] = now
+                self._doubt_anew(datacentre)
+
+    def _doubt_anew(self, datacentre: str) -> None:
+        for runner in self._doubt_by_id:
+            held = self.find(runner)
+            if held is not None and held.datacentre == datacentre:
+                self._doubt_by_id[runner] = _Doubt()
+
     def _is_in(self, runner: str, datacentre: str) -> bool:
         held = self._listed.get(runner)
         return held is not None and held.datacentre == datacentre
--- a/src/citronvalve/replicas/planner.py
+++ b/src/citronvalve/replicas/planner.py
@@ -115,7 +115,8 @@
         bound |= self._advance_all(found, count_by_model, now)
         by_domain: dict[str, list[runners.Runner]] = {}
         for runner in self._usable():
-            if runner.id not in bound:
+            settled = self.lives.is_settled(runner.datacentre, now)
+            if settled and runner.id not in bound:
                 by_domain.setdefault(runner.domain, []).append(runner)
         filling = self.early and now - self._grown_at < _FILLING
         self._forming.form(by_domain, count_by_model, filling, now)
@@ -135,6 +136,7 @@
             self._grown_at = now
         self._listed = len(runner_by_id)
         self.lives.listed(runner_by_id, now)
+        self.lives.watch_cuts(now)
         known = self.lives.known()
         self._heads.remember(known)
         self._weights.remember(known)
@@ -199,12 +201,13 @@
         if key in self._forming.pending_by_key:
             return True
         head = standing.head
+        datacentre = next(iter(standing.member_by_rank.values())).datacentre
+        if not self.lives.is_settled(datacentre, now):
+            return True
         if head is None:
             self._dissolved.setdefault(key, now)
             return self._heads.await_break(standing, now)
         self._heads.seen(key)
-        if not self.lives.is_reachable(head.datacentre):
-            return True
         if standing.phase in phases.SERVING:
             if self._is_sound(standing, spare):
                 self._dissolved.pop(key, None)
--- a/tests/replicas/planning.feature
+++ b/tests/replicas/planning.feature
@@ -67,6 +67,19 @@
     And all its heads there are accused
     Then for 6 s no order is given to a runner of "zone-1"
 
+  Scenario: a cut heals
+    All behind it served their own callers. Entries lapsed and come back one
+    after the other, heads last; nobody there may lose its group for it.
+
+    Given 6 domains of 11 runners serve
+    When every runner of "zone-1" goes silent to the leader
+    And all its heads there are accused
+    And for 4 s nothing else happens
+    And the entries of "zone-1" lapse for 2 s
+    And the cut heals, and its heads are listed 1 s after the others
+    Then for 6 s no order is given to a runner of "zone-1"
+    And within 4 s there are 6 replicas of "large" and 6 of "small"
+
   Scenario: a whole domain goes dark
     Another domain of the same data centre answers, so it is no cut. On their
     hosts lies the other model than each had served, so what comes back first
--- a/tests/replicas/steps/planning_steps.py
+++ b/tests/replicas/steps/planning_steps.py
@@ -447,3 +447,26 @@
     late, context.world.late = context.world.late, []
     for act in late:
         context.world.carry_out(act)
+
+
+@behave.when('the entries of "{zone}" lapse for {seconds:d} s')
+def step_entries_lapse(context, zone, seconds):
+    world = context.world
+    world.unlisted = {r.id for r in context.there}
+    world.run(seconds * 1_000)
+
+
+@behave.when("the cut heals, and its heads are listed 1 s after the others")
+def step_heals(context):
+    world = context.world
+    heads = {r.id for r in context.there if r.is_open_head}
+    world.dark -= {r.id for r in context.there}
+    context.began = world.now
+    world.unlisted = heads
+    world.run(1_000)
+    world.unlisted = set()
+    there = {r.id for r in context.there}
+    given = [
+        a for at, a in world.given if at >= context.began and a.runner in there
+    ]
+    assert not given, given
