--- a/tests/adapter/store.feature
+++ b/tests/adapter/store.feature
@@ -55,7 +55,7 @@
     And after that it makes one
 
   Scenario: a reader whose own call hangs vouches on for a while
-    Then it falls silent. Its word is as old as what it read. A runner that left meanwhile would get
+    Its word is as old as what it read. A runner that left meanwhile would get
     requests later than two seconds after the store said so.
 
     Given a store of rows
