Let a leader that is cut off give no orders until it has renewed

Ruled out: an order that was held up: all were answered at once. Change: without a renewal in 2.2 s a leader acts only while it hears most other daemons; once it did not, it acts again only after it has renewed.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -136,10 +136,11 @@
             self._book,
             self._ports.orders,
             self._settings.stall,
-            lambda: self._lease.held,
+            lambda: self._lease.held if self._lease.may_act() else 0,
             self._is_early,
         )
         self._news.on_standstill = self._on_standstill
+        self._lease.company = self._news.has_company
         self._news.on_crash = self._crashes.learn
         self._crashes.on_crash = self._news.tell_crash
         self._news.is_pressed = self._means.placing.is_pressed
--- a/src/citronvalve/daemon/newstask.py
+++ b/src/citronvalve/daemon/newstask.py
@@ -32,6 +32,10 @@
 #: The same is told again after this time, before it counts no more.
 _LOADS_SAME: clock.Ms = 450
 
+#: A daemon that was heard this lately is in sight; each tells its requests
+#: twice in it.
+_IN_SIGHT: clock.Ms = 1_000
+
 #: Larger changes are not spread: who misses them reads them itself.
 _MOST_BYTES = 90_000
 
@@ -81,6 +85,7 @@
         }
         self.on_crash: Callable[[str, str], None] = lambda *_: None
         self.is_pressed: Callable[[], bool] = lambda: False
+        self._heard_at: dict[str, clock.Ms] = {}
         self._greeted: set[str] = set()
         self.tail_by_table: dict[str, tails.Tail] = {}
         self.on_standstill: Callable[[str], None] = lambda _: None
@@ -134,6 +139,16 @@
         """
         self._tell_all(news.Crash(fingerprint, upstream))
 
+    def has_company(self) -> bool:
+        """Tell whether most of the other daemons were heard just now."""
+        others = self._lease.address_by_name.keys() - {self._env.name}
+        now = self._env.clock.now()
+        heard = sum(
+            now - self._heard_at.get(name, now - _IN_SIGHT) < _IN_SIGHT
+            for name in others
+        )
+        return 2 * heard > len(others) or not others
+
     def _receive(self) -> None:
         while True:
             data = self._sockets.receive()
@@ -225,6 +240,7 @@
 
     def _on_loads(self, message: news.Loads) -> None:
         now = self._env.clock.now()
+        self._heard_at[message.name] = now
         known = self._book.load_by_upstream.keys()
         for upstream in known | message.by_upstream.keys():
             count, late = message.by_upstream.get(upstream, (0, 0))
--- a/src/citronvalve/replicas/lease.py
+++ b/src/citronvalve/replicas/lease.py
@@ -1,5 +1,6 @@
 """Which daemon leads the replica groups."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import itertools
 
@@ -54,6 +55,7 @@
     :ivar held: version at which this daemon took the lead, or 0.
     :ivar leader: the daemon that leads, as far as is known.
     :ivar newest: the highest lease that was heard of.
+    :ivar company: tells whether most daemons were heard just now.
     :ivar renewed_at: monotonic ms of the last answer of the store, or None.
     :ivar address_by_name: where other daemons are reached.
     """
@@ -78,6 +80,8 @@
         self._heard_at: clock.Ms | None = None
         self._listed_at: clock.Ms | None = None
         self.renewed_at: clock.Ms | None = None
+        self._suspended = False
+        self.company: Callable[[], bool] = lambda: False
         self.held = 0
         self.leader = ""
         self.newest = 0
@@ -114,6 +118,20 @@
             return False
         return self._clock.now() - self.renewed_at < _SILENT
 
+    def may_act(self) -> bool:
+        """Tell whether this daemon may give orders now.
+
+        While the store is away for all, nobody else can take the lead, and
+        repairs go on as long as most daemons are in sight.  A leader that is
+        cut off from them too may have been followed by another, which closes
+        what it would open; it acts again only after it has renewed.
+        """
+        if self.leads:
+            self._suspended = False
+        elif not self.company():
+            self._suspended = True
+        return bool(self.held) and not self._suspended
+
     @property
     def daemons(self) -> int:
         """Return how many daemons are known."""
--- a/tests/replicas/lead.feature
+++ b/tests/replicas/lead.feature
@@ -44,6 +44,15 @@
     Then within 6 s another leads, by a higher lease
     And when a hears of it, it leads no more
 
+  Scenario: the leader is cut off from the store and from the others
+    Another takes the lead and closes what stands still. Once the cut heals the
+    old one must not open it again before it has learnt of that.
+
+    Given daemons a, b, c, of which a leads
+    When a is cut off from the store and from the others for 6 s
+    Then a gives no order from 3 s after the cut on
+    And once the store can be reached again a gives none before it has renewed
+
   Scenario: a leader that is heard is not looked for in the store
     Each look is paid for.
 
--- a/tests/replicas/steps/lead_steps.py
+++ b/tests/replicas/steps/lead_steps.py
@@ -151,6 +151,8 @@
 def step_holds(context):
     assert set(context.held) == {context.first}
     assert not context.spoke
+    # The others are in sight, so repairs go on.
+    context.lease["a"].company = lambda: True
 
 
 @behave.then(
@@ -187,3 +189,36 @@
 def step_leads_again(context, seconds):
     _run(context, seconds * 1_000)
     assert context.lease["a"].held > context.first
+
+
+@behave.when(
+    "a is cut off from the store and from the others for {seconds:d} s"
+)
+def step_cut_off(context, seconds):
+    context.lease["a"].company = lambda: False
+    context.door["a"].shut = True
+    _run(context, 3_000)
+    context.acts = []
+    _run(
+        context,
+        (seconds - 3) * 1_000,
+        each=lambda: context.acts.append(context.lease["a"].may_act()),
+    )
+
+
+@behave.then("a gives no order from 3 s after the cut on")
+def step_no_act(context):
+    assert context.acts and not any(context.acts)
+
+
+@behave.then(
+    "once the store can be reached again a gives none before it has renewed"
+)
+def step_none_before(context):
+    context.lease["a"].company = lambda: True
+    assert not context.lease["a"].may_act()
+    context.door["a"].shut = False
+    _run(context, 1_000)
+    assert not context.lease["a"].may_act()
+    led = [n for n in "bc" if context.lease[n].may_act()]
+    assert len(led) == 1, led
