Make the test of a leaving caller one that can fail, share the quiet log

Cause: read as a newcomer with safeguards taken out on a copy: with the watch for the caller's close switched off, 'the caller leaves while its stream runs' still passed, since the next runner's answer met the closed connection. Ruled out: a fault of the program: the watch works; only the test was blind. Change: both runners are silent and the stand-in counts the closes it sees, in a stream, before its first event and on a plain request; one quiet log in place of four. The program is unchanged.

--- a/standins/scriptedrunner.py
+++ b/standins/scriptedrunner.py
@@ -20,7 +20,7 @@
     :ivar requests: heads of the requests that came, as text.
     :ivar runs: how many it ran.
     :ivar bodies: of those requests.
-    :ivar closed_on: connections on which it could not write any more.
+    :ivar closed_on: connections that its caller closed while it was silent.
     """
 
     def __init__(
@@ -57,8 +57,8 @@
             while self._one(sock):
                 pass
         except OSError:
-            # The caller closed; that is what some scenarios are about.
-            self.closed_on += 1
+            # The caller closed in the middle; the scenario looks at its side.
+            pass
         finally:
             sock.close()
 
@@ -98,6 +98,17 @@
         first = int(fields.get("last-event-id", 0)) + 1
         return [_chunk(_event(n)) for n in range(first, until + 1)]
 
+    def _stay_silent(self, sock) -> bool:
+        sock.settimeout(_SILENCE)
+        try:
+            closed = not sock.recv(1)
+        except TimeoutError:
+            return False
+        except OSError:
+            closed = True
+        self.closed_on += closed
+        return False
+
     def _whole(self, sock, fields) -> bool:
         self.runs += 1
         body = b"answer of " + self._name.encode()
@@ -127,8 +138,7 @@
         sock.sendall(self._stream_head(fields))
         for event in self._events(fields, until=3):
             sock.sendall(event)
-        eventlet.sleep(_SILENCE)
-        return False
+        return self._stay_silent(sock)
 
     def _skips_an_event(self, sock, fields) -> bool:
         self.runs += 1
@@ -140,8 +150,7 @@
 
     def _silent(self, sock, fields) -> bool:
         self.runs += 1
-        eventlet.sleep(_SILENCE)
-        return False
+        return self._stay_silent(sock)
 
     def _takes_a_second(self, sock, fields) -> bool:
         eventlet.sleep(1)
--- a/tests/adapter/steps/adapter_steps.py
+++ b/tests/adapter/steps/adapter_steps.py
@@ -9,25 +9,17 @@
 import eventlet
 
 from citronvalve.model import clock
-from citronvalve.model import decisionlog
 from citronvalve.model import missing
 from citronvalve.routes import kind
 from citronvalve.storage import client
 from citronvalve.storage import rows
 from citronvalve.storage import tail
 from standins import rowstore
+from tests import quietlog
 
 _TIMEOUT = 700
 
 
-class _Quiet(decisionlog.DecisionLog):
-    def note(self, event, request="", **inputs):
-        pass
-
-    def change(self, event, **inputs):
-        pass
-
-
 class _Held(tail.Reader):
     def __init__(self):
         self.keys = set()
@@ -67,7 +59,12 @@
     context.held = _Held()
     context.clock = clock.SystemClock()
     context.tail = tail.Tail(
-        context.service, "t", context.held, _Quiet(), context.clock, None
+        context.service,
+        "t",
+        context.held,
+        quietlog.QuietLog(),
+        context.clock,
+        None,
     )
     context.tail.step()
     assert len(context.held.keys) == 3
--- a/tests/bounds/steps/bounds_steps.py
+++ b/tests/bounds/steps/bounds_steps.py
@@ -8,7 +8,6 @@
 from citronvalve.forward import dialect
 from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
-from citronvalve.model import decisionlog
 from citronvalve.model import manualclock
 from citronvalve.policy import coldrate
 from citronvalve.policy import repeatbudget
@@ -17,20 +16,13 @@
 from citronvalve.replicas import phase
 from citronvalve.replicas import runner as runners
 from citronvalve.storage import rows
+from tests import quietlog
 
 _TERMS = repeatbudget.RepeatTerms(0.2, 130, 10_000)
 _RATE = 59
 _TICK = 5
 
 
-class _Quiet(decisionlog.DecisionLog):
-    def note(self, event, request="", **inputs):
-        pass
-
-    def change(self, event, **inputs):
-        pass
-
-
 @behave.given("{count:d} daemons with 0.2 repeats a request and 130 in 10 s")
 def step_budgets(context, count):
     context.budgets = [repeatbudget.RepeatBudget(_TERMS) for _ in range(count)]
@@ -152,7 +144,7 @@
         "z-1",
         context.clock,
         random.Random(1),
-        _Quiet(),
+        quietlog.QuietLog(),
         dialect.Dialect(),
     )
     context.directory = directories.Directory("z-1")
--- a/tests/forward/answers.feature
+++ b/tests/forward/answers.feature
@@ -92,12 +92,19 @@
     Then at most 3 runners were lost to it
     And a caller that calls /any/other is answered by a runner
 
-  Scenario: the caller leaves while its stream runs
-    The runner would work on for nobody.
+  Scenario Outline: the caller leaves <when>
+    The runner would work on for nobody, and both runners are silent, so that
+    nothing but the caller's close can end the request.
 
-    Given two heads, of which the first "silent_after_three"
-    When a caller leaves its stream after the first event
-    Then within 0.5 s the runner sees its connection closed
+    Given two <kind>, of which both "<way>"
+    When a caller leaves <path> <when>
+    Then within 0.5 s the runner sees its connection closed, and only one ran
+
+    Examples:
+      | kind          | way                | path      | when                   |
+      | heads         | silent_after_three | /stream/a | after the first event  |
+      | heads         | silent             | /stream/a | before the first event |
+      | plain runners | silent             | /once/a   | before the first event |
 
   Scenario: headers that only the system may set
     A caller that names another team, another runner or its own rank must not
--- a/tests/forward/steps/forward_steps.py
+++ b/tests/forward/steps/forward_steps.py
@@ -80,16 +80,19 @@
     context.got = context.rig.send(path, body=b"question")
 
 
-@behave.when("a caller leaves its stream after the first event")
-def step_leave(context):
+@behave.when("a caller leaves {path} {when} the first event")
+def step_leave(context, path, when):
     host, _, port = context.rig.address.rpartition(":")
     sock = socket.create_connection((host, int(port)))
     sock.sendall(
-        b"POST /stream/a HTTP/1.1\r\nHost: h.example\r\nX-Key: secret\r\n"
-        b"X-Request-Id: r\r\nX-Model: large\r\nContent-Length: 0\r\n\r\n"
+        f"POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Key: secret\r\n"
+        "X-Request-Id: r\r\nX-Model: large\r\n"
+        "Content-Length: 0\r\n\r\n".encode()
     )
-    while b"id: 1" not in sock.recv(65_536):
+    while when == "after" and b"id: 1" not in sock.recv(65_536):
         pass
+    while not context.rig.runs():
+        eventlet.sleep(0.01)
     sock.close()
 
 
@@ -136,13 +139,17 @@
     assert re.search(rb"(?i)\r\nretry-after: 0\.\d+", context.got), context.got
 
 
-@behave.then("within {seconds:g} s the runner sees its connection closed")
+@behave.then(
+    "within {seconds:g} s the runner sees its connection closed, and only one "
+    "ran"
+)
 def step_closed(context, seconds):
-    # A silent stand-in notices only when it writes; the daemon's side is
-    # what counts: it holds no request any more.
+    made = context.rig.runners.values()
     until = time.monotonic() + seconds
-    while context.rig.forwarder.in_progress and time.monotonic() < until:
+    while time.monotonic() < until and not any(r.closed_on for r in made):
         eventlet.sleep(0.01)
+    assert sum(r.closed_on for r in made) == 1
+    assert context.rig.runs() == 1
     assert not context.rig.forwarder.in_progress
 
 
--- a/tests/replicas/steps/lead_steps.py
+++ b/tests/replicas/steps/lead_steps.py
@@ -2,20 +2,12 @@
 
 import behave
 
-from citronvalve.model import decisionlog
 from citronvalve.model import manualclock
 from citronvalve.model import missing
 from citronvalve.replicas import lease
 from citronvalve.storage import tableservice
 from standins import memorytable
-
-
-class _Quiet(decisionlog.DecisionLog):
-    def note(self, event, request="", **inputs):
-        pass
-
-    def change(self, event, **inputs):
-        pass
+from tests import quietlog
 
 
 class _Door(tableservice.TableService):
@@ -66,7 +58,11 @@
     context.door = {name: _Door(store) for name in "abc"}
     context.lease = {
         name: lease.Lease(
-            context.door[name], name, f"addr-{name}", context.clock, _Quiet()
+            context.door[name],
+            name,
+            f"addr-{name}",
+            context.clock,
+            quietlog.QuietLog(),
         )
         for name in "abc"
     }
@@ -180,7 +176,7 @@
     context.alive.remove("a")
     _run(context, seconds * 1_000)
     context.lease["a"] = lease.Lease(
-        context.door["a"], "a", "addr-a", context.clock, _Quiet()
+        context.door["a"], "a", "addr-a", context.clock, quietlog.QuietLog()
     )
     context.alive.insert(0, "a")
 
--- a/tests/routes/steps/catalogue_steps.py
+++ b/tests/routes/steps/catalogue_steps.py
@@ -10,21 +10,13 @@
 from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
 from citronvalve.forward import intake
-from citronvalve.model import decisionlog
 from citronvalve.model import manualclock
 from citronvalve.routes import catalogue
 from citronvalve.routes import keyholder
 from citronvalve.routes import kind
 from citronvalve.routes import route
 from citronvalve.routes import share
-
-
-class _Quiet(decisionlog.DecisionLog):
-    def note(self, event, request="", **inputs):
-        pass
-
-    def change(self, event, **inputs):
-        pass
+from tests import quietlog
 
 
 def _route(name, host, prefix, shares=(share.Share("s", 1.0),)):
@@ -125,7 +117,7 @@
         "z",
         context.clock,
         random.Random(1),
-        _Quiet(),
+        quietlog.QuietLog(),
         dialect.Dialect(),
     )
     context.directory = directories.Directory("z")
