Refuse versions of HTTP that nobody speaks

Cause: h11 reads any digit.digit as a version and frames it as 1.1, so HTTP/9.9 was served. Ruled out: a setting of the parser; there is none. Change: the version is checked beside the other strict checks; 505 and closed.

--- a/src/citronvalve/forward/callerconnection.py
+++ b/src/citronvalve/forward/callerconnection.py
@@ -35,6 +35,8 @@
 #: Past the idle time, so that a request sent at its very end is not cut.
 _IDLE_SLACK: clock.Ms = 1_000
 
+_VERSIONS = frozenset({b"1.0", b"1.1"})
+
 Handler = Callable[[callerrequest.CallerRequest, reply.Reply], None]
 
 
@@ -261,6 +263,12 @@
 
 
 def _check(head: h11.Request) -> None:
+    if head.http_version not in _VERSIONS:
+        # The parser reads any version as 1.1, though another one may frame
+        # its bodies otherwise; what follows could then be run as a request.
+        raise h11.RemoteProtocolError(
+            "this version of HTTP is not served", error_status_hint=505
+        )
     names = [name for name, _ in head.headers]
     if b"transfer-encoding" in names and b"content-length" in names:
         raise h11.RemoteProtocolError(
