--- a/src/citronvalve/daemon/green.py
+++ b/src/citronvalve/daemon/green.py
@@ -12,7 +12,7 @@
     """
     os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
     with warnings.catch_warnings():
-        # Its deprecation is known and weighed in docs/design/eventlet.md;
+        # Its deprecation is known and weighed in docs/design/house.md;
         # printed at each start it would hide warnings that matter.
         warnings.simplefilter("ignore")
         import eventlet
--- a/standins/soak/runner.py
+++ b/standins/soak/runner.py
@@ -291,8 +291,8 @@
             if held is None or held.rank or held.state != "open":
                 return self._not_run(start_response, 421)
             until = time.monotonic() + _STALL
-            while self._stands_still():
-                if time.monotonic() >= until or not self.is_with(held):
+            while self._stands_still() or not self._serves(held):
+                if time.monotonic() >= until or not self._serves(held):
                     return self._not_run(start_response, 503)
                 eventlet.sleep(0.05)
             self._look_at_group(held, environ.get("HTTP_X_MODEL", ""))
@@ -342,6 +342,9 @@
 
         return events()
 
+    def _serves(self, held: Group) -> bool:
+        return self.is_with(held) and held.state in ("open", "closing")
+
     def _look_at_group(self, held: Group, model: str) -> None:
         size = self._sizes.get(model)
         detail = f"{held.name} with {len(held.members)} of {size} for {model}"
