Tell a reading's last change apart from the platform's counter

Cause: the store's revision is one counter of all tables and rises with each renewal of the lead. A word on a revision above one's own was taken for a change that had not arrived, so every follower asked the store itself, once or twice a second; and an empty answer, held back for 0.8 s, counted as known since the question, so that words were 1 to 2 s old where 1.5 s are believed. Daemons that listed the others too early took ten seconds to find out. Ruled out: lost messages (each beat arrived, at 300 ms). Change: a word tells the last change and how far was read; an empty answer is known until the end of its wait; the leader tells how many daemons it knows. The new scenarios of tests/storage and tests/replicas pass.

--- a/src/citronvalve/daemon/newstask.py
+++ b/src/citronvalve/daemon/newstask.py
@@ -239,11 +239,13 @@
     def _own_beat(self, lease: int) -> news.Beat:
         now = self._env.clock.now()
         told = tuple(
-            news.Told(table, tail.revision, now - tail.confirmed_at)
+            news.Told(
+                table, tail.changed, tail.revision, now - tail.confirmed_at
+            )
             for table, tail in self.tail_by_table.items()
             if tail.revision and tail.confirmed_at
         )
-        return news.Beat(self._env.name, lease, told)
+        return news.Beat(self._env.name, lease, self._lease.daemons, told)
 
     def _tell_all(self, item: news.Item) -> None:
         now = self._env.clock.now()
@@ -271,12 +273,14 @@
 
     def _on_beat(self, message: news.Beat) -> None:
         lease = message.lease
-        if lease and not self._lease.heard(message.name, lease):
+        if lease and not self._lease.heard(
+            message.name, lease, message.daemons
+        ):
             return
         for told in message.tables:
             tail = self.tail_by_table.get(told.table)
             if tail is not None:
-                tail.vouch(told.revision, told.age)
+                tail.vouch(told.changed, told.revision, told.age)
 
     def _on_changes(self, message: news.Changes) -> None:
         tail = self.tail_by_table.get(message.table)
--- a/src/citronvalve/peers/news.py
+++ b/src/citronvalve/peers/news.py
@@ -12,9 +12,13 @@
 
 
 class Told(msgspec.Struct, array_like=True, frozen=True):
-    """How far the sender has read a table, and when that was known."""
+    """How far the sender has read a table, and when that was known.
+
+    The last change came with ``changed``; there was none up to ``revision``.
+    """
 
     table: str
+    changed: int
     revision: int
     age: clock.Ms
 
@@ -30,11 +34,13 @@
 class Beat(msgspec.Struct, tag="beat", array_like=True, frozen=True):
     """The sender reads the platform for the others.
 
-    ``lease`` is that by which it leads, 0 if it only keeps a data centre.
+    ``lease`` is that by which it leads, 0 if it only keeps a data centre;
+    ``daemons`` is how many daemons it knows.
     """
 
     name: str
     lease: int
+    daemons: int
     tables: tuple[Told, ...]
 
 
--- a/src/citronvalve/replicas/lease.py
+++ b/src/citronvalve/replicas/lease.py
@@ -32,6 +32,11 @@
 #: Even then the list of daemons is read once in this time.
 _LIST: clock.Ms = 10_000
 
+#: A leader reads it this often for a while after it took the lead, since at
+#: the start daemons come one after the other.
+_LIST_NEW: clock.Ms = 1_000
+_NEW: clock.Ms = 5_000
+
 
 #: Epochs of one lease; a leader forms far fewer groups.
 _EPOCHS = 100_000
@@ -87,6 +92,8 @@
         self._here = here
         self._heard_at: clock.Ms | None = None
         self._listed_at: clock.Ms | None = None
+        self._taken_at: clock.Ms | None = None
+        self._told_daemons = 0
         self.renewed_at: clock.Ms | None = None
         self._suspended = False
         self.company: Callable[[], bool] = lambda: False
@@ -99,7 +106,8 @@
         """Renew, look or take; a failure leaves everything as it is."""
         if self.held and self._row is not None:
             self._renew()
-            if not self._is_due(self._listed_at, _LIST):
+            new = not self._is_due(self._taken_at, _NEW)
+            if not self._is_due(self._listed_at, _LIST_NEW if new else _LIST):
                 return
         elif self.hears_leader:
             if not self._is_due(self._listed_at, _LIST):
@@ -149,14 +157,19 @@
         """Return how many daemons are known."""
         return max(1, len(self.peer_by_name))
 
-    def heard(self, name: str, lease: int) -> bool:
+    def heard(self, name: str, lease: int, daemons: int = 0) -> bool:
         """Take in that a daemon says it leads; tell whether it is believed.
 
         :param name: the daemon.
         :param lease: version at which it took the lead.
+        :param daemons: how many it knows; with more than before the list is
+            read once more, so that all rank the same daemons.
         """
         if lease < self.newest:
             return False
+        if daemons > max(self._told_daemons, len(self.peer_by_name)):
+            self._told_daemons = daemons
+            self._listed_at = None
         self.newest, self.leader = lease, name
         self._heard_at = self._clock.now()
         if self.held and lease > self.held:
@@ -224,6 +237,7 @@
         done = self._write(self._name)
         if isinstance(done, rows.Committed):
             self.held = self.newest = done.revision
+            self._taken_at = self._clock.now()
             self.leader = self._name
             self._log.change("lead taken", lease=self.held)
 
--- a/src/citronvalve/storage/tail.py
+++ b/src/citronvalve/storage/tail.py
@@ -79,6 +79,8 @@
     :ivar is_reader: tells whether others go by what this daemon reads; one
         that is none asks only when nobody's word has come.
     :ivar revision: how far the table is known, 0 before the first reading.
+    :ivar changed: revision up to which the last change came; the platform's
+        counter goes on with the changes of other tables.
     :ivar confirmed_at: monotonic ms at which that was the newest, or 0.
     :ivar failing_since: monotonic ms since which no call succeeds, or None.
     :ivar failed_at: monotonic ms of the last failed call, or None.
@@ -104,6 +106,7 @@
         self.on_read: Callable[[int, rows.Scan], None] = lambda *_: None
         self.is_reader: Callable[[], bool] = lambda: True
         self.revision = 0
+        self.changed = 0
         self.confirmed_at: clock.Ms = 0
         self.failing_since: clock.Ms | None = None
         self.failed_at: clock.Ms | None = None
@@ -120,11 +123,12 @@
         if self.revision and asked < self._own_turn(reads):
             return _LOOK
         base = self.revision
+        wait = 0
         if not base:
             got = self._service.scan(self._table)
         else:
-            fresh = reads and asked - self.confirmed_at < _STALE
-            wait = _WAIT if fresh else 0
+            if reads and asked - self.confirmed_at < _STALE:
+                wait = _WAIT
             got = self._service.follow(self._table, base, wait)
         if isinstance(got, missing.NotFound):
             self._log.change("history lost", table=self._table)
@@ -135,12 +139,12 @@
         self._regained()
         if not base:
             self._reader.whole(got.rows)
-            self.revision = got.revision
+            self.revision = self.changed = got.revision
         elif got.revision >= self.revision:
             self._take(got)
-        # An answer without changes was held back to the end of the wait;
-        # one with changes was the newest when it was made.
-        self._confirm(asked if not got.rows else self._clock.now())
+        # An answer without changes was held back to the end of the wait, so
+        # there was none until then; one with changes was just made.
+        self._confirm(self._clock.now() if got.rows else asked + wait)
         if not reads:
             self._vouched_until = asked + _VOUCHED
         self.on_read(base, got)
@@ -161,15 +165,18 @@
             return
         self._take(scan)
 
-    def vouch(self, revision: int, age: clock.Ms) -> None:
+    def vouch(self, changed: int, revision: int, age: clock.Ms) -> None:
         """Take another daemon's word on what the newest revision is.
 
+        :param changed: up to which revision it has seen the last change.
         :param revision: up to which it has read.
         :param age: ms since that was the newest.
         """
-        if revision > self.revision:
+        if changed > self.revision:
+            # That change did not arrive; it is read from the platform itself.
             self._vouched_until = 0
         elif self.revision:
+            self.revision = max(self.revision, revision)
             read_at = self._clock.now() - age
             self._vouched_until = read_at + _VOUCHED
             self._confirm(read_at)
@@ -182,6 +189,8 @@
     def _take(self, scan: rows.Scan) -> None:
         self._reader.changed(scan.rows, scan.deleted)
         self.revision = scan.revision
+        if scan.rows or scan.deleted:
+            self.changed = scan.revision
 
     def _confirm(self, at: clock.Ms) -> None:
         self.confirmed_at = max(self.confirmed_at, at)
--- a/tests/replicas/lead.feature
+++ b/tests/replicas/lead.feature
@@ -59,3 +59,13 @@
     Given daemons a, b, c, of which a leads
     When b hears a twice a second for 6 s
     Then b has read the store once at most
+
+  Scenario: a daemon that started before others hears of more than it knows
+    At the start daemons register one after the other. One that knows only a
+    few ranks others than the rest does, and reports to a keeper that hears
+    nothing; it would find out only with the next list, ten seconds later.
+
+    Given daemons a, b, c, of which a leads
+    When b hears a say that it knows 5 daemons, three times
+    Then b has read the store once at most
+    And b has read the store once at least
--- a/tests/replicas/steps/lead_steps.py
+++ b/tests/replicas/steps/lead_steps.py
@@ -222,3 +222,19 @@
     assert not context.lease["a"].may_act()
     led = [n for n in "bc" if context.lease[n].may_act()]
     assert len(led) == 1, led
+
+
+@behave.when("b hears a say that it knows {count:d} daemons, three times")
+def step_knows(context, count):
+    _run(context, 1_000)
+    before = context.door["b"].reads
+    held = context.lease["a"].held
+    for _ in range(3):
+        context.lease["b"].heard("a", held, count)
+        _run(context, 1_000, names=["b"])
+    context.reads = context.door["b"].reads - before
+
+
+@behave.then("b has read the store once at least")
+def step_read(context):
+    assert context.reads >= 1, context.reads
--- a/tests/storage/following.feature
+++ b/tests/storage/following.feature
@@ -32,3 +32,17 @@
     Given a daemon that follows a table by another's word
     When that word stops and others go by this one
     Then its first call does not wait, and the following ones do
+
+  Scenario: the platform's counter goes on with other tables' changes
+    Each renewal of the lead raises it. Whoever takes that for a change of its
+    own table asks the platform once a second, and all daemons do.
+
+    Given a daemon that follows a table and that nobody goes by
+    When for 10 s each second a counter is told that rises
+    Then it has asked 0 times at most
+
+  Scenario: a change that did not arrive shows in the next word
+    Given a daemon that follows a table and that nobody goes by
+    When a word tells of a change that did not arrive
+    Then it has asked 1 times at most
+    And it has asked 1 times at least
--- a/tests/storage/steps/following_steps.py
+++ b/tests/storage/steps/following_steps.py
@@ -64,7 +64,7 @@
 @behave.given("a daemon that follows a table by another's word")
 def step_by_word(context):
     _follow(context, False)
-    context.tail.vouch(context.tail.revision, 0)
+    context.tail.vouch(context.tail.changed, context.tail.revision, 0)
 
 
 def _run(context, span, each=0):
@@ -74,7 +74,7 @@
         context.clock.advance(_STEP)
         now = context.clock.now()
         if each and not (now - began) % each:
-            context.tail.vouch(context.tail.revision, 0)
+            context.tail.vouch(context.tail.changed, context.tail.revision, 0)
         if now >= idle_until:
             idle_until = now + context.tail.step()
         age = now - context.tail.confirmed_at
@@ -116,3 +116,23 @@
 def step_first(context):
     first, *rest = context.service.waits
     assert first == 0 and rest and all(rest), context.service.waits
+
+
+@behave.when("for {seconds:d} s each second a counter is told that rises")
+def step_rises(context, seconds):
+    for turn in range(seconds):
+        read = context.tail.revision + 1 + turn
+        context.tail.vouch(context.tail.changed, read, 0)
+        _run(context, 1_000)
+
+
+@behave.when("a word tells of a change that did not arrive")
+def step_missed(context):
+    newer = context.tail.revision + 5
+    context.tail.vouch(newer, newer, 0)
+    _run(context, 500)
+
+
+@behave.then("it has asked {least:d} times at least")
+def step_asked_least(context, least):
+    assert len(context.service.waits) >= least, context.service.waits
