--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -42,7 +42,7 @@
         self.platform = process.free_address()
         self._start(
             "platform",
-            ["standins.platformserver", "--listen", self.platform],
+            ["-m", "standins.platformserver", "--listen", self.platform],
             self.platform,
         )
         self.process_by_name["platform"].wait_up()
