Count calls to the platform, show versions and their age, check the page of names

Cause: the calls of a daemon to the store could only be found by counting at a stand-in; the operators' page of metrics was not checked by anything. After: tests/adapter program passes (with the page as it was it failed to name the new ones).

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -192,6 +192,9 @@
             )
             self._news.tail_by_table[table] = followed
             followed.is_reader = self._news.is_reader
+            followed.on_call = functools.partial(
+                self.env.metrics.read_platform, table
+            )
             followed.on_read = functools.partial(self._news.spread, table)
             if reader is listed:
                 listed.trouble_at = lambda t=followed: t.failed_at
@@ -208,13 +211,23 @@
         while True:
             here = set(self.directory.runner_by_id)
             self._book.forget(here)
-            show = self.env.metrics.show
-            show("in_progress", "Requests now.", self._forwarder.in_progress)
-            show("connections", "Callers' connections.", self._callers.count)
-            show("log_lines_dropped", "Lines dropped.", self._log.dropped)
-            show("leading", "Whether it leads.", float(bool(self._lease.held)))
+            self._show()
             eventlet.sleep(_TIDY / clock.SECOND)
 
+    def _show(self) -> None:
+        show = self.env.metrics.show
+        catalogue = self.directory.catalogue
+        version = catalogue.version if catalogue else 0
+        now = self.env.clock.now()
+        age = (now - self.directory.confirmed_at) / clock.SECOND
+        show("in_progress", "Requests now.", self._forwarder.in_progress)
+        show("connections", "Callers' connections.", self._callers.count)
+        show("log_lines_dropped", "Lines dropped.", self._log.dropped)
+        show("leading", "Whether it leads.", float(bool(self._lease.held)))
+        show("daemons", "Daemons known.", self._lease.daemons)
+        show("configuration_version", "Version in force.", version)
+        show("configuration_age_seconds", "Since it was the newest.", age)
+
     def _on_stop(self, *_: object) -> None:
         # A signal handler must not switch tasks.
         eventlet.hubs.get_hub().schedule_call_global(0, self._ask_to_stop)
--- a/src/citronvalve/forward/metrics.py
+++ b/src/citronvalve/forward/metrics.py
@@ -29,6 +29,9 @@
         self._orders = self._counter(
             "orders_total", "Orders to engines, by kind and result."
         )
+        self._readings = self._counter(
+            "platform_readings_total", "Calls for a table, by result."
+        )
         self._first = self._histogram(
             "first_event_seconds", "Arrival to the first event or answer."
         )
@@ -71,6 +74,15 @@
         """
         self._orders.inc({"order": order, "result": result})
 
+    def read_platform(self, table: str, answered: bool) -> None:
+        """Count a call for the changes of a table.
+
+        :param table: its name; the daemon follows a fixed few.
+        :param answered: whether an answer came.
+        """
+        result = "answered" if answered else "failed"
+        self._readings.inc({"table": table, "result": result})
+
     def first_event(self, took: clock.Ms, forecast: float) -> None:
         """Note the time to a first event.
 
--- a/src/citronvalve/storage/tail.py
+++ b/src/citronvalve/storage/tail.py
@@ -77,6 +77,7 @@
     :param sleep: waits for seconds; other tasks run meanwhile.
     :ivar on_read: told the revision asked after and what was read; returns
         the ms in which further changes are better gathered.
+    :ivar on_call: told of each call whether it had an answer.
     :ivar is_reader: tells whether others go by what this daemon reads; one
         that is none asks only when nobody's word has come.
     :ivar revision: how far the table is known, 0 before the first reading.
@@ -105,6 +106,7 @@
         self._failures = 0
         self._vouched_until: clock.Ms = 0
         self.on_read: Callable[[int, rows.Scan], clock.Ms] = lambda *_: 0
+        self.on_call: Callable[[bool], None] = lambda _: None
         self.is_reader: Callable[[], bool] = lambda: True
         self.revision = 0
         self.changed = 0
@@ -131,6 +133,7 @@
             if reads and asked - self.confirmed_at < _STALE:
                 wait = _WAIT
             got = self._service.follow(self._table, base, wait)
+        self.on_call(not isinstance(got, missing.Unavailable))
         if isinstance(got, missing.NotFound):
             self._log.change("history lost", table=self._table)
             self.revision = 0
--- a/tests/adapter/program.feature
+++ b/tests/adapter/program.feature
@@ -10,6 +10,7 @@
     When a caller asks it for something
     Then the caller gets the whole answer of the runner
     And the runner has been given the team and not the key
+    And each metric that it serves stands on the operators' page, and each of the page is served
     When the settings file changes and the program is told so
     Then it says that it has reloaded
     When a settings file that can't be read takes its place
--- a/tests/adapter/steps/program_steps.py
+++ b/tests/adapter/steps/program_steps.py
@@ -1,8 +1,10 @@
 """Steps about the program on the users' machines."""
 
+import http.client
 import json
 import os
 import pathlib
+import re
 import signal
 import subprocess
 import sys
@@ -251,3 +253,41 @@
     shown = json.loads(context.log.read_text())
     assert shown["grace"] == 8_000
     assert shown["repeats"]["slack"] == 130
+
+
+#: Counters and histograms appear with their first observation.
+_SHOWN_LATER = {
+    "citronvalve_forward_malformed_total",
+    "citronvalve_forward_orders_total",
+    "citronvalve_forward_event_gap_seconds",
+}
+
+
+def _on_page():
+    page = pathlib.Path("docs/OPERATIONS.md").read_text()
+    part = page.split("### Metrics")[1].split("\n|")[0]
+    names = re.findall(r"`(\w+)`", part)
+    first, *rest = names
+    prefix = "citronvalve_forward"
+    found = {first}
+    for name in rest:
+        if name.startswith("citronvalve"):
+            prefix = "citronvalve"
+            found.add(name)
+        else:
+            found.add(prefix + name)
+    return found
+
+
+@behave.then(
+    "each metric that it serves stands on the operators' page, and each of "
+    "the page is served"
+)
+def step_metrics(context):
+    connection = http.client.HTTPConnection("127.0.0.1", context.ports[1])
+    connection.request("GET", "/metrics")
+    text = connection.getresponse().read().decode()
+    served = set(re.findall(r"^# TYPE (\w+) ", text, re.M))
+    page = _on_page()
+    assert served <= page, served - page
+    assert page - _SHOWN_LATER <= served, page - served
