--- a/tests/replicas/world.py
+++ b/tests/replicas/world.py
@@ -141,6 +141,12 @@
         handler = getattr(self, f"_on_{act.kind.value}")
         handler(runner, act)
 
+    def cut_off(self, zone):
+        """Let a data centre's runners go silent to the leader; return them."""
+        there = [r for r in self.runner_by_id.values() if r.datacentre == zone]
+        self.dark.update(r.id for r in there)
+        return there
+
     def crash(self, name, dark=True):
         """Let a runner die; a dark one says nothing, else its port refuses."""
         (self.dark if dark else self.refusing).add(name)
