--- a/src/citronvalve/daemon/newstask.py
+++ b/src/citronvalve/daemon/newstask.py
@@ -51,7 +51,7 @@
 
 #: Bytes a ms at which changes go out, a fifth of the smallest link met, 20
 #: Mbit a second.  A configuration that changed twelve times a second filled
-#: the keepers' links, and versions came 3 s late (played, 82 daemons).
+#: the keepers' links, and versions came 3 s late (measured, 82 daemons).
 _SPREAD_RATE = 500
 
 
