--- a/standins/soak/caller.py
+++ b/standins/soak/caller.py
@@ -114,11 +114,11 @@
         eventlet.sleep(self._chance.uniform(0.0, 0.2))
         connection.close()
         self._left_at_by_id[asked.id] = self._book.now
-        self._book.ends["left"] += 1
+        self._book.end("left")
         return False
 
     def _cut(self, daemon, asked, sent: bool, error: Exception) -> None:
-        self._book.ends["cut" if sent else "not sent"] += 1
+        self._book.end("cut" if sent else "not sent")
         if isinstance(error, ConnectionRefusedError | socket.timeout):
             return
         # A daemon that ends in order answers whatever it has passed on.
@@ -130,7 +130,7 @@
         )
 
     def _judge(self, asked: ledgers.Asked, got, data: bytes) -> None:
-        self._book.ends[str(got.status)] += 1
+        self._book.end(str(got.status))
         if got.status in _NOT_RUN:
             self._book.refused(asked.id, got.status)
             return
--- a/standins/soak/ledger.py
+++ b/standins/soak/ledger.py
@@ -43,6 +43,7 @@
     :ivar looked_by_promise: how often each promise was looked at.
     :ivar broken: the promises that were broken.
     :ivar ends: how requests ended, by status or word.
+    :ivar ended: the same with the second of each.
     """
 
     def __init__(self) -> None:
@@ -55,6 +56,7 @@
         )
         self.broken: list[Broken] = []
         self.ends: collections.Counter[str] = collections.Counter()
+        self.ended: list[tuple[float, str]] = []
         self.on_broken: Callable[[Broken], None] = lambda _: None
         self._troubles: collections.Counter[str] = collections.Counter()
         self._trouble_ended: float | None = None
@@ -64,6 +66,14 @@
         """Return seconds since the soak began."""
         return time.monotonic() - self.began
 
+    def end(self, how: str) -> None:
+        """Take in how a request ended for its caller.
+
+        :param how: the status, or a word where there was none.
+        """
+        self.ends[how] += 1
+        self.ended.append((self.now, how))
+
     def trouble(self, name: str, begins: bool) -> None:
         """Take in that a fault begins or ends.
 
--- a/standins/soak/main.py
+++ b/standins/soak/main.py
@@ -16,6 +16,7 @@
 
 import defopt  # noqa: E402
 
+from standins.soak import plot as plots  # noqa: E402
 from standins.soak import run as runs  # noqa: E402
 
 
@@ -27,6 +28,7 @@
     daemons: int = 6,
     calling: int = 30,
     keep: str = "",
+    plot: str = "",
 ) -> int:
     """Run soaks one after the other; return 1 when a promise was broken.
 
@@ -36,6 +38,7 @@
     :param daemons: processes of the program.
     :param calling: callers at a time.
     :param keep: folder for the output of runs that broke a promise.
+    :param plot: folder for a picture of each run.
     """
     bad = 0
     for seed in range(first, first + count):
@@ -45,6 +48,8 @@
             broken = run.run()
             bad += bool(broken)
             _print(seed, seconds, daemons, run)
+            if plot:
+                plots.draw(run, f"{plot}/soak-{seed}.png")
             if broken and keep:
                 kept = pathlib.Path(keep) / str(seed)
                 kept.mkdir(parents=True, exist_ok=True)
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -26,6 +26,9 @@
     :param daemons: processes of the program.
     :param calling: callers at a time.
     :param folder: takes settings and output.
+    :ivar events: what is injected, by time.
+    :ivar book: the accounts.
+    :ivar injected: how often each fault came.
     """
 
     def __init__(
@@ -37,7 +40,7 @@
         folder: pathlib.Path,
     ) -> None:
         self._seconds = seconds
-        self._events = schedules.draw(seed, seconds)
+        self.events = schedules.draw(seed, seconds)
         self.book = ledgers.Ledger()
         self._made = installations.Installation(
             folder, daemons, seed, self.book
@@ -58,7 +61,7 @@
         book.began = time.monotonic()
         calling = [eventlet.spawn(each.run) for each in self._callers]
         versions = eventlet.spawn(self._versions)
-        for event in self._events:
+        for event in self.events:
             eventlet.sleep(max(0.0, event.at - book.now))
             self.injected[event.fault] += 1
             eventlet.spawn(made.do, event)
