--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -143,7 +143,7 @@
         self._lease.company = self._news.has_company
         self._news.on_crash = self._crashes.learn
         self._crashes.on_crash = self._news.tell_crash
-        self._news.is_pressed = self._means.placing.is_pressed
+        self._news.loads.is_pressed = self._means.placing.is_pressed
         self._stalls.on_stall = self._news.tell_standstill
 
     def _on_standstill(self, upstream: str) -> None:
--- a/src/citronvalve/daemon/newstask.py
+++ b/src/citronvalve/daemon/newstask.py
@@ -5,6 +5,7 @@
 
 import eventlet
 
+from citronvalve.daemon import loadnews
 from citronvalve.forward import environment as environments
 from citronvalve.model import clock
 from citronvalve.model import missing
@@ -23,21 +24,6 @@
 #: though the leader is killed as it comes.
 _BEAT: clock.Ms = 300
 
-#: How often a daemon tells its own requests.  A replica gets one every
-#: 100 ms or so near what it bears, so older news show one or two too few.
-_LOADS: clock.Ms = 150
-
-#: The same while replicas are nearly full: at a load that four replicas just
-#: bear, 0.78 in place of 0.69 are in time (tests/placing).
-_LOADS_PRESSED: clock.Ms = 50
-
-#: The same for each daemon of the data centre, so that a keeper gets and
-#: sends 200 messages a second at most, whatever the number.
-_LOADS_EACH: clock.Ms = 5
-
-#: The same is told again after this time, before it counts no more.
-_LOADS_SAME: clock.Ms = 450
-
 #: How often a daemon says that it is there when it has learnt of another: the
 #: first message to a peer is lost while it connects.
 _HELLOS = 3
@@ -67,7 +53,7 @@
     :param book: the loads that are told and heard.
     :ivar tail_by_table: what the others' news are given to.
     :ivar on_crash: told of a request that another daemon saw crash one.
-    :ivar is_pressed: tells whether replicas are nearly full.
+    :ivar loads: tells the requests.
     :ivar on_standstill: told of an upstream that stands still.
     """
 
@@ -78,7 +64,6 @@
         lease: leases.Lease,
         book: upstreamchoice.LoadBook,
     ) -> None:
-        self._book = book
         self._env = env
         self._lease = lease
         self._address = address
@@ -101,8 +86,10 @@
             news.Passed: self._on_passed,
         }
         self.on_crash: Callable[[str, str], None] = lambda *_: None
-        self.is_pressed: Callable[[], bool] = lambda: False
         self._spreading = spreadings.Spreading(env.name, env.datacentre, book)
+        self.loads = loadnews.LoadNews(
+            env, book, self._spreading, self._send_all
+        )
         self._known = 0
         self._started_at = env.clock.now()
         self._hellos_due = 0
@@ -114,8 +101,7 @@
         self._sockets.bind()
         eventlet.spawn(self._receive)
         eventlet.spawn(self._beat)
-        eventlet.spawn(self._tell_loads)
-        eventlet.spawn(self._tell_digests)
+        self.loads.start()
 
     def close(self) -> None:
         """Close the sockets."""
@@ -216,33 +202,6 @@
                 news.Hello(self._env.name, self._address, self._env.datacentre)
             )
 
-    def _tell_loads(self) -> None:
-        told_at = -_LOADS_SAME
-        last: news.Counts = {}
-        while True:
-            eventlet.sleep(self._loads_pause() / clock.SECOND)
-            now = self._env.clock.now()
-            loads = {
-                upstream: (held.mine, held.late)
-                for upstream, held in self._book.load_by_upstream.items()
-                if held.mine
-            }
-            if loads != last or now - told_at >= _LOADS_SAME:
-                last, told_at = loads, now
-                self._send_all(self._spreading.report(loads, now))
-
-    def _tell_digests(self) -> None:
-        while True:
-            eventlet.sleep(self._loads_pause() / clock.SECOND)
-            self._send_all(self._spreading.digests(self._env.clock.now()))
-
-    def _loads_pause(self) -> clock.Ms:
-        pause = _LOADS_PRESSED if self.is_pressed() else _LOADS
-        near = self._spreading.neighbourhood
-        if near.is_direct:
-            return pause
-        return max(pause, _LOADS_EACH * near.size)
-
     def _own_beat(self, lease: int) -> news.Beat:
         now = self._env.clock.now()
         told = tuple(
@@ -264,13 +223,12 @@
 
     def _send_all(self, out: Iterable[spreadings.Outgoing]) -> None:
         peers = self._lease.peer_by_name
-        data_by_message: dict[int, bytes] = {}
+        last, data = None, b""
         for name, message in out:
             peer = peers.get(name)
-            data = data_by_message.get(id(message))
-            if data is None:
-                data = self._codec.encode(message)
-                data_by_message[id(message)] = data
+            # The same message mostly goes to many, one after the other.
+            if message is not last:
+                last, data = message, self._codec.encode(message)
             if peer is not None and len(data) <= _MOST_BYTES:
                 self._sockets.send(f"tcp://{peer.address}", data)
 
