List a fault that the soak found: a leaving member's group is cut

Cause: a runner that leaves stays in its group until the head's work has ended, but listens no more; the leader's looks fail, it counts as lost, and the group is cut in place of closed. Ruled out: a resume that failed (no other large replica was in service then). Also: a soak that is interrupted ends its processes.

--- a/standins/soak/installation.py
+++ b/standins/soak/installation.py
@@ -23,6 +23,9 @@
 #: Seconds that a runner goes on serving after it has said that it leaves.
 _LEAVES = 4.0
 
+#: Tenths of a second that it then stays at most while its head has work.
+_STAYS = 60
+
 #: Seconds that a zone stays out of service.
 _OUT_FOR = 7.0
 
@@ -233,7 +236,11 @@
         if runner is not None:
             runner.drain()
             eventlet.sleep(_LEAVES)
-            runner.unlist()
+            runner.stop_listening()
+            for _ in range(_STAYS):
+                if not runner.head_works():
+                    break
+                eventlet.sleep(0.1)
             runner.crash()
             eventlet.sleep(event.span)
             runner.start()
--- a/standins/soak/operator.py
+++ b/standins/soak/operator.py
@@ -83,11 +83,11 @@
         written = self._book.now
         dropped, added = self._extra
         eventlet.sleep(_IN_FORCE)
-        if self._extra != (dropped, added):
-            # A newer version has dropped what this one added.
-            return
         for daemon in up:
             seen = self._status(daemon, added), self._status(daemon, dropped)
+            if self._extra != (dropped, added):
+                # A newer version has dropped what this one added.
+                return
             kept = seen[0] not in (0, 401, 404) and seen[1] in (0, 404)
             excused = self._book.troubled_since(written) or not daemon.up
             self._book.look(
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -55,8 +55,22 @@
 
     def run(self) -> list[ledgers.Broken]:
         """Play it; return the promises that were broken."""
+        self._made.start()
+        try:
+            self._play()
+        finally:
+            codes = self._made.end()
+        for code in codes:
+            self.book.look(
+                "a daemon ends in order with 0", code == 0, str(code)
+            )
+        for daemon in self._made.daemons:
+            own = "Traceback" not in daemon.output()
+            self.book.look("no daemon logs a traceback", own, daemon.name)
+        return self.book.broken
+
+    def _play(self) -> None:
         made, book = self._made, self.book
-        made.start()
         self._wait_until_up()
         book.began = time.monotonic()
         calling = [eventlet.spawn(each.run) for each in self._callers]
@@ -71,12 +85,6 @@
         eventlet.sleep(0.6)
         for each in self._callers:
             each.check_left()
-        for code in made.end():
-            book.look("a daemon ends in order with 0", code == 0, str(code))
-        for daemon in made.daemons:
-            own = "Traceback" not in daemon.output()
-            book.look("no daemon logs a traceback", own, daemon.name)
-        return book.broken
 
     def _versions(self) -> None:
         while True:
--- a/standins/soak/runner.py
+++ b/standins/soak/runner.py
@@ -50,6 +50,7 @@
     :ivar relay: harms its connections.
     :ivar alive: whether it works.
     :ivar listed: whether it reaches the store.
+    :ivar deaf: whether it listens no more and stays for its head's work only.
     :ivar late: whether orders are answered by nobody and carried out late.
     :ivar loses: whether answers of what it ran are lost.
     """
@@ -73,7 +74,7 @@
         self._on_run = on_run
         self.alive = self.listed = True
         self.draining_at: float | None = None
-        self.late = self.loses = False
+        self.late = self.loses = self.deaf = False
         self.group: Group | None = None
         self._sequence = self._seen_epoch = 0
         self._running = 0
@@ -123,7 +124,7 @@
 
     def start(self) -> None:
         """Come back with nothing known, under the same id."""
-        self.alive, self.listed = True, True
+        self.alive, self.listed, self.deaf = True, True, False
         self.draining_at = None
         self._born = round(time.time() * 1_000)
         self._sequence = self._seen_epoch = self._running = 0
@@ -136,6 +137,18 @@
         self.draining_at = self._book.now
         self.tell()
 
+    def stop_listening(self) -> None:
+        """Take nothing new any more; its head does not either."""
+        self.deaf = True
+        self.unlist()
+        self.relay.do(relays.Harm.REFUSED)
+
+    def head_works(self) -> bool:
+        """Tell whether the head of its group has requests that run."""
+        held = self.group
+        head = self._fleet.get(held.members[0]) if held else None
+        return head is not None and head.is_with(held) and head._running > 0
+
     def unlist(self) -> None:
         """Let its entry lapse."""
         self.listed = False
@@ -290,6 +303,8 @@
             held = self.group
             if held is None or held.rank or held.state != "open":
                 return self._not_run(start_response, 421)
+            if any(self._fleet[m].deaf for m in held.members):
+                return self._not_run(start_response, 503)
             until = time.monotonic() + _STALL
             while self._stands_still() or not self._serves(held):
                 if time.monotonic() >= until or not self._serves(held):
@@ -328,6 +343,13 @@
         held, life = self.group, self._life
 
         def events():
+            self._running += 1
+            try:
+                yield from written()
+            finally:
+                self._running -= 1
+
+        def written():
             for event in range(first, count + 1):
                 eventlet.sleep(_GAP)
                 while self.group is held and self._stands_still():
--- a/tests/replicas/planning.feature
+++ b/tests/replicas/planning.feature
@@ -213,3 +213,12 @@
     And each "large" replica has 12 requests and each "small" one 9
     When a member of the first "large" replica dies three times, 6 s apart
     Then within 20 s there are 1 "large" and 3 "small"
+
+  Scenario: a member that leaves listens no more while its head still works
+    A runner that leaves stays in its group until what the head runs has
+    ended; it answers nothing meanwhile. Taken for lost, its group is cut, so
+    callers lose streams that would have ended within a second or two.
+
+    Given 2 domains of 9 runners serve
+    When a member of a "large" replica leaves, and 4 s later listens no more
+    Then its head is told to let what runs end, before anything is cut
--- a/tests/replicas/steps/reshaping_steps.py
+++ b/tests/replicas/steps/reshaping_steps.py
@@ -60,3 +60,29 @@
     _run(context, seconds * 1_000)
     after = {h.membership.key for h in context.world.open_heads()}
     assert before == after, (before, after)
+
+
+@behave.when(
+    'a member of a "large" replica leaves, and 4 s later listens no more'
+)
+def step_leaves(context):
+    world = context.world
+    context.head = world.open_heads("large")[0].id
+    name = [m for m in world.members(context.head) if m != context.head][0]
+    held = world.runner_by_id[name]
+    world.runner_by_id[name] = held._replace(leaving=True, seen=held.seen + 1)
+    world.run(4_000)
+    world.unlisted.add(name)
+    world.dark.add(name)
+    context.began = len(world.given)
+    world.run(3_000)
+
+
+@behave.then("its head is told to let what runs end, before anything is cut")
+def step_let_end(context):
+    kinds = [
+        act.kind.value
+        for _, act in context.world.given[context.began :]
+        if act.runner == context.head
+    ]
+    assert kinds and kinds[0] == "close", kinds
