List a second fault that the soak found: a pause of the only replica

Cause: a stream from which nothing came for 0.35 s is given up so that it can go on elsewhere, before it is known whether there is an elsewhere; then it ends. Ruled out: one daemon's own pause (six logs agree to the ms).

--- a/standins/scriptedrunner.py
+++ b/standins/scriptedrunner.py
@@ -9,6 +9,9 @@
 #: Seconds that a silent runner stays silent.
 _SILENCE = 30
 
+#: Seconds of a pause that a runner makes in the middle of a stream.
+_PAUSE = 0.8
+
 
 class ScriptedRunner:
     """Serves on a port of its own until it is closed.
@@ -140,6 +143,16 @@
             sock.sendall(event)
         return self._stay_silent(sock)
 
+    def _pauses_after_three(self, sock, fields) -> bool:
+        self.runs += 1
+        sock.sendall(self._stream_head(fields))
+        for turn, event in enumerate(self._events(fields), 1):
+            sock.sendall(event)
+            if turn == 3:
+                eventlet.sleep(_PAUSE)
+        sock.sendall(b"0\r\n\r\n")
+        return True
+
     def _skips_an_event(self, sock, fields) -> bool:
         self.runs += 1
         sock.sendall(self._stream_head(fields))
--- a/tests/forward/answers.feature
+++ b/tests/forward/answers.feature
@@ -113,3 +113,11 @@
     Given two plain runners, of which the first "whole"
     When a caller sets the system's own headers on /any/thing
     Then the runner sees team-1, its own id, and no key
+
+  Scenario: the only replica pauses and goes on
+    It looks as one that stands still. There is nowhere else to go, so to end
+    the answer loses what the replica would have written 0.8 s later.
+
+    Given two heads, of which both "pauses_after_three"
+    When a caller asks for a stream, and nothing but its first head is open
+    Then it gets 6 events in order and a proper end
--- a/tests/forward/steps/forward_steps.py
+++ b/tests/forward/steps/forward_steps.py
@@ -75,6 +75,14 @@
     context.got = context.rig.send("/stream/a", headers, body=b"prompt")
 
 
+@behave.when(
+    "a caller asks for a stream, and nothing but its first head is open"
+)
+def step_only(context):
+    context.rig.directory.remove("head-2")
+    step_stream(context)
+
+
 @behave.when("a caller calls {path}")
 def step_ask(context, path):
     context.got = context.rig.send(path, body=b"question")
