Let a stand-in's head finish what runs at the order to close

Cause: the soak's runner took "close" as "cut": its group was ready at once, its members joined others, and the streams that ran were reset. The users' runners let what runs finish at CloseMode "queue" and end it at "preempt" only. Change: "closing" until nothing runs; "preempt" ends what runs.

--- a/standins/soak/runner.py
+++ b/standins/soak/runner.py
@@ -33,6 +33,7 @@
     members: tuple[str, ...]
     rank: int
     state: str = "joining"
+    is_preempted: bool = False
 
 
 class Runner:
@@ -221,9 +222,22 @@
         if kind == "open":
             return self._open(held)
         if held.state in ("open", "closing"):
+            self._close(held, order.get("CloseMode") == "preempt")
+        return 202
+
+    def _close(self, held: Group, at_once: bool) -> None:
+        held.state = "ready" if at_once else "closing"
+        held.is_preempted = at_once
+        self.tell()
+        if not at_once:
+            eventlet.spawn(self._closed, held)
+
+    def _closed(self, held: Group) -> None:
+        while self._running:
+            eventlet.sleep(0.02)
+        if self.group is held and held.state == "closing" and self.alive:
             held.state = "ready"
             self.tell()
-        return 202
 
     def _open(self, held: Group) -> int:
         if held.state == "open":
@@ -236,6 +250,7 @@
     def _opened(self, held: Group) -> None:
         if self.group is held and held.state == "ready" and self.alive:
             held.state = "open"
+            held.is_preempted = False
             self.tell()
 
     def _join(self, order: dict[str, Any]) -> int:
@@ -354,7 +369,8 @@
                 eventlet.sleep(_GAP)
                 while self.group is held and self._stands_still():
                     eventlet.sleep(0.05)
-                if life != self._life or self.group is not held:
+                gone = life != self._life or self.group is not held
+                if gone or held.is_preempted:
                     raise ConnectionResetError("the runner is gone")
                 yield b"id: %d\ndata: %s-%d\n\n" % (
                     event,
