Give a silent try up only while the request can go on elsewhere

Cause: forward/patience.py gave a try up after 0.35 s of silence, before it was known whether the request could go on. With all replicas silent, one open only, no repeat left in the budget or no time, it then ended. Change: a try may be given up while the route allows another run, the budget holds a repeat, the time suffices and an upstream not tried has a place; asked anew at each look. The same in plain services, where the wait was 2.5 objectives. Why it holds: whatever is waited for would otherwise end at that moment, and it moves as soon as it can. Before: six scenarios red (the listed one and five like it).

--- a/src/citronvalve/forward/passage.py
+++ b/src/citronvalve/forward/passage.py
@@ -79,9 +79,14 @@
     def _try(self, placed: upstreamchoice.Chosen) -> attempts.Ended:
         self._tried.append(placed.upstream)
         trial = trials.Trial(
-            self._means, self._demand, self._reply, placed, self._relayed
+            self._means,
+            self._demand,
+            self._reply,
+            placed,
+            self._relayed,
+            self._has_elsewhere,
         )
-        ended = trial.run(last=self._is_last())
+        ended = trial.run()
         self._means.env.metrics.tried(ended.ending.name.lower())
         self._means.env.log.note(
             "try ended",
@@ -101,23 +106,40 @@
             self._failed = ended
         return ended
 
-    def _is_last(self) -> bool:
-        route = self._demand.route
-        return not route.may_repeat or self._runs + 1 >= route.attempts
+    def _has_elsewhere(self) -> bool:
+        """Tell whether it could go on elsewhere if this try were given up.
+
+        A replica that is only slow looks as one that stands still.  With
+        nowhere to go on, giving up loses what it still writes: the caller
+        of a stream gets a part, for a pause of some hundred ms.
+        """
+        means, service = self._means, self._demand.service.name
+        return (
+            self._may_try_again()
+            and self._may_run_again(self._runs + 1)
+            and means.repeats.holds(service)
+            and means.placing.has_place(self._demand, self._tried)
+        )
 
     def _may_go_on(self, ended: attempts.Ended) -> bool:
-        left = self._demand.until - self._means.env.clock.now()
-        if left < _WORTH_A_TRY or self._refused > _MOST_REFUSED:
+        if not self._may_try_again():
             return False
-        if self._means.crashes.refuse(self._demand) is not None:
+        has_run = ended.ending is not _Ending.NOT_RUN
+        if has_run and not self._may_run_again(self._runs):
             return False
-        if ended.ending is not _Ending.NOT_RUN:
-            route = self._demand.route
-            # What may have run and may not be repeated would run twice.
-            if not route.may_repeat or self._runs >= route.attempts:
-                return False
         return self._means.repeats.spend(self._demand.service.name)
 
+    def _may_try_again(self) -> bool:
+        left = self._demand.until - self._means.env.clock.now()
+        if left < _WORTH_A_TRY or self._refused > _MOST_REFUSED:
+            return False
+        return self._means.crashes.refuse(self._demand) is None
+
+    def _may_run_again(self, runs: int) -> bool:
+        # What may have run and may not be repeated would run twice.
+        route = self._demand.route
+        return route.may_repeat and runs < route.attempts
+
     def _end_without(self, refused: refusal.Refusal) -> None:
         if self._failed is not None or self._runs:
             self._end_with(attempts.Ended(_Ending.BROKEN, refused.detail))
--- a/src/citronvalve/forward/patience.py
+++ b/src/citronvalve/forward/patience.py
@@ -1,5 +1,7 @@
 """How long an upstream is waited for."""
 
+from collections.abc import Callable
+
 import h11
 
 from citronvalve.forward import demand as demands
@@ -40,8 +42,9 @@
     :param means: tells of replicas that stand still.
     :param demand: the request.
     :param placed: the upstream, and what is expected.
-    :ivar last: whether no other try may follow; whatever comes is then
-        better than nothing, and is waited for as long as there is time.
+    :param elsewhere: tells whether the request could go on at another
+        upstream now; without one, whatever comes is better than nothing,
+        and is waited for as long as there is time.
     """
 
     def __init__(
@@ -49,12 +52,13 @@
         means: means_.Means,
         demand: demands.Demand,
         placed: upstreamchoice.Chosen,
+        elsewhere: Callable[[], bool],
     ) -> None:
         self._clock = means.env.clock
         self._stalls = means.stalls
         self._demand = demand
         self._placed = placed
-        self.last = False
+        self._elsewhere = elsewhere
 
     def first(self, link: links_.Link) -> h11.Event:
         """Wait for a part of the answer's beginning, or of a whole answer.
@@ -88,7 +92,8 @@
                 if error.trouble is not _Trouble.SILENT or turn >= end:
                     raise
                 waited = self._clock.now() - began
-                if self._is_lost(waited, patience) and not self.last:
+                # Asked anew at each look: a replica may open meanwhile.
+                if self._is_lost(waited, patience) and self._elsewhere():
                     raise
 
     def _is_lost(self, waited: clock.Ms, patience: clock.Ms) -> bool:
--- a/src/citronvalve/forward/placing.py
+++ b/src/citronvalve/forward/placing.py
@@ -12,7 +12,6 @@
 from citronvalve.policy import coldrate
 from citronvalve.policy import enginepace
 from citronvalve.policy import upstreamchoice
-from citronvalve.routes import enginespec
 
 #: Part of the objective by which the first event must be expected: actual
 #: times spread around the forecast, and the way back is not in it.
@@ -51,6 +50,9 @@
 #: Of a plain service nothing is predicted.
 _NO_FORECAST = enginepace.Forecast(0.0, 0.0, 0.0)
 
+#: There is no upstream that could be waited for.
+_NOWHERE = upstreamchoice.Full(0, 0)
+
 
 class ColdTerms(NamedTuple):
     """How far a cold upstream's declared rate may be passed.
@@ -95,17 +97,28 @@
         :param tried: ids of upstreams.
         """
         now = self._env.clock.now()
-        engine = demand.service.engine
-        if engine is None:
-            found = self._bearing(
-                self._directory.plain(demand.service.name), demand, tried, now
+        found = self._choose(demand, tried, now)
+        if found is not _NOWHERE:
+            self._note_pressure(found, demand, now)
+        if isinstance(found, upstreamchoice.Chosen):
+            self._sent(found.upstream, demand, now)
+            return found
+        if found.candidates:
+            return self._refuse(
+                demand,
+                f"all {found.candidates} replicas are full",
+                max(_SOONEST, found.back_in),
             )
-            chosen = self._choice.least_loaded(found, now)
-            if chosen is None:
-                return self._none(demand, "no upstream of the service")
-            self._sent(chosen, demand, now)
-            return upstreamchoice.Chosen(chosen, _NO_FORECAST)
-        return self._place_on_engine(demand, engine, tried, now)
+        return self._refuse(demand, _why_none(demand), _REPAIR)
+
+    def has_place(self, demand: demands.Demand, tried: list[str]) -> bool:
+        """Tell whether an upstream that has not been tried takes it now.
+
+        :param demand: the request.
+        :param tried: ids of upstreams.
+        """
+        found = self._choose(demand, tried, self._env.clock.now())
+        return isinstance(found, upstreamchoice.Chosen)
 
     def is_pressed(self) -> bool:
         """Tell whether a request lately met a replica that is nearly full."""
@@ -123,35 +136,25 @@
         """
         return self._refuse(demand, f"not run: {ended.why}", _SOONEST)
 
-    def _place_on_engine(
-        self,
-        demand: demands.Demand,
-        engine: enginespec.EngineSpec,
-        tried: list[str],
-        now: clock.Ms,
-    ) -> upstreamchoice.Chosen | refusal.Refusal:
+    def _choose(
+        self, demand: demands.Demand, tried: list[str], now: clock.Ms
+    ) -> upstreamchoice.Chosen | upstreamchoice.Full:
+        service, engine = demand.service, demand.service.engine
+        if engine is None:
+            there = self._directory.plain(service.name)
+            found = self._bearing(there, demand, tried, now)
+            chosen = self._choice.least_loaded(found, now)
+            if chosen is None:
+                return _NOWHERE
+            return upstreamchoice.Chosen(chosen, _NO_FORECAST)
         model = engine.model_by_name.get(demand.model)
         if model is None:
-            return self._none(demand, "the service has no such model")
-        found = self._bearing(
-            self._directory.heads(demand.service.name, model.name),
-            demand,
-            tried,
-            now,
-        )
+            return _NOWHERE
+        there = self._directory.heads(service.name, model.name)
+        found = self._bearing(there, demand, tried, now)
         pace = enginepace.EnginePace(engine, model.pace)
-        job = self._job(demand, tried, now)
-        chosen = self._choice.choose(job, found, pace, now)
-        self._note_pressure(chosen, demand, now)
-        if isinstance(chosen, upstreamchoice.Chosen):
-            self._sent(chosen.upstream, demand, now)
-            return chosen
-        if not chosen.candidates:
-            return self._none(demand, "no replica of the model is open")
-        return self._refuse(
-            demand,
-            f"all {chosen.candidates} replicas are full",
-            max(_SOONEST, chosen.back_in),
+        return self._choice.choose(
+            self._job(demand, tried, now), found, pace, now
         )
 
     def _note_pressure(
@@ -225,9 +228,6 @@
             # start without warning, and the last second counts then.
             self._rates.sent(upstream, now)
 
-    def _none(self, demand: demands.Demand, why: str) -> refusal.Refusal:
-        return self._refuse(demand, why, _REPAIR)
-
     def _refuse(
         self, demand: demands.Demand, why: str, back_in: clock.Ms
     ) -> refusal.Refusal:
@@ -240,3 +240,12 @@
             "send it again after the time given",
             retry_after=max(1, min(round(spread), left // _RETURN_SHARE)),
         )
+
+
+def _why_none(demand: demands.Demand) -> str:
+    engine = demand.service.engine
+    if engine is None:
+        return "no upstream of the service"
+    if demand.model not in engine.model_by_name:
+        return "the service has no such model"
+    return "no replica of the model is open"
--- a/src/citronvalve/forward/repeats.py
+++ b/src/citronvalve/forward/repeats.py
@@ -28,6 +28,14 @@
         """
         self._budget(service).requested(self._env.clock.now())
 
+    def holds(self, service: str) -> bool:
+        """Tell whether one more repeat may be taken now.
+
+        :param service: the one it goes to.
+        """
+        now = self._env.clock.now()
+        return self._budget(service).holds(self._env.daemons, now)
+
     def spend(self, service: str) -> bool:
         """Take one repeat, or return False.
 
--- a/src/citronvalve/forward/trial.py
+++ b/src/citronvalve/forward/trial.py
@@ -1,5 +1,7 @@
 """One try of a request at one upstream."""
 
+from collections.abc import Callable
+
 import h11
 
 from citronvalve.forward import answer as answers
@@ -40,6 +42,8 @@
     :param reply: takes the answer.
     :param placed: the upstream, and what is expected.
     :param relayed: what the caller has already.
+    :param elsewhere: tells whether the request could go on at another
+        upstream now.
     """
 
     def __init__(
@@ -49,6 +53,7 @@
         reply: replies.Reply,
         placed: upstreamchoice.Chosen,
         relayed: relayeds.Relayed,
+        elsewhere: Callable[[], bool],
     ) -> None:
         self._means = means
         self._env = means.env
@@ -56,19 +61,14 @@
         self._reply = reply
         self._placed = placed
         self._relayed = relayed
-        self._patience = patience.Patience(means, demand, placed)
+        self._patience = patience.Patience(means, demand, placed, elsewhere)
         self._load = means.book.of(placed.upstream)
         self._counted_begun = False
         self._address = ""
         self._got: answers.Answer | None = None
 
-    def run(self, last: bool) -> attempts.Ended:
-        """Make the try.
-
-        :param last: whether no other may follow; it is then waited for as
-            long as there is time.
-        """
-        self._patience.last = last
+    def run(self) -> attempts.Ended:
+        """Make the try."""
         runner = self._means.directory.runner_by_id.get(self._placed.upstream)
         if runner is None:
             return attempts.Ended(_Ending.NOT_RUN, "it left the list")
--- a/src/citronvalve/policy/repeatbudget.py
+++ b/src/citronvalve/policy/repeatbudget.py
@@ -47,15 +47,23 @@
         """
         self._requests.add(now)
 
-    def spend(self, daemons: int, now: clock.Ms) -> bool:
-        """Take one repeat, or return False when the window holds no more.
+    def holds(self, daemons: int, now: clock.Ms) -> bool:
+        """Tell whether the window holds one more repeat.
 
         :param daemons: how many share the slack.
         :param now: monotonic ms.
         """
         earned = self.terms.share * self._requests.count(now)
         slack = self.terms.slack / max(1, daemons)
-        if self._repeats.count(now) + 1 > _USED * (earned + slack):
+        return self._repeats.count(now) + 1 <= _USED * (earned + slack)
+
+    def spend(self, daemons: int, now: clock.Ms) -> bool:
+        """Take one repeat, or return False when the window holds no more.
+
+        :param daemons: how many share the slack.
+        :param now: monotonic ms.
+        """
+        if not self.holds(daemons, now):
             return False
         self._repeats.add(now)
         return True
--- a/standins/scriptedrunner.py
+++ b/standins/scriptedrunner.py
@@ -153,6 +153,19 @@
         sock.sendall(b"0\r\n\r\n")
         return True
 
+    def _pauses_at_first(self, sock, fields) -> bool:
+        self.runs += 1
+        sock.sendall(self._stream_head(fields))
+        eventlet.sleep(_PAUSE)
+        for event in self._events(fields):
+            sock.sendall(event)
+        sock.sendall(b"0\r\n\r\n")
+        return True
+
+    def _pauses_before_its_head(self, sock, fields) -> bool:
+        eventlet.sleep(_PAUSE)
+        return self._stream(sock, fields)
+
     def _skips_an_event(self, sock, fields) -> bool:
         self.runs += 1
         sock.sendall(self._stream_head(fields))
--- a/tests/forward/answers.feature
+++ b/tests/forward/answers.feature
@@ -116,8 +116,50 @@
 
   Scenario: the only replica pauses and goes on
     It looks as one that stands still. There is nowhere else to go, so to end
-    the answer loses what the replica would have written 0.8 s later.
+    the answer loses what the replica would have written 0.8 s later. The
+    daemon gave a silent try up before it asked whether it could go on
+    elsewhere: with the process that plays all replicas stopped for 0.5 s, six
+    daemons logged "upstream stands still" with silent_ms 369 to 406, and 27
+    streams were cut.
 
     Given two heads, of which both "pauses_after_three"
     When a caller asks for a stream, and nothing but its first head is open
     Then it gets 6 events in order and a proper end
+
+  Scenario Outline: the only replica <way> and goes on
+    The same before anything was written, where the caller got a 502.
+
+    Given two heads, of which both "<way>"
+    When a caller asks for a stream, and nothing but its first head is open
+    Then it gets 6 events in order and a proper end
+
+    Examples:
+      | way                    |
+      | pauses_at_first        |
+      | pauses_before_its_head |
+
+  Scenario: no repeat is left when a replica pauses
+    Another replica is open, but the budget of repeats would not let the
+    stream go on there: to give the first one up ends the answer.
+
+    Given two heads, of which the first "pauses_after_three"
+    And no repeat is left
+    When a caller asks for a stream
+    Then it gets 6 events in order and a proper end
+
+  Scenario: the only replica stands still until another opens
+    It will never go on. The stream waits for what it has, and goes on at the
+    other replica as soon as there is one.
+
+    Given two heads, of which the first "silent_after_three"
+    And the second opens 0.9 s later
+    When a caller asks for a stream
+    Then it gets 6 events in order and a proper end
+
+  Scenario: the only plain runner is slow to answer
+    What may be repeated is sent to another after 0.25 s of silence; there is
+    no other, and the answer would have come.
+
+    Given a daemon before a plain runner that "takes_a_second"
+    When a caller calls /any/thing
+    Then it gets 200 with the whole body of a runner
--- a/tests/forward/rig.py
+++ b/tests/forward/rig.py
@@ -71,6 +71,7 @@
         terms = repeatbudget.RepeatTerms(0.2, 100, 10_000)
         self.stalls = stalls.Stalls(self.env, book)
         kept = links.Links(self.env.clock)
+        self.repeats = repeats.Repeats(self.env, terms)
         made = means.Means(
             self.env,
             self.directory,
@@ -79,7 +80,7 @@
             placing.Placing(
                 self.env, self.directory, book, placing.ColdTerms()
             ),
-            repeats.Repeats(self.env, terms),
+            self.repeats,
             self.stalls,
             crashes.Crashes(self.env, kept),
         )
--- a/tests/forward/steps/forward_steps.py
+++ b/tests/forward/steps/forward_steps.py
@@ -8,6 +8,7 @@
 import eventlet
 from eventlet.green import socket
 
+from citronvalve.policy import repeatbudget
 from standins import scriptedrunner
 from tests.forward import framing_model
 from tests.forward import rig as rigs
@@ -60,6 +61,24 @@
     context.rig = rigs.Rig({"plain-1": ["whole"]})
 
 
+@behave.given('a daemon before a plain runner that "{way}"')
+def step_one_that(context, way):
+    context.rig = rigs.Rig({"plain-1": [way]})
+
+
+@behave.given("no repeat is left")
+def step_no_repeat(context):
+    none = repeatbudget.RepeatTerms(0.0, 0, 10_000)
+    context.rig.repeats.terms = none
+
+
+@behave.given("the second opens {seconds:g} s later")
+def step_opens(context, seconds):
+    directory = context.rig.directory
+    second = directory.remove("head-2")
+    eventlet.spawn_after(seconds, directory.put, second)
+
+
 def _prefer(rig, later):
     # The other one is tried first: this one seems to have more to do.
     for runner in rig.directory.runner_by_id.values():
