Let the stand-in's refusals bear the id that they answer

Cause: the soak's runner answered 421 and 503 without the id of the request, which the users' runners echo. The daemons take an answer without an id for none of theirs, so a request that had certainly not run ended as 502 "outcome unknown": 5 and 6 of 600 requests in two soaks of leaving members. Ruled out: a silence (the tries ended "without an id" within 8 ms). Change: the stand-in echoes it. The daemons stay as strict as they are.

--- a/standins/soak/runner.py
+++ b/standins/soak/runner.py
@@ -170,8 +170,9 @@
         path = environ["PATH_INFO"]
         expected = environ.get("HTTP_X_EXPECT_RUNNER")
         body = environ["wsgi.input"].read()
+        number = environ.get("HTTP_X_ATTEMPT_ID", "")
         if expected not in (None, self.name):
-            return self._not_run(start_response, 421)
+            return self._not_run(start_response, 421, number)
         if path == "/v1/report":
             said = {"Staged": list(self._sizes), "born": self._born}
             return _json(
@@ -317,13 +318,13 @@
         if self._sizes:
             held = self.group
             if held is None or held.rank or held.state != "open":
-                return self._not_run(start_response, 421)
+                return self._not_run(start_response, 421, number)
             if any(self._fleet[m].deaf for m in held.members):
-                return self._not_run(start_response, 503)
+                return self._not_run(start_response, 503, number)
             until = time.monotonic() + _STALL
             while self._stands_still() or not self._serves(held):
                 if time.monotonic() >= until or not self._serves(held):
-                    return self._not_run(start_response, 503)
+                    return self._not_run(start_response, 503, number)
                 eventlet.sleep(0.05)
             self._look_at_group(held, environ.get("HTTP_X_MODEL", ""))
         self._look_at_leaving()
@@ -405,8 +406,11 @@
             f"{self.name} after {passed:.2f} s",
         )
 
-    def _not_run(self, start_response, status: int) -> Iterable[bytes]:
+    def _not_run(
+        self, start_response, status: int, number: str
+    ) -> Iterable[bytes]:
         head = [("X-Not-Executed", "1"), ("At-Server", self.name)]
+        head.append(("X-Attempt-Id", number))
         return _json(start_response, status, {}, head)
 
     def _hang_up(self, environ) -> Iterable[bytes]:
