Count no pause of the daemon itself as an upstream's silence

Cause: timers that fell due in the pause are served before sockets are read, so each stream's wait ended as silent, and the whole pause counted as the replica's. Found by the search for the same fault elsewhere: all replicas silent at once is also what a daemon sees that did not run. Ruled out: a pause of the replicas (they wrote on; the daemon's own clock jumped by 513 to 578 ms within one wait of 100 ms). Change: a look counts for 0.2 s at most. A longer one is logged once as "daemon stood still", so that on-call can tell a stopped daemon from silent replicas. Why it holds: after a pause of any length two looks more are made at least, and each reads the socket first.

--- a/src/citronvalve/forward/patience.py
+++ b/src/citronvalve/forward/patience.py
@@ -29,6 +29,11 @@
 #: whoever waits for it then goes elsewhere at once.
 _LOOK: clock.Ms = 100
 
+#: A look that takes longer than this was held up by a pause of this daemon.
+#: Only so much of it counts as the upstream's silence: what came meanwhile
+#: lies unread in the socket, since timers that fell due are served first.
+_LONGEST_LOOK: clock.Ms = 2 * _LOOK
+
 #: A plain upstream that has said nothing for this many objectives hangs;
 #: what may be repeated is then sent to another.
 _PLAIN_OBJECTIVES = 2.5
@@ -83,19 +88,26 @@
 
     def _wait(self, link: links_.Link, patience: clock.Ms) -> h11.Event:
         end = self._demand.until + _GRACE
-        began = self._clock.now()
+        waited: clock.Ms = 0
         while True:
-            turn = min(end, self._clock.now() + _LOOK)
+            began = self._clock.now()
+            turn = min(end, began + _LOOK)
             try:
                 return link.next(turn)
             except linkerror.LinkError as error:
                 if error.trouble is not _Trouble.SILENT or turn >= end:
                     raise
-                waited = self._clock.now() - began
+                waited += self._looked(self._clock.now() - began)
                 # Asked anew at each look: a replica may open meanwhile.
                 if self._is_lost(waited, patience) and self._elsewhere():
                     raise
 
+    def _looked(self, took: clock.Ms) -> clock.Ms:
+        """Return how much of a look was the upstream's silence."""
+        if took > _LONGEST_LOOK:
+            self._stalls.stood_still(took)
+        return min(took, _LONGEST_LOOK)
+
     def _is_lost(self, waited: clock.Ms, patience: clock.Ms) -> bool:
         if self._demand.service.engine is None:
             return waited >= patience
--- a/src/citronvalve/forward/stalls.py
+++ b/src/citronvalve/forward/stalls.py
@@ -34,6 +34,7 @@
         self._book = book
         self._standing: set[str] = set()
         self.on_stall: Callable[[str], None] = lambda _: None
+        self._stood_still_at: clock.Ms | None = None
 
     def heard(self, upstream: str) -> None:
         """Note a sign of life.
@@ -94,6 +95,17 @@
             own_requests=held.mine,
         )
 
+    def stood_still(self, span: clock.Ms) -> None:
+        """Note that this daemon itself did not run for a while.
+
+        :param span: ms until now.
+        """
+        now, before = self._env.clock.now(), self._stood_still_at
+        self._stood_still_at = now
+        if before is None or now - before >= span:
+            # All that wait at that time tell of the same pause.
+            self._env.log.change("daemon stood still", for_ms=span)
+
     def avoid(self, upstream: str, span: clock.Ms) -> None:
         """Give an upstream no new work for a while.
 
