--- a/standins/soak/caller.py
+++ b/standins/soak/caller.py
@@ -27,6 +27,7 @@
     :param fleet: the daemons.
     :param book: the accounts.
     :param chance: source of chance.
+    :param longest: most events of a stream.
     """
 
     def __init__(
@@ -34,8 +35,10 @@
         fleet: list[daemons.Daemon],
         book: ledgers.Ledger,
         chance: random.Random,
+        longest: int,
     ) -> None:
         self._fleet, self._book, self._chance = fleet, book, chance
+        self._longest = longest
         self._left_at_by_id: dict[str, float] = {}
 
     def run(self) -> None:
@@ -100,7 +103,7 @@
         if turn < 0.6:
             model = self._chance.choice(list(operators.SIZE_BY_MODEL))
             head |= {"X-Model": model, "X-Token-Usage": "100,60"}
-            path = f"/stream/{self._chance.randint(3, 25)}"
+            path = f"/stream/{self._chance.randint(3, self._longest)}"
             made = ledgers.Asked(number, True, path, b"ask", team, key)
             return made, "POST", head
         if turn < 0.85:
--- a/standins/soak/installation.py
+++ b/standins/soak/installation.py
@@ -123,6 +123,36 @@
             if not planned:
                 self._book.trouble(event.fault, False)
 
+    def members(self, zone: str, model: str) -> list[runners.Runner]:
+        """Return the members of a model's replicas that are no heads.
+
+        :param zone: where they stand.
+        :param model: the model.
+        """
+        size = operators.SIZE_BY_MODEL[model]
+        return [
+            runner
+            for runner in self._runner_by_name.values()
+            if runner.zone == zone
+            and runner.group is not None
+            and runner.group.rank
+            and len(runner.group.members) == size
+        ]
+
+    def let_leave(self, runner: runners.Runner) -> None:
+        """Let a runner leave in order, and return when it is gone.
+
+        :param runner: it is gone when its head has no more work.
+        """
+        runner.drain()
+        eventlet.sleep(_LEAVES)
+        runner.stop_listening()
+        for _ in range(_STAYS):
+            if not runner.head_works():
+                break
+            eventlet.sleep(0.1)
+        runner.crash()
+
     def _add(self, name: str, service: str, zone: str) -> None:
         sizes = operators.SIZE_BY_MODEL
         self._runner_by_name[name] = runners.Runner(
@@ -234,14 +264,7 @@
     def _leave(self, event: schedules.Event) -> None:
         runner = self._runner(event)
         if runner is not None:
-            runner.drain()
-            eventlet.sleep(_LEAVES)
-            runner.stop_listening()
-            for _ in range(_STAYS):
-                if not runner.head_works():
-                    break
-                eventlet.sleep(0.1)
-            runner.crash()
+            self.let_leave(runner)
             eventlet.sleep(event.span)
             runner.start()
 
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -1,6 +1,7 @@
 """One run of the soak."""
 
 import collections
+from collections.abc import Callable
 import pathlib
 import random
 import time
@@ -18,6 +19,9 @@
 
 _UP_SECONDS = 20.0
 
+#: Most events of a stream; one takes a second then.
+_LONGEST = 25
+
 
 class Soak:
     """One run.
@@ -27,7 +31,10 @@
     :param daemons: processes of the program.
     :param calling: callers at a time.
     :param folder: takes settings and output.
+    :param longest: most events of a stream.
+    :ivar installation: store, runners and daemons.
     :ivar events: what is injected, by time.
+    :ivar beside: what else is done while it plays.
     :ivar book: the accounts.
     :ivar injected: how often each fault came.
     :ivar pulse: tells when the soak's own process stood still.
@@ -40,51 +47,57 @@
         daemons: int,
         calling: int,
         folder: pathlib.Path,
+        longest: int = _LONGEST,
     ) -> None:
         self._seconds = seconds
         self.events = schedules.draw(seed, seconds)
         self.book = ledgers.Ledger()
-        self._made = installations.Installation(
+        self.installation = installations.Installation(
             folder, daemons, seed, self.book
         )
         self._callers = [
             callers.Caller(
-                self._made.daemons, self.book, random.Random(f"{seed}/{n}")
+                self.installation.daemons,
+                self.book,
+                random.Random(f"{seed}/{n}"),
+                longest,
             )
             for n in range(calling)
         ]
         self.injected: collections.Counter[str] = collections.Counter()
         self.pulse = pulses.Pulse()
+        self.beside: Callable[[Soak], None] = lambda _: None
 
     def run(self) -> list[ledgers.Broken]:
         """Play it; return the promises that were broken."""
-        self._made.start()
+        self.installation.start()
         try:
             self._play()
         finally:
-            codes = self._made.end()
+            codes = self.installation.end()
         for code in codes:
             self.book.look(
                 "a daemon ends in order with 0", code == 0, str(code)
             )
-        for daemon in self._made.daemons:
+        for daemon in self.installation.daemons:
             own = "Traceback" not in daemon.output()
             self.book.look("no daemon logs a traceback", own, daemon.name)
         return self.book.broken
 
     def _play(self) -> None:
-        made, book = self._made, self.book
+        made, book = self.installation, self.book
         self._wait_until_up()
         book.began = time.monotonic()
         pulse = eventlet.spawn(self.pulse.run, book.began)
         calling = [eventlet.spawn(each.run) for each in self._callers]
         versions = eventlet.spawn(self._versions)
+        beside = eventlet.spawn(self.beside, self)
         for event in self.events:
             eventlet.sleep(max(0.0, event.at - book.now))
             self.injected[event.fault] += 1
             eventlet.spawn(made.do, event)
         eventlet.sleep(max(0.0, self._seconds - book.now))
-        for task in (*calling, versions, pulse):
+        for task in (*calling, versions, beside, pulse):
             task.kill()
         eventlet.sleep(0.6)
         for each in self._callers:
@@ -93,13 +106,13 @@
     def _versions(self) -> None:
         while True:
             eventlet.sleep(_VERSIONS_APART)
-            self._made.operator.write()
-            self._made.operator.check(self._made.up)
+            self.installation.operator.write()
+            self.installation.operator.check(self.installation.up)
 
     def _wait_until_up(self) -> None:
         until = time.monotonic() + _UP_SECONDS
         ready = installations.all_ready
-        while not ready(self._made.daemons):
+        while not ready(self.installation.daemons):
             if time.monotonic() > until:
                 raise RuntimeError("the daemons did not get ready")
             eventlet.sleep(0.1)
--- a/tests/processes/processes.feature
+++ b/tests/processes/processes.feature
@@ -10,6 +10,30 @@
     Then no promise was broken
     And each promise that holds always was looked at
 
+  Scenario Outline: <what>
+    Nothing is done to any connection. Whoever writes a stream, or reads it,
+    does not run for half a second, goes on where it was, and no answer may
+    be cut for it.
+
+    Given a soak of seed 210 for 16 s with 4 daemons and no faults
+    When it has run while <what>
+    Then no promise was broken
+
+    Examples:
+      | what                                                   |
+      | all replicas stand still for 0.5 s, again and again    |
+      | all daemons stand still for 0.5 s, again and again     |
+
+  Scenario: a member of the only replica leaves while its head works
+    The other data centre is out of service. The member says that it leaves,
+    listens no more 4 s later, and stays until its head's streams of up to
+    2.4 s have ended; no stream can go on elsewhere.
+
+    Given a soak of long streams of seed 102 for 16 s with 4 daemons and no faults
+    When it has run while a member of the only large replica leaves
+    Then no promise was broken
+    And the head worked when its member listened no more
+
   Scenario Outline: the ledger finds <mistake>
     A soak that can't fail proves nothing.
 
--- a/tests/processes/steps/processes_steps.py
+++ b/tests/processes/steps/processes_steps.py
@@ -1,9 +1,12 @@
 """Steps about soaks of real processes."""
 
 import pathlib
+import signal
 import tempfile
 
 import behave
+import eventlet
+from eventlet import patcher
 
 from standins.soak import ledger as ledgers
 from standins.soak import run as runs
@@ -17,6 +20,12 @@
     "a group that serves is whole",
 }
 
+#: Most events of a long stream; it takes 2.4 s.
+_LONG = 60
+
+#: Stops this whole process, with all that it plays.
+_block = patcher.original("time").sleep
+
 _ASKED = ledgers.Asked("r", False, "/once/a", b"ask", "team-1", "key-1")
 _RUN = _ASKED._replace(key="")
 
@@ -25,13 +34,83 @@
     "a soak of seed {seed:d} for {seconds:d} s with {count:d} daemons"
 )
 def step_soak(context, seed, seconds, count):
+    _make(context, seed, seconds, count)
+
+
+def _make(context, seed, seconds, count, *longest):
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
     context.soak = runs.Soak(
-        seed, seconds, count, 12, pathlib.Path(folder.name)
+        seed, seconds, count, 12, pathlib.Path(folder.name), *longest
     )
 
 
+@behave.given(
+    "a soak of seed {seed:d} for {seconds:d} s with {count:d} daemons and no "
+    "faults"
+)
+def step_calm(context, seed, seconds, count):
+    step_soak(context, seed, seconds, count)
+    context.soak.events = []
+
+
+@behave.given(
+    "a soak of long streams of seed {seed:d} for {seconds:d} s with {count:d} "
+    "daemons and no faults"
+)
+def step_long(context, seed, seconds, count):
+    _make(context, seed, seconds, count, _LONG)
+    context.soak.events = []
+
+
+def _stop_replicas(context, soak):
+    # The soak's own process plays all of them.
+    while True:
+        eventlet.sleep(1.2)
+        _block(0.5)
+
+
+def _stop_daemons(context, soak):
+    fleet = soak.installation.daemons
+    while True:
+        eventlet.sleep(1.2)
+        for daemon in fleet:
+            daemon.send(signal.SIGSTOP)
+        eventlet.sleep(0.5)
+        for daemon in fleet:
+            daemon.send(signal.SIGCONT)
+
+
+def _leave(context, soak):
+    made = soak.installation
+    eventlet.sleep(4)
+    made.operator.set_out("zone-b", True)
+    member = made.members("zone-a", "large")[0]
+    eventlet.spawn(made.let_leave, member)
+    while not member.deaf:
+        eventlet.sleep(0.01)
+    context.worked = member.head_works()
+
+
+_DO_BY_WHAT = {
+    "all replicas stand still for 0.5 s, again and again": _stop_replicas,
+    "all daemons stand still for 0.5 s, again and again": _stop_daemons,
+    "a member of the only large replica leaves": _leave,
+}
+
+
+@behave.when("it has run while {what}")
+def step_run_while(context, what):
+    act = _DO_BY_WHAT[what]
+    context.soak.beside = lambda soak: act(context, soak)
+    context.soak.run()
+
+
+@behave.then("the head worked when its member listened no more")
+def step_worked(context):
+    assert context.worked
+
+
 @behave.when("it has run")
 def step_run(context):
     context.soak.run()
