--- a/src/citronvalve/daemon/loadnews.py
+++ b/src/citronvalve/daemon/loadnews.py
@@ -15,8 +15,8 @@
 #: 100 ms or so near what it bears, so older news show one or two too few.
 _LOADS: clock.Ms = 150
 
-#: The same while replicas are nearly full: at a load that four replicas just
-#: bear, 0.78 in place of 0.69 are in time (tests/placing).
+#: The same while replicas are nearly full, where one request too many makes
+#: all that wait there late.
 _LOADS_PRESSED: clock.Ms = 50
 
 #: The same for each daemon of the data centre, so that a keeper gets and
--- a/src/citronvalve/daemon/newstask.py
+++ b/src/citronvalve/daemon/newstask.py
@@ -36,8 +36,8 @@
 _MOST_BYTES = 90_000
 
 #: Bytes a ms at which changes go out, a fifth of the smallest link met, 20
-#: Mbit a second.  A configuration that changed twelve times a second filled
-#: the keepers' links, and versions came 3 s late (measured, 82 daemons).
+#: Mbit a second: a configuration that changes many times a second would
+#: fill the keepers' links, and each version would come seconds late.
 _SPREAD_RATE = 500
 
 
--- a/src/citronvalve/forward/placing.py
+++ b/src/citronvalve/forward/placing.py
@@ -23,8 +23,7 @@
 
 #: The same for a request that came with less time than its route gives: its
 #: caller was refused before, or is in a hurry, and does not come a third
-#: time.  At twice the load borne 0.13 in place of 0.27 of all are refused
-#: twice (tests/placing).
+#: time.
 _LATE_RETURN = 1_500.0
 
 #: Part of the route's timeout below which a request came with less time.
--- a/src/citronvalve/policy/admission.py
+++ b/src/citronvalve/policy/admission.py
@@ -6,7 +6,7 @@
 from citronvalve.policy import fairshare
 
 #: Share of the predicted rate that promises are made on.  The rest covers
-#: answers that run long; benchmarks/policy.py gives the effect.
+#: answers that run long.
 _CAUTION = 0.9
 
 
--- a/src/citronvalve/policy/estimate.py
+++ b/src/citronvalve/policy/estimate.py
@@ -24,8 +24,8 @@
 #: upstream does not make the whole model look slow and its work refused.
 _MOST_TIMES = 4.0
 
-#: Deviations above the mean that an answer is given to finish.  Measured
-#: in benchmarks/policy.py: fewer lets accepted work finish late.
+#: Deviations above the mean that an answer is given to finish: with fewer,
+#: accepted work finishes late.
 _DEVIATIONS = 3.5
 
 
--- a/src/citronvalve/policy/upstreamload.py
+++ b/src/citronvalve/policy/upstreamload.py
@@ -30,8 +30,7 @@
 
     Made for a load near what the replicas bear: by the upstream's own word,
     which comes with an answer, a replica with 17 requests looks like one
-    with 10.  With the daemons' own word 0.69 of the requests are in time at
-    a load that four replicas just bear, without it 0.62 (tests/placing).
+    with 10, and gets more than it can serve in time.
 
     :ivar mine: requests of this daemon that are there now.
     :ivar late: those of them that wait for places nobody else wants.
--- a/src/citronvalve/replicas/lives.py
+++ b/src/citronvalve/replicas/lives.py
@@ -3,12 +3,9 @@
 import collections
 
 from citronvalve.model import clock
+from citronvalve.replicas import doubt as doubts
 from citronvalve.replicas import runner as runners
 
-#: Looks in a row without an answer after which a runner counts as lost.  One
-#: packet that was dropped is no proof, and two take under a second.
-_LOOKS = 2
-
 #: A runner that answers is looked at again after this time while it is in
 #: doubt.
 _AGAIN: clock.Ms = 400
@@ -32,16 +29,6 @@
 _KEPT: clock.Ms = 30_000
 
 
-class _Doubt:
-    __slots__ = ("failed", "looked_at", "lost_at", "outlived_entry")
-
-    def __init__(self) -> None:
-        self.failed = 0
-        self.outlived_entry = False
-        self.looked_at: clock.Ms | None = None
-        self.lost_at: clock.Ms | None = None
-
-
 class Lives:
     """Keeps what is known of each runner's life.
 
@@ -51,7 +38,7 @@
     """
 
     def __init__(self) -> None:
-        self._doubt_by_id: dict[str, _Doubt] = {}
+        self._doubt_by_id: dict[str, doubts.Doubt] = {}
         self._unlisted: dict[str, tuple[runners.Runner, clock.Ms]] = {}
         self._listed: dict[str, runners.Runner] = {}
         self._answered: dict[str, clock.Ms] = {}
@@ -90,7 +77,7 @@
 
         :param runner: its id.
         """
-        self._doubt_by_id.setdefault(runner, _Doubt())
+        self._doubt_by_id.setdefault(runner, doubts.Doubt())
 
     def known(self) -> list[runners.Runner]:
         """Return all runners that may live, listed or not."""
@@ -154,7 +141,7 @@
         :param runner: its id.
         """
         doubt = self._doubt_by_id.get(runner)
-        return doubt is not None and doubt.failed >= _LOOKS
+        return doubt is not None and doubt.is_lost
 
     def is_doubted(self, runner: str) -> bool:
         """Tell whether a runner is being looked at.
@@ -190,9 +177,9 @@
         due = self._witnesses_due(now)
         for runner, doubt in self._doubt_by_id.items():
             pause = _AGAIN if runner in self._listed else _UNLISTED_AGAIN
-            if doubt.failed:
+            if doubt.is_silent:
                 pause = _AGAIN
-            if self.is_lost(runner):
+            if doubt.is_lost:
                 pause = _UNLISTED_AGAIN
             if doubt.looked_at is None or now - doubt.looked_at >= pause:
                 doubt.looked_at = now
@@ -231,7 +218,7 @@
         for runner in self._doubt_by_id:
             held = self.find(runner)
             if held is not None and held.datacentre == datacentre:
-                self._doubt_by_id[runner] = _Doubt()
+                self._doubt_by_id[runner] = doubts.Doubt()
 
     def _is_in(self, runner: str, datacentre: str) -> bool:
         held = self._listed.get(runner)
@@ -278,9 +265,7 @@
             return
         doubt = self._doubt_by_id.get(runner)
         if doubt is not None:
-            doubt.failed = 0
-            doubt.lost_at = None
-            doubt.outlived_entry = True
+            doubt.outlived()
 
     def silent(self, runner: str, now: clock.Ms) -> None:
         """Note that a look had no answer.
@@ -292,8 +277,5 @@
         :param now: monotonic ms.
         """
         doubt = self._doubt_by_id.get(runner)
-        if doubt is None:
-            return
-        doubt.failed += 1
-        if doubt.lost_at is None and doubt.failed >= _LOOKS:
-            doubt.lost_at = now
+        if doubt is not None:
+            doubt.silent(now)
