Part a stand-in's place in groups from its runner, show a broken promise's story

Cause: standins/soak/runner.py had grown to 440 lines, with orders and groups beside serving; and when tests/processes failed beside heavy load, the daemons' lines about the request were gone with the folder. Change: standins/soak/place.py holds a place in groups; a stream of a head that broke is cut after 4 s, as the users' runners do it, and did not hang for ever. A failing scenario prints what each daemon logged of the request, and when the soak itself stood still.

--- a/standins/soak/daemon.py
+++ b/standins/soak/daemon.py
@@ -104,3 +104,11 @@
     def output(self) -> str:
         """Return all that it wrote."""
         return self._process.output()
+
+
+def all_ready(made: list[Daemon]) -> bool:
+    """Tell whether all daemons say that they are ready.
+
+    :param made: the daemons.
+    """
+    return all(daemon.is_ready() for daemon in made)
--- a/standins/soak/installation.py
+++ b/standins/soak/installation.py
@@ -11,6 +11,7 @@
 from standins.soak import daemon as daemons
 from standins.soak import ledger as ledgers
 from standins.soak import operator as operators
+from standins.soak import place as places
 from standins.soak import relay as relays
 from standins.soak import runner as runners
 from standins.soak import schedule as schedules
@@ -58,6 +59,7 @@
         self.store = rowstore.RowStore()
         self.operator = operators.Operator(self.store, book, self._chance)
         self._runner_by_name: dict[str, runners.Runner] = {}
+        self._place_by_name: dict[str, places.Place] = {}
         for zone in ZONES:
             for number in range(_ENGINES):
                 name = f"{zone}-m{number}"
@@ -133,10 +135,7 @@
         return [
             runner
             for runner in self._runner_by_name.values()
-            if runner.zone == zone
-            and runner.group is not None
-            and runner.group.rank
-            and len(runner.group.members) == size
+            if runner.zone == zone and runner.place.is_member(size)
         ]
 
     def let_leave(self, runner: runners.Runner) -> None:
@@ -148,7 +147,7 @@
         eventlet.sleep(_LEAVES)
         runner.stop_listening()
         for _ in range(_STAYS):
-            if not runner.head_works():
+            if not runner.place.head_works():
                 break
             eventlet.sleep(0.1)
         runner.crash()
@@ -162,7 +161,7 @@
             self.store,
             self._book,
             random.Random(self._chance.random()),
-            self._runner_by_name,
+            self._place_by_name,
             sizes if service == operators.MODELS else None,
             self.operator.look_at,
         )
@@ -299,11 +298,3 @@
     eventlet.sleep(event.span)
     for link in links:
         link.do(relays.Harm.NONE)
-
-
-def all_ready(made: list[daemons.Daemon]) -> bool:
-    """Tell whether all daemons say that they are ready.
-
-    :param made: the daemons.
-    """
-    return all(daemon.is_ready() for daemon in made)
--- a/standins/soak/ledger.py
+++ b/standins/soak/ledger.py
@@ -60,6 +60,7 @@
         self.on_broken: Callable[[Broken], None] = lambda _: None
         self._troubles: collections.Counter[str] = collections.Counter()
         self._trouble_ended: float | None = None
+        self._stood_still_until: float | None = None
 
     @property
     def now(self) -> float:
@@ -86,6 +87,18 @@
         self._troubles[name] -= 1
         self._trouble_ended = self.now
 
+    def stood_still(self) -> None:
+        """Take in that the soak itself did not run until now."""
+        self._stood_still_until = self.now
+
+    def stood_still_since(self, at: float) -> bool:
+        """Tell whether the soak itself did not run at some time.
+
+        :param at: seconds since the soak began.
+        """
+        until = self._stood_still_until
+        return until is not None and until > at
+
     def troubled_since(self, at: float) -> bool:
         """Tell whether a fault may be felt at some time since a moment.
 
--- a/standins/soak/pulse.py
+++ b/standins/soak/pulse.py
@@ -6,6 +6,8 @@
 
 import eventlet
 
+from standins.soak import ledger as ledgers
+
 #: Seconds between two beats.
 _EVERY = 0.02
 
@@ -45,25 +47,25 @@
     While that process does not run, all runners are silent to all daemons at
     once.  Without this, such a silence looks like one of the daemons' making.
 
+    :param book: the accounts.
     :ivar stalls: the beats that came late, by time.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, book: ledgers.Ledger) -> None:
+        self._book = book
         self.stalls: list[Stall] = []
 
-    def run(self, began: float) -> None:
-        """Beat until killed.
-
-        :param began: start of the soak, in seconds of the steady clock.
-        """
+    def run(self) -> None:
+        """Beat until killed."""
         before, used = time.monotonic(), _scheduled()
         while True:
             eventlet.sleep(_EVERY)
             now, spent = time.monotonic(), _scheduled()
             if now - before - _EVERY > _LATE:
+                self._book.stood_still()
                 self.stalls.append(
                     Stall(
-                        now - began,
+                        self._book.now,
                         now - before,
                         spent[0] - used[0],
                         spent[1] - used[1],
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -9,6 +9,7 @@
 import eventlet
 
 from standins.soak import caller as callers
+from standins.soak import daemon as daemons_
 from standins.soak import installation as installations
 from standins.soak import ledger as ledgers
 from standins.soak import pulse as pulses
@@ -65,7 +66,7 @@
             for n in range(calling)
         ]
         self.injected: collections.Counter[str] = collections.Counter()
-        self.pulse = pulses.Pulse()
+        self.pulse = pulses.Pulse(self.book)
         self.beside: Callable[[Soak], None] = lambda _: None
 
     def run(self) -> list[ledgers.Broken]:
@@ -84,11 +85,25 @@
             self.book.look("no daemon logs a traceback", own, daemon.name)
         return self.book.broken
 
+    def story(self, broken: ledgers.Broken) -> list[str]:
+        """Return what the daemons logged of a request, by time.
+
+        :param broken: a promise whose detail begins with the request's id.
+        """
+        request = broken.detail.split(" ")[0]
+        lines = [
+            line
+            for daemon in self.installation.daemons
+            for line in daemon.output().splitlines()
+            if request and request in line
+        ]
+        return [f"{broken.promise}: {broken.detail}", *sorted(lines)]
+
     def _play(self) -> None:
         made, book = self.installation, self.book
         self._wait_until_up()
         book.began = time.monotonic()
-        pulse = eventlet.spawn(self.pulse.run, book.began)
+        pulse = eventlet.spawn(self.pulse.run)
         calling = [eventlet.spawn(each.run) for each in self._callers]
         versions = eventlet.spawn(self._versions)
         beside = eventlet.spawn(self.beside, self)
@@ -111,7 +126,7 @@
 
     def _wait_until_up(self) -> None:
         until = time.monotonic() + _UP_SECONDS
-        ready = installations.all_ready
+        ready = daemons_.all_ready
         while not ready(self.installation.daemons):
             if time.monotonic() > until:
                 raise RuntimeError("the daemons did not get ready")
--- a/standins/soak/runner.py
+++ b/standins/soak/runner.py
@@ -13,27 +13,15 @@
 
 from standins import rowstore
 from standins.soak import ledger as ledgers
+from standins.soak import place as places
 from standins.soak import relay as relays
 
-#: Seconds of a join, of the opening, and until a head that lost a member
-#: breaks; short, so that many happen in a soak of a minute.
-_JOIN = 0.2
-_FORM = 0.3
-_STALL = 4.0
-
+#: Seconds between two events of a stream, and of a plain request.
 _GAP = 0.04
 _WORK = 0.08
 
-
-class Group(msgspec.Struct):
-    """A runner's place in a group."""
-
-    name: str
-    epoch: int
-    members: tuple[str, ...]
-    rank: int
-    state: str = "joining"
-    is_preempted: bool = False
+#: Seconds between two looks of a stream that stands still.
+_LOOK = 0.05
 
 
 class Runner:
@@ -45,13 +33,12 @@
     :param store: takes its entry.
     :param book: the accounts.
     :param chance: for misbehaviour.
-    :param fleet: all runners by id.
+    :param fleet: the places of all runners by id.
     :param size_by_model: members of a group, for a service with groups.
     :param on_run: told the zone of each request that begins.
     :ivar relay: harms its connections.
-    :ivar alive: whether it works.
+    :ivar place: where it stands in groups.
     :ivar listed: whether it reaches the store.
-    :ivar deaf: whether it listens no more and stays for its head's work only.
     :ivar late: whether orders are answered by nobody and carried out late.
     :ivar loses: whether answers of what it ran are lost.
     """
@@ -64,22 +51,18 @@
         store: rowstore.RowStore,
         book: ledgers.Ledger,
         chance: random.Random,
-        fleet: dict[str, "Runner"],
+        fleet: dict[str, places.Place],
         size_by_model: dict[str, int] | None = None,
         on_run: Callable[[str], None] = lambda _: None,
     ) -> None:
         self.name, self.service, self.zone = name, service, zone
         self._store, self._book, self._chance = store, book, chance
-        self._fleet = fleet
         self._sizes = size_by_model or {}
         self._on_run = on_run
-        self.alive = self.listed = True
+        self.place = places.Place(name, fleet, book, self.tell)
+        self.listed = True
         self.draining_at: float | None = None
-        self.late = self.loses = self.deaf = False
-        self.group: Group | None = None
-        self._sequence = self._seen_epoch = 0
-        self._running = 0
-        self._still_since: float | None = None
+        self.late = self.loses = False
         self._life = 0
         self._born = round(time.time() * 1_000)
         self._socket = eventlet.listen(("127.0.0.1", 0), backlog=256)
@@ -95,6 +78,11 @@
         )
         self.tell()
 
+    @property
+    def alive(self) -> bool:
+        """Tell whether it works."""
+        return self.place.alive
+
     def tell(self) -> None:
         """Write the entry as it is now."""
         if not self.alive or not self.listed:
@@ -113,23 +101,21 @@
         }
         if self._sizes:
             entry |= {"Domain": f"{self.zone}-0", "Staged": list(self._sizes)}
-            entry["group"] = self._group_said()
+            entry["group"] = self.place.said()
         self._store.put("servers", self.name, entry)
 
     def crash(self) -> None:
         """Die without a word."""
-        self.alive = False
         self._life += 1
-        self.group = None
+        self.place.crash()
         self.relay.do(relays.Harm.REFUSED)
 
     def start(self) -> None:
         """Come back with nothing known, under the same id."""
-        self.alive, self.listed, self.deaf = True, True, False
+        self.place.start()
+        self.listed = True
         self.draining_at = None
         self._born = round(time.time() * 1_000)
-        self._sequence = self._seen_epoch = self._running = 0
-        self._still_since = None
         self.relay.do(relays.Harm.NONE)
         self.tell()
 
@@ -140,30 +126,15 @@
 
     def stop_listening(self) -> None:
         """Take nothing new any more; its head does not either."""
-        self.deaf = True
+        self.place.deaf = True
         self.unlist()
         self.relay.do(relays.Harm.REFUSED)
 
-    def head_works(self) -> bool:
-        """Tell whether the head of its group has requests that run."""
-        held = self.group
-        head = self._fleet.get(held.members[0]) if held else None
-        return head is not None and head.is_with(held) and head._running > 0
-
     def unlist(self) -> None:
         """Let its entry lapse."""
         self.listed = False
         self._store.drop("servers", self.name)
 
-    def is_with(self, group: Group) -> bool:
-        """Tell whether it is still a member of a group.
-
-        :param group: as its head knows it.
-        """
-        own = self.group
-        here = own is not None and own.name == group.name
-        return self.alive and here and own.epoch == group.epoch
-
     def __call__(
         self, environ: dict[str, Any], start_response: Callable
     ) -> Iterable[bytes]:
@@ -176,7 +147,7 @@
         if path == "/v1/report":
             said = {"Staged": list(self._sizes), "born": self._born}
             return _json(
-                start_response, 200, said | {"group": self._group_said()}
+                start_response, 200, said | {"group": self.place.said()}
             )
         if path == "/v1/order":
             status = self._ordered(msgspec.json.decode(body))
@@ -185,18 +156,6 @@
             return _json(start_response, status, {})
         return self._serve(environ, start_response, body)
 
-    def _group_said(self) -> dict[str, Any] | None:
-        if self.group is None:
-            return None
-        state = "broken" if self._is_broken() else self.group.state
-        held = self.group
-        return {
-            "Name": held.name,
-            "epoch": held.epoch,
-            "rank": held.rank,
-            "State": state,
-        }
-
     def _ordered(self, order: dict[str, Any]) -> int | None:
         if self.late and self._chance.random() < 0.5:
             delay = self._chance.uniform(1.0, 5.0)
@@ -207,125 +166,17 @@
     def _carry_out(self, order: dict[str, Any], life: int) -> int:
         if life != self._life or not self.alive:
             return 409
-        kind = order["Operation"]
-        if kind == "join":
-            return self._join(order)
-        if kind == "Stage":
-            return 200
-        held = self.group
-        place = order.get("group"), order.get("epoch")
-        if held is None or (held.name, held.epoch) != place:
-            return 409
-        if kind == "leave":
-            self.group = None
-            self.tell()
-            return 202
-        if kind == "open":
-            return self._open(held)
-        if held.state in ("open", "closing"):
-            self._close(held, order.get("CloseMode") == "preempt")
-        return 202
-
-    def _close(self, held: Group, at_once: bool) -> None:
-        held.state = "ready" if at_once else "closing"
-        held.is_preempted = at_once
-        self.tell()
-        if not at_once:
-            eventlet.spawn(self._closed, held)
-
-    def _closed(self, held: Group) -> None:
-        while self._running:
-            eventlet.sleep(0.02)
-        if self.group is held and held.state == "closing" and self.alive:
-            held.state = "ready"
-            self.tell()
-
-    def _open(self, held: Group) -> int:
-        if held.state == "open":
-            return 200
-        if held.rank or held.state != "ready":
-            return 409
-        eventlet.spawn_after(_FORM, self._opened, held)
-        return 202
-
-    def _opened(self, held: Group) -> None:
-        if self.group is held and held.state == "ready" and self.alive:
-            held.state = "open"
-            held.is_preempted = False
-            self.tell()
-
-    def _join(self, order: dict[str, Any]) -> int:
-        epoch, members = order["epoch"], tuple(order["Members"])
-        held = self.group
-        if epoch < self._seen_epoch:
-            return 412
-        if held is not None and (held.name, held.epoch) == (
-            order["group"],
-            epoch,
-        ):
-            return 200 if held.members == members else 412
-        self._look_at_old_head()
-        self._seen_epoch = epoch
-        self._sequence += 1
-        rank = members.index(self.name)
-        self.group = Group(order["group"], epoch, members, rank)
-        eventlet.spawn_after(_JOIN, self._joined, self.group)
-        self.tell()
-        return 202
-
-    def _joined(self, held: Group) -> None:
-        if self.group is held and self.alive:
-            held.state = "ready"
-            self.tell()
-
-    def _look_at_old_head(self) -> None:
-        held = self.group
-        if held is None:
-            return
-        head = self._fleet.get(held.members[0])
-        serves = (
-            head is not None
-            and head is not self
-            and head.is_with(held)
-            and head.group.state in ("open", "closing")
-            and not head._is_broken()
-        )
-        detail = f"{self.name} leaves {held.name} that its head serves"
-        self._book.look("no runner is in two groups", not serves, detail)
-
-    def _stands_still(self) -> bool:
-        held = self.group
-        others = [self._fleet[m] for m in held.members if m in self._fleet]
-        whole = len(others) == len(held.members)
-        whole = whole and all(other.is_with(held) for other in others)
-        if whole:
-            self._still_since = None
-        elif self._still_since is None:
-            self._still_since = time.monotonic()
-        return not whole
-
-    def _is_broken(self) -> bool:
-        if self.group is None or self.group.rank:
-            return False
-        if self.group.state not in ("open", "closing", "broken"):
-            return False
-        if not self._stands_still():
-            return False
-        return time.monotonic() - self._still_since >= _STALL
+        return self.place.carry_out(order)
 
     def _serve(self, environ, start_response, body) -> Iterable[bytes]:
         number = environ.get("HTTP_X_ATTEMPT_ID", "")
         if self._sizes:
-            held = self.group
+            held = self.place.group
             if held is None or held.rank or held.state != "open":
                 return self._not_run(start_response, 421, number)
-            if any(self._fleet[m].deaf for m in held.members):
+            whole = self.place.listens() and self.place.wait_whole(held)
+            if not whole:
                 return self._not_run(start_response, 503, number)
-            until = time.monotonic() + _STALL
-            while self._stands_still() or not self._serves(held):
-                if time.monotonic() >= until or not self._serves(held):
-                    return self._not_run(start_response, 503, number)
-                eventlet.sleep(0.05)
             self._look_at_group(held, environ.get("HTTP_X_MODEL", ""))
         self._look_at_leaving()
         self._on_run(self.zone)
@@ -356,42 +207,35 @@
         head = [("Content-Type", "text/event-stream")]
         head += _head(number, f"{self.name}.{number}")
         start_response("200 OK", head)
-        held, life = self.group, self._life
-
-        def events():
-            self._running += 1
-            try:
-                yield from written()
-            finally:
-                self._running -= 1
+        return self._events(number, first, count)
 
-        def written():
-            for event in range(first, count + 1):
+    def _events(self, number: str, first: int, last: int) -> Iterable[bytes]:
+        place, held, life = self.place, self.place.group, self._life
+        place.running += 1
+        try:
+            for event in range(first, last + 1):
                 eventlet.sleep(_GAP)
-                while self.group is held and self._stands_still():
-                    eventlet.sleep(0.05)
-                gone = life != self._life or self.group is not held
-                if gone or held.is_preempted:
+                while place.group is held and place.stands_still():
+                    if place.is_broken():
+                        break
+                    eventlet.sleep(_LOOK)
+                gone = life != self._life or place.group is not held
+                if gone or held.is_preempted or place.is_broken():
                     raise ConnectionResetError("the runner is gone")
                 yield b"id: %d\ndata: %s-%d\n\n" % (
                     event,
                     number.encode(),
                     event,
                 )
+        finally:
+            place.running -= 1
 
-        return events()
-
-    def _serves(self, held: Group) -> bool:
-        return self.is_with(held) and held.state in ("open", "closing")
-
-    def _look_at_group(self, held: Group, model: str) -> None:
+    def _look_at_group(self, held: places.Group, model: str) -> None:
         size = self._sizes.get(model)
         detail = f"{held.name} with {len(held.members)} of {size} for {model}"
         whole = size == len(held.members)
         self._book.look("a group that serves is whole", whole, detail)
-        ready = all(
-            self._fleet[m].group.state != "joining" for m in held.members
-        )
+        ready = self.place.all_were_ready()
         self._book.look(
             "a group opens when all have been ready", ready, detail
         )
--- a/tests/processes/steps/processes_steps.py
+++ b/tests/processes/steps/processes_steps.py
@@ -87,9 +87,9 @@
     made.operator.set_out("zone-b", True)
     member = made.members("zone-a", "large")[0]
     eventlet.spawn(made.let_leave, member)
-    while not member.deaf:
+    while not member.place.deaf:
         eventlet.sleep(0.01)
-    context.worked = member.head_works()
+    context.worked = member.place.head_works()
 
 
 _DO_BY_WHAT = {
@@ -118,7 +118,10 @@
 
 @behave.then("no promise was broken")
 def step_kept(context):
-    assert not context.soak.book.broken, context.soak.book.broken[:5]
+    soak, broken = context.soak, context.soak.book.broken
+    told = [line for each in broken[:5] for line in soak.story(each)]
+    stalls = [str(stall) for stall in soak.pulse.stalls]
+    assert not broken, "\n".join([*told, *stalls])
 
 
 @behave.then("each promise that holds always was looked at")
