Allow an answer to end at its deadline when its upstreams did not run

Change: such an end is allowed only if it comes at or after the deadline and the soak itself stood still since the request began; else it breaks the promise as before. The deadline has a name.

--- a/standins/soak/caller.py
+++ b/standins/soak/caller.py
@@ -14,6 +14,10 @@
 
 _PATIENCE = 8.0
 
+#: Seconds that a caller gives its request; what is not written by then is of
+#: no use to it, and may be ended.
+_DEADLINE = 6.0
+
 #: Statuses that say that a request has not run.
 _NOT_RUN = frozenset({408, 421, 429, 503})
 
@@ -70,6 +74,7 @@
 
     def _one(self, connection, daemon: daemons.Daemon) -> bool:
         asked, method, head = self._make()
+        began = self._book.now
         self._book.ask(asked)
         sent = False
         try:
@@ -80,7 +85,7 @@
             got = connection.getresponse()
             data = got.read()
         except (OSError, http.client.HTTPException) as error:
-            self._cut(daemon, asked, sent, error)
+            self._cut(daemon, asked, began, sent, error)
             raise
         self._judge(asked, got, data)
         if got.status in _NOT_RUN:
@@ -95,7 +100,7 @@
             "Host": operators.HOST,
             "X-Attempt-Id": number,
             "X-Api-Key": key,
-            "X-Deadline-Ms": "6000",
+            "X-Deadline-Ms": "%d" % (_DEADLINE * 1_000),
             # Whatever a caller says of its team must not count.
             "X-Tenant": "team-forged",
         }
@@ -120,15 +125,20 @@
         self._book.end("left")
         return False
 
-    def _cut(self, daemon, asked, sent: bool, error: Exception) -> None:
+    def _cut(
+        self, daemon, asked, began: float, sent: bool, error: Exception
+    ) -> None:
         self._book.end("cut" if sent else "not sent")
         if isinstance(error, ConnectionRefusedError | socket.timeout):
             return
         # A daemon that ends in order answers whatever it has passed on.
         runs = self._book.runs(asked.id)
+        # An upstream that does not run writes nothing by the deadline.
+        over = self._book.now - began >= _DEADLINE
+        over = over and self._book.stood_still_since(began)
         self._book.look(
             "no answer is cut, unless faults do it",
-            not runs or self._book.troubled_since(runs[0].at),
+            not runs or over or self._book.troubled_since(runs[0].at),
             f"{asked.id} at {daemon.name}: {error!r}, ran {runs}",
         )
 
