List a fault: a pause of all runners is taken for the death of some

Cause: some members answer the second look, which vouches for their data centre; the others have failed twice and count as lost, and their groups are cut.

--- a/tests/replicas/planning.feature
+++ b/tests/replicas/planning.feature
@@ -226,3 +226,12 @@
     Given 2 domains of 9 runners serve
     When a member of a "large" replica leaves, and 4 s later listens no more
     Then its head is told to let what runs end, before anything is cut
+
+  Scenario: all runners of a data centre pause for less than a second
+    They run again while they are looked at for the second time: some answer
+    in time, some don't. Those that don't count as lost, the others vouch that
+    the data centre can be reached, and groups whose members all live are cut.
+
+    Given 6 domains of 11 runners serve
+    When every runner of "zone-1" pauses, and half of them answer the second look
+    Then for 6 s no order is given to a runner of "zone-1"
--- a/tests/replicas/steps/late_steps.py
+++ b/tests/replicas/steps/late_steps.py
@@ -211,3 +211,18 @@
         a for at, a in world.given if at >= context.began and a.runner in there
     ]
     assert not given, given
+
+
+@behave.when(
+    'every runner of "{zone}" pauses, and half of them answer the second look'
+)
+def step_pauses(context, zone):
+    world = context.world
+    context.there = world.cut_off(zone)
+    for runner in context.there:
+        if runner.is_open_head:
+            world.planner.accuse(runner.id)
+    world.run(300)
+    world.dark -= {runner.id for runner in context.there[::2]}
+    world.run(300)
+    world.dark.clear()
