--- a/tests/replicas/leaving.feature
+++ b/tests/replicas/leaving.feature
@@ -51,3 +51,13 @@
     And a member of a "large" replica leaves, and 4 s later listens no more
     And that member starts again
     Then within 1 s it is told to cut
+
+  Scenario: another daemon takes the lead when a member has departed
+    The new leader reads a list that lacks the member, and never heard that it
+    left. It can't tell this from a death by the list alone, and cuts what the
+    head would have finished.
+
+    Given 2 domains of 9 runners serve
+    When a "large" replica's head works without an end
+    And a member of a "large" replica departs just as another daemon takes the lead
+    Then its head is told to let what runs end, before anything is cut
--- a/tests/replicas/steps/leaving_steps.py
+++ b/tests/replicas/steps/leaving_steps.py
@@ -53,6 +53,22 @@
     context.world.working.add(context.world.open_heads("large")[0].id)
 
 
+@behave.when(
+    'a member of a "large" replica departs just as another daemon takes the '
+    "lead"
+)
+def step_lead_lost(context):
+    world = context.world
+    name = _member(context)
+    held = world.runner_by_id[name]
+    world.runner_by_id[name] = held._replace(leaving=True, seen=held.seen + 1)
+    world.run(4_000)
+    _listens_no_more(world, name)
+    world.lead(2)
+    context.began = len(world.given)
+    world.run(3_000)
+
+
 @behave.when("that member starts again")
 def step_again(context):
     world = context.world
