End the reader of a relay's connection before its number is given again

Cause: a mistake of the soak. A relay resets a connection that a task reads; the number goes to the pipe of a daemon that is started next; the hub still has the reader under it and raises "Second simultaneous read", after the process was made. Ruled out: a daemon that hangs (the new process served; its six logs are in order). Change: the relay tells the hub first; a scenario, red before.

--- a/standins/soak/relay.py
+++ b/standins/soak/relay.py
@@ -6,6 +6,7 @@
 
 import eventlet
 from eventlet.green import socket
+from eventlet import hubs
 
 _PIECE = 65_536
 _RESET = b"\1\0\0\0\0\0\0\0"
@@ -68,6 +69,7 @@
                 sock.setsockopt(
                     plain_socket.SOL_SOCKET, plain_socket.SO_LINGER, _RESET
                 )
+                _forget(sock)
                 sock.close()
 
     def close(self) -> None:
@@ -131,4 +133,17 @@
 
 def _close(sock: socket.socket) -> None:
     with contextlib.suppress(OSError):
+        _forget(sock)
         sock.close()
+
+
+def _forget(sock: socket.socket) -> None:
+    """Wake whoever reads a socket that is about to be closed.
+
+    Its number goes to whatever is opened next.  If that is a pipe to a
+    daemon that starts, the hub still has the old reader under the number,
+    refuses the new one, and the start fails in the middle.  Telling the hub
+    now ends the old reader first.
+    """
+    if sock.fileno() >= 0:
+        hubs.notify_opened(sock.fileno())
--- a/tests/processes/processes.feature
+++ b/tests/processes/processes.feature
@@ -34,6 +34,15 @@
     Then no promise was broken
     And the head worked when its member listened no more
 
+  Scenario: a process starts right after connections were reset
+    The soak of seed 544 lost a daemon's start: the number of a connection that
+    a relay had reset went to the new process's pipe, and the hub still had
+    the connection's reader under it ("Second simultaneous read").
+
+    Given a relay with 8 connections that wait for an answer
+    When they are reset, and a process is started right after
+    Then the process has started
+
   Scenario Outline: the ledger finds <mistake>
     A soak that can't fail proves nothing.
 
--- a/tests/processes/steps/processes_steps.py
+++ b/tests/processes/steps/processes_steps.py
@@ -6,9 +6,12 @@
 
 import behave
 import eventlet
+from eventlet.green import socket
 from eventlet import patcher
 
+from standins import process
 from standins.soak import ledger as ledgers
+from standins.soak import relay as relays
 from standins.soak import run as runs
 
 _ALWAYS = {
@@ -38,13 +41,17 @@
 
 
 def _make(context, seed, seconds, count, *longest):
-    folder = tempfile.TemporaryDirectory()
-    context.add_cleanup(folder.cleanup)
     context.soak = runs.Soak(
-        seed, seconds, count, 12, pathlib.Path(folder.name), *longest
+        seed, seconds, count, 12, _folder(context), *longest
     )
 
 
+def _folder(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    return pathlib.Path(folder.name)
+
+
 @behave.given(
     "a soak of seed {seed:d} for {seconds:d} s with {count:d} daemons and no "
     "faults"
@@ -111,6 +118,38 @@
     assert context.worked
 
 
+@behave.given("a relay with {count:d} connections that wait for an answer")
+def step_relay(context, count):
+    server = eventlet.listen(("127.0.0.1", 0))
+    eventlet.spawn(_accept, server)
+    context.relay = relays.Relay("127.0.0.1:%d" % server.getsockname()[1])
+    context.add_cleanup(context.relay.close)
+    host, _, port = context.relay.address.rpartition(":")
+    context.waiting = [
+        socket.create_connection((host, int(port))) for _ in range(count)
+    ]
+    eventlet.sleep(0.1)
+
+
+def _accept(server):
+    taken = []
+    while True:
+        taken.append(server.accept())
+
+
+@behave.when("they are reset, and a process is started right after")
+def step_reset(context):
+    context.relay.reset()
+    context.process = process.Process(
+        "process", ["-c", "pass"], "", _folder(context)
+    )
+
+
+@behave.then("the process has started")
+def step_started(context):
+    assert context.process.wait() == 0
+
+
 @behave.when("it has run")
 def step_run(context):
     context.soak.run()
