--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -129,5 +129,13 @@
         ready = daemons_.all_ready
         while not ready(self.installation.daemons):
             if time.monotonic() > until:
-                raise RuntimeError("the daemons did not get ready")
+                raise RuntimeError(self._who_is_not_up())
             eventlet.sleep(0.1)
+
+    def _who_is_not_up(self) -> str:
+        tails = [
+            f"{daemon.name} did not get ready: {daemon.output()[-600:]}"
+            for daemon in self.installation.daemons
+            if not daemon.is_ready()
+        ]
+        return "\n".join(tails)
