Log from which source and revision each table is taken

New lines: table updated, table update missed, runner missing; a gauge with the revision of each table. Decisions are unchanged.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -225,6 +225,12 @@
         show("log_lines_dropped", "Lines dropped.", self._log.dropped)
         show("leading", "Whether it leads.", float(bool(self._lease.held)))
         show("daemons", "Daemons known.", self._lease.daemons)
+        for table, followed in self._news.tail_by_table.items():
+            show(
+                f"{table}_table_revision",
+                "Revision up to which the table is known.",
+                followed.revision,
+            )
         show("configuration_version", "Version in force.", version)
         show("configuration_age_seconds", "Since it was the newest.", age)
 
--- a/src/citronvalve/daemon/newstask.py
+++ b/src/citronvalve/daemon/newstask.py
@@ -119,7 +119,13 @@
         if not (scan.rows or scan.deleted) or not self.is_reader():
             return 0
         changes = news.Changes(
-            lease, table, base, scan.revision, scan.rows, scan.deleted
+            lease,
+            table,
+            base,
+            scan.revision,
+            scan.rows,
+            scan.deleted,
+            self._env.name,
         )
         if lease:
             self._tell_all(changes)
@@ -255,6 +261,7 @@
         tail.offer(
             message.base,
             rows.Scan(message.revision, message.rows, message.gone),
+            message.reader,
         )
 
     def _on_crash(self, message: news.Crash) -> None:
--- a/src/citronvalve/daemon/runnerlist.py
+++ b/src/citronvalve/daemon/runnerlist.py
@@ -63,6 +63,11 @@
             if key in self._directory.runner_by_id:
                 now = self._env.clock.now()
                 self._missing_since.setdefault(key, now)
+                self._env.log.change(
+                    "runner missing",
+                    runner=key,
+                    store_failed_at=self.trouble_at(),
+                )
         self.settle()
 
     def confirmed(self, at: clock.Ms) -> None:
--- a/src/citronvalve/peers/news.py
+++ b/src/citronvalve/peers/news.py
@@ -45,7 +45,10 @@
 
 
 class Changes(msgspec.Struct, tag="changes", array_like=True, frozen=True):
-    """Rows of a table that changed after ``base`` and up to ``revision``."""
+    """Rows of a table that changed after ``base`` and up to ``revision``.
+
+    ``reader`` is the daemon that read them from the store.
+    """
 
     lease: int
     table: str
@@ -53,6 +56,7 @@
     revision: int
     rows: tuple[rows.Row, ...]
     gone: tuple[str, ...]
+    reader: str = ""
 
 
 class Crash(msgspec.Struct, tag="crash", array_like=True, frozen=True):
--- a/src/citronvalve/storage/tail.py
+++ b/src/citronvalve/storage/tail.py
@@ -35,6 +35,12 @@
 #: changes several times a second, and each call is paid for.
 _GATHER: clock.Ms = 70
 
+#: Source of an update that this daemon read itself, in the log.
+_STORE = "store"
+
+#: Removed rows that one line of the log names.
+_NAMED = 10
+
 #: Pauses after a failure, the last one repeated; spread by chance.
 _PAUSES: tuple[clock.Ms, ...] = (50, 100, 200, 400)
 
@@ -141,6 +147,7 @@
         if isinstance(got, missing.Missing):
             return self._failed(got)
         self._regained()
+        self._note(_STORE, base, got)
         if not base:
             self._reader.whole(got.rows)
             self.revision = self.changed = got.revision
@@ -153,11 +160,12 @@
             self._vouched_until = asked + _VOUCHED
         return max(_GATHER, self.on_read(base, got))
 
-    def offer(self, base: int, scan: rows.Scan) -> None:
+    def offer(self, base: int, scan: rows.Scan, source: str = "") -> None:
         """Take what another daemon has read.
 
         :param base: revision after which the rows changed.
         :param scan: the changes.
+        :param source: name of that daemon, for the log.
         """
         if not self.revision or scan.revision <= self.revision:
             return
@@ -165,7 +173,15 @@
             # Something in between did not arrive; it is read from the
             # platform itself.
             self._vouched_until = 0
+            self._log.change(
+                "table update missed",
+                table=self._table,
+                source=source,
+                base=base,
+                revision=self.revision,
+            )
             return
+        self._note(source, base, scan)
         self._take(scan)
 
     def vouch(self, changed: int, revision: int, age: clock.Ms) -> None:
@@ -184,6 +200,20 @@
             self._vouched_until = read_at + _VOUCHED
             self._confirm(read_at)
 
+    def _note(self, source: str, base: int, scan: rows.Scan) -> None:
+        if base and not scan.rows and not scan.deleted:
+            return
+        self._log.change(
+            "table updated",
+            table=self._table,
+            source=source,
+            base=base,
+            held=self.revision,
+            revision=scan.revision,
+            rows=len(scan.rows),
+            removed=list(scan.deleted[:_NAMED]),
+        )
+
     def _own_turn(self, reads: bool) -> clock.Ms:
         if not self._vouched_until or reads:
             return self._vouched_until
