--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -225,12 +225,11 @@
         show("log_lines_dropped", "Lines dropped.", self._log.dropped)
         show("leading", "Whether it leads.", float(bool(self._lease.held)))
         show("daemons", "Daemons known.", self._lease.daemons)
-        for table, followed in self._news.tail_by_table.items():
-            show(
-                f"{table}_table_revision",
-                "Revision up to which the table is known.",
-                followed.revision,
-            )
+        tail_by_table = self._news.tail_by_table
+        listed = tail_by_table[self._ports.runners].revision
+        declared = tail_by_table[self._ports.operators].revision
+        show("upstream_list_revision", "Known up to here.", listed)
+        show("declarations_revision", "Known up to here.", declared)
         show("configuration_version", "Version in force.", version)
         show("configuration_age_seconds", "Since it was the newest.", age)
 
