Take a whole reading told by another daemon as whole

What callers saw: requests went to an upstream 12.7 s after the store had acknowledged that it leaves (DRAIN).

Cause: a daemon that reads for others and has lost its history reads the table whole. It told this as changes with base 0 and no removals, and the others took it so. Their revision passed a removal that they never took; from then on every statement of the reader agreed with their revision.

Base 0 now means the whole table on the wire as well, and whoever takes it drops what is not among its rows. Nothing else needs to be told: a whole reading that is too large to be told shows in the next statement of the reader, and the daemon then reads for itself.

--- a/src/citronvalve/peers/news.py
+++ b/src/citronvalve/peers/news.py
@@ -47,6 +47,7 @@
 class Changes(msgspec.Struct, tag="changes", array_like=True, frozen=True):
     """Rows of a table that changed after ``base`` and up to ``revision``.
 
+    With ``base`` 0 they are the whole table: what is not among them is gone.
     ``reader`` is the daemon that read them from the store.
     """
 
--- a/src/citronvalve/storage/tail.py
+++ b/src/citronvalve/storage/tail.py
@@ -148,11 +148,8 @@
             return self._failed(got)
         self._regained()
         self._note(_STORE, base, got)
-        if not base:
-            self._reader.whole(got.rows)
-            self.revision = self.changed = got.revision
-        elif got.revision >= self.revision:
-            self._take(got)
+        if got.revision >= self.revision:
+            self._take(base, got)
         # An answer without changes was held back to the end of the wait, so
         # there was none until then; one with changes was just made.
         self._confirm(self._clock.now() if got.rows else asked + wait)
@@ -163,7 +160,8 @@
     def offer(self, base: int, scan: rows.Scan, source: str = "") -> None:
         """Take what another daemon has read.
 
-        :param base: revision after which the rows changed.
+        :param base: revision after which the rows changed, 0 for the whole
+            table.
         :param scan: the changes.
         :param source: name of that daemon, for the log.
         """
@@ -182,7 +180,7 @@
             )
             return
         self._note(source, base, scan)
-        self._take(scan)
+        self._take(base, scan)
 
     def vouch(self, changed: int, revision: int, age: clock.Ms) -> None:
         """Take another daemon's word on what the newest revision is.
@@ -219,10 +217,14 @@
             return self._vouched_until
         return self._vouched_until + _GRACE
 
-    def _take(self, scan: rows.Scan) -> None:
-        self._reader.changed(scan.rows, scan.deleted)
+    def _take(self, base: int, scan: rows.Scan) -> None:
         self.revision = scan.revision
-        if scan.rows or scan.deleted:
+        if not base:
+            # Rows that went before it are named nowhere.
+            self._reader.whole(scan.rows)
+            self.changed = scan.revision
+        elif scan.rows or scan.deleted:
+            self._reader.changed(scan.rows, scan.deleted)
             self.changed = scan.revision
 
     def _confirm(self, at: clock.Ms) -> None:
