Compare what a daemon holds of a table with the store, whole

What callers saw: requests went to an upstream long after the store had acknowledged that it leaves.

Cause: revisions alone were compared. Two daemons at the same revision were taken to hold the same rows.

Change: a mirror of keys and versions gives a digest, which a reader states with its revision. Who differs reads the table whole. A reader itself reads it whole every 1.6 s (5 ms a row for large tables), and so does a daemon that no matching statement reached for so long. A whole reading is told to others as what differs, removals included. A lost history keeps the revision, so that updates are taken meanwhile; an answer older than an update is dropped. A daemon that the store turns away asks the leader for the table.

Declarations and the list of upstreams skip rows that they hold, so a repeated whole reading parses nothing.

--- a/src/citronvalve/daemon/declarations.py
+++ b/src/citronvalve/daemon/declarations.py
@@ -26,6 +26,7 @@
         self._env = env
         self._directory = directory
         self._ports = ports
+        self._declared_version = 0
 
     def whole(self, found: tuple[rows.Row, ...]) -> None:
         self._set_out(frozenset(filter(None, map(self._out, found))))
@@ -56,6 +57,9 @@
     def _declared(self, row: rows.Row) -> None:
         if row.key != self._ports.catalogue_key:
             return
+        if row.version <= self._declared_version:
+            return
+        self._declared_version = row.version
         read = self._ports.catalogue(row)
         if isinstance(read, missing.Missing):
             held = self._directory.catalogue
--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -195,6 +195,7 @@
             followed.on_call = functools.partial(
                 self.env.metrics.read_platform, table
             )
+            followed.on_lack = functools.partial(self._news.ask_for, table)
             followed.on_read = functools.partial(self._news.spread, table)
             if reader is listed:
                 listed.trouble_at = lambda t=followed: t.failed_at
--- a/src/citronvalve/daemon/newstask.py
+++ b/src/citronvalve/daemon/newstask.py
@@ -78,6 +78,7 @@
             news.Hello: self._on_hello,
             news.Beat: self._on_beat,
             news.Changes: self._on_changes,
+            news.Lack: self._on_lack,
             news.Crash: self._on_crash,
             news.Standstill: self._on_standstill,
             news.Loads: self._on_loads,
@@ -160,6 +161,15 @@
             self.on_standstill(upstream)
         self._tell_all(news.Standstill(upstream))
 
+    def ask_for(self, table: str) -> None:
+        """Ask the leader to tell a whole table.
+
+        :param table: its name.
+        """
+        if self._lease.hears_leader:
+            lack = news.Lack(self._env.name, table)
+            self._send_all([spreadings.Outgoing(self._lease.leader, lack)])
+
     def tell_crash(self, fingerprint: str, upstream: str) -> None:
         """Tell all daemons of an upstream that was lost with a request.
 
@@ -209,15 +219,9 @@
             )
 
     def _own_beat(self, lease: int) -> news.Beat:
-        now = self._env.clock.now()
-        told = tuple(
-            news.Told(
-                table, tail.changed, tail.revision, now - tail.confirmed_at
-            )
-            for table, tail in self.tail_by_table.items()
-            if tail.revision and tail.confirmed_at
-        )
-        return news.Beat(self._env.name, lease, self._lease.daemons, told)
+        states = (tail.state() for tail in self.tail_by_table.values())
+        known = tuple(filter(None, states))
+        return news.Beat(self._env.name, lease, self._lease.daemons, known)
 
     def _tell_all(self, item: news.Item) -> None:
         now = self._env.clock.now()
@@ -251,7 +255,7 @@
         for told in message.tables:
             tail = self.tail_by_table.get(told.table)
             if tail is not None:
-                tail.vouch(told.changed, told.revision, told.age)
+                tail.vouch(told, message.name)
 
     def _on_changes(self, message: news.Changes) -> None:
         tail = self.tail_by_table.get(message.table)
@@ -264,6 +268,16 @@
             message.reader,
         )
 
+    def _on_lack(self, message: news.Lack) -> None:
+        tail = self.tail_by_table.get(message.table)
+        if tail is not None and self._lease.leads:
+            self._env.log.change(
+                "whole table asked for",
+                table=message.table,
+                by=message.name,
+            )
+            tail.ask()
+
     def _on_crash(self, message: news.Crash) -> None:
         self.on_crash(message.fingerprint, message.upstream)
 
--- a/src/citronvalve/daemon/runnerlist.py
+++ b/src/citronvalve/daemon/runnerlist.py
@@ -53,6 +53,9 @@
         self, found: tuple[rows.Row, ...], gone: tuple[str, ...]
     ) -> None:
         for row in found:
+            if self._is_held(row):
+                self._missing_since.pop(row.key, None)
+                continue
             runner = self._decode(row)
             if runner is None:
                 self._drop(row.key, "unreadable entry")
@@ -84,6 +87,10 @@
             del self._missing_since[key]
             self._drop(key, "left the list")
 
+    def _is_held(self, row: rows.Row) -> bool:
+        held = self._directory.runner_by_id.get(row.key)
+        return held is not None and held.seen >= row.version
+
     def _put(self, runner: runners.Runner) -> None:
         held = self._directory.put(runner)
         if held is not None and held.seen >= runner.seen:
--- a/src/citronvalve/peers/news.py
+++ b/src/citronvalve/peers/news.py
@@ -4,25 +4,13 @@
 
 import msgspec
 
-from citronvalve.model import clock
 from citronvalve.storage import rows
+from citronvalve.storage import tablestate
 
 #: Requests at an upstream by its id: how many, and how many of them late.
 Counts = dict[str, tuple[int, int]]
 
 
-class Told(msgspec.Struct, array_like=True, frozen=True):
-    """How far the sender has read a table, and when that was known.
-
-    The last change came with ``changed``; there was none up to ``revision``.
-    """
-
-    table: str
-    changed: int
-    revision: int
-    age: clock.Ms
-
-
 class Hello(msgspec.Struct, tag="hello", array_like=True, frozen=True):
     """The sender has started and listens at ``address``."""
 
@@ -41,7 +29,7 @@
     name: str
     lease: int
     daemons: int
-    tables: tuple[Told, ...]
+    tables: tuple[tablestate.TableState, ...]
 
 
 class Changes(msgspec.Struct, tag="changes", array_like=True, frozen=True):
@@ -60,6 +48,13 @@
     reader: str = ""
 
 
+class Lack(msgspec.Struct, tag="lack", array_like=True, frozen=True):
+    """The sender lacks updates of a table and can't read it from the store."""
+
+    name: str
+    table: str
+
+
 class Crash(msgspec.Struct, tag="crash", array_like=True, frozen=True):
     """An upstream was lost while it ran a request."""
 
@@ -124,4 +119,4 @@
     item: Item
 
 
-News = Item | Loads | Totals | Digest | Passed
+News = Item | Lack | Loads | Totals | Digest | Passed
--- a/src/citronvalve/storage/tail.py
+++ b/src/citronvalve/storage/tail.py
@@ -6,8 +6,10 @@
 from citronvalve.model import clock
 from citronvalve.model import decisionlog
 from citronvalve.model import missing
+from citronvalve.storage import mirror
 from citronvalve.storage import rows
 from citronvalve.storage import tableservice
+from citronvalve.storage import tablestate
 
 #: Longest time one call waits for a change.  A service that went silent is
 #: noticed soon after it, so that "the newest" is not said of an older view.
@@ -31,6 +33,20 @@
 #: Pause between two looks whether another daemon still vouches.
 _LOOK: clock.Ms = 50
 
+#: What is held is compared with the whole table this often.  A daemon that
+#: others go by reads it; one that goes by another's statements compares
+#: digests, and reads it only when they differ or none came for so long.  A
+#: wrong belief, whatever its origin, ends within this time.
+_COMPARE: clock.Ms = 1_600
+
+#: For each row, since the whole table is read: a large table is compared less
+#: often, so that a reader reads 200 rows a second for it at most.
+_COMPARE_ROW: clock.Ms = 5
+
+#: The whole table is told at most this often to daemons that the platform
+#: turns away, and that can't read what they lack.
+_ASKED: clock.Ms = 500
+
 #: Changes within this time come in one answer: at the start each runner
 #: changes several times a second, and each call is paid for.
 _GATHER: clock.Ms = 70
@@ -84,6 +100,8 @@
     :ivar on_read: told the revision asked after and what was read; returns
         the ms in which further changes are better gathered.
     :ivar on_call: told of each call whether it had an answer.
+    :ivar on_lack: called when updates are missing here and the service does
+        not answer; another daemon may tell the whole table.
     :ivar is_reader: tells whether others go by what this daemon reads; one
         that is none asks only when nobody's word has come.
     :ivar revision: how far the table is known, 0 before the first reading.
@@ -111,8 +129,14 @@
         self._sleep = sleep
         self._failures = 0
         self._vouched_until: clock.Ms = 0
+        self._mirror = mirror.Mirror()
+        self._is_doubted = True
+        self._is_asked = False
+        self._read_whole_at: clock.Ms = 0
+        self._proved_at: clock.Ms = 0
         self.on_read: Callable[[int, rows.Scan], clock.Ms] = lambda *_: 0
         self.on_call: Callable[[bool], None] = lambda _: None
+        self.on_lack: Callable[[], None] = lambda: None
         self.is_reader: Callable[[], bool] = lambda: True
         self.revision = 0
         self.changed = 0
@@ -129,33 +153,59 @@
         """Make one call, or none; return the ms until the next."""
         asked = self._clock.now()
         reads = self.is_reader()
-        if self.revision and asked < self._own_turn(reads):
+        if not self._is_doubted and asked < self._own_turn(reads):
             return _LOOK
-        base = self.revision
-        wait = 0
-        if not base:
-            got = self._service.scan(self._table)
-        else:
-            if reads and asked - self.confirmed_at < _STALE:
-                wait = _WAIT
-            got = self._service.follow(self._table, base, wait)
+        if self._is_doubted or asked >= self._compare_at:
+            return self._read_whole(asked, reads)
+        return self._read_changes(asked, reads)
+
+    def _read_whole(self, asked: clock.Ms, reads: bool) -> clock.Ms:
+        got = self._service.scan(self._table)
+        self.on_call(not isinstance(got, missing.Unavailable))
+        if isinstance(got, missing.Missing):
+            return self._failed(got)
+        self._regained()
+        if got.revision < self.revision:
+            # It was made before an update that came meanwhile.
+            return _GATHER
+        told = self._told_of_whole(got)
+        self._take_whole(_STORE, got)
+        self._is_doubted = self._is_asked = False
+        self._read_whole_at = self._proved_at = asked
+        self._read(asked, asked, reads)
+        return max(_GATHER, self.on_read(*told))
+
+    def _told_of_whole(self, got: rows.Scan) -> tuple[int, rows.Scan]:
+        if self._is_asked:
+            return 0, got
+        found, gone = self._mirror.difference(got.rows)
+        return self.revision, rows.Scan(got.revision, found, gone)
+
+    def _read_changes(self, asked: clock.Ms, reads: bool) -> clock.Ms:
+        base, wait = self.revision, 0
+        if reads and asked - self.confirmed_at < _STALE:
+            wait = min(_WAIT, self._compare_at - asked)
+        got = self._service.follow(self._table, base, wait)
         self.on_call(not isinstance(got, missing.Unavailable))
         if isinstance(got, missing.NotFound):
             self._log.change("history lost", table=self._table)
-            self.revision = 0
+            self._is_doubted = True
             return 0
         if isinstance(got, missing.Missing):
             return self._failed(got)
         self._regained()
-        self._note(_STORE, base, got)
         if got.revision >= self.revision:
-            self._take(base, got)
+            self._take_changes(_STORE, base, got)
         # An answer without changes was held back to the end of the wait, so
         # there was none until then; one with changes was just made.
-        self._confirm(self._clock.now() if got.rows else asked + wait)
+        newest_at = self._clock.now() if got.rows else asked + wait
+        self._read(asked, newest_at, reads)
+        return max(_GATHER, self.on_read(base, got))
+
+    def _read(self, asked: clock.Ms, newest_at: clock.Ms, reads: bool) -> None:
+        self._confirm(newest_at)
         if not reads:
             self._vouched_until = asked + _VOUCHED
-        return max(_GATHER, self.on_read(base, got))
 
     def offer(self, base: int, scan: rows.Scan, source: str = "") -> None:
         """Take what another daemon has read.
@@ -165,7 +215,10 @@
         :param scan: the changes.
         :param source: name of that daemon, for the log.
         """
-        if not self.revision or scan.revision <= self.revision:
+        if scan.revision <= self.revision:
+            return
+        if not base:
+            self._take_whole(source, scan)
             return
         if base > self.revision:
             # Something in between did not arrive; it is read from the
@@ -179,53 +232,109 @@
                 revision=self.revision,
             )
             return
-        self._note(source, base, scan)
-        self._take(base, scan)
+        self._take_changes(source, base, scan)
 
-    def vouch(self, changed: int, revision: int, age: clock.Ms) -> None:
+    def vouch(self, told: tablestate.TableState, source: str = "") -> None:
         """Take another daemon's word on what the newest revision is.
 
-        :param changed: up to which revision it has seen the last change.
-        :param revision: up to which it has read.
-        :param age: ms since that was the newest.
+        :param told: what it states.
+        :param source: name of that daemon, for the log.
         """
-        if changed > self.revision:
+        if told.changed > self.revision:
             # That change did not arrive; it is read from the platform itself.
             self._vouched_until = 0
-        elif self.revision:
-            self.revision = max(self.revision, revision)
-            read_at = self._clock.now() - age
-            self._vouched_until = read_at + _VOUCHED
-            self._confirm(read_at)
-
-    def _note(self, source: str, base: int, scan: rows.Scan) -> None:
-        if base and not scan.rows and not scan.deleted:
             return
+        read_at = self._clock.now() - told.age
+        if told.revision >= self.revision:
+            if told.digest != self._mirror.digest:
+                self._differ(told, source)
+                return
+            self._proved_at = max(self._proved_at, read_at)
+            self.revision = told.revision
+        self._vouched_until = read_at + _VOUCHED
+        self._confirm(read_at)
+
+    def ask(self) -> None:
+        """Take that another daemon needs the whole table told."""
+        self._is_asked = True
+
+    def state(self) -> tablestate.TableState | None:
+        """Return what others may go by, None before the first reading."""
+        if not self.revision or not self.confirmed_at:
+            return None
+        age = self._clock.now() - self.confirmed_at
+        return tablestate.TableState(
+            self._table,
+            self.changed,
+            self.revision,
+            age,
+            self._mirror.digest,
+        )
+
+    def _differ(self, told: tablestate.TableState, source: str) -> None:
+        self._vouched_until = 0
+        self._log.change(
+            "table differs",
+            table=self._table,
+            source=source,
+            revision=self.revision,
+            their_revision=told.revision,
+        )
+        # One that has just read the whole table is not the one to doubt; the
+        # other finds out when it next compares.
+        if self._clock.now() - self._read_whole_at >= self._compare_span:
+            self._is_doubted = True
+
+    @property
+    def _compare_span(self) -> clock.Ms:
+        return max(_COMPARE, len(self._mirror) * _COMPARE_ROW)
+
+    @property
+    def _compare_at(self) -> clock.Ms:
+        at = self._read_whole_at if self.is_reader() else self._proved_at
+        return at + (_ASKED if self._is_asked else self._compare_span)
+
+    def _note(
+        self,
+        source: str,
+        base: int,
+        revision: int,
+        difference: mirror.Difference,
+    ) -> None:
         self._log.change(
             "table updated",
             table=self._table,
             source=source,
             base=base,
             held=self.revision,
-            revision=scan.revision,
-            rows=len(scan.rows),
-            removed=list(scan.deleted[:_NAMED]),
+            revision=revision,
+            rows=len(difference.rows),
+            removed=list(difference.gone[:_NAMED]),
         )
 
     def _own_turn(self, reads: bool) -> clock.Ms:
         if not self._vouched_until or reads:
             return self._vouched_until
-        return self._vouched_until + _GRACE
+        return min(self._vouched_until + _GRACE, self._compare_at)
 
-    def _take(self, base: int, scan: rows.Scan) -> None:
-        self.revision = scan.revision
-        if not base:
-            # Rows that went before it are named nowhere.
-            self._reader.whole(scan.rows)
+    def _take_whole(self, source: str, scan: rows.Scan) -> None:
+        difference = self._mirror.difference(scan.rows)
+        if difference.rows or difference.gone or not self.revision:
+            self._note(source, 0, scan.revision, difference)
+            self._mirror.update(*difference)
             self.changed = scan.revision
-        elif scan.rows or scan.deleted:
+        self.revision = scan.revision
+        # Rows that went before it are named nowhere.
+        self._reader.whole(scan.rows)
+
+    def _take_changes(self, source: str, base: int, scan: rows.Scan) -> None:
+        if scan.rows or scan.deleted:
+            difference = mirror.Difference(scan.rows, scan.deleted)
+            self._note(source, base, scan.revision, difference)
+            self._mirror.update(*difference)
             self._reader.changed(scan.rows, scan.deleted)
             self.changed = scan.revision
+        self.revision = scan.revision
 
     def _confirm(self, at: clock.Ms) -> None:
         self.confirmed_at = max(self.confirmed_at, at)
@@ -239,6 +348,8 @@
             self._log.change(
                 "store lost", table=self._table, why=why.reason[:200]
             )
+        if self._vouched_until <= now:
+            self.on_lack()
         pause = _PAUSES[min(self._failures, len(_PAUSES) - 1)]
         self._failures += 1
         return pause
