Tell an update from the last change on, not from the counter

Seven calls for one change, and a belief that is late by a call.

Change: an update is told with the revision of the last change as its base. Whoever has that change lacks none before this one.

--- a/src/citronvalve/storage/tail.py
+++ b/src/citronvalve/storage/tail.py
@@ -179,7 +179,7 @@
         if self._is_asked:
             return 0, got
         found, gone = self._mirror.difference(got.rows)
-        return self.revision, rows.Scan(got.revision, found, gone)
+        return self.changed, rows.Scan(got.revision, found, gone)
 
     def _read_changes(self, asked: clock.Ms, reads: bool) -> clock.Ms:
         base, wait = self.revision, 0
@@ -194,6 +194,9 @@
         if isinstance(got, missing.Missing):
             return self._failed(got)
         self._regained()
+        # Others that have the last change lack none up to ``base``, whether
+        # or not they have heard how far the counter has gone on.
+        told_base = self.changed
         if got.revision >= self.revision:
             self._take_changes(_STORE, base, got)
         # An answer without changes was held back to the end of the wait, so
@@ -201,7 +204,7 @@
         changed = got.rows or got.deleted
         newest_at = self._clock.now() if changed else asked + wait
         self._read(asked, newest_at, reads)
-        return max(_GATHER, self.on_read(base, got))
+        return max(_GATHER, self.on_read(told_base, got))
 
     def _read(self, asked: clock.Ms, newest_at: clock.Ms, reads: bool) -> None:
         self._confirm(newest_at)
--- a/tests/storage/beliefs.feature
+++ b/tests/storage/beliefs.feature
@@ -70,6 +70,14 @@
     And a row goes
     Then once c has dropped that row it never holds it again
 
+  Scenario: the counter goes on with other tables before a row goes
+    Guards against a call of every daemon for each change of the table.
+
+    Given daemons a, b, c that hold what the store holds, of which a leads
+    When the counter rises, and a's next call is after what b has heard
+    And a row goes
+    Then within 100 ms all daemons hold what the store holds, by no call of b
+
   Scenario: a removal ends the leader's waiting call early
     Guards against a statement dated ahead, which keeps others from reading
     for themselves once the leader can no longer read.
--- a/tests/storage/steps/beliefs_steps.py
+++ b/tests/storage/steps/beliefs_steps.py
@@ -48,6 +48,29 @@
     context.fleet.store.drop("k-2")
 
 
+@behave.when("the counter rises, and a's next call is after what b has heard")
+def step_counter(context):
+    fleet = context.fleet
+    a, b = (fleet.daemon_by_name[name].tail for name in "ab")
+    for _ in range(5_000):
+        if b.revision == a.revision:
+            _raise_counter(fleet)
+        fleet.sim.run(100)
+        if b.revision < a.revision:
+            break
+    assert b.revision < a.revision
+    context.calls = fleet.daemon_by_name["b"].access.calls
+
+
+@behave.then(
+    "within {span:d} ms all daemons hold what the store holds, by no call of b"
+)
+def step_right_by_word(context, span):
+    context.fleet.sim.run(span)
+    assert not context.fleet.wrong(), context.fleet.wrong()
+    assert context.fleet.daemon_by_name["b"].access.calls == context.calls
+
+
 @behave.when("what a tells does not reach c for 100 ms")
 def step_lost(context):
     context.fleet.daemon_by_name["c"].cut = True
