Drop a missing upstream when its time is up, not at the next reading

Cause: an entry that goes while a call to the store has just failed is held back for 1.5 s, in case it lapsed with the store.

Change: a timer ends the time. The scenario fails before, passes after.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -1,5 +1,6 @@
 """Wires the tasks of a daemon that forwards for declared routes."""
 
+from collections.abc import Callable
 import functools
 import os
 import random
@@ -175,6 +176,7 @@
         listed = runnerlist.RunnerList(
             self.env, self.directory, self._book, self._ports.runner
         )
+        listed.later = _later
         declared = declarations.Declarations(
             self.env, self.directory, self._ports
         )
@@ -275,3 +277,7 @@
         env.log.change("stopped", left=self._forwarder.in_progress)
         self._news.close()
         self._log.flush()
+
+
+def _later(span: clock.Ms, act: Callable[[], None]) -> None:
+    eventlet.spawn_after(span / clock.SECOND, act)
--- a/src/citronvalve/daemon/runnerlist.py
+++ b/src/citronvalve/daemon/runnerlist.py
@@ -28,6 +28,8 @@
     :param directory: takes the upstreams.
     :param book: the loads.
     :param decode: reads an entry; None names no upstream to use.
+    :ivar trouble_at: returns when a call to the store last failed, or None.
+    :ivar later: calls a function after some ms.
     """
 
     def __init__(
@@ -43,6 +45,9 @@
         self._decode = decode
         self._missing_since: dict[str, clock.Ms] = {}
         self.trouble_at: Callable[[], clock.Ms | None] = lambda: None
+        self.later: Callable[[clock.Ms, Callable[[], None]], None] = (
+            lambda *_: None
+        )
 
     def whole(self, found: tuple[rows.Row, ...]) -> None:
         here = {row.key for row in found}
@@ -71,6 +76,8 @@
                     runner=key,
                     store_failed_at=self.trouble_at(),
                 )
+                # The next reading may come late, or not at all.
+                self.later(_KEPT, self.settle)
         self.settle()
 
     def confirmed(self, at: clock.Ms) -> None:
--- a/tests/bounds/bounds.feature
+++ b/tests/bounds/bounds.feature
@@ -60,6 +60,14 @@
       | right after | 100   | 1500  |
       | long after  | 9000  | 0     |
 
+  Scenario: an entry goes, and the store is not read again
+    Guards against an upstream that is used until the next reading, however
+    late that comes.
+
+    Given a list of runners, and a call to the store that failed
+    When an entry goes 100 ms later, and nothing is read from then on
+    Then its runner is used for 1500 ms and no longer
+
   Scenario: an entry that lapsed returns with the store
     Given a list of runners, and a call to the store that failed
     When an entry is away 100 ms later, and back after 1 s
--- a/tests/bounds/steps/bounds_steps.py
+++ b/tests/bounds/steps/bounds_steps.py
@@ -157,6 +157,11 @@
     context.list.whole((rows.Row("t", "h-1", {}, 5),))
     failed = context.clock.now()
     context.list.trouble_at = lambda: failed
+    context.due = []
+    context.list.later = lambda span, act: context.due.append(
+        (context.clock.now() + span, act)
+    )
+    context.is_read = True
 
 
 def _used(context):
@@ -166,7 +171,12 @@
 def _pass(context, span):
     for _ in range(0, span, 50):
         context.clock.advance(50)
-        context.list.confirmed(context.clock.now())
+        now = context.clock.now()
+        if context.is_read:
+            context.list.confirmed(now)
+        for at, act in context.due:
+            if at <= now:
+                act()
 
 
 @behave.when("an entry goes {after:d} ms later")
@@ -175,6 +185,14 @@
     context.list.changed((), ("h-1",))
 
 
+@behave.when(
+    "an entry goes {after:d} ms later, and nothing is read from then on"
+)
+def step_goes_unread(context, after):
+    step_goes(context, after)
+    context.is_read = False
+
+
 @behave.then("its runner is used for {kept:d} ms and no longer")
 def step_kept(context, kept):
     if kept:
