Count a statement as older when it comes later than usual

Cause: a statement says how old it was when it was sent. One that waited in a queue for five seconds was taken for fresh and kept the daemon from reading for itself, again with each further one.

What is late is as much older. No clock is compared with another one's.

Evidence: messages to c take 5 s longer; without the change c holds a removed row past 2 s, with it not. A digest or a sending time that an older release does not state is left out of the comparison.

--- a/src/citronvalve/daemon/newstask.py
+++ b/src/citronvalve/daemon/newstask.py
@@ -9,6 +9,7 @@
 from citronvalve.forward import environment as environments
 from citronvalve.model import clock
 from citronvalve.model import missing
+from citronvalve.peers import delays
 from citronvalve.peers import news
 from citronvalve.peers import newscodec
 from citronvalve.peers import peersettings
@@ -32,6 +33,9 @@
 #: they by it.
 _ACQUAINTED: clock.Ms = 1_000
 
+#: A statement that is later than usual by so much is noted.
+_LATE: clock.Ms = 1_000
+
 #: Larger changes are not spread: who misses them reads them itself.
 _MOST_BYTES = 90_000
 
@@ -86,6 +90,7 @@
             news.Digest: self._on_digest,
             news.Passed: self._on_passed,
         }
+        self._delays = delays.Delays()
         self.on_crash: Callable[[str, str], None] = lambda *_: None
         self._spreading = spreadings.Spreading(env.name, env.datacentre, book)
         self.loads = loadnews.LoadNews(
@@ -221,7 +226,13 @@
     def _own_beat(self, lease: int) -> news.Beat:
         states = (tail.state() for tail in self.tail_by_table.values())
         known = tuple(filter(None, states))
-        return news.Beat(self._env.name, lease, self._lease.daemons, known)
+        return news.Beat(
+            self._env.name,
+            lease,
+            self._lease.daemons,
+            known,
+            self._env.clock.now(),
+        )
 
     def _tell_all(self, item: news.Item) -> None:
         now = self._env.clock.now()
@@ -252,10 +263,20 @@
             message.name, lease, message.daemons
         ):
             return
+        late = self._late(message)
         for told in message.tables:
             tail = self.tail_by_table.get(told.table)
             if tail is not None:
-                tail.vouch(told, message.name)
+                tail.vouch(told._replace(age=told.age + late), message.name)
+
+    def _late(self, message: news.Beat) -> clock.Ms:
+        if message.sent_at is None:
+            return 0
+        now = self._env.clock.now()
+        late = self._delays.late(message.name, message.sent_at, now)
+        if late >= _LATE:
+            self._env.log.change("statement late", by=message.name, ms=late)
+        return late
 
     def _on_changes(self, message: news.Changes) -> None:
         tail = self.tail_by_table.get(message.table)
--- a/src/citronvalve/peers/news.py
+++ b/src/citronvalve/peers/news.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from citronvalve.model import clock
 from citronvalve.storage import rows
 from citronvalve.storage import tablestate
 
@@ -23,13 +24,15 @@
     """The sender reads the platform for the others.
 
     ``lease`` is that by which it leads, 0 if it only keeps a data centre;
-    ``daemons`` is how many daemons it knows.
+    ``daemons`` is how many daemons it knows.  ``sent_at`` is by its own
+    monotonic clock, None from an older release.
     """
 
     name: str
     lease: int
     daemons: int
     tables: tuple[tablestate.TableState, ...]
+    sent_at: clock.Ms | None = None
 
 
 class Changes(msgspec.Struct, tag="changes", array_like=True, frozen=True):
--- a/src/citronvalve/storage/tablestate.py
+++ b/src/citronvalve/storage/tablestate.py
@@ -10,11 +10,11 @@
 
     The last change came with ``changed``, and there was none after it up to
     ``revision``, which was the newest ``age`` ms ago.  ``digest`` is that of
-    all rows then (:class:`mirror.Mirror`).
+    all rows then (:class:`mirror.Mirror`), None from an older release.
     """
 
     table: str
     changed: int
     revision: int
     age: clock.Ms
-    digest: int
+    digest: int | None = None
--- a/src/citronvalve/storage/tail.py
+++ b/src/citronvalve/storage/tail.py
@@ -250,10 +250,12 @@
             return
         read_at = self._clock.now() - told.age
         if told.revision >= self.revision:
-            if told.digest != self._mirror.digest:
+            if told.digest == self._mirror.digest:
+                self._proved_at = max(self._proved_at, read_at)
+                self._is_doubted = False
+            elif told.digest is not None:
                 self._differ(told, source)
                 return
-            self._proved_at = max(self._proved_at, read_at)
             self.revision = told.revision
         self._vouched_until = read_at + _VOUCHED
         self._confirm(read_at)
--- a/tests/storage/beliefs.feature
+++ b/tests/storage/beliefs.feature
@@ -70,6 +70,14 @@
     And a row goes
     Then once c has dropped that row it never holds it again
 
+  Scenario: messages to a daemon come later and later
+    Guards against old statements that a queue makes look fresh.
+
+    Given daemons a, b, c that hold what the store holds, of which a leads
+    When messages to c take 5000 ms longer than before
+    And a row goes
+    Then within 2 s all daemons hold what the store holds
+
   Scenario: the counter goes on with other tables before a row goes
     Guards against a call of every daemon for each change of the table.
 
--- a/tests/storage/fleet.py
+++ b/tests/storage/fleet.py
@@ -2,6 +2,7 @@
 
 from citronvalve.model import clock
 from citronvalve.model import missing
+from citronvalve.peers import delays
 from citronvalve.storage import rows
 from citronvalve.storage import tableservice
 from citronvalve.storage import tail
@@ -122,6 +123,9 @@
         self.held = Held()
         self.access = Access(fleet.store, fleet.sim, name)
         self.cut = False
+        #: Ms that messages are on their way to this daemon.
+        self.hop = _HOP
+        self.delays = delays.Delays()
         self.tail = tail.Tail(
             self.access,
             TABLE,
@@ -200,13 +204,17 @@
 
     def _vouch(self, sender):
         told = sender.tail.state()
+        sent_at = self.sim.clock.now()
         if told is not None:
-            self._tell(
-                sender, lambda other: other.tail.vouch(told, sender.name)
-            )
+            self._tell(sender, lambda other: self._heard(other, told, sent_at))
+
+    def _heard(self, other, told, sent_at):
+        now = self.sim.clock.now()
+        late = other.delays.late(self.leader, sent_at, now)
+        other.tail.vouch(told._replace(age=told.age + late), self.leader)
 
     def _tell(self, sender, act):
         for other in self.daemon_by_name.values():
             if other is sender or other.cut or sender.cut:
                 continue
-            self.sim.after(_HOP, lambda other=other: act(other))
+            self.sim.after(other.hop, lambda other=other: act(other))
--- a/tests/storage/steps/beliefs_steps.py
+++ b/tests/storage/steps/beliefs_steps.py
@@ -71,6 +71,15 @@
     assert context.fleet.daemon_by_name["b"].access.calls == context.calls
 
 
+@behave.when("messages to c take {span:d} ms longer than before")
+def step_late(context, span):
+    c = context.fleet.daemon_by_name["c"]
+    # A queue grows by steps, so that statements go on to come.
+    for _ in range(span // 500):
+        c.hop += 500
+        context.fleet.sim.run(1_000)
+
+
 @behave.when("what a tells does not reach c for 100 ms")
 def step_lost(context):
     context.fleet.daemon_by_name["c"].cut = True
