--- a/tests/groups/steps/drill_steps.py
+++ b/tests/groups/steps/drill_steps.py
@@ -201,4 +201,4 @@
 def step_answers_on(context, seconds):
     until = time.monotonic() + seconds
     while time.monotonic() < until:
-        assert _answers(context)
+        assert _answers(context), context.last
