Test the list of upstreams and evacuations against a hidden removal

The scenario of a hidden removal runs with the daemon's own readers too, the list of upstreams and the operators' declarations: what goes is believed in no longer. Messages of the last release, as arrays without the new fields, are read.

--- a/tests/news/news.feature
+++ b/tests/news/news.feature
@@ -89,3 +89,15 @@
       | cut             |
       | no msgpack      |
       | a bomb          |
+
+  Scenario Outline: <message> of the last release is read
+    Guards against daemons that go deaf to each other while a release is
+    rolled out.
+
+    When <message> of the last release comes
+    Then it is read, without what that release did not tell
+
+    Examples:
+      | message   |
+      | a beat    |
+      | a reading |
--- a/tests/news/steps/codec_steps.py
+++ b/tests/news/steps/codec_steps.py
@@ -4,11 +4,13 @@
 import zlib
 
 import behave
+import msgspec
 
 from citronvalve.model import missing
 from citronvalve.peers import news
 from citronvalve.peers import newscodec
 from citronvalve.storage import rows
+from citronvalve.storage import tablestate
 
 
 def _configuration(routes):
@@ -64,3 +66,25 @@
 def step_reason(context):
     assert isinstance(context.read, missing.Missing), context.read
     assert context.read.reason
+
+
+#: As arrays: each field of a message in its order, the tag first.
+_LAST_RELEASE = {
+    "a beat": ["beat", "d-1", 9, 3, [["op", 5, 6, 70]]],
+    "a reading": ["changes", 9, "op", 5, 6, [], ["gone"]],
+}
+
+
+@behave.when("{message} of the last release comes")
+def step_old(context, message):
+    data = msgspec.msgpack.encode(_LAST_RELEASE[message])
+    context.read = newscodec.NewsCodec().decode(b"\0" + data)
+
+
+@behave.then("it is read, without what that release did not tell")
+def step_old_read(context):
+    told = tablestate.TableState("op", 5, 6, 70)
+    assert context.read in (
+        news.Beat("d-1", 9, 3, (told,)),
+        news.Changes(9, "op", 5, 6, (), ("gone",)),
+    ), context.read
--- a/tests/storage/beliefs.feature
+++ b/tests/storage/beliefs.feature
@@ -9,6 +9,19 @@
     When a row goes and the history is forgotten before any daemon reads it
     Then within 2 s all daemons hold what the store holds
 
+  Scenario Outline: a whole reading hides that one of the <table> is gone
+    Guards against an upstream that is used, or a data centre that stays out,
+    after the store said otherwise.
+
+    Given daemons a, b, c that follow <table>, of which a leads
+    When a row goes and the history is forgotten before any daemon reads it
+    Then within 2 s all daemons hold what the store holds
+
+    Examples:
+      | table       |
+      | upstreams   |
+      | evacuations |
+
   Scenario: the leader's whole reading never reaches one daemon
     Guards against a lost message that leaves a daemon with a removed row.
 
--- a/tests/storage/fleet.py
+++ b/tests/storage/fleet.py
@@ -104,7 +104,7 @@
 class Held(reader.Reader):
     """The keys that a daemon believes in."""
 
-    def __init__(self):
+    def __init__(self, now):
         self.keys = set()
 
     def whole(self, found):
@@ -121,7 +121,7 @@
 
     def __init__(self, name, fleet):
         self.name = name
-        self.held = Held()
+        self.held = fleet.make_reader(fleet.sim.clock)
         self.access = Access(fleet.store, fleet.sim, name)
         self.cut = False
         #: Ms that messages are on their way to this daemon.
@@ -143,8 +143,9 @@
 class Fleet:
     """The store, the daemons, and the links between them."""
 
-    def __init__(self, names, keys):
+    def __init__(self, names, keys, make_reader=Held):
         self.sim = simulation.Simulation()
+        self.make_reader = make_reader
         self.store = Store()
         for key in keys:
             self.store.put(key)
--- a/tests/storage/steps/beliefs_steps.py
+++ b/tests/storage/steps/beliefs_steps.py
@@ -3,6 +3,7 @@
 import behave
 
 from citronvalve.storage import rows
+from tests.storage import believers
 from tests.storage import disorder
 from tests.storage import fleet as fleets
 
@@ -16,6 +17,20 @@
     assert not context.fleet.wrong()
 
 
+_READER_BY_TABLE = {
+    "upstreams": believers.Upstreams,
+    "evacuations": believers.Evacuations,
+}
+
+
+@behave.given("daemons a, b, c that follow {table}, of which a leads")
+def step_table(context, table):
+    make = _READER_BY_TABLE[table]
+    context.fleet = fleets.Fleet(("a", "b", "c"), ("k-1", "k-2"), make)
+    context.fleet.sim.run(_SETTLED)
+    assert not context.fleet.wrong()
+
+
 @behave.given(
     "daemons a, b, c that hold what the store holds, of which a leads"
 )
