Say three old comments in ordinary technical English

Greetings of daemons, the grace of an answer at its deadline and the wait for a reader's statement were told with words of our own (learnt of, its word).

--- a/src/citronvalve/daemon/newstask.py
+++ b/src/citronvalve/daemon/newstask.py
@@ -24,8 +24,8 @@
 #: though the leader is killed as it comes.
 _BEAT: clock.Ms = 300
 
-#: How often a daemon says that it is there when it has learnt of another: the
-#: first message to a peer is lost while it connects.
+#: Greetings to a daemon that has become known: the first message to a peer
+#: is lost while it connects.
 _HELLOS = 3
 
 #: After this time a daemon that has started has been heard by the others, and
--- a/src/citronvalve/forward/patience.py
+++ b/src/citronvalve/forward/patience.py
@@ -11,7 +11,7 @@
 from citronvalve.model import clock
 from citronvalve.policy import upstreamchoice
 
-#: An upstream answers at the deadline itself; its word is waited for so long.
+#: An upstream answers at the deadline itself; its answer takes so long.
 _GRACE: clock.Ms = 150
 
 #: A stream from which nothing came for this many expected spans, and at
--- a/src/citronvalve/storage/tail.py
+++ b/src/citronvalve/storage/tail.py
@@ -19,13 +19,13 @@
 
 #: What another daemon has read counts for so long since it read it, however
 #: often it says so: its own call may hang, and a runner that leaves must be
-#: known within two seconds of the store's word.  A reader confirms every 0.9
-#: s and says so every 0.3 s, so in calm this never runs out.
+#: known two seconds after the store has it.  A reader confirms every 0.9 s
+#: and says so every 0.3 s, so in calm this never expires.
 _VOUCHED: clock.Ms = 1_500
 
-#: One that another daemon should read for waits so long for its word before
-#: it reads itself: when a word runs out, it does so for all at once, and they
-#: would all ask the platform.  With it a reading is 1.7 s old at most.
+#: A daemon that goes by a reader waits so much longer for its statement
+#: before it calls the store: statements expire for all daemons at once, and
+#: they would all call.  A reading is then 1.7 s old at most.
 _GRACE: clock.Ms = 150
 
 #: A call after this time without a reading does not wait for changes, since
