Do not send on the request of a caller that has left

Cause: whoever watches a caller's connection runs on a green thread of its own, and begins when the request's thread first blocks. With a connection to the runner kept from before nothing blocks until the request is sent, so a caller's end that had come with the request, or while the daemon stood still, was read only after the runner had it. It is no matter of load: each such request was sent on.

What a caller sends ahead while it waits is still served.

Change: before a try is sent, what lies in the caller's socket is taken in without waiting, by the same code as the watch's. It is one call of the system for each try.

Looked at elsewhere: the own interface's chat asks for the caller's end before each dispatch.

--- a/src/citronvalve/forward/callerconnection.py
+++ b/src/citronvalve/forward/callerconnection.py
@@ -91,6 +91,19 @@
             with contextlib.suppress(OSError):
                 self._sock.shutdown(socket.SHUT_RDWR)
 
+    def check_caller(self) -> None:
+        # The watch's green thread has not run yet if nothing has blocked
+        # since the request was read.
+        try:
+            while self._ahead < _MOST_AHEAD:
+                self._take_ahead(
+                    self._sock.fd.recv(_PIECE, socket.MSG_DONTWAIT)
+                )
+        except BlockingIOError:
+            return
+        except (OSError, h11.RemoteProtocolError) as error:
+            raise _gone(error) from error
+
     def whole(
         self, status: int, head: Iterable[headers.Header], body: bytes
     ) -> None:
@@ -162,23 +175,29 @@
             watch.kill()
 
     def _watch(self, handler: eventlet.greenlet.greenlet) -> None:
-        # A caller that waits sends nothing, or its next request ahead; the
-        # end of its bytes means that it has left.
         try:
             while self._ahead < _MOST_AHEAD:
-                data = receiving.receive(self._sock, _PIECE, None)
-                if not data:
-                    break
-                self._ahead += len(data)
-                self._parser.receive_data(data)
-            else:
-                return
-        except (OSError, h11.RemoteProtocolError):
-            # Reset, or bytes after a request that asked to be the last;
-            # both end the connection.
-            pass
-        gone = callergone.CallerGoneError("the caller closed")
-        eventlet.hubs.get_hub().schedule_call_global(0, _throw, handler, gone)
+                self._take_ahead(receiving.receive(self._sock, _PIECE, None))
+        except (OSError, h11.RemoteProtocolError) as error:
+            eventlet.hubs.get_hub().schedule_call_global(
+                0, _throw, handler, _gone(error)
+            )
+
+    def _take_ahead(self, data: bytes) -> None:
+        """Take in what a caller sends while its request is answered.
+
+        One that waits sends nothing, or its next request ahead; the end of
+        its bytes means that it has left.
+
+        :param data: as received; empty at the end.
+        :raises ConnectionError: at the end.
+        :raises h11.RemoteProtocolError: after a request that asked to be the
+            last, which ends the connection, too.
+        """
+        if not data:
+            raise ConnectionResetError("the caller closed")
+        self._ahead += len(data)
+        self._parser.receive_data(data)
 
     def _read(self) -> callerrequest.CallerRequest | None:
         limits = self._limits()
@@ -262,6 +281,10 @@
         handler.throw(error)
 
 
+def _gone(error: Exception) -> callergone.CallerGoneError:
+    return callergone.CallerGoneError(f"the caller left: {error}")
+
+
 def _check(head: h11.Request) -> None:
     if head.http_version not in _VERSIONS:
         # The parser reads any version as 1.1, though another one may frame
--- a/src/citronvalve/forward/reply.py
+++ b/src/citronvalve/forward/reply.py
@@ -15,6 +15,13 @@
 
     begun = False
 
+    @abc.abstractmethod
+    def check_caller(self) -> None:
+        """Make sure that somebody still waits for the answer.
+
+        :raises callergone.CallerGoneError: when the caller has closed.
+        """
+
     @abc.abstractmethod
     def whole(
         self, status: int, head: Iterable[headers.Header], body: bytes
--- a/src/citronvalve/forward/trial.py
+++ b/src/citronvalve/forward/trial.py
@@ -100,6 +100,7 @@
                 link.close()
 
     def _exchange(self, link: links_.Link) -> attempts.Ended:
+        self._reply.check_caller()
         request = self._demand.request
         link.send(request.method, request.target, self._head(), request.body)
         got = self._first(link)
