Compare the operators' table with the platform's, whole

What callers would see: a daemon of the own interface whose row was wrong at the platform's own version (a data centre out that is in, a row that nobody declared, one that is missing) served by it until somebody edited that row, and longer: a delta of other rows leaves it as it is.

Cause: agreement was judged by the version. Peers tell a digest with it, but another digest only kept a copy from being confirmed; nobody read the rows.

What is removed stays in the platform as an empty row, so that no removal is taken for a difference (a scenario).

Change: who hears another digest at its version reads the platform's whole table, once a minute at most; watchers do so every five minutes. What differs is named in the log and replaced, in the copy, in the table in force and so for the peers that differ in turn. An old reading proves nothing. Peers are not believed: either side may be wrong.

--- a/src/citronvalve/daemon/peertask.py
+++ b/src/citronvalve/daemon/peertask.py
@@ -18,6 +18,9 @@
 from citronvalve.table import delta as deltas
 from citronvalve.table import follower as followers
 
+#: Rows that a log line names at most.
+_NAMED = 20
+
 
 class PeerTask(listener.Listener):
     """Puts in force what any peer brings, the own watcher included.
@@ -65,22 +68,21 @@
 
         :param delta: from the platform.
         """
-        self.peer.offer_table(
-            tabledelta.TableDelta(
-                delta.revision, delta.base, tuple(map(_packed, delta.rows))
-            )
-        )
+        self.peer.offer_table(_packed_delta(delta))
+
+    def compare_table(self, whole: deltas.Delta) -> None:
+        """Compare the rows in force with the platform's; the latter hold.
+
+        :param whole: all rows, as the own watcher read them.
+        """
+        self.peer.compare_table(_packed_delta(whole))
 
     def trouble(self) -> str:
         """Return why rows that arrived are not in force, if they are not."""
         return "; ".join(map(str, self._follower.refused))
 
     def on_table(self, delta: tabledelta.TableDelta) -> None:
-        self._follower.take(
-            deltas.Delta(
-                delta.base, delta.version, tuple(map(_opened, delta.changes))
-            )
-        )
+        self._follower.take(_opened_delta(delta))
         if self._follower.refused or not self._follower.table:
             return
         if self._view.adopt(self._follower.table):
@@ -89,6 +91,30 @@
             )
             self.after_table()
 
+    def on_table_wrong(
+        self,
+        whole: tabledelta.TableDelta,
+        wrong: tuple[tuple[str, str], ...],
+    ) -> None:
+        self._env.log.warning(
+            "table differed from the platform's",
+            extra={
+                "count": len(wrong),
+                "rows": [key for _, key in wrong[:_NAMED]],
+            },
+        )
+        table = self._follower.replace(_opened_delta(whole))
+        if table is None:
+            return
+        if self._view.replace(table):
+            self.after_table()
+            return
+        self._env.log.error(
+            "the platform's table is of a lower version than the one in "
+            "force; edit any row of it to raise it",
+            extra={"version": self._view.version, "platform": table.version},
+        )
+
     def on_load(self, report: load.LoadReport) -> None:
         self._view.load_by_upstream[report.upstream] = report
         self.after_load(report)
@@ -112,6 +138,16 @@
     )
 
 
+def _packed_delta(delta: deltas.Delta) -> tabledelta.TableDelta:
+    packed = tuple(map(_packed, delta.rows))
+    return tabledelta.TableDelta(delta.revision, delta.base, packed)
+
+
+def _opened_delta(delta: tabledelta.TableDelta) -> deltas.Delta:
+    opened = tuple(map(_opened, delta.changes))
+    return deltas.Delta(delta.base, delta.version, opened)
+
+
 def _packed(row: rows.Row) -> change.Change:
     value = msgspec.msgpack.encode(row.value) if row.value else b""
     return change.Change(row.table, row.key, row.version, value)
--- a/src/citronvalve/daemon/tabletask.py
+++ b/src/citronvalve/daemon/tabletask.py
@@ -8,6 +8,7 @@
 from citronvalve.model import clock
 from citronvalve.model import missing
 from citronvalve.storage import tableservice
+from citronvalve.table import comparing
 from citronvalve.table import poller as pollers
 from citronvalve.table import watcher as watchers
 
@@ -45,6 +46,7 @@
             watchers.Timing(), env.chance, env.invariants
         )
         self._poller = pollers.Poller(table, self._watcher, env.clock)
+        self._comparing = comparing.Comparing(env.chance)
         self._looked_at: clock.Ms | None = None
         self._trouble = ""
 
@@ -60,6 +62,10 @@
         if self._is_due():
             self._watcher.skip_to(peer.table_version())
             self._read()
+        now = self._env.clock.now()
+        doubted = peer.is_table_doubted()
+        if self._comparing.is_due(now, peer.is_watcher(), doubted):
+            self._compare(now)
         confirmed_at = peer.table_confirmed_at()
         if confirmed_at is not None:
             self._view.confirm(confirmed_at)
@@ -82,6 +88,18 @@
             self._peering.peer.confirm_table(asked_at)
         self._note(self._peering.trouble())
 
+    def _compare(self, now: clock.Ms) -> None:
+        self._comparing.compared(now)
+        whole = self._poller.read_whole()
+        if missing.is_missing(whole):
+            self._note(whole.reason)
+            return
+        # A large table takes some ten ms to decode and as long to compare;
+        # tokens go out in between.
+        eventlet.sleep(0)
+        self._peering.compare_table(whole)
+        self._note(self._peering.trouble())
+
     def _note(self, trouble: str) -> None:
         # One line when it begins and one when it ends: an hour's outage
         # would else fill the log with one line a look.
--- a/src/citronvalve/entry/view.py
+++ b/src/citronvalve/entry/view.py
@@ -108,16 +108,30 @@
         self._confirmed_at = self._clock.now()
         if table.version == self.version:
             return False
+        self._put(table)
+        return True
+
+    def replace(self, table: declared.Declared) -> bool:
+        """Put a table in force in place of a wrong one.
+
+        :param table: as the platform has it.
+        :return: False for one of a lower version, which is passed over.
+        """
+        if table.version < self.version:
+            return False
+        self._put(table)
+        return True
+
+    def _put(self, table: declared.Declared) -> None:
         self._invariants.hold(
             _NEVER_FALLS,
-            table.version > self.version,
+            table.version >= self.version,
             f"{self.version} to {table.version}",
         )
         self._declared = table
         self._team_by_digest = {
             team.token_sha256: team for team in table.team_by_name.values()
         }
-        return True
 
     def team(self, digest: str) -> declared.Team | missing.NotFound:
         """Find a team by its token.
--- a/src/citronvalve/peers/core.py
+++ b/src/citronvalve/peers/core.py
@@ -145,6 +145,13 @@
         """
         return self._sync.offer(delta)
 
+    def compare_table(self, whole: tabledelta.TableDelta) -> None:
+        """Compare the rows held with the platform's.
+
+        :param whole: the whole table, read from the platform.
+        """
+        self._sync.compare(whole)
+
     def offer_load(self, report: load.LoadReport) -> None:
         """Take in a load that this daemon measured.
 
--- a/src/citronvalve/peers/listener.py
+++ b/src/citronvalve/peers/listener.py
@@ -17,6 +17,17 @@
         :param delta: from the version before.
         """
 
+    def on_table_wrong(
+        self,
+        whole: tabledelta.TableDelta,
+        wrong: tuple[tuple[str, str], ...],
+    ) -> None:
+        """Rows in force here were not the platform's.
+
+        :param whole: the whole table, which holds from now on.
+        :param wrong: table and key of the rows that differed.
+        """
+
     def on_loan(self, granted: loan.Loan) -> None:
         """Slots were lent to this daemon, or a loan was renewed.
 
--- a/src/citronvalve/peers/peer.py
+++ b/src/citronvalve/peers/peer.py
@@ -132,6 +132,17 @@
         """
         return self.core.offer_table(delta)
 
+    def is_table_doubted(self) -> bool:
+        """Tell whether a peer holds other rows at the same version."""
+        return self._state.table.is_doubted
+
+    def compare_table(self, whole: tabledelta.TableDelta) -> None:
+        """Compare the rows held with the platform's; the latter hold.
+
+        :param whole: the whole table, read from the platform.
+        """
+        self.core.compare_table(whole)
+
     def confirm_table(self, at: clock.Ms) -> None:
         """Note that the platform had nothing newer.
 
--- a/src/citronvalve/peers/tablecopy.py
+++ b/src/citronvalve/peers/tablecopy.py
@@ -36,6 +36,11 @@
     together by the rows newer than the older copy's version.
 
     :param invariants: where promises are asserted.
+    :ivar version: of the newest row.
+    :ivar digest: over all rows.
+    :ivar refused: how many times pages were refused for their digest.
+    :ivar is_doubted: whether another copy differs at this version.
+    :ivar confirmed_at: monotonic ms at which the version was the newest.
     """
 
     def __init__(self, invariants: invariant.Invariants) -> None:
@@ -50,6 +55,7 @@
         # since the fault may lie in a row held here.
         self._whole = False
         self.refused = 0
+        self.is_doubted = False
         self.confirmed_at: clock.Ms | None = None
 
     def confirm(self, at: clock.Ms) -> None:
@@ -70,6 +76,37 @@
         self._commit(delta.version, delta.changes)
         return True
 
+    def compare(
+        self, whole: tabledelta.TableDelta
+    ) -> tuple[tuple[str, str], ...]:
+        """Hold the platform's rows from now on, if any of these is wrong.
+
+        :param whole: the whole table as the platform has it; one of an
+            earlier version proves nothing.
+        :return: table and key of the rows that were wrong here.
+        """
+        if whole.version < self.version:
+            return ()
+        self.is_doubted = False
+        row_by_key = {(row.table, row.key): row for row in whole.changes}
+        wrong = tuple(
+            key
+            for key in sorted(self._row_by_key.keys() | row_by_key.keys())
+            if self._is_wrong(key, row_by_key.get(key))
+        )
+        if wrong:
+            self._clear()
+            self._put(whole.version, whole.changes)
+        return wrong
+
+    def _is_wrong(
+        self, key: tuple[str, str], stored: changes.Change | None
+    ) -> bool:
+        # What was written after the version held here is only new.
+        if stored is not None and stored.version > self.version:
+            return False
+        return self._row_by_key.get(key) != stored
+
     def page_after(self, start: tablepage.Cursor) -> tablepage.TablePage:
         """Return the page of rows after a place.
 
@@ -192,6 +229,9 @@
             version > self.version,
             f"{self.version} to {version}",
         )
+        self._put(version, rows)
+
+    def _put(self, version: int, rows: tuple[changes.Change, ...]) -> None:
         digest = self._digest_with(rows)
         for held, row in list(self._newer(rows)):
             if held is not None:
--- a/src/citronvalve/peers/tablesync.py
+++ b/src/citronvalve/peers/tablesync.py
@@ -48,6 +48,16 @@
             self._on_risen(before)
         return risen
 
+    def compare(self, whole: tabledelta.TableDelta) -> None:
+        """Compare the rows held with the platform's.
+
+        :param whole: the whole table, read from the platform.
+        """
+        wrong = self._state.table.compare(whole)
+        if wrong:
+            self._listener.on_table_wrong(whole, wrong)
+            self._confirm()
+
     def take(self, page: tablepage.TablePage) -> None:
         """Take rows in.
 
@@ -60,15 +70,18 @@
     def hear_age(self, message: gossip.Gossip, now: clock.Ms) -> None:
         """Learn from a peer that this version was the newest lately.
 
+        A peer with the same version and other rows tells that one of both
+        is wrong; which one, only the platform knows.
+
         :param message: what the peer told.
         :param now: monotonic time in ms.
         """
         table = self._state.table
-        same = (message.version, message.digest) == (
-            table.version,
-            table.digest,
-        )
-        if same and message.table_age != gossip.NEVER:
+        if message.version != table.version:
+            return
+        if message.digest != table.digest:
+            table.is_doubted = True
+        elif message.table_age != gossip.NEVER:
             table.confirm(now - message.table_age)
 
     def ask(self, sender: envelope.Sender, version: int) -> _Out:
--- a/src/citronvalve/table/follower.py
+++ b/src/citronvalve/table/follower.py
@@ -34,6 +34,8 @@
         self.revision = rows.NO_ROW
         self.refused: tuple[mistake.Mistake, ...] = ()
         self._pending: dict[str, rows.Row] = {}
+        # Set while the pending rows are the whole table, not changes to it.
+        self._whole = False
 
     def take(
         self, delta: deltas.Delta
@@ -62,10 +64,22 @@
         self.revision = delta.revision
         return self._build()
 
+    def replace(self, whole: deltas.Delta) -> declared.Declared | None:
+        """Build the table from all rows; return it if it can be used.
+
+        :param whole: of this revision or a later one, with every row.
+        """
+        self._pending = {row.key: row for row in whole.rows}
+        self._whole = True
+        self.revision = whole.revision
+        return self._build()
+
     def _build(self) -> declared.Declared | None:
         head = self._pending[layout.HEAD]
         version = head.value["version"]
-        before = self.table or typed.EMPTY
+        before = typed.EMPTY
+        if self.table and not self._whole:
+            before = self.table
         changes = typed.known(_pairs(self._pending.values()))
         built = typed.changed_from(before, changes, version)
         self.refused = built.mistakes
@@ -77,6 +91,7 @@
             f"{before.version} to {version}",
         )
         self._pending = {}
+        self._whole = False
         self.table = built.table
         return built.table
 
--- a/src/citronvalve/table/poller.py
+++ b/src/citronvalve/table/poller.py
@@ -34,3 +34,11 @@
             self.watcher.failed()
             return scan
         return self.watcher.take(scan, asked_at)
+
+    def read_whole(self) -> deltas.Delta | missing.Missing:
+        """Read the whole table, to compare what is held with it."""
+        scan = self._service.scan(layout.TABLE)
+        if missing.is_missing(scan):
+            self.watcher.failed()
+            return scan
+        return self.watcher.take_whole(scan)
--- a/src/citronvalve/table/watcher.py
+++ b/src/citronvalve/table/watcher.py
@@ -97,21 +97,38 @@
         :param asked_at: monotonic ms before it was asked for: it is no
             newer than that.
         """
-        if scan.revision < self.revision:
-            return self._doubt("an older revision than one already seen")
         newer = tuple(r for r in scan.rows if r.version > self.revision)
-        head = [row for row in newer if row.key == layout.HEAD]
-        # Every edit writes the head: rows without it, or newer than it, are
-        # half of an edit.
-        if newer and not head:
-            return self._doubt("rows without the head")
-        if head and head[0].version != max(row.version for row in newer):
-            return self._doubt("rows newer than the head")
+        flaw = self._flaw(scan.revision, newer)
+        if flaw:
+            return self._doubt(flaw)
         self.failures = 0
         self._good_at = asked_at
-        return self._rise(newer, head[0].version) if head else None
+        return self._rise(newer) if newer else None
+
+    def take_whole(self, scan: rows.Scan) -> deltas.Delta | missing.Stale:
+        """Take in a scan of the whole table; the revision stays.
 
-    def _rise(self, newer: tuple[rows.Row, ...], to: int) -> deltas.Delta:
+        :param scan: as the platform gave it.
+        """
+        flaw = self._flaw(scan.revision, scan.rows)
+        if flaw:
+            return self._doubt(flaw)
+        return deltas.Delta(rows.NO_ROW, _newest(scan.rows), scan.rows)
+
+    def _flaw(self, revision: int, found: tuple[rows.Row, ...]) -> str:
+        if revision < self.revision:
+            return "an older revision than one already seen"
+        head = [row for row in found if row.key == layout.HEAD]
+        # Every edit writes the head: rows without it, or newer than it, are
+        # half of an edit.
+        if found and not head:
+            return "rows without the head"
+        if head and head[0].version != _newest(found):
+            return "rows newer than the head"
+        return ""
+
+    def _rise(self, newer: tuple[rows.Row, ...]) -> deltas.Delta:
+        to = _newest(newer)
         self._invariants.hold(
             "a watcher's revision rises",
             to > self.revision,
@@ -123,3 +140,7 @@
     def _doubt(self, why: str) -> missing.Stale:
         self.failures += 1
         return missing.Stale(f"the platform told {why}", layout.TABLE)
+
+
+def _newest(found: tuple[rows.Row, ...]) -> int:
+    return max((row.version for row in found), default=rows.NO_ROW)
--- /dev/null
+++ b/tests/inforce/steps/comparing_steps.py
@@ -0,0 +1,276 @@
+"""Steps about a daemon that compares its table with the platform's."""
+
+import random
+
+import behave
+import logbook
+import msgspec
+
+from citronvalve.daemon import peertask
+from citronvalve.daemon import settings
+from citronvalve.daemon import tabletask
+from citronvalve.entry import environment
+from citronvalve.entry import metrics
+from citronvalve.entry import view
+from citronvalve.model import clock
+from citronvalve.model import invariant
+from citronvalve.model import manualclock
+from citronvalve.peers import change
+from citronvalve.peers import codec
+from citronvalve.peers import envelope
+from citronvalve.peers import gossip
+from citronvalve.peers import tablecopy
+from citronvalve.peers import tabledelta
+from citronvalve.table import delta
+from citronvalve.table import follower
+from citronvalve.table import layout
+from citronvalve.table import planning
+from citronvalve.table import rowedits
+from standins import faults
+from standins import memorytable
+from tests.table import helpers
+
+_SETTINGS = settings.Settings(
+    "d-1",
+    "sapporo",
+    "127.0.0.1:1",
+    "127.0.0.1:2",
+    "127.0.0.1:3",
+    "127.0.0.1:4",
+    daemons_here=1,
+)
+
+_MATE = envelope.Sender("d-2", "hakodate", 1, "tcp://127.0.0.1:5")
+
+#: Time of one round of the daemon's tasks in ms.
+_ROUND: clock.Ms = 250
+
+_ROW = f"{layout.key('datacentres', 'hakodate')}"
+
+
+class _Store(memorytable.MemoryTable):
+    """Counts the times that it was read whole."""
+
+    read_whole = 0
+
+    def scan(self, table, after=0):
+        self.read_whole += not after
+        return super().scan(table, after)
+
+
+class _Daemon:
+    """The tasks that bring tables into force, driven by hand."""
+
+    def __init__(self, store, watches):
+        self.store = store
+        self.clock = manualclock.ManualClock(1_000_000)
+        self.view = view.View(self.clock, invariant.Invariants())
+        self.log = logbook.TestHandler()
+        env = environment.Environment(
+            "d-1",
+            "sapporo",
+            self.clock,
+            random.Random(1),
+            logbook.Logger("d-1"),
+            metrics.Metrics(),
+            invariant.Invariants(),
+            environment.Bounds(),
+        )
+        self.peering = peertask.PeerTask(env, self.view, _SETTINGS)
+        self.peering.peer.is_watcher = lambda: watches
+        self._task = tabletask.TableTask(env, self.view, store, self.peering)
+        self.hears: gossip.Gossip | None = None
+
+    def run(self, span):
+        """Let time pass.
+
+        :param span: ms.
+        """
+        with self.log.applicationbound():
+            for _ in range(0, span, _ROUND):
+                self.clock.advance(_ROUND)
+                if self.hears is not None:
+                    self.hear(self.hears)
+                self._task.step()
+
+    def hear(self, message):
+        """Take in what a peer tells."""
+        self.peering.peer.core.handle(codec.Received(_MATE, message))
+
+
+@behave.given("the example declaration is in the platform's table")
+def step_example(context):
+    context.store = _Store()
+    helpers.apply(context, "bob", planning.declaring(helpers.example()))
+
+
+def _stored(store):
+    # Not counted as a reading of the daemon's.
+    return memorytable.MemoryTable.scan(store, layout.TABLE).rows
+
+
+def _packed(stored):
+    return [
+        change.Change(
+            row.table, row.key, row.version, msgspec.msgpack.encode(row.value)
+        )
+        for row in stored
+    ]
+
+
+def _out(held):
+    at = next(i for i, row in enumerate(held) if row.key == _ROW)
+    value = msgspec.msgpack.decode(held[at].value) | {"state": "out"}
+    held[at] = held[at]._replace(value=msgspec.msgpack.encode(value))
+
+
+def _one_more(held):
+    value = msgspec.msgpack.encode({"name": "nowhere"})
+    key = layout.key("datacentres", "nowhere")
+    held.append(change.Change(layout.TABLE, key, 1, value))
+
+
+def _one_less(held):
+    held[:] = [row for row in held if row.key != _ROW]
+
+
+_SPOIL_BY_WHAT = {
+    "": lambda held: None,
+    "a data centre that is out by its copy": _out,
+    "a row that the platform has not": _one_more,
+    "a row missing": _one_less,
+}
+
+
+def _begin(context, what, watches):
+    held = _packed(_stored(context.store))
+    version = max(row.version for row in held)
+    _SPOIL_BY_WHAT[what](held)
+    context.daemon = _Daemon(context.store, watches)
+    context.daemon.peering.peer.offer_table(
+        tabledelta.TableDelta(version, 0, tuple(held))
+    )
+    assert context.daemon.view.table
+    context.store.read_whole = 0
+    assert _is_right(context) == (not what)
+
+
+@behave.given("a watcher that took the table from a peer, with {what}")
+def step_watcher(context, what):
+    _begin(context, what, watches=True)
+
+
+@behave.given("a watcher that took the table from a peer")
+def step_right_watcher(context):
+    _begin(context, "", watches=True)
+
+
+@behave.given("a daemon that took the table from a peer, with {what}")
+def step_daemon_with(context, what):
+    _begin(context, what, watches=False)
+
+
+@behave.given("a daemon that took the table from a peer")
+def step_daemon(context):
+    _begin(context, "", watches=False)
+
+
+def _is_right(context):
+    checks = follower.Follower(invariant.Invariants())
+    stored = _stored(context.store)
+    version = max(row.version for row in stored)
+    checks.take(delta.Delta(0, version, stored))
+    return context.daemon.view.table == checks.table
+
+
+def _told(context, rows_of):
+    held = rows_of(_packed(_stored(context.store)))
+    version = max(row.version for row in held)
+    mate = tablecopy.TableCopy(invariant.Invariants())
+    mate.apply(tabledelta.TableDelta(version, 0, tuple(held)))
+    return gossip.Gossip(0, mate.version, mate.digest, table_age=100)
+
+
+@behave.when("it hears a peer with the platform's table")
+def step_hears(context):
+    context.daemon.hears = _told(context, list)
+
+
+@behave.when("the platform does not answer for {seconds:d} s")
+def step_down(context, seconds):
+    context.store.faults.order(faults.Fault.DOWN)
+    context.daemon.run(seconds * clock.SECOND)
+    context.store.faults.order(faults.Fault.DOWN, 0)
+
+
+@behave.when("it hears a peer with another table for {seconds:d} s")
+def step_hears_another(context, seconds):
+    context.daemon.hears = _told(context, lambda held: held[1:])
+    context.daemon.run(seconds * clock.SECOND)
+
+
+@behave.when("sapporo is taken out, and the daemon reads that")
+def step_out(context):
+    context.before = _stored(context.store)
+    key = layout.key("datacentres", "sapporo")
+    helpers.set_column(context, "bob", key, "state", "out")
+    context.daemon.run(9 * clock.SECOND)
+    assert context.daemon.view.version == 2
+
+
+@behave.when("a team is removed, and the daemon reads that")
+def step_removed(context):
+    def wanted(stored):
+        left = rowedits.removing("teams/ledger")(stored)
+        return {k: v for k, v in left.items() if "limits" not in k}
+
+    helpers.apply(context, "bob", wanted)
+    context.daemon.run(9 * clock.SECOND)
+    assert context.daemon.view.version == 2
+
+
+@behave.then(
+    "it has compared its table within {seconds:d} s and found no difference"
+)
+def step_no_difference(context, seconds):
+    context.daemon.run(seconds * clock.SECOND)
+    assert context.store.read_whole, "it never compared"
+    assert _is_right(context)
+    assert not _warned(context), context.daemon.log.formatted_records
+
+
+def _warned(context):
+    return context.daemon.log.has_warning("table differed from the platform's")
+
+
+@behave.when("it compares its table with the platform's of before")
+def step_before(context):
+    held = _packed(context.before)
+    version = max(row.version for row in held)
+    context.daemon.peering.peer.compare_table(
+        tabledelta.TableDelta(version, 0, tuple(held))
+    )
+
+
+@behave.then("within {seconds:d} s its table in force is the platform's")
+def step_right_within(context, seconds):
+    for _ in range(0, seconds):
+        if _is_right(context):
+            return
+        context.daemon.run(clock.SECOND)
+    raise AssertionError(context.daemon.log.formatted_records)
+
+
+@behave.then("its table in force is the platform's")
+def step_right(context):
+    assert _is_right(context), context.daemon.log.formatted_records
+
+
+@behave.then("the log names the rows that differed")
+def step_named(context):
+    assert _warned(context), context.daemon.log.formatted_records
+
+
+@behave.then("it has read the whole table at most {times:d} times")
+def step_times(context, times):
+    assert 0 < context.store.read_whole <= times, context.store.read_whole
