--- a/benchmarks/table.py
+++ b/benchmarks/table.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from benchmarks import figure
+from benchmarks import timing
 from citronvalve.model import clock
 from citronvalve.model import invariant
 from citronvalve.table import delta as deltas
@@ -25,12 +26,8 @@
 
 _SIZES = (100, 1_000, 12_000)
 _PLACES = 31
-_MS = 1_000
 _BULKS = 5
 
-#: Time for each figure in s.
-_SPAN = 0.5
-
 Values = dict[str, dict[str, Any]]
 
 
@@ -53,17 +50,6 @@
     return made
 
 
-def _ms(run: Callable[[], object]) -> float:
-    """Return the least time of a call in ms; the rest is other work."""
-    best = float("inf")
-    until = time.perf_counter() + _SPAN
-    while time.perf_counter() < until:
-        began = time.perf_counter()
-        run()
-        best = min(best, time.perf_counter() - began)
-    return best * _MS
-
-
 def _stored(count: int) -> memorytable.MemoryTable:
     store = memorytable.MemoryTable()
     made = values(count)
@@ -119,7 +105,7 @@
         if not following.take(deltas.Delta(to - 1, to, told)):
             raise RuntimeError("the delta was not taken")
 
-    return _ms(run)
+    return timing.least_ms(run)
 
 
 def _bulk(store: memorytable.MemoryTable) -> float:
@@ -140,7 +126,7 @@
         began = time.perf_counter()
         following.take(deltas.Delta(to - 1, to, tuple(more)))
         best = min(best, time.perf_counter() - began)
-    return best * _MS
+    return best * timing.MS
 
 
 def _bytes(store: memorytable.MemoryTable, after: int) -> int:
@@ -151,19 +137,23 @@
     made = values(count)
     store = _stored(count)
     text = msgspec.json.encode(_sections(made)).decode()
-    check = _ms(lambda: typed.full(made, 1))
-    read = _ms(lambda: reading.read(store))
-    edits = _ms(_edit(store))
+    check = timing.least_ms(lambda: typed.full(made, 1))
+    read = timing.least_ms(lambda: reading.read(store))
+    edits = timing.least_ms(_edit(store))
     _edit(store)()
     last = store.read(layout.TABLE, layout.HEAD)
     at = f"at {count} rows"
-    yield figure.Figure(f"read a file {at}", _ms(lambda: _parse(text)), "ms")
+    yield figure.Figure(
+        f"read a file {at}", timing.least_ms(lambda: _parse(text)), "ms"
+    )
     yield figure.Figure(f"check the whole table {at}", check, "ms")
     yield figure.Figure(f"read and check the whole table {at}", read, "ms")
     yield figure.Figure(
         f"follow an edit of one row {at}", _follow(store), "ms", read
     )
-    yield figure.Figure(f"edits of one operator {at}", _MS / edits, "1/s")
+    yield figure.Figure(
+        f"edits of one operator {at}", timing.MS / edits, "1/s"
+    )
     yield figure.Figure(
         f"bytes of the whole table {at}", _bytes(store, 0), "B"
     )
@@ -202,5 +192,5 @@
             continue
         slope = (found[-1] - found[0]) / (_SIZES[-1] - _SIZES[0])
         unit = "B a row" if name.startswith("bytes") else "us a row"
-        scale = 1 if name.startswith("bytes") else _MS
+        scale = 1 if name.startswith("bytes") else timing.MS
         yield figure.Figure(f"slope: {name}", slope * scale, unit)
