--- /dev/null
+++ b/tests/daemon/steps/leading_steps.py
@@ -0,0 +1,116 @@
+"""Steps about a daemon that takes the lead of the replica groups."""
+
+import behave
+import eventlet
+
+from citronvalve.daemon import entrydaemon
+from citronvalve.daemon import entrysettings
+from citronvalve.daemon import ports
+from citronvalve.forward import dialect
+from citronvalve.forward import placing
+from citronvalve.model import missing
+from citronvalve.policy import repeatbudget
+from citronvalve.replicas import order
+from citronvalve.replicas import orders
+from citronvalve.replicas import runner
+from citronvalve.routes import callerlimits
+from citronvalve.routes import catalogue
+from citronvalve.routes import service
+from standins import memorytable
+from tests.replicas import world
+
+_ANY_PORT = "127.0.0.1:0"
+
+
+class _Orders(orders.Orders):
+    """Takes every order, and keeps it."""
+
+    def __init__(self):
+        self.given = []
+
+    def give(self, target, what):
+        self.given.append(what)
+        return order.Told.ACCEPTED
+
+    def look(self, target):
+        return target
+
+
+def _settings():
+    return entrysettings.EntrySettings(
+        "daemon-1",
+        "zone-0",
+        _ANY_PORT,
+        _ANY_PORT,
+        _ANY_PORT,
+        repeatbudget.RepeatTerms(0.2, 100, 10_000),
+        placing.ColdTerms(),
+        grace=5_000,
+        stall=world.STALL,
+        first_start=False,
+    )
+
+
+def _ports(taken):
+    store = memorytable.MemoryTable()
+    return ports.Ports(
+        lambda: store,
+        "list",
+        "operators",
+        lambda row: None,
+        lambda row: missing.NotFound("no catalogue", row.key),
+        lambda key: None,
+        "catalogue",
+        taken,
+        dialect.Dialect(),
+        "/readyz",
+        _settings,
+    )
+
+
+def _catalogue():
+    engine = service.Service("svc", "/", 99, engine=world.spec())
+    limits = callerlimits.CallerLimits()
+    return catalogue.Catalogue(1, {}, {"svc": engine}, {}, limits, False)
+
+
+@behave.given(
+    "a daemon that holds a list with {count:d} free runners, told by the "
+    "leader"
+)
+def step_daemon(context, count):
+    context.orders = _Orders()
+    context.daemon = entrydaemon.EntryDaemon(
+        _settings(), _ports(context.orders)
+    )
+    directory = context.daemon.directory
+    directory.adopt(_catalogue())
+    for n in range(count):
+        directory.put(
+            runner.Runner(
+                f"r-{n}",
+                "svc",
+                f"127.0.0.1:{n + 1}",
+                "zone-0",
+                domain="zone-0/d0",
+                staged=("large", "small"),
+                born=1,
+                seen=1,
+            )
+        )
+    directory.known = True
+
+
+@behave.when("it takes the lead, and has not read the list itself for 1 s")
+def step_lead(context):
+    planning = eventlet.spawn(context.daemon._conductor.run)
+    context.daemon._lease.step()
+    assert context.daemon._lease.held
+    eventlet.sleep(1)
+    planning.kill()
+
+
+@behave.then("it has given no order")
+def step_no_order(context):
+    given = [(one.kind.value, one.runner) for one in context.orders.given]
+    assert not given, given
