Lend an upstream that is warm for its keeper

Cause: whether an upstream is cold is in part each daemon's own view (a request broke off, its times jumped). Such a daemon needs a loan; the keeper, for which the upstream is warm, had set no limit for it and lent none, for the whole ramp.

Ruled out: two equal wants of one slot, which end when the ramp allows two, 9 s.

Change: a keeper lends what is warm for it, up to the slots; a daemon asks for no more than its fixed part, so that loans and parts add up to the slots.

--- a/src/citronvalve/daemon/sharing.py
+++ b/src/citronvalve/daemon/sharing.py
@@ -32,12 +32,15 @@
         self._place = limits.Share(0, 0)
         self._wanted: set[loankey.LoanKey] = set()
         self._lost: set[tuple[str, str]] = set()
+        self._stepped_at: clock.Ms = 0
+        peer.set_other_limits(self._warm_slots)
 
     def step(self, now: clock.Ms) -> None:
         """Bring what is new either way.
 
         :param now: monotonic ms.
         """
+        self._stepped_at = now
         self._divide(now)
         self._borrow(now)
         self._spread_losses(now)
@@ -59,7 +62,7 @@
                 loankey.LoanKind.COLD, want.upstream, want.start_id
             )
             wanted.add(key)
-            self._peer.want(key, want.bound)
+            self._peer.want(key, want.slots)
             if self._peer.keeps(key.keeper_key):
                 self._peer.set_limit(key, want.bound)
             slots = self._peer.slots(key)
@@ -70,6 +73,15 @@
             self._peer.set_limit(key, 0)
         self._wanted = wanted
 
+    def _warm_slots(self, key: loankey.LoanKey) -> int:
+        # Whether an upstream is cold is in part each daemon's own view: one
+        # for which it is warm lends to those for which it is not.
+        if key.kind is not loankey.LoanKind.COLD:
+            return 0
+        return self._dispatcher.warm_slots(
+            key.name, key.start, self._stepped_at
+        )
+
     def _spread_losses(self, now: clock.Ms) -> None:
         facts = self._peer.crashes()
         for fact in facts:
--- a/src/citronvalve/peers/lender.py
+++ b/src/citronvalve/peers/lender.py
@@ -1,5 +1,6 @@
 """The keeper's side of grants: who holds how many slots of which limit."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from citronvalve.model import clock
@@ -26,6 +27,7 @@
 
     :param span: ms that a loan lasts.
     :param invariants: where promises are asserted.
+    :ivar unset: returns how much there is of a limit that was not set.
     """
 
     def __init__(
@@ -33,6 +35,7 @@
     ) -> None:
         self._span = span
         self._invariants = invariants
+        self.unset: Callable[[loankey.LoanKey], int] = lambda _: 0
         self._limit_by_key: dict[loankey.LoanKey, int] = {}
         self._loans: dict[loankey.LoanKey, dict[str, list[_Loan]]] = {}
         self._want: dict[loankey.LoanKey, dict[str, _Loan]] = {}
@@ -52,7 +55,7 @@
 
         :param key: the limit.
         """
-        return self._limit_by_key.get(key, 0)
+        return self._limit_by_key.get(key) or self.unset(key)
 
     def lend(
         self,
--- a/src/citronvalve/peers/peer.py
+++ b/src/citronvalve/peers/peer.py
@@ -1,5 +1,6 @@
 """What the rest of the daemon sees of its peers."""
 
+from collections.abc import Callable
 import random
 
 from citronvalve.model import clock
@@ -224,6 +225,15 @@
         """
         self._state.grants.lender.set_limit(key, limit)
 
+    def set_other_limits(
+        self, limit: Callable[[loankey.LoanKey], int]
+    ) -> None:
+        """Say how much to lend where this daemon sets no limit by itself.
+
+        :param limit: returns the slots in all; 0 lends nothing.
+        """
+        self._state.grants.lender.unset = limit
+
     def want(self, key: loankey.LoanKey, slots: int) -> None:
         """Borrow up to some slots, and renew until told otherwise.
 
--- a/src/citronvalve/policy/candidate.py
+++ b/src/citronvalve/policy/candidate.py
@@ -184,28 +184,30 @@
         """
         return self.loan.slots if now < self.loan.until else 0
 
-    def _allowed(self, now: clock.Ms, share: limits.Share) -> int:
-        if self.upstream.weight <= 0 or self.bar(now) is not None:
-            return 0
-        if self.ramp.is_cold(now):
-            most = min(self.lent(now), self.ramp.bound(now))
-        else:
-            most = self._part(share)
-        half_open = self.circuit.state is circuit.State.HALF_OPEN
-        return min(1, most) if half_open else most
-
-    def _part(self, share: limits.Share) -> int:
+    def part(self, share: limits.Share) -> int:
         """Return this daemon's fixed part of a warm upstream.
 
         Made for reports that are seconds old when many daemons read them:
         were each to fill the free slots it sees, they would fill them many
         times.  The parts of all daemons add up to the whole whatever they
         know.  Who gets the odd slots differs from upstream to upstream.
+
+        :param share: this daemon's place among those that use it.
         """
         rank = (share.rank + self._offset) % share.members
         part = limits.Share(rank, share.members).of(self.upstream.slots)
         return min(part, self._most)
 
+    def _allowed(self, now: clock.Ms, share: limits.Share) -> int:
+        if self.upstream.weight <= 0 or self.bar(now) is not None:
+            return 0
+        if self.ramp.is_cold(now):
+            most = min(self.lent(now), self.ramp.bound(now))
+        else:
+            most = self.part(share)
+        half_open = self.circuit.state is circuit.State.HALF_OPEN
+        return min(1, most) if half_open else most
+
     def _count(self, step: int, now: clock.Ms) -> None:
         self.own += step
         self._history.append((now, self.own))
--- a/src/citronvalve/policy/dispatcher.py
+++ b/src/citronvalve/policy/dispatcher.py
@@ -168,6 +168,15 @@
         """
         return self.fleet.wants(now)
 
+    def warm_slots(self, upstream: str, start_id: str, now: clock.Ms) -> int:
+        """Return the slots of an upstream that is warm, as seen here; else 0.
+
+        :param upstream: its name.
+        :param start_id: the start that is asked for.
+        :param now: monotonic ms.
+        """
+        return self.fleet.warm_slots(upstream, start_id, now)
+
     def open_requests(self) -> int:
         """Return how many accepted requests have not ended."""
         return len(self._requests)
--- a/src/citronvalve/policy/fleet.py
+++ b/src/citronvalve/policy/fleet.py
@@ -22,11 +22,14 @@
     """A cold upstream that this daemon wants slots of.
 
     ``bound`` is what all daemons together may have there now, as this one
-    sees it; the keeper lends parts of it.
+    sees it; the keeper lends parts of it.  ``slots`` are asked for: no more
+    than this daemon would have of it warm, so that its loan fits beside the
+    parts of those that take the upstream for warm.
     """
 
     upstream: str
     bound: int
+    slots: int
     datacentre: str
     start_id: str
 
@@ -193,6 +196,7 @@
             Want(
                 item.name,
                 item.ramp.bound(now),
+                min(item.ramp.bound(now), item.part(self._share)),
                 item.upstream.datacentre,
                 item.report.start_id,
             )
@@ -200,6 +204,20 @@
             if item.bar(now) is None and item.ramp.is_cold(now)
         )
 
+    def warm_slots(self, upstream: str, start_id: str, now: clock.Ms) -> int:
+        """Return the slots of an upstream that is warm, as seen here; else 0.
+
+        :param upstream: its name.
+        :param start_id: the start that is asked for.
+        :param now: monotonic ms.
+        """
+        item = self.candidate_by_name.get(upstream)
+        if item is None or item.bar(now) is not None:
+            return 0
+        if item.report.start_id != start_id or item.ramp.is_cold(now):
+            return 0
+        return item.upstream.slots
+
     def _refresh(
         self,
         items: collections.abc.Iterable[candidate.Candidate],
