Name what compares tables and lends limits by what it does

hear_age did more than its name since digests that differ are acted on, and "unset" named neither a limit nor a function. Names and docstrings only; tests of peers, inforce and policy pass as before.

--- a/src/citronvalve/daemon/peertask.py
+++ b/src/citronvalve/daemon/peertask.py
@@ -71,7 +71,7 @@
         self.peer.offer_table(_packed_delta(delta))
 
     def compare_table(self, whole: deltas.Delta) -> None:
-        """Compare the rows in force with the platform's; the latter hold.
+        """Replace the rows in force where they differ from the platform's.
 
         :param whole: all rows, as the own watcher read them.
         """
--- a/src/citronvalve/daemon/tabletask.py
+++ b/src/citronvalve/daemon/tabletask.py
@@ -94,7 +94,7 @@
         if missing.is_missing(whole):
             self._note(whole.reason)
             return
-        # A large table takes some ten ms to decode and as long to compare;
+        # A large table takes tens of ms to decode and as long to compare;
         # tokens go out in between.
         eventlet.sleep(0)
         self._peering.compare_table(whole)
--- a/src/citronvalve/peers/core.py
+++ b/src/citronvalve/peers/core.py
@@ -146,7 +146,7 @@
         return self._sync.offer(delta)
 
     def compare_table(self, whole: tabledelta.TableDelta) -> None:
-        """Compare the rows held with the platform's.
+        """Replace the rows held where they differ from the platform's.
 
         :param whole: the whole table, read from the platform.
         """
@@ -201,7 +201,7 @@
         near = sender.datacentre == state.settings.datacentre
         if near:
             self._merge(message, now)
-        self._sync.hear_age(message, now)
+        self._sync.hear_table(message, now)
         for summary in message.summaries:
             state.remote.hear(summary, now)
             if summary.datacentre == state.settings.datacentre:
--- a/src/citronvalve/peers/lender.py
+++ b/src/citronvalve/peers/lender.py
@@ -27,7 +27,7 @@
 
     :param span: ms that a loan lasts.
     :param invariants: where promises are asserted.
-    :ivar unset: returns how much there is of a limit that was not set.
+    :ivar other_limit: returns how much there is of a limit that was not set.
     """
 
     def __init__(
@@ -35,7 +35,7 @@
     ) -> None:
         self._span = span
         self._invariants = invariants
-        self.unset: Callable[[loankey.LoanKey], int] = lambda _: 0
+        self.other_limit: Callable[[loankey.LoanKey], int] = lambda _: 0
         self._limit_by_key: dict[loankey.LoanKey, int] = {}
         self._loans: dict[loankey.LoanKey, dict[str, list[_Loan]]] = {}
         self._want: dict[loankey.LoanKey, dict[str, _Loan]] = {}
@@ -55,7 +55,7 @@
 
         :param key: the limit.
         """
-        return self._limit_by_key.get(key) or self.unset(key)
+        return self._limit_by_key.get(key) or self.other_limit(key)
 
     def lend(
         self,
--- a/src/citronvalve/peers/peer.py
+++ b/src/citronvalve/peers/peer.py
@@ -138,7 +138,7 @@
         return self._state.table.is_doubted
 
     def compare_table(self, whole: tabledelta.TableDelta) -> None:
-        """Compare the rows held with the platform's; the latter hold.
+        """Replace the rows held where they differ from the platform's.
 
         :param whole: the whole table, read from the platform.
         """
@@ -232,7 +232,7 @@
 
         :param limit: returns the slots in all; 0 lends nothing.
         """
-        self._state.grants.lender.unset = limit
+        self._state.grants.lender.other_limit = limit
 
     def want(self, key: loankey.LoanKey, slots: int) -> None:
         """Borrow up to some slots, and renew until told otherwise.
--- a/src/citronvalve/peers/tablecopy.py
+++ b/src/citronvalve/peers/tablecopy.py
@@ -79,7 +79,7 @@
     def compare(
         self, whole: tabledelta.TableDelta
     ) -> tuple[tuple[str, str], ...]:
-        """Hold the platform's rows from now on, if any of these is wrong.
+        """Replace the rows held if any of them differs from the platform's.
 
         :param whole: the whole table as the platform has it; one of an
             earlier version proves nothing.
--- a/src/citronvalve/peers/tablesync.py
+++ b/src/citronvalve/peers/tablesync.py
@@ -49,7 +49,7 @@
         return risen
 
     def compare(self, whole: tabledelta.TableDelta) -> None:
-        """Compare the rows held with the platform's.
+        """Replace the rows held where they differ from the platform's.
 
         :param whole: the whole table, read from the platform.
         """
@@ -67,11 +67,12 @@
         if self._state.table.take(page):
             self._on_risen(before)
 
-    def hear_age(self, message: gossip.Gossip, now: clock.Ms) -> None:
-        """Learn from a peer that this version was the newest lately.
+    def hear_table(self, message: gossip.Gossip, now: clock.Ms) -> None:
+        """Compare a peer's table with the own one by version and digest.
 
-        A peer with the same version and other rows tells that one of both
-        is wrong; which one, only the platform knows.
+        With the same rows, this version was the newest when the peer's was.
+        With other rows at the same version one of both is wrong; which one,
+        only the platform knows.
 
         :param message: what the peer told.
         :param now: monotonic time in ms.
