Name the keeper right in the scenario of loans

The step looked for the keeper of "cold/a0/1"; the key of a cold upstream is "upstream/a0". So the daemon that was made cold could have been the keeper, whose own want sets the limit, and the scenario could have passed for nothing.

--- a/tests/policy/steps/sharing_steps.py
+++ b/tests/policy/steps/sharing_steps.py
@@ -9,6 +9,7 @@
 from citronvalve.model import invariant
 from citronvalve.model import manualclock
 from citronvalve.peers import codec
+from citronvalve.peers import loankey
 from citronvalve.peers import peer as peers
 from citronvalve.peers import peersettings
 from tests.policy import small
@@ -88,7 +89,8 @@
 @behave.when("its service times jump for one that is not its keeper")
 def step_jump(context):
     daemons = context.fleet.daemon_by_name
-    keeper = daemons["daemon-0"].peer.keeper_of("cold/a0/1")
+    key = loankey.LoanKey(loankey.LoanKind.COLD, "a0", "1").keeper_key
+    keeper = daemons["daemon-0"].peer.keeper_of(key)
     context.cold = next(d for n, d in daemons.items() if n != keeper)
     context.cold.upstream.ramp.restart(context.fleet.clock.now())
 
