Keep the check that a version put in force is higher

 moved the check of "an accepted table version is never replaced by a lower one" into a part that replacing a wrong table shares, and there an equal version had to be let through: the way of every ordinary edit was checked less strictly than before. That way checks "higher" again; only the replacement of a wrong table checks "not lower".

--- a/src/citronvalve/entry/view.py
+++ b/src/citronvalve/entry/view.py
@@ -108,6 +108,11 @@
         self._confirmed_at = self._clock.now()
         if table.version == self.version:
             return False
+        self._invariants.hold(
+            _NEVER_FALLS,
+            table.version > self.version,
+            f"{self.version} to {table.version}",
+        )
         self._put(table)
         return True
 
@@ -119,15 +124,15 @@
         """
         if table.version < self.version:
             return False
-        self._put(table)
-        return True
-
-    def _put(self, table: declared.Declared) -> None:
         self._invariants.hold(
             _NEVER_FALLS,
             table.version >= self.version,
             f"{self.version} to {table.version}",
         )
+        self._put(table)
+        return True
+
+    def _put(self, table: declared.Declared) -> None:
         self._declared = table
         self._team_by_digest = {
             team.token_sha256: team for team in table.team_by_name.values()
