Make a daemon's work independent of the fleet's size

Change: the directory updates the entries of the changed runner; a report of other daemons' requests is kept whole; a coordinator sends one sum to all daemons and names the reports it includes, from which each subtracts its own (a daemon of an older release gets a sum of its own as before); remote replicas are considered only if an idle one could rank higher, and equal loads are forecast once.

--- a/src/citronvalve/forward/directory.py
+++ b/src/citronvalve/forward/directory.py
@@ -1,5 +1,7 @@
 """A daemon's current view of routes and upstreams."""
 
+import collections.abc
+
 from citronvalve.model import clock
 from citronvalve.policy import upstreamchoice
 from citronvalve.replicas import runner as runners
@@ -8,6 +10,8 @@
 #: One-way latency in ms to another data centre.
 _REMOTE_LATENCY = 1.0
 
+_CandidateById = dict[str, upstreamchoice.Candidate]
+
 
 class Directory:
     """Catalogue and upstreams, written by the watchers, read by handlers.
@@ -31,10 +35,8 @@
         self.list_known = False
         self.datacentres_out: frozenset[str] = frozenset()
         self.confirmed_at: clock.Ms = 0
-        self._open_heads_by_model: dict[
-            tuple[str, str], list[runners.Runner]
-        ] = {}
-        self._upstreams_by_service: dict[str, list[runners.Runner]] = {}
+        self._heads_by_model: dict[tuple[str, str], _CandidateById] = {}
+        self._upstreams_by_service: dict[str, _CandidateById] = {}
 
     @property
     def ready(self) -> bool:
@@ -67,7 +69,7 @@
         ):
             return previous
         self.runner_by_id[runner.id] = runner
-        self._rebuild_index()
+        self._replace_candidate(previous, runner)
         return previous
 
     def remove(self, upstream: str) -> runners.Runner | None:
@@ -77,7 +79,7 @@
         """
         previous = self.runner_by_id.pop(upstream, None)
         self.left_at_by_id.pop(upstream, None)
-        self._rebuild_index()
+        self._replace_candidate(previous, None)
         return previous
 
     def record_membership(
@@ -103,31 +105,31 @@
 
         :param datacentres: their names.
         """
+        if datacentres == self.datacentres_out:
+            return
         self.datacentres_out = datacentres
-        self._rebuild_index()
+        self._heads_by_model, self._upstreams_by_service = {}, {}
+        for runner in self.runner_by_id.values():
+            self._replace_candidate(None, runner)
 
     def open_heads(
         self, service: str, model: str
-    ) -> list[upstreamchoice.Candidate]:
-        """Return the open replicas of a model.
+    ) -> collections.abc.Collection[upstreamchoice.Candidate]:
+        """Return the open replicas of a model, valid until the next change.
 
         :param service: its service.
         :param model: the model.
         """
-        return [
-            self._candidate(r)
-            for r in self._open_heads_by_model.get((service, model), ())
-        ]
+        return self._heads_by_model.get((service, model), {}).values()
 
-    def plain_upstreams(self, service: str) -> list[upstreamchoice.Candidate]:
-        """Return the upstreams of a plain service.
+    def plain_upstreams(
+        self, service: str
+    ) -> collections.abc.Collection[upstreamchoice.Candidate]:
+        """Return the upstreams of a service, valid until the next change.
 
         :param service: its name.
         """
-        return [
-            self._candidate(r)
-            for r in self._upstreams_by_service.get(service, ())
-        ]
+        return self._upstreams_by_service.get(service, {}).values()
 
     def _candidate(self, runner: runners.Runner) -> upstreamchoice.Candidate:
         is_local = runner.datacentre == self._datacentre
@@ -136,16 +138,27 @@
             runner.slots,
             0.0 if is_local else _REMOTE_LATENCY,
             is_local,
+            runner.cold_until,
         )
 
-    def _rebuild_index(self) -> None:
-        heads: dict[tuple[str, str], list[runners.Runner]] = {}
-        plain: dict[str, list[runners.Runner]] = {}
-        for runner in self.runner_by_id.values():
-            if runner.leaving or runner.datacentre in self.datacentres_out:
-                continue
-            if runner.is_open_head:
-                key = runner.service, runner.membership.key.model
-                heads.setdefault(key, []).append(runner)
-            plain.setdefault(runner.service, []).append(runner)
-        self._open_heads_by_model, self._upstreams_by_service = heads, plain
+    def _replace_candidate(
+        self, previous: runners.Runner | None, runner: runners.Runner | None
+    ) -> None:
+        if previous is not None:
+            for candidate_by_id in self._indexes(previous):
+                candidate_by_id.pop(previous.id, None)
+        if runner is None or runner.leaving:
+            return
+        if runner.datacentre in self.datacentres_out:
+            return
+        candidate = self._candidate(runner)
+        for candidate_by_id in self._indexes(runner):
+            candidate_by_id[runner.id] = candidate
+
+    def _indexes(self, runner: runners.Runner) -> list[_CandidateById]:
+        """Return the indexes in which a runner in service stands."""
+        plain = self._upstreams_by_service.setdefault(runner.service, {})
+        if not runner.is_open_head:
+            return [plain]
+        key = runner.service, runner.membership.key.model
+        return [plain, self._heads_by_model.setdefault(key, {})]
--- a/src/citronvalve/forward/placement.py
+++ b/src/citronvalve/forward/placement.py
@@ -12,6 +12,9 @@
 from citronvalve.policy import coldrate
 from citronvalve.policy import enginepace
 from citronvalve.policy import upstreamchoice
+from citronvalve.routes import enginespec
+from citronvalve.routes import modelspec
+from citronvalve.routes import service as services
 
 #: Part of the objective within which the first event must be expected:
 #: actual times vary around the forecast, which excludes the way back.
@@ -84,6 +87,10 @@
         self._directory = directory
         self.cold_limits = cold_limits
         self._pressed_at: clock.Ms | None = None
+        self._pace_by_model: dict[
+            tuple[str, str],
+            tuple[enginespec.EngineSpec, enginepace.EnginePace],
+        ] = {}
         self._choice = upstreamchoice.UpstreamChoice(loads, env.rng)
         self._cold_rate = coldrate.ColdRate(env.rng)
 
@@ -158,11 +165,21 @@
             return _NO_UPSTREAM
         candidates = self._directory.open_heads(service.name, model.name)
         eligible = self._eligible(candidates, routed, tried, now)
-        pace = enginepace.EnginePace(engine, model.time_factor)
+        pace = self._pace(routed.service, model)
         return self._choice.choose(
             self._job(routed, tried, now), eligible, pace, now
         )
 
+    def _pace(
+        self, service: services.Service, model: modelspec.ModelSpec
+    ) -> enginepace.EnginePace:
+        key = service.name, model.name
+        known = self._pace_by_model.get(key)
+        if known is None or known[0] is not service.engine:
+            pace = enginepace.EnginePace(service.engine, model.time_factor)
+            known = self._pace_by_model[key] = service.engine, pace
+        return known[1]
+
     def _update_pressure(
         self,
         chosen: upstreamchoice.Chosen | upstreamchoice.Full,
@@ -204,27 +221,18 @@
     ) -> list[upstreamchoice.Candidate]:
         rate = self._cold_limit(routed)
         return [
-            candidate._replace(
-                slots=routed.service.engine.slots
-                if routed.service.engine
-                else candidate.slots
-            )
+            candidate
             for candidate in candidates
             if candidate.upstream not in tried
-            and self._allows(candidate.upstream, rate, now)
+            and (
+                not rate
+                or candidate.cold_until <= now
+                or self._cold_rate.allows(
+                    candidate.upstream, rate, self._env.daemon_count, now
+                )
+            )
         ]
 
-    def _allows(self, upstream: str, rate: float, now: clock.Ms) -> bool:
-        if not rate or not self._is_cold(upstream, now):
-            return True
-        return self._cold_rate.allows(
-            upstream, rate, self._env.daemon_count, now
-        )
-
-    def _is_cold(self, upstream: str, now: clock.Ms) -> bool:
-        runner = self._directory.runner_by_id.get(upstream)
-        return runner is not None and now < runner.cold_until
-
     def _cold_limit(self, routed: routedrequest.RoutedRequest) -> float:
         declared = routed.service.cold_rate
         if not declared:
--- a/src/citronvalve/peers/distributor.py
+++ b/src/citronvalve/peers/distributor.py
@@ -5,9 +5,9 @@
 from citronvalve.model import clock
 from citronvalve.peers import loadsums
 from citronvalve.peers import messages
+from citronvalve.peers import ownreports
 from citronvalve.peers import topology as topologies
 from citronvalve.policy import upstreamchoice
-from citronvalve.policy import upstreamload
 
 #: The same message about an upstream is forwarded once in this time, since all
 #: daemons that wait for a replica detect its stall at about the same time.
@@ -45,6 +45,7 @@
         self._datacentre = datacentre
         self._loads = loads
         self._sums = loadsums.LoadSums()
+        self._own_reports = ownreports.OwnReports(name)
         self._reported_daemons = 0
         self._other_loads_at: clock.Ms | None = None
         self._peer_names: list[str] = []
@@ -120,7 +121,10 @@
         :param counts: its requests.
         :param now: monotonic ms.
         """
-        loads = messages.DaemonLoads(self._name, counts)
+        self._own_reports.record(counts)
+        loads = messages.DaemonLoads(
+            self._name, counts, self._own_reports.sequence
+        )
         if self.topology.is_direct:
             return [Outgoing(name, loads) for name in self._peer_names]
         self._sums.record_daemon(self._name, counts, now)
@@ -136,15 +140,7 @@
         topology = self.topology
         if topology.is_direct:
             return []
-        out = [
-            Outgoing(
-                name,
-                messages.OtherLoads(
-                    self._name, *self._sums.excluding(name, now)
-                ),
-            )
-            for name in topology.reporters(now)
-        ]
+        out = self._sums_for_reporters(now)
         if topology.is_coordinator(now):
             count, counts = self._sums.local(now)
             totals = messages.DatacentreLoads(
@@ -156,6 +152,24 @@
             self._apply_own_sums(now)
         return out
 
+    def _sums_for_reporters(self, now: clock.Ms) -> list[Outgoing]:
+        reporters = self.topology.reporters(now)
+        if not reporters:
+            return []
+        sequences = self._sums.sequences(now)
+        shared = messages.OtherLoads(
+            self._name, *self._sums.everywhere(now), sequences
+        )
+        out = [Outgoing(name, shared) for name in reporters]
+        for index, name in enumerate(reporters):
+            if name not in sequences:
+                # A daemon of an older release can't subtract its own part.
+                own = self._sums.excluding(name, now)
+                out[index] = Outgoing(
+                    name, messages.OtherLoads(self._name, *own)
+                )
+        return out
+
     def apply_daemon_loads(
         self, message: messages.DaemonLoads, now: clock.Ms
     ) -> None:
@@ -167,10 +181,14 @@
         topology = self.topology
         topology.record_contact(message.name, now)
         if topology.is_direct:
-            self._put(message.name, message.by_upstream, now)
+            self._loads.remote_loads.record(
+                message.name, message.by_upstream, now
+            )
             return
         topology.record_report(message.name, now)
-        self._sums.record_daemon(message.name, message.by_upstream, now)
+        self._sums.record_daemon(
+            message.name, message.by_upstream, now, message.sequence
+        )
 
     def apply_datacentre_loads(
         self, message: messages.DatacentreLoads, now: clock.Ms
@@ -203,24 +221,18 @@
         topology.record_contact(message.name, now)
         if topology.is_direct or topology.coordinator(now) != message.name:
             return
-        self._reported_daemons = message.daemons
+        others = self._own_reports.without_own(message)
+        if others is None:
+            return
+        self._reported_daemons, counts = others
         self._other_loads_at = now
-        self._put(_OTHERS_KEY, message.by_upstream, now)
+        self._loads.remote_loads.record(_OTHERS_KEY, counts, now)
 
     def _apply_own_sums(self, now: clock.Ms) -> None:
         count, counts = self._sums.excluding(self._name, now)
         self._reported_daemons = count
         self._other_loads_at = now
-        self._put(_OTHERS_KEY, counts, now)
-
-    def _put(
-        self, name: str, counts: messages.RequestCounts, now: clock.Ms
-    ) -> None:
-        upstreams = self._loads.load_by_upstream.keys()
-        for upstream in upstreams | counts.keys():
-            count, late = counts.get(upstream, (0, 0))
-            shares = self._loads.of(upstream).remote_load_by_daemon
-            shares[name] = upstreamload.RemoteLoad(count, late, now)
+        self._loads.remote_loads.record(_OTHERS_KEY, counts, now)
 
     def _forward(
         self,
--- a/src/citronvalve/peers/loadsums.py
+++ b/src/citronvalve/peers/loadsums.py
@@ -14,6 +14,7 @@
     counts: messages.RequestCounts
     daemons: int
     at: clock.Ms
+    sequence: int = 0
 
 
 class LoadSums:
@@ -24,15 +25,41 @@
         self._reported_by_datacentre: dict[str, _Reported] = {}
 
     def record_daemon(
-        self, name: str, counts: messages.RequestCounts, now: clock.Ms
+        self,
+        name: str,
+        counts: messages.RequestCounts,
+        now: clock.Ms,
+        sequence: int = 0,
     ) -> None:
         """Record a daemon's own requests.
 
         :param name: the daemon, of this data centre.
         :param counts: its requests.
         :param now: monotonic ms.
+        :param sequence: number of the report, 0 from an older release.
         """
-        self._reported_by_daemon[name] = _Reported(counts, 1, now)
+        self._reported_by_daemon[name] = _Reported(counts, 1, now, sequence)
+
+    def sequences(self, now: clock.Ms) -> dict[str, int]:
+        """Return the numbers of the valid reports, by daemon.
+
+        :param now: monotonic ms.
+        """
+        recent = self._recent(self._reported_by_daemon, now)
+        return {
+            name: report.sequence
+            for name, report in recent.items()
+            if report.sequence
+        }
+
+    def everywhere(self, now: clock.Ms) -> tuple[int, messages.RequestCounts]:
+        """Return the number and the requests of all daemons.
+
+        :param now: monotonic ms.
+        """
+        local = self._recent(self._reported_by_daemon, now)
+        remote = self._recent(self._reported_by_datacentre, now)
+        return _sum([*local.values(), *remote.values()])
 
     def record_datacentre(
         self, loads: messages.DatacentreLoads, now: clock.Ms
@@ -52,13 +79,6 @@
         """
         return _sum(self._recent(self._reported_by_daemon, now).values())
 
-    def remote(self, now: clock.Ms) -> tuple[int, messages.RequestCounts]:
-        """Return the same for the other data centres.
-
-        :param now: monotonic ms.
-        """
-        return _sum(self._recent(self._reported_by_datacentre, now).values())
-
     def excluding(
         self, name: str, now: clock.Ms
     ) -> tuple[int, messages.RequestCounts]:
--- a/src/citronvalve/peers/messages.py
+++ b/src/citronvalve/peers/messages.py
@@ -76,10 +76,14 @@
 
 
 class DaemonLoads(msgspec.Struct, tag="loads", array_like=True, frozen=True):
-    """The sender's own requests by upstream."""
+    """The sender's own requests by upstream.
+
+    ``sequence`` numbers the sender's reports, 0 from an older release.
+    """
 
     name: str
     by_upstream: RequestCounts
+    sequence: int = 0
 
 
 class DatacentreLoads(
@@ -97,11 +101,17 @@
 
 
 class OtherLoads(msgspec.Struct, tag="digest", array_like=True, frozen=True):
-    """A coordinator's sum of all requests but the receiver's own."""
+    """A coordinator's sum of all requests, the same for all receivers.
+
+    ``sequence_by_daemon`` names the report of each daemon of the data centre
+    that the sum includes.  Without it, as from an older release, the sum is
+    without the receiver's own requests.
+    """
 
     name: str
     daemons: int
     by_upstream: RequestCounts
+    sequence_by_daemon: dict[str, int] | None = None
 
 
 class Stage(enum.IntEnum):
--- a/src/citronvalve/policy/enginepace.py
+++ b/src/citronvalve/policy/enginepace.py
@@ -28,6 +28,9 @@
     def __init__(self, spec: enginespec.EngineSpec, pace: float) -> None:
         self._spec = spec
         self._pace = pace
+        self._gap_by_decoding: dict[int, float] = {}
+        self._last_prompt = 0
+        self._last_prefill_time = 0.0
 
     def step_time(self, decoding: int) -> float:
         """Return the duration of one step in ms.
@@ -80,7 +83,13 @@
         """
         spec = self._spec
         running = min(round(load) + 1, spec.slots)
-        gap = self.event_gap(running)
+        gap = self._gap_by_decoding.get(running)
+        if gap is None:
+            gap = self._gap_by_decoding[running] = self.event_gap(running)
+        if prompt != self._last_prompt:
+            # The forecasts of one choice have the same prompt.
+            self._last_prompt = prompt
+            self._last_prefill_time = self.prefill_time(prompt)
         passes = max(1.0, spec.typical_response_tokens / spec.steps_per_pass)
         # Each slot becomes free once per typical answer.
         free_interval = gap * passes / spec.slots
@@ -88,7 +97,7 @@
         # It arrives in the middle of a pass, is prefilled, and gets its first
         # event from the next pass.
         first = (
-            0.5 * gap + self.prefill_time(prompt) + gap + queue * free_interval
+            0.5 * gap + self._last_prefill_time + gap + queue * free_interval
         )
         events = max(1.0, answer / spec.steps_per_pass)
         return Forecast(first, gap, first + gap * (events - 1))
--- /dev/null
+++ b/src/citronvalve/policy/remoteloads.py
@@ -0,0 +1,59 @@
+"""Requests that other daemons report, by upstream."""
+
+from typing import NamedTuple
+
+from citronvalve.model import clock
+
+#: How long another daemon's report is valid.  It is repeated several times
+#: within this time.
+_TTL: clock.Ms = 700
+
+#: By upstream id: the number of requests there, and how many are late.
+CountByUpstream = dict[str, tuple[int, int]]
+
+_NO_REQUESTS = 0, 0
+
+
+class _Report(NamedTuple):
+    by_upstream: CountByUpstream
+    at: clock.Ms
+
+
+class RemoteLoads:
+    """The newest report of each daemon, kept whole.
+
+    With coordinators one report covers the fleet, so applying a report and
+    reading the count of an upstream take constant time.
+    """
+
+    def __init__(self) -> None:
+        self._report_by_daemon: dict[str, _Report] = {}
+
+    def record(
+        self, daemon: str, by_upstream: CountByUpstream, now: clock.Ms
+    ) -> None:
+        """Record a report; an upstream that it lacks has no requests.
+
+        :param daemon: who reports.
+        :param by_upstream: its requests.
+        :param now: monotonic ms.
+        """
+        self._report_by_daemon[daemon] = _Report(by_upstream, now)
+
+    def requests(self, upstream: str, now: clock.Ms) -> tuple[int, int] | None:
+        """Return the requests at an upstream and how many of them are late.
+
+        :param upstream: its id.
+        :param now: monotonic ms.
+        :returns: None if no daemon has reported lately.
+        """
+        known = False
+        count = late = 0
+        for by_upstream, at in self._report_by_daemon.values():
+            if now - at > _TTL:
+                continue
+            known = True
+            reported = by_upstream.get(upstream, _NO_REQUESTS)
+            count += reported[0]
+            late += reported[1]
+        return (count, late) if known else None
--- a/src/citronvalve/policy/upstreamchoice.py
+++ b/src/citronvalve/policy/upstreamchoice.py
@@ -1,12 +1,14 @@
 """Choice of the upstream for a request by its predicted latency."""
 
 from collections.abc import Iterable
+import math
 import random
 from typing import NamedTuple
 
 from citronvalve.model import clock
 from citronvalve.policy import circuit
 from citronvalve.policy import enginepace
+from citronvalve.policy import remoteloads
 from citronvalve.policy import upstreamload
 
 #: Random spread in ms.  Otherwise all daemons that choose at the same time
@@ -19,12 +21,16 @@
 
 
 class Candidate(NamedTuple):
-    """A possible upstream; ``latency`` is the one-way time in ms."""
+    """A possible upstream; ``latency`` is the one-way time in ms.
+
+    It is cold until ``cold_until``, in monotonic ms.
+    """
 
     upstream: str
     slots: int
     latency: float
     is_local: bool
+    cold_until: clock.Ms = 0
 
 
 class Chosen(NamedTuple):
@@ -63,9 +69,11 @@
     """The loads of all upstreams, by id.
 
     :ivar load_by_upstream: the loads; each is created on first use.
+    :ivar remote_loads: the requests of other daemons.
     """
 
     def __init__(self) -> None:
+        self.remote_loads = remoteloads.RemoteLoads()
         self.load_by_upstream: dict[str, upstreamload.UpstreamLoad] = {}
 
     def of(self, upstream: str) -> upstreamload.UpstreamLoad:
@@ -75,7 +83,9 @@
         """
         upstream_load = self.load_by_upstream.get(upstream)
         if upstream_load is None:
-            upstream_load = upstreamload.UpstreamLoad()
+            upstream_load = upstreamload.UpstreamLoad(
+                upstream, self.remote_loads
+            )
             self.load_by_upstream[upstream] = upstream_load
         return upstream_load
 
@@ -119,38 +129,17 @@
         :param pace: predicts the model's latency.
         :param now: monotonic ms.
         """
-        best: tuple[tuple[bool, float], Chosen] | None = None
-        earliest = 0.0
-        count = 0
+        scan = _Scan(job, pace, self._loads, self._rng, now)
+        remote = []
         for candidate in candidates:
-            load = self._loads.of(candidate.upstream)
-            load.circuit.tick(now)
-            if load.avoid_until > now or _is_unavailable(load):
-                continue
-            count += 1
-            forecast = pace.forecast(
-                load.total_on_time(now), job.prompt, job.answer
-            )
-            first = forecast.first + 2 * candidate.latency
-            late = first > job.objective
-            if late:
-                # A late request waits behind all others, including the
-                # late ones.
-                forecast = pace.forecast(
-                    load.total(now), job.prompt, job.answer
-                )
-                first = forecast.first + 2 * candidate.latency
-            earliest = min(earliest, first) if earliest else first
-            if first > job.patience:
-                continue
-            rank = first + self._rng.uniform(0, _JITTER)
-            rank += 0 if candidate.is_local else _REMOTE_PENALTY
-            if best is None or (late, rank) < best[0]:
-                best = (late, rank), Chosen(candidate.upstream, forecast, late)
-        if best is not None:
-            return best[1]
-        excess = max(0.0, earliest - job.patience)
-        return Full(round(excess), count)
+            if candidate.is_local:
+                scan.consider(candidate)
+            else:
+                remote.append(candidate)
+        if remote and not scan.beats_any_remote(remote[0].latency):
+            for candidate in remote:
+                scan.consider(candidate)
+        return scan.result()
 
     def least_loaded(
         self, candidates: Iterable[Candidate], now: clock.Ms
@@ -163,8 +152,7 @@
         best: tuple[float, str] | None = None
         for candidate in candidates:
             load = self._loads.of(candidate.upstream)
-            load.circuit.tick(now)
-            if load.avoid_until > now or _is_unavailable(load):
+            if not _is_available(load, now):
                 continue
             rank = (load.total(now) + 1) / max(1, candidate.slots)
             rank += self._rng.uniform(0, 0.05)
@@ -176,8 +164,90 @@
         return best[1] if best else None
 
 
-def _is_unavailable(load: upstreamload.UpstreamLoad) -> bool:
-    if load.circuit.state is circuit.State.OPEN:
+class _Scan:
+    """The best of the candidates considered so far."""
+
+    def __init__(
+        self,
+        job: Job,
+        pace: enginepace.EnginePace,
+        loads: LoadTable,
+        rng: random.Random,
+        now: clock.Ms,
+    ) -> None:
+        self._job = job
+        self._pace = pace
+        self._loads = loads
+        self._rng = rng
+        self._now = now
+        self._best: Chosen | None = None
+        self._best_rank = True, math.inf
+        self._earliest = math.inf
+        self._count = 0
+        self._expected_by_load: dict[
+            tuple[float, float, float],
+            tuple[enginepace.Forecast, float, bool],
+        ] = {}
+
+    def consider(self, candidate: Candidate) -> None:
+        """Rank a candidate, if it is available."""
+        load = self._loads.of(candidate.upstream)
+        if not _is_available(load, self._now):
+            return
+        self._count += 1
+        key = *load.totals(self._now), candidate.latency
+        expected = self._expected_by_load.get(key)
+        if expected is None:
+            expected = self._expected_by_load[key] = self._expect(*key)
+        forecast, first, late = expected
+        if first > self._job.patience:
+            return
+        penalty = 0.0 if candidate.is_local else _REMOTE_PENALTY
+        rank = late, first + penalty + self._rng.random() * _JITTER
+        if rank < self._best_rank:
+            self._best_rank = rank
+            self._best = Chosen(candidate.upstream, forecast, late)
+
+    def _expect(
+        self, total: float, on_time: float, latency: float
+    ) -> tuple[enginepace.Forecast, float, bool]:
+        """Return the forecast, the time to the first event, if it is late."""
+        job = self._job
+        forecast = self._pace.forecast(on_time, job.prompt, job.answer)
+        first = forecast.first + 2 * latency
+        late = first > job.objective
+        if late:
+            # A late request waits behind all others, including the late
+            # ones.
+            forecast = self._pace.forecast(total, job.prompt, job.answer)
+            first = forecast.first + 2 * latency
+        self._earliest = min(self._earliest, first)
+        return forecast, first, late
+
+    def beats_any_remote(self, latency: float) -> bool:
+        """Return whether no idle remote upstream would rank higher.
+
+        :param latency: one-way time in ms to remote upstreams.
+        """
+        late, rank = self._best_rank
+        idle = self._pace.forecast(0.0, self._job.prompt, self._job.answer)
+        return not late and rank <= idle.first + 2 * latency + _REMOTE_PENALTY
+
+    def result(self) -> Chosen | Full:
+        """Return the choice, or when a slot may be free."""
+        if self._best is not None:
+            return self._best
+        if not self._count:
+            return Full(0, 0)
+        excess = max(0.0, self._earliest - self._job.patience)
+        return Full(round(excess), self._count)
+
+
+def _is_available(load: upstreamload.UpstreamLoad, now: clock.Ms) -> bool:
+    if load.avoid_until > now:
+        return False
+    if load.circuit.state is circuit.State.CLOSED:
         return True
+    load.circuit.tick(now)
     # A half-open circuit admits one probe at a time.
-    return load.circuit.state is circuit.State.HALF_OPEN and load.own > 0
+    return load.circuit.state is circuit.State.HALF_OPEN and not load.own
--- a/tests/placing/world.py
+++ b/tests/placing/world.py
@@ -10,7 +10,6 @@
 
 from citronvalve.policy import enginepace
 from citronvalve.policy import upstreamchoice
-from citronvalve.policy import upstreamload
 from tests.replicas import world as engines
 
 TICK = 5
@@ -212,11 +211,11 @@
             for other in self.load_tables:
                 if other is load_table:
                     continue
-                for name in self.replicas:
-                    load = load_table.of(name)
-                    other.of(name).remote_load_by_daemon[str(sender)] = (
-                        upstreamload.RemoteLoad(load.own, load.late, self.now)
-                    )
+                counts = {
+                    name: (load_table.of(name).own, load_table.of(name).late)
+                    for name in self.replicas
+                }
+                other.remote_loads.record(str(sender), counts, self.now)
 
     def _abandon_requests(self, replica):
         for request in list(replica.queued):
