Look for a free lease in rank, and learn daemons from the leader

Cause: each daemon read the daemons' rows every 10 s, and again whenever the leader knew one more; without a leader all of them looked for the lease once a second and tried to acquire it.

Change: three daemons at a time look for a free lease, in rendezvous rank, the next three 0.4 s later, each at the latest after 6 s; a follower gets the list of daemons from the leader on request, and reads it itself if that takes 2 s; a daemon whose row still holds its address does not write it again.

What a candidate waits for before it acquires the lease is unchanged.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -148,6 +148,7 @@
         )
         self._messages.on_stall = self._on_stall
         self._lease.has_majority = self._messages.hears_majority
+        self._lease.rank = self._messages.lead_rank
         self._messages.on_crash = self._crash_detector.record_loss
         self._crash_detector.on_crash = self._messages.broadcast_crash
         self._messages.load_broadcaster.is_nearly_full = (
--- a/src/citronvalve/daemon/messagetask.py
+++ b/src/citronvalve/daemon/messagetask.py
@@ -14,6 +14,7 @@
 from citronvalve.peers import messagecodec
 from citronvalve.peers import messages
 from citronvalve.peers import peersettings
+from citronvalve.peers import rendezvous
 from citronvalve.peers import sockets as sockets_
 from citronvalve.policy import upstreamchoice
 from citronvalve.replicas import lease as leases
@@ -32,6 +33,9 @@
 #: messages.
 _DISCOVERY_TIME: clock.Ms = 1_000
 
+#: Key by which daemons are ranked as candidates for the lead.
+_LEAD_KEY = "lead"
+
 #: Larger messages are not sent; daemons that miss changes read the table.
 _MAX_MESSAGE_BYTES = 90_000
 
@@ -78,6 +82,8 @@
         self.tables = tablemessages.TableMessages(env, lease)
         self._handler_by_type: dict[type, Callable] = {
             messages.Hello: self._on_hello,
+            messages.MembersRequest: self._on_members_request,
+            messages.Members: self._on_members,
             messages.Heartbeat: self.tables.on_heartbeat,
             messages.TableChanges: self.tables.on_changes,
             messages.FullTableRequest: self.tables.on_full_request,
@@ -183,6 +189,12 @@
         """
         self._broadcast(messages.Crash(fingerprint, upstream))
 
+    def lead_rank(self) -> int:
+        """Return this daemon's place among the candidates for the lead."""
+        names = self._lease.peer_by_name.keys() - {self._lease.leader}
+        ranked = rendezvous.rank(_LEAD_KEY, names | {self._env.name})
+        return ranked.index(self._env.name)
+
     def hears_majority(self) -> bool:
         """Return whether most of the other daemons are reachable."""
         others = len(self._lease.peer_by_name) - 1
@@ -217,6 +229,11 @@
             self._distributor.set_daemons(
                 {name: peer.datacentre for name, peer in peers.items()}
             )
+        if self._lease.lacks_members:
+            request = messages.MembersRequest(self._env.name)
+            self._send_all(
+                [distributors.Outgoing(self._lease.leader, request)]
+            )
         if self._hellos_due:
             self._hellos_due -= 1
             self._broadcast(
@@ -248,6 +265,21 @@
         peer = leases.Peer(message.address, message.datacentre)
         self._lease.add_peer(message.name, peer)
 
+    def _on_members_request(self, message: messages.MembersRequest) -> None:
+        peers = self._lease.peer_by_name.items()
+        members = messages.Members(
+            {name: (peer.address, peer.datacentre) for name, peer in peers}
+        )
+        self._send_all([distributors.Outgoing(message.name, members)])
+
+    def _on_members(self, message: messages.Members) -> None:
+        self._lease.add_peers(
+            {
+                name: leases.Peer(*peer)
+                for name, peer in message.by_name.items()
+            }
+        )
+
     def _on_crash(self, message: messages.Crash) -> None:
         self.on_crash(message.fingerprint, message.upstream)
 
--- a/src/citronvalve/peers/messages.py
+++ b/src/citronvalve/peers/messages.py
@@ -20,6 +20,20 @@
     datacentre: str
 
 
+class MembersRequest(
+    msgspec.Struct, tag="members-request", array_like=True, frozen=True
+):
+    """The sender knows fewer daemons than the receiver, which leads."""
+
+    name: str
+
+
+class Members(msgspec.Struct, tag="members", array_like=True, frozen=True):
+    """All daemons that the leader knows: address and data centre by name."""
+
+    by_name: dict[str, tuple[str, str]]
+
+
 class Heartbeat(msgspec.Struct, tag="beat", array_like=True, frozen=True):
     """The sender reads the platform's tables for the others.
 
@@ -138,6 +152,8 @@
 
 Message = (
     Broadcast
+    | MembersRequest
+    | Members
     | FullTableRequest
     | DaemonLoads
     | DatacentreLoads
--- a/src/citronvalve/replicas/lease.py
+++ b/src/citronvalve/replicas/lease.py
@@ -29,8 +29,20 @@
 #: A leader that could not renew for this long stops announcing itself.
 _RENEWAL_TIMEOUT: clock.Ms = 2_200
 
-#: Longest time between two scans, which refresh the list of daemons.
+#: Longest time between two scans by the leader, which refresh the list of
+#: daemons, and by a follower, which gets the list from the leader.
 _SCAN_INTERVAL: clock.Ms = 10_000
+_FOLLOWER_SCAN_INTERVAL: clock.Ms = 120_000
+
+#: A follower that still knows fewer daemons than the leader after this time
+#: scans the store itself.
+_MEMBERS_TIMEOUT: clock.Ms = 2_000
+
+#: Daemons that look for a free lease at once.  The next ones in rank follow
+#: if those have failed, too.
+_CANDIDATES_AT_ONCE = 3
+_CANDIDATE_DELAY: clock.Ms = 400
+_MAX_CANDIDATE_DELAY: clock.Ms = 6_000
 
 #: Time between two scans for a while after a daemon has become the leader,
 #: since daemons register one after the other at the start.
@@ -70,6 +82,8 @@
     :ivar held: version at which this daemon acquired the lease, or 0.
     :ivar leader: name of the leader as last known, or empty.
     :ivar newest: the highest lease version heard of.
+    :ivar rank: returns this daemon's place among the candidates for the lead,
+        from 0, by the daemons that it knows.
     :ivar has_majority: returns whether most daemons were heard recently.
     :ivar renewed_at: ms of the last write of the lease, including
         suspensions, or None.
@@ -96,11 +110,13 @@
         self._leader_heard_at: clock.Ms | None = None
         self._scanned_at: clock.Ms | None = None
         self._acquired_at: clock.Ms | None = None
-        self._reported_daemons = 0
+        self._leaderless_since: clock.Ms | None = None
+        self._lacking_since: clock.Ms | None = None
         self.renewed_at: clock.Ms | None = None
         self._tried_at: clock.Ms = 0
         self._suspended = False
         self.has_majority: Callable[[], bool] = lambda: False
+        self.rank: Callable[[], int] = lambda: 0
         self.held = 0
         self.leader = ""
         self.newest = 0
@@ -123,18 +139,54 @@
                 else _SCAN_INTERVAL,
             ):
                 return
-        elif self.has_recent_leader:
-            if not self._has_elapsed(self._scanned_at, _SCAN_INTERVAL):
-                return
+        elif not self._is_scan_due():
+            return
         found = self._service.scan(TABLE)
         if not isinstance(found, rows.Scan):
             return
         self._apply_scan(found)
-        if self.held:
+        if self.held or self.has_recent_leader:
             return
-        if self._has_lapsed() and not self.has_recent_leader:
+        if self._has_lapsed() and self._may_claim():
             self._acquire()
 
+    @property
+    def lacks_members(self) -> bool:
+        """Return whether the leader knows more daemons than this one."""
+        return self._lacking_since is not None
+
+    def _is_scan_due(self) -> bool:
+        now = self._clock.now()
+        if self._scanned_at is None:
+            return True
+        if not self.has_recent_leader:
+            if self._leaderless_since is None:
+                self._leaderless_since = now
+            return self._may_claim()
+        self._leaderless_since = None
+        if self._lacking_since is not None and self._has_elapsed(
+            self._lacking_since, _MEMBERS_TIMEOUT
+        ):
+            self._lacking_since = None
+            return True
+        return self._has_elapsed(self._scanned_at, _FOLLOWER_SCAN_INTERVAL)
+
+    def _may_claim(self) -> bool:
+        """Return whether this daemon is among the candidates for the lead.
+
+        If all daemons looked for the lease, each loss of a leader would cost
+        as many calls as there are daemons, and as many conflicts.
+        """
+        if self._row is not None and self._is_own(self._row):
+            return True
+        delay = self.rank() // _CANDIDATES_AT_ONCE * _CANDIDATE_DELAY
+        if not delay:
+            return True
+        since = self._leaderless_since
+        return since is not None and self._has_elapsed(
+            since, min(delay, _MAX_CANDIDATE_DELAY)
+        )
+
     @property
     def condition(self) -> rows.Condition:
         """Return the condition that the row is as this daemon knows it."""
@@ -190,13 +242,14 @@
         :param name: the daemon.
         :param lease: version at which it acquired the lease.
         :param daemons: number of daemons it knows.  If it is higher than
-            before, the list is read again, so that all rank the same daemons.
+            here, the list of daemons is incomplete.
         """
         if lease < self.newest:
             return False
-        if daemons > max(self._reported_daemons, len(self.peer_by_name)):
-            self._reported_daemons = daemons
-            self._scanned_at = None
+        if daemons <= len(self.peer_by_name):
+            self._lacking_since = None
+        elif self._lacking_since is None:
+            self._lacking_since = self._clock.now()
         self.newest, self.leader = lease, name
         self._leader_heard_at = self._clock.now()
         if self.held and lease > self.held:
@@ -212,6 +265,15 @@
         """
         self.peer_by_name[name] = peer
 
+    def add_peers(self, peer_by_name: dict[str, Peer]) -> None:
+        """Record the daemons that the leader knows.
+
+        :param peer_by_name: their addresses.
+        """
+        others = {n: p for n, p in peer_by_name.items() if n != self._name}
+        self.peer_by_name.update(others)
+        self._lacking_since = None
+
     def resign(self) -> None:
         """Release the lease, so that another daemon can acquire it at once."""
         if self.held:
@@ -228,6 +290,12 @@
         for key, row in row_by_key.items():
             if key.startswith(_DAEMON_PREFIX):
                 self._record_peer(key[len(_DAEMON_PREFIX) :], row)
+        if not self._registered:
+            own = row_by_key.get(f"{_DAEMON_PREFIX}{self._name}")
+            # A restarted daemon mostly has the address that it had.
+            self._registered = (
+                own is not None and own.value == self._own_peer._asdict()
+            )
         if not self._registered:
             self._register()
         if self.held:
@@ -254,12 +322,14 @@
     def _has_lapsed(self) -> bool:
         if self._row is None:
             return True
-        holder = self._row.value.get("holder")
-        if not holder or holder == self._name:
-            # Released, or acquired by this daemon before a restart.
+        if not self._row.value.get("holder") or self._is_own(self._row):
             return True
         return self._clock.now() - self._row_changed_at >= _LEASE_DURATION
 
+    def _is_own(self, row: rows.Row) -> bool:
+        """Return whether this daemon acquired the lease before a restart."""
+        return row.value.get("holder") == self._name
+
     def _acquire(self) -> None:
         done = self._write(self._name)
         if isinstance(done, rows.Committed):
