--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -52,6 +52,13 @@
 _CLEANUP_INTERVAL: clock.Ms = 1_000
 
 
+#: Time for which a daemon that starts waits for the first rows from other
+#: daemons before it reads them from the store.  At the first start none has
+#: any; after a restart callers wait.
+_FIRST_START_PEERS_WAIT: clock.Ms = 4_000
+_RESTART_PEERS_WAIT: clock.Ms = 400
+
+
 class EntryDaemon:
     """One process between callers and upstreams; it stores nothing on disk.
 
@@ -202,6 +209,7 @@
             )
             self._messages.tables.tail_by_table[table] = tail_
             tail_.is_reader = self._messages.is_reader
+            tail_.peers_until = self.env.clock.now() + self._peers_wait()
             tail_.on_call = functools.partial(
                 self.env.metrics.record_platform_read, table
             )
@@ -220,6 +228,15 @@
                 )
             eventlet.spawn(tail_.run)
 
+    def _peers_wait(self) -> clock.Ms:
+        """Return the ms for which other daemons may send the first rows."""
+        usual = (
+            _FIRST_START_PEERS_WAIT
+            if self._settings.first_start
+            else _RESTART_PEERS_WAIT
+        )
+        return round(usual * self.env.rng.uniform(1.0, 1.5))
+
     def _renew_lease(self) -> None:
         while True:
             if not self.env.stopping:
--- a/src/citronvalve/daemon/messagetask.py
+++ b/src/citronvalve/daemon/messagetask.py
@@ -6,6 +6,7 @@
 import eventlet
 
 from citronvalve.daemon import loadbroadcaster
+from citronvalve.daemon import newcomers
 from citronvalve.daemon import tablemessages
 from citronvalve.forward import environment as environments
 from citronvalve.model import clock
@@ -25,6 +26,10 @@
 #: force within two seconds even if the leader is killed as it arrives.
 _HEARTBEAT_INTERVAL: clock.Ms = 300
 
+#: After this time without a leader's heartbeat, coordinators read the tables:
+#: before what the leader confirmed last expires for all daemons at once.
+_READER_TIMEOUT: clock.Ms = 650
+
 #: Hellos sent after the set of daemons changes: the first message to a peer
 #: is lost while the socket connects.
 _HELLO_COUNT = 3
@@ -80,6 +85,9 @@
         )
         self._codec = messagecodec.MessageCodec()
         self.tables = tablemessages.TableMessages(env, lease)
+        self._newcomers = newcomers.Newcomers(
+            env, address, lease, self.tables, self._codec, self._send_data
+        )
         self._handler_by_type: dict[type, Callable] = {
             messages.Hello: self._on_hello,
             messages.MembersRequest: self._on_members_request,
@@ -87,6 +95,8 @@
             messages.Heartbeat: self.tables.on_heartbeat,
             messages.TableChanges: self.tables.on_changes,
             messages.FullTableRequest: self.tables.on_full_request,
+            messages.TableRequest: self._newcomers.on_request,
+            messages.TableRows: self.tables.on_rows,
             messages.Crash: self._on_crash,
             messages.Stall: self._on_stall,
             messages.DaemonLoads: self._on_daemon_loads,
@@ -101,6 +111,7 @@
         self.load_broadcaster = loadbroadcaster.LoadBroadcaster(
             env, loads, self._distributor, self._send_all
         )
+        self._announced_tables: set[str] = set()
         self._known_count = 0
         self._started_at = env.clock.now()
         self._hellos_due = 0
@@ -111,6 +122,7 @@
         self._sockets.bind()
         eventlet.spawn(self._receive)
         eventlet.spawn(self._send_heartbeats)
+        eventlet.spawn(self._newcomers.request_tables)
         self.load_broadcaster.start()
 
     def close(self) -> None:
@@ -128,7 +140,13 @@
         :returns: ms for which further changes should be batched.
         """
         lease = self._lease.held if self._lease.is_renewed else 0
-        if not (scan.rows or scan.deleted) or not self.is_reader():
+        if not self.is_reader():
+            return 0
+        if not lease and table not in self._announced_tables:
+            # The confirmations of the lost leader are about to expire.
+            self._announced_tables.add(table)
+            self._broadcast_locally(self.tables.make_heartbeat(0))
+        if not (scan.rows or scan.deleted):
             return 0
         changes = self.tables.make_changes(lease, table, base, scan)
         if lease:
@@ -155,7 +173,7 @@
             return True
         now = self._env.clock.now()
         if (
-            self._lease.has_recent_leader
+            self._lease.has_heard_leader_within(_READER_TIMEOUT)
             or now - self._started_at < _DISCOVERY_TIME
         ):
             return False
@@ -219,6 +237,8 @@
                 self._broadcast(self.tables.make_heartbeat(self._lease.held))
             elif self.is_reader():
                 self._broadcast_locally(self.tables.make_heartbeat(0))
+            else:
+                self._announced_tables.clear()
             eventlet.sleep(_HEARTBEAT_INTERVAL / clock.SECOND)
 
     def _update_peers(self) -> None:
@@ -258,8 +278,12 @@
             # Consecutive entries mostly carry the same message.
             if message is not last:
                 last, data = message, self._codec.encode(message)
-            if peer is not None and len(data) <= _MAX_MESSAGE_BYTES:
-                self._sockets.send(f"tcp://{peer.address}", data)
+            if peer is not None:
+                self._send_data(peer.address, data)
+
+    def _send_data(self, address: str, data: bytes) -> None:
+        if len(data) <= _MAX_MESSAGE_BYTES:
+            self._sockets.send(f"tcp://{address}", data)
 
     def _on_hello(self, message: messages.Hello) -> None:
         peer = leases.Peer(message.address, message.datacentre)
--- /dev/null
+++ b/src/citronvalve/daemon/newcomers.py
@@ -0,0 +1,124 @@
+"""Gives the tables to daemons that start, and asks for them at the start."""
+
+from collections.abc import Callable
+import itertools
+from typing import NamedTuple
+
+import eventlet
+
+from citronvalve.daemon import tablemessages
+from citronvalve.forward import environment as environments
+from citronvalve.model import clock
+from citronvalve.peers import messagecodec
+from citronvalve.peers import messages
+from citronvalve.peers import rendezvous
+from citronvalve.replicas import lease as leases
+
+#: Time between two requests, each to another daemon.
+_REQUEST_INTERVAL: clock.Ms = 120
+
+#: Requests stop after this time; by then the daemon has read the store.
+_REQUEST_TIME: clock.Ms = 7_000
+
+#: Daemons of a data centre that give the tables to the others there.
+_SOURCES = 2
+
+#: An encoded table is sent again within this time: all daemons of a data
+#: centre may start at once.
+_KEPT_TIME: clock.Ms = 150
+
+
+class _Encoded(NamedTuple):
+    data: bytes
+    at: clock.Ms
+
+
+class Newcomers:
+    """Transfers whole tables to daemons that start.
+
+    If each daemon read the store when it starts, the first start of 195
+    daemons would read 875 rows 195 times.  The leader gives the tables to
+    two daemons of each data centre, and these to the others there.
+
+    :param env: the daemon's environment.
+    :param address: host:port at which other daemons reach this one.
+    :param lease: the leader and the known daemons.
+    :param tables: the followed tables.
+    :param codec: encodes messages.
+    :param send: sends encoded bytes to an address.
+    """
+
+    def __init__(
+        self,
+        env: environments.Environment,
+        address: str,
+        lease: leases.Lease,
+        tables: tablemessages.TableMessages,
+        codec: messagecodec.MessageCodec,
+        send: Callable[[str, bytes], None],
+    ) -> None:
+        self._env = env
+        self._address = address
+        self._lease = lease
+        self._tables = tables
+        self._codec = codec
+        self._send = send
+        self._encoded_by_table: dict[str, _Encoded] = {}
+
+    def request_tables(self) -> None:
+        """Ask for the tables that are not known yet, until all are."""
+        until = self._env.clock.now() + _REQUEST_TIME
+        for attempt in itertools.count():
+            eventlet.sleep(_REQUEST_INTERVAL / clock.SECOND)
+            unknown = [
+                table
+                for table, tail in self._tables.tail_by_table.items()
+                if not tail.revision
+            ]
+            if not unknown or self._env.clock.now() >= until:
+                return
+            sources = self.sources()
+            if not sources:
+                continue
+            source = sources[attempt % len(sources)]
+            for table in unknown:
+                self._request(source, table)
+
+    def sources(self) -> list[leases.Peer]:
+        """Return the daemons to ask for tables."""
+        peers = self._lease.peer_by_name
+        here = self._env.datacentre
+        ranked = rendezvous.rank(
+            here, [n for n, peer in peers.items() if peer.datacentre == here]
+        )
+        names = ranked[:_SOURCES]
+        if self._env.name in names:
+            names = [self._lease.leader, *names]
+        return [
+            peers[name]
+            for name in names
+            if name in peers and name != self._env.name
+        ]
+
+    def on_request(self, message: messages.TableRequest) -> None:
+        """Send all rows of a table to a daemon that starts.
+
+        :param message: its request.
+        """
+        peer = leases.Peer(message.address, message.datacentre)
+        self._lease.add_peer(message.name, peer)
+        now = self._env.clock.now()
+        kept = self._encoded_by_table.get(message.table)
+        if kept is None or now - kept.at >= _KEPT_TIME:
+            rows = self._tables.make_rows(message.table, _KEPT_TIME)
+            if rows is None:
+                return
+            kept = _Encoded(self._codec.encode(rows), now)
+            self._encoded_by_table[message.table] = kept
+        self._send(message.address, kept.data)
+
+    def _request(self, source: leases.Peer, table: str) -> None:
+        request = messages.TableRequest(
+            self._env.name, self._address, self._env.datacentre, table
+        )
+        self._send(source.address, self._codec.encode(request))
--- a/src/citronvalve/daemon/tablemessages.py
+++ b/src/citronvalve/daemon/tablemessages.py
@@ -11,6 +11,10 @@
 #: A heartbeat whose excess delay reaches this is logged.
 _LATE_THRESHOLD: clock.Ms = 1_000
 
+#: Rows that were confirmed longer ago are not sent to a daemon that starts: it
+#: would soon have to call the store.
+_MAX_ROWS_AGE: clock.Ms = 1_100
+
 
 class TableMessages:
     """Makes messages from table reads and applies received ones to tails.
@@ -62,6 +66,34 @@
             self._env.clock.now(),
         )
 
+    def make_rows(
+        self, table: str, delay: clock.Ms
+    ) -> messages.TableRows | None:
+        """Return the message with all rows of a table.
+
+        :param table: the table's name.
+        :param delay: ms for which the message may be kept before it is sent.
+        :returns: None if the rows are unknown or were confirmed too long ago.
+        """
+        tail = self.tail_by_table.get(table)
+        state = tail.state() if tail is not None else None
+        if state is None or state.age + delay > _MAX_ROWS_AGE:
+            return None
+        return messages.TableRows(
+            self._env.name,
+            state._replace(age=state.age + delay),
+            tail.all_rows(),
+        )
+
+    def on_rows(self, message: messages.TableRows) -> None:
+        """Apply all rows that another daemon sent on request.
+
+        :param message: the rows.
+        """
+        tail = self.tail_by_table.get(message.state.table)
+        if tail is not None and not tail.revision:
+            tail.adopt(message.state, message.rows, message.name)
+
     def on_heartbeat(self, message: messages.Heartbeat) -> None:
         """Apply the table states of another daemon's heartbeat.
 
--- a/src/citronvalve/peers/messages.py
+++ b/src/citronvalve/peers/messages.py
@@ -76,6 +76,25 @@
     table: str
 
 
+class TableRequest(
+    msgspec.Struct, tag="rows-request", array_like=True, frozen=True
+):
+    """The sender has started and has no rows of a table yet."""
+
+    name: str
+    address: str
+    datacentre: str
+    table: str
+
+
+class TableRows(msgspec.Struct, tag="rows", array_like=True, frozen=True):
+    """All rows of a table and its state, sent on request."""
+
+    name: str
+    state: tablestate.TableState
+    rows: tuple[rows.Row, ...]
+
+
 class Crash(msgspec.Struct, tag="crash", array_like=True, frozen=True):
     """An upstream was lost while it ran a request."""
 
@@ -155,6 +174,8 @@
     | MembersRequest
     | Members
     | FullTableRequest
+    | TableRequest
+    | TableRows
     | DaemonLoads
     | DatacentreLoads
     | OtherLoads
--- a/src/citronvalve/replicas/lease.py
+++ b/src/citronvalve/replicas/lease.py
@@ -208,8 +208,15 @@
     @property
     def has_recent_leader(self) -> bool:
         """Return whether another daemon announced recently that it leads."""
+        return self.has_heard_leader_within(_LEADER_TIMEOUT)
+
+    def has_heard_leader_within(self, span: clock.Ms) -> bool:
+        """Return whether another daemon announced lately that it leads.
+
+        :param span: ms in which it did.
+        """
         return not self.held and not self._has_elapsed(
-            self._leader_heard_at, _LEADER_TIMEOUT
+            self._leader_heard_at, span
         )
 
     def may_act(self) -> bool:
--- a/src/citronvalve/storage/resync.py
+++ b/src/citronvalve/storage/resync.py
@@ -52,6 +52,13 @@
         self.is_full_read_needed = self.is_full_update_requested = False
         self._full_read_at = self._matched_at = started_at
 
+    def begin_reading(self) -> None:
+        """Record that others now rely on this daemon's reads.
+
+        Up to the last match its rows were those of a reader.
+        """
+        self._full_read_at = max(self._full_read_at, self._matched_at)
+
     def record_match(self, at: clock.Ms) -> None:
         """Record that another daemon has the same rows.
 
--- a/src/citronvalve/storage/tail.py
+++ b/src/citronvalve/storage/tail.py
@@ -66,6 +66,8 @@
     :ivar on_call: called after each call with whether there was a response.
     :ivar on_unreadable: called when a call fails and no confirmation is
         valid; another daemon may then send all rows.
+    :ivar peers_until: monotonic ms until which the first rows are expected
+        from another daemon; only a reader calls the store before.
     :ivar is_reader: returns whether others rely on this daemon's reads; if
         not, it calls the store only without a valid confirmation.
     :ivar revision: last known revision, 0 before the first read.
@@ -97,6 +99,9 @@
         self.on_call: Callable[[bool], None] = lambda _: None
         self.on_unreadable: Callable[[], None] = lambda: None
         self.is_reader: Callable[[], bool] = lambda: True
+        self.peers_until: clock.Ms = 0
+        self._was_reader = False
+        self._may_wait = False
         self.revision = 0
         self.changed_revision = 0
         self.confirmed_at: clock.Ms = 0
@@ -111,6 +116,11 @@
         """Make at most one call and return the ms until the next step."""
         started_at = self._clock.now()
         is_reader = self.is_reader()
+        if is_reader and not self._was_reader:
+            self._begin_reading()
+        self._was_reader = is_reader
+        if not (self.revision or is_reader or started_at >= self.peers_until):
+            return _CHECK_INTERVAL
         must_read_all = self._resync.is_full_read_needed
         if not must_read_all and started_at < self._next_call_at(is_reader):
             return _CHECK_INTERVAL
@@ -118,6 +128,12 @@
             return self._read_all(started_at, is_reader)
         return self._read_changes(started_at, is_reader)
 
+    def _begin_reading(self) -> None:
+        """Read at once and without waiting, before confirmations expire."""
+        self._confirmed_until = 0
+        self._may_wait = False
+        self._resync.begin_reading()
+
     def _read_all(self, started_at: clock.Ms, is_reader: bool) -> clock.Ms:
         scan = self._service.scan(self._table)
         self.on_call(not isinstance(scan, missing.Unavailable))
@@ -143,7 +159,8 @@
 
     def _read_changes(self, started_at: clock.Ms, is_reader: bool) -> clock.Ms:
         base, wait = self.revision, 0
-        if is_reader and started_at - self.confirmed_at < _MAX_WAIT_STALENESS:
+        staleness = started_at - self.confirmed_at
+        if is_reader and self._may_wait and staleness < _MAX_WAIT_STALENESS:
             wait = min(
                 _MAX_WAIT,
                 self._resync.due_at(is_reader) - started_at,
@@ -172,6 +189,7 @@
     def _record_read(
         self, started_at: clock.Ms, newest_at: clock.Ms, is_reader: bool
     ) -> None:
+        self._may_wait = True
         self._record_confirmation(newest_at)
         if not is_reader:
             self._confirmed_until = started_at + _CONFIRMATION_LIFETIME
@@ -252,6 +270,26 @@
         self._confirmed_until = read_at + _CONFIRMATION_LIFETIME
         self._record_confirmation(read_at)
 
+    def adopt(
+        self,
+        state: tablestate.TableState,
+        all_rows: tuple[rows.Row, ...],
+        source: str,
+    ) -> None:
+        """Take all rows of another daemon, if they are newer.
+
+        :param state: state of the table at that daemon.
+        :param all_rows: its rows.
+        :param source: name of that daemon, for the log.
+        """
+        scan = rows.Scan(state.changed_revision, all_rows)
+        self.apply_update(0, scan, source)
+        self.confirm(state, source)
+
+    def all_rows(self) -> tuple[rows.Row, ...]:
+        """Return all current rows."""
+        return self._resync.version_index.all_rows()
+
     def request_full_update(self) -> None:
         """Request an early full read and an update with all of its rows."""
         self._resync.is_full_update_requested = True
