--- a/src/citronvalve/daemon/loadbroadcaster.py
+++ b/src/citronvalve/daemon/loadbroadcaster.py
@@ -62,7 +62,11 @@
         while True:
             eventlet.sleep(self._interval() / clock.SECOND)
             now = self._env.clock.now()
-            own = self._loads.own_requests(now)
+            own = {
+                upstream: (held.own, held.late)
+                for upstream, held in self._loads.load_by_upstream.items()
+                if held.own
+            }
             if own != last or now - sent_at >= _REPEAT_INTERVAL:
                 last, sent_at = own, now
                 self._send(self._distributor.report_loads(own, now))
--- a/src/citronvalve/daemon/plannertask.py
+++ b/src/citronvalve/daemon/plannertask.py
@@ -9,7 +9,6 @@
 from citronvalve.forward import environment as environments
 from citronvalve.model import clock
 from citronvalve.model import missing
-from citronvalve.policy import enginepace
 from citronvalve.policy import upstreamchoice
 from citronvalve.replicas import lease as leases
 from citronvalve.replicas import leaverecord
@@ -17,8 +16,6 @@
 from citronvalve.replicas import planner as planners
 from citronvalve.replicas import runner as runners
 from citronvalve.replicas import runnerclient as givers
-from citronvalve.routes import enginespec
-from citronvalve.routes import modelspec
 from citronvalve.routes import service as services
 
 #: Pause between two plans.
@@ -181,36 +178,13 @@
         self, name: str, service: services.Service, now: clock.Ms
     ) -> dict[str, float]:
         return {
-            model.name: self._load(name, service.engine, model, now)
-            for model in service.engine.model_by_name.values()
+            model: sum(
+                self._loads.of(head.upstream).total(now)
+                for head in self._directory.open_heads(name, model)
+            )
+            for model in service.engine.model_by_name
         }
 
-    def _load(
-        self,
-        name: str,
-        engine: enginespec.EngineSpec,
-        model: modelspec.ModelSpec,
-        now: clock.Ms,
-    ) -> float:
-        """Return a model's requests at replicas, and those without room.
-
-        A refused request counts for as long as it would have run.
-        """
-        placed = sum(
-            self._loads.of(head.upstream).total(now)
-            for head in self._directory.open_heads(name, model.name)
-        )
-        rate = self._loads.unserved_rate(name, model.name, now)
-        if not rate:
-            return placed
-        pace = enginepace.EnginePace(engine, model.time_factor)
-        duration = pace.forecast(
-            engine.slots / 2,
-            engine.typical_prompt_tokens,
-            engine.typical_response_tokens,
-        ).whole
-        return placed + rate * duration / clock.SECOND
-
     def _runners(self, service: str) -> dict[str, runners.Runner]:
         return {
             runner.id: runner
--- a/src/citronvalve/forward/placement.py
+++ b/src/citronvalve/forward/placement.py
@@ -85,7 +85,6 @@
     ) -> None:
         self._env = env
         self._directory = directory
-        self._loads = loads
         self.cold_limits = cold_limits
         self._pressed_at: clock.Ms | None = None
         self._pace_by_model: dict[
@@ -110,8 +109,6 @@
         if isinstance(found, upstreamchoice.Chosen):
             self._record_sent(found.upstream, routed, now)
             return found
-        if routed.service.engine is not None and not tried:
-            self._loads.unserved.record(routed.service.name, routed.model, now)
         if found.candidates:
             return self._refuse(
                 routed,
--- a/src/citronvalve/policy/upstreamchoice.py
+++ b/src/citronvalve/policy/upstreamchoice.py
@@ -9,7 +9,6 @@
 from citronvalve.policy import circuit
 from citronvalve.policy import enginepace
 from citronvalve.policy import remoteloads
-from citronvalve.policy import unserved
 from citronvalve.policy import upstreamload
 
 #: Random spread in ms.  Otherwise all daemons that choose at the same time
@@ -71,11 +70,9 @@
 
     :ivar load_by_upstream: the loads; each is created on first use.
     :ivar remote_loads: the requests of other daemons.
-    :ivar unserved: this daemon's refused requests by model.
     """
 
     def __init__(self) -> None:
-        self.unserved = unserved.Unserved()
         self.remote_loads = remoteloads.RemoteLoads()
         self.load_by_upstream: dict[str, upstreamload.UpstreamLoad] = {}
 
@@ -92,30 +89,6 @@
             self.load_by_upstream[upstream] = upstream_load
         return upstream_load
 
-    def own_requests(self, now: clock.Ms) -> remoteloads.CountByUpstream:
-        """Return what this daemon reports to the others.
-
-        :param now: monotonic ms.
-        """
-        own = {
-            upstream: (held.own, held.late)
-            for upstream, held in self.load_by_upstream.items()
-            if held.own
-        }
-        return own | self.unserved.counts(now)
-
-    def unserved_rate(self, service: str, model: str, now: clock.Ms) -> int:
-        """Return the refused requests a second of all daemons.
-
-        :param service: their service.
-        :param model: their model.
-        :param now: monotonic ms.
-        """
-        name = unserved.key(service, model)
-        own, _ = self.unserved.counts(now).get(name, (0, 0))
-        others, _ = self.remote_loads.requests(name, now) or (0, 0)
-        return own + others
-
     def retain(self, upstreams: set[str]) -> None:
         """Drop all other upstreams without requests of this daemon.
 
--- a/src/citronvalve/replicas/demand.py
+++ b/src/citronvalve/replicas/demand.py
@@ -12,7 +12,7 @@
 #: A model whose demand is below this ratio of another one's is oversupplied.
 #: With one replica more or fewer each of its replicas still has about half
 #: as many requests, so runners don't move back and forth.
-OVERSUPPLY_RATIO = 0.5
+_OVERSUPPLY_RATIO = 0.5
 
 #: Lower bound of a model's load as a part of its declared share, since a
 #: model without an open replica shows no load.
@@ -91,35 +91,20 @@
             name
             for name in models
             if without_by_model[name]
-            < OVERSUPPLY_RATIO * demand_by_model[top.name]
+            < _OVERSUPPLY_RATIO * demand_by_model[top.name]
         }
 
-    def each(
+    def _demand_by_model(
         self,
         models: Mapping[str, modelspec.ModelSpec],
         count_by_model: Mapping[str, int],
-        added_by_model: Mapping[str, int],
+        added: int,
     ) -> dict[str, float]:
-        """Return the demand for each replica, by model.
-
-        :param models: by name.
-        :param count_by_model: replicas that exist or are being formed.
-        :param added_by_model: change of their numbers; may be negative.
-        """
         return {
-            name: weight
-            / max(1, count_by_model.get(name, 0) + added_by_model.get(name, 0))
+            name: weight / max(1, count_by_model.get(name, 0) + added)
             for name, weight in self._weight_by_model(models).items()
         }
 
-    def _demand_by_model(
-        self,
-        models: Mapping[str, modelspec.ModelSpec],
-        count_by_model: Mapping[str, int],
-        added: int,
-    ) -> dict[str, float]:
-        return self.each(models, count_by_model, dict.fromkeys(models, added))
-
     def _weight_by_model(
         self, models: Mapping[str, modelspec.ModelSpec]
     ) -> dict[str, float]:
