--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -51,7 +51,6 @@
 #: Interval at which loads of removed upstreams are dropped and gauges set.
 _CLEANUP_INTERVAL: clock.Ms = 1_000
 
-
 #: Time for which a daemon that starts waits for the first rows from other
 #: daemons before it reads them from the store.  At the first start none has
 #: any; after a restart callers wait.
