Keep one spare, not two, to repair a large replica

Cause: in a domain of 11 (replicas of 6 and 3 and two spares) a small replica that lost a member has two members and two spares left. With two spares kept it did not form again.

--- a/src/citronvalve/replicas/builder.py
+++ b/src/citronvalve/replicas/builder.py
@@ -22,8 +22,9 @@
 #: Added to the expected time of a join to get its deadline.
 _JOIN_MARGIN: clock.Ms = 2_500
 
-#: Free runners kept in a domain to repair its largest replica, at most.
-_SPARES_FOR_REPAIR = 2
+#: Free runners kept in a domain to repair its largest replica.  With more, a
+#: small replica of a domain of 11 that lost a member would not form again.
+_SPARES_FOR_REPAIR = 1
 
 _Kind = orders.OrderKind
 _FreeByDomain = dict[str, list[runners.Runner]]
@@ -261,7 +262,7 @@
             or self._weights.before_traffic
         ):
             return 0
-        return min(_SPARES_FOR_REPAIR, largest.size // model.size)
+        return _SPARES_FOR_REPAIR
 
     def _choose_members(
         self, free: list[runners.Runner], model: modelspec.ModelSpec
