Ask for tables by a message that the last release reads, too

Change: whole-request has two more fields, which the last release ignores; it takes such a request for one of a daemon that can't read the store. Answers go only to those that sent the fields. members-request and rows-request go.

--- a/src/citronvalve/daemon/messagetask.py
+++ b/src/citronvalve/daemon/messagetask.py
@@ -90,12 +90,10 @@
         )
         self._handler_by_type: dict[type, Callable] = {
             messages.Hello: self._on_hello,
-            messages.MembersRequest: self._on_members_request,
             messages.Members: self._on_members,
             messages.Heartbeat: self.tables.on_heartbeat,
             messages.TableChanges: self.tables.on_changes,
-            messages.FullTableRequest: self.tables.on_full_request,
-            messages.TableRequest: self._newcomers.on_request,
+            messages.FullTableRequest: self._on_table_request,
             messages.TableRows: self.tables.on_rows,
             messages.Crash: self._on_crash,
             messages.Stall: self._on_stall,
@@ -261,7 +259,7 @@
                 {name: peer.datacentre for name, peer in peers.items()}
             )
         if self._lease.lacks_members:
-            request = messages.MembersRequest(self._env.name)
+            request = self._newcomers.make_request(leases.TABLE)
             self._send_all(
                 [distributors.Outgoing(self._lease.leader, request)]
             )
@@ -300,7 +298,18 @@
         peer = leases.Peer(message.address, message.datacentre)
         self._lease.add_peer(message.name, peer)
 
-    def _on_members_request(self, message: messages.MembersRequest) -> None:
+    def _on_table_request(self, message: messages.FullTableRequest) -> None:
+        if not message.address:
+            self.tables.on_full_request(message)
+            return
+        peer = leases.Peer(message.address, message.datacentre)
+        self._lease.add_peer(message.name, peer)
+        if message.table == leases.TABLE:
+            self._send_members(message)
+        else:
+            self._newcomers.on_request(message)
+
+    def _send_members(self, message: messages.FullTableRequest) -> None:
         peers = self._lease.peer_by_name.items()
         members = messages.Members(
             {name: (peer.address, peer.datacentre) for name, peer in peers}
--- a/src/citronvalve/daemon/newcomers.py
+++ b/src/citronvalve/daemon/newcomers.py
@@ -88,7 +88,8 @@
     def _request_unknown(self, source: leases.Peer) -> None:
         for table, tail in self._tables.tail_by_table.items():
             if tail.expects_peers:
-                self._request(source, table)
+                request = self._codec.encode(self.make_request(table))
+                self._send(source.address, request)
 
     def sources(self) -> list[leases.Peer]:
         """Return the daemons to ask for tables."""
@@ -106,13 +107,21 @@
             if name in peers and name != self._env.name
         ]
 
-    def on_request(self, message: messages.TableRequest) -> None:
+    def make_request(self, table: str) -> messages.FullTableRequest:
+        """Return a request for a table that is answered directly.
+
+        :param table: the table's name; for that of the daemons, those that
+            the receiver knows are sent.
+        """
+        return messages.FullTableRequest(
+            self._env.name, table, self._address, self._env.datacentre
+        )
+
+    def on_request(self, message: messages.FullTableRequest) -> None:
         """Send all rows of a table to a daemon that starts.
 
         :param message: its request.
         """
-        peer = leases.Peer(message.address, message.datacentre)
-        self._lease.add_peer(message.name, peer)
         now = self._env.clock.now()
         kept = self._encoded_by_table.get(message.table)
         if kept is None or now - kept.at >= _KEPT_TIME:
@@ -122,9 +131,3 @@
             kept = _Encoded(self._codec.encode(rows), now)
             self._encoded_by_table[message.table] = kept
         self._send(message.address, kept.data)
-
-    def _request(self, source: leases.Peer, table: str) -> None:
-        request = messages.TableRequest(
-            self._env.name, self._address, self._env.datacentre, table
-        )
-        self._send(source.address, self._codec.encode(request))
--- a/src/citronvalve/peers/messages.py
+++ b/src/citronvalve/peers/messages.py
@@ -20,14 +20,6 @@
     datacentre: str
 
 
-class MembersRequest(
-    msgspec.Struct, tag="members-request", array_like=True, frozen=True
-):
-    """The sender knows fewer daemons than the receiver, which leads."""
-
-    name: str
-
-
 class Members(msgspec.Struct, tag="members", array_like=True, frozen=True):
     """All daemons that the leader knows: address and data centre by name."""
 
@@ -70,21 +62,17 @@
 class FullTableRequest(
     msgspec.Struct, tag="whole-request", array_like=True, frozen=True
 ):
-    """The sender lacks updates of a table and can't read it from the store."""
+    """The sender lacks rows of a table and asks for all of them.
 
-    name: str
-    table: str
-
-
-class TableRequest(
-    msgspec.Struct, tag="rows-request", array_like=True, frozen=True
-):
-    """The sender has started and has no rows of a table yet."""
+    One with an ``address`` has started, or lacks daemons of the list, and
+    gets the answer directly; an older release takes it for one that can't
+    read the table from the store, as is one without.
+    """
 
     name: str
-    address: str
-    datacentre: str
     table: str
+    address: str = ""
+    datacentre: str = ""
 
 
 class TableRows(msgspec.Struct, tag="rows", array_like=True, frozen=True):
@@ -171,10 +159,8 @@
 
 Message = (
     Broadcast
-    | MembersRequest
     | Members
     | FullTableRequest
-    | TableRequest
     | TableRows
     | DaemonLoads
     | DatacentreLoads
