--- a/tests/replicas/world.py
+++ b/tests/replicas/world.py
@@ -52,7 +52,7 @@
     def __init__(self, domains, size, staged=True, models=None, **figures):
         self.now = 1_000_000
         self.models = models or MODELS
-        self._figures = figures
+        self.figures = figures
         self.runner_by_id = {}
         self.unreachable = set()
         self.refusing = set()
@@ -96,7 +96,7 @@
     def start_leader(self, lease):
         """Replace the planner by that of a new leader without any state."""
         self.planner = planners.Planner(
-            spec(self.models)._replace(**self._figures),
+            spec(self.models)._replace(**self.figures),
             STALL,
             leases.epochs(lease),
         )
@@ -269,12 +269,12 @@
         after = phase.Phase.READY
         if runner.id in self.busy:
             after = phase.Phase.CLOSING
-        self._end_serving(runner, order, after)
+        self.end_serving(runner, order, after)
 
     def _on_cut(self, runner, order):
-        self._end_serving(runner, order, phase.Phase.READY)
+        self.end_serving(runner, order, phase.Phase.READY)
 
-    def _end_serving(self, runner, order, after):
+    def end_serving(self, runner, order, after):
         held = runner.membership
         if held and held.key == order.key and held.phase in phase.SERVING:
             self._set(runner, order.key, held.rank, after)
