Bound the calls of all daemons to a store that fails at once

Ruled out: renewals by the leader (one a second).

Change: a daemon whose reads nobody relies on waits up to 1.6 s after a failure, unless it hears of a change it lacks; a read is tried once while the last one failed; only the first three candidates look for the lease while the store fails; a daemon that hears no other one reads for itself only.

--- a/src/citronvalve/daemon/messagetask.py
+++ b/src/citronvalve/daemon/messagetask.py
@@ -186,6 +186,9 @@
             or now - self._started_at < _DISCOVERY_TIME
         ):
             return False
+        if not self._distributor.reachable_count(now):
+            # A daemon that is cut off reads for nobody else.
+            return False
         return self._distributor.topology.is_coordinator(now)
 
     def broadcast_stall(self, upstream: str) -> None:
--- a/src/citronvalve/replicas/lease.py
+++ b/src/citronvalve/replicas/lease.py
@@ -84,6 +84,8 @@
     :ivar newest: the highest lease version heard of.
     :ivar rank: returns this daemon's place among the candidates for the lead,
         from 0, by the daemons that it knows.
+    :ivar is_store_away: returns whether this daemon's last reads of the store
+        failed; only the first candidates then look for a free lease.
     :ivar has_majority: returns whether most daemons were heard recently.
     :ivar renewed_at: ms of the last write of the lease, including
         suspensions, or None.
@@ -117,6 +119,7 @@
         self._suspended = False
         self.has_majority: Callable[[], bool] = lambda: False
         self.rank: Callable[[], int] = lambda: 0
+        self.is_store_away: Callable[[], bool] = lambda: False
         self.held = 0
         self.leader = ""
         self.newest = 0
@@ -187,6 +190,10 @@
         delay = self.rank() // _CANDIDATES_AT_ONCE * _CANDIDATE_DELAY
         if not delay:
             return True
+        if self.is_store_away():
+            # Those before it in rank have failed as well, and need not be
+            # dead.
+            return False
         since = self._leaderless_since
         return since is not None and self._has_elapsed(
             since, min(delay, _MAX_CANDIDATE_DELAY)
--- a/src/citronvalve/storage/client.py
+++ b/src/citronvalve/storage/client.py
@@ -73,11 +73,14 @@
         self._clock = time_source or clock.SystemClock()
         self._last_used_at = self._clock.now()
         self._last_read_duration: clock.Ms = 0
+        self._last_read_failed = False
         self._pool = self._new_pool()
 
     def read(self, path: str) -> Response | missing.Unavailable:
         """Send a GET request, and once more if the first attempt fails.
 
+        During an outage there is only one attempt.
+
         :param path: path and query.
         """
         reason = ""
@@ -90,7 +93,9 @@
                 self._drop_pool()
                 continue
             self._last_read_duration = self._clock.now() - started_at
+            self._last_read_failed = False
             return response
+        self._last_read_failed = True
         return missing.Unavailable(reason, self._url(path))
 
     def long_poll(
@@ -133,7 +138,11 @@
             return missing.Unavailable(f"status {response.status}", where)
         return response if response.status < 500 else _failure(response, where)
 
-    def _attempt_timeouts(self) -> tuple[clock.Ms, clock.Ms]:
+    def _attempt_timeouts(self) -> tuple[clock.Ms, ...]:
+        if self._last_read_failed:
+            # Connections of before were discarded, and a second call of each
+            # daemon would only add to the calls of an outage.
+            return (self._timeout,)
         short = self._timeout // _FIRST_ATTEMPT_DIVISOR
         # A short first attempt would only add to the load of a slow store.
         if self._last_read_duration > short:
--- a/src/citronvalve/storage/outage.py
+++ b/src/citronvalve/storage/outage.py
@@ -4,8 +4,12 @@
 from citronvalve.model import decisionlog
 from citronvalve.model import missing
 
-#: Delays after consecutive failures; the last one repeats.
-_RETRY_DELAYS: tuple[clock.Ms, ...] = (50, 100, 200, 400)
+#: Delays of a reader after consecutive failures; the last one repeats.
+_READER_DELAYS: tuple[clock.Ms, ...] = (50, 100, 200, 400)
+
+#: The same for the other daemons.  They hear from a reader when the store is
+#: back, and together they make most of the calls of an outage.
+_FOLLOWER_DELAYS: tuple[clock.Ms, ...] = (200, 400, 800, 1_600)
 
 
 class Outage:
@@ -24,12 +28,13 @@
         self.failed_at: clock.Ms | None = None
 
     def record_failure(
-        self, failure: missing.Missing, now: clock.Ms
+        self, failure: missing.Missing, now: clock.Ms, is_reader: bool
     ) -> clock.Ms:
         """Record a failed call and return the delay in ms before the next.
 
         :param failure: result of the call.
         :param now: monotonic ms.
+        :param is_reader: whether others rely on this daemon's reads.
         """
         self.failed_at = now
         if self._started_at is None:
@@ -37,7 +42,8 @@
             self._log.change(
                 "store lost", table=self._table, why=failure.reason[:200]
             )
-        delay = _RETRY_DELAYS[min(self._failures, len(_RETRY_DELAYS) - 1)]
+        delays = _READER_DELAYS if is_reader else _FOLLOWER_DELAYS
+        delay = delays[min(self._failures, len(delays) - 1)]
         self._failures += 1
         return delay
 
--- a/src/citronvalve/storage/tail.py
+++ b/src/citronvalve/storage/tail.py
@@ -102,6 +102,7 @@
         self.peers_until: clock.Ms = 0
         self._was_reader = False
         self._may_wait = False
+        self._retry_at: clock.Ms = 0
         self.revision = 0
         self.changed_revision = 0
         self.confirmed_at: clock.Ms = 0
@@ -121,6 +122,8 @@
         self._was_reader = is_reader
         if not is_reader and self.expects_peers:
             return _CHECK_INTERVAL
+        if started_at < self._retry_at:
+            return _CHECK_INTERVAL
         must_read_all = self._resync.is_full_read_needed
         if not must_read_all and started_at < self._next_call_at(is_reader):
             return _CHECK_INTERVAL
@@ -128,6 +131,12 @@
             return self._read_all(started_at, is_reader)
         return self._read_changes(started_at, is_reader)
 
+    @property
+    def is_store_away(self) -> bool:
+        """Return whether the store failed after the last confirmation."""
+        failed_at = self.outage.failed_at
+        return failed_at is not None and failed_at > self.confirmed_at
+
     @property
     def expects_peers(self) -> bool:
         """Return whether missing rows are expected from another daemon."""
@@ -142,6 +151,7 @@
     def _begin_reading(self) -> None:
         """Read at once and without waiting, before confirmations expire."""
         self._confirmed_until = 0
+        self._retry_at = 0
         self._may_wait = False
         self._resync.begin_reading()
 
@@ -149,7 +159,7 @@
         scan = self._service.scan(self._table)
         self.on_call(not isinstance(scan, missing.Unavailable))
         if isinstance(scan, missing.Missing):
-            return self._handle_failure(scan)
+            return self._handle_failure(scan, is_reader)
         self.outage.record_success(self._clock.now())
         if scan.revision < self.revision:
             # The response is older than an update that arrived meanwhile.
@@ -183,7 +193,7 @@
             self._resync.is_full_read_needed = True
             return 0
         if isinstance(scan, missing.Missing):
-            return self._handle_failure(scan)
+            return self._handle_failure(scan, is_reader)
         self.outage.record_success(self._clock.now())
         # Daemons that have the last change lack none up to ``base``, even if
         # they don't know that revision yet.
@@ -249,7 +259,7 @@
         if base > self.revision:
             # An earlier update was lost; the changes are read from the
             # platform.
-            self._confirmed_until = 0
+            self._confirmed_until = self._retry_at = 0
             self._log.change(
                 "table update missed",
                 table=self._table,
@@ -271,7 +281,7 @@
         is_same = state.digest == self._resync.version_index.digest
         if state.changed_revision > self.revision and not is_same:
             # An update was lost; the changes are read from the platform.
-            self._confirmed_until = 0
+            self._confirmed_until = self._retry_at = 0
             return
         read_at = self._clock.now() - state.age
         if state.revision >= self.revision:
@@ -383,8 +393,13 @@
         self.confirmed_at = max(self.confirmed_at, at)
         self._listener.confirm(self.confirmed_at)
 
-    def _handle_failure(self, failure: missing.Missing) -> clock.Ms:
+    def _handle_failure(
+        self, failure: missing.Missing, is_reader: bool
+    ) -> clock.Ms:
         now = self._clock.now()
         if self._confirmed_until <= now:
             self.on_unreadable()
-        return self.outage.record_failure(failure, now)
+        self._retry_at = now + self.outage.record_failure(
+            failure, now, is_reader
+        )
+        return _CHECK_INTERVAL
--- a/tests/size/calls.feature
+++ b/tests/size/calls.feature
@@ -52,3 +52,30 @@
     When 8 s pass
     And all but the last in rank are killed and 12 s pass
     Then one daemon leads
+
+  Scenario: the store resets all calls, and the leader dies
+    Guards against a call of each daemon in each second of an outage: daemons
+    of lower rank follow although those before them have not died.
+
+    Given 195 daemons that start for the first time
+    When 8 s pass
+    And the store resets all calls, the leader is killed, and 8 s pass
+    Then they have made at most 150 calls in this time
+
+  Scenario: the store is back after the leader died
+    Guards against candidates that wait long after an outage.
+
+    Given 195 daemons that start for the first time
+    When 8 s pass
+    And the store resets all calls, the leader is killed, and 8 s pass
+    And the store is back, and 4 s pass
+    Then one daemon leads
+
+  Scenario: the store is back after the leader and the next nine in rank died
+    Guards against a fleet that waits for candidates that are dead.
+
+    Given 195 daemons that start for the first time
+    When 8 s pass
+    And the store resets all calls, the leader and the next 9 in rank are killed, and 8 s pass
+    And the store is back, and 4 s pass
+    Then one daemon leads
--- a/tests/size/leasefleet.py
+++ b/tests/size/leasefleet.py
@@ -2,8 +2,10 @@
 
 import collections
 import random
+import threading
 
 from citronvalve.model import manualclock
+from citronvalve.model import missing
 from citronvalve.peers import rendezvous
 from citronvalve.replicas import lease
 from citronvalve.storage import tableservice
@@ -16,26 +18,33 @@
 
 
 class CountingStore(tableservice.TableService):
-    """One daemon's calls, counted."""
+    """One daemon's calls, counted; during an outage all fail at once."""
 
-    def __init__(self, store, calls_by_name, name):
+    def __init__(self, store, outage, calls_by_name, name):
         self._store = store
+        self._outage = outage
         self._calls_by_name = calls_by_name
         self._name = name
 
     def read(self, table, key):
         """Read a row."""
         self._calls_by_name[self._name] += 1
+        if self._outage.is_set():
+            return missing.Unavailable("reset")
         return self._store.read(table, key)
 
     def scan(self, table, after=0):
         """Read all rows."""
         self._calls_by_name[self._name] += 1
+        if self._outage.is_set():
+            return missing.Unavailable("reset")
         return self._store.scan(table, after)
 
     def commit(self, transaction):
         """Commit a transaction."""
         self._calls_by_name[self._name] += 1
+        if self._outage.is_set():
+            return missing.Unavailable("reset")
         return self._store.commit(transaction)
 
 
@@ -46,6 +55,7 @@
         self.clock = manualclock.ManualClock()
         self.clock.advance(100_000)
         self._store = memorytable.MemoryTable()
+        self.outage = threading.Event()
         self.calls_by_name = collections.Counter()
         self.rng = random.Random(count)
         self.lease_by_name = {}
@@ -56,13 +66,14 @@
     def start(self, name):
         """Start or restart a daemon."""
         made = lease.Lease(
-            CountingStore(self._store, self.calls_by_name, name),
+            CountingStore(self._store, self.outage, self.calls_by_name, name),
             name,
             lease.Peer(f"addr-{name}", "place"),
             self.clock,
             quietlog.QuietLog(),
         )
         made.rank = lambda: self._rank(name)
+        made.is_store_away = self.outage.is_set
         self.lease_by_name[name] = made
         offset = self.rng.randrange(0, _START_SPREAD, _TICK)
         self.due_by_name[name] = self.clock.now() + offset
--- a/tests/size/steps/call_steps.py
+++ b/tests/size/steps/call_steps.py
@@ -45,6 +45,29 @@
     _run(context, seconds)
 
 
+@behave.when(
+    "the store resets all calls, the leader is killed, and {seconds:d} s pass"
+)
+def step_outage(context, seconds):
+    context.fleet.outage.set()
+    step_kill_leader(context, seconds)
+
+
+@behave.when(
+    "the store resets all calls, the leader and the next {count:d} in rank "
+    "are killed, and {seconds:d} s pass"
+)
+def step_outage_more(context, count, seconds):
+    context.fleet.outage.set()
+    step_kill_more(context, count, seconds)
+
+
+@behave.when("the store is back, and {seconds:d} s pass")
+def step_back(context, seconds):
+    context.fleet.outage.clear()
+    _run(context, seconds)
+
+
 @behave.when("all but the last in rank are killed and {seconds:d} s pass")
 def step_kill_others(context, seconds):
     context.fleet.kill(_ranked(context)[:-1])
