Spread requests by the age of the reports that daemons choose by

Cause: all daemons of a data centre rank its replicas by counts that are up to 300 ms old, with a random spread of 8 ms, less than ten requests more or fewer change the forecast of a replica that is not full.

Change: the spread is a part of the age that reports reach before the next ones: 52 ms with few daemons, which report to each other, 105 ms with many, less while replicas are nearly full and reports come faster.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -160,6 +160,9 @@
         self._messages.load_broadcaster.is_nearly_full = (
             self._dependencies.placement.is_pressed
         )
+        self._dependencies.placement.set_report_age(
+            self._messages.load_broadcaster.report_age
+        )
         self._stall_detector.on_stall = self._messages.broadcast_stall
 
     def _on_stall(self, upstream: str) -> None:
--- a/src/citronvalve/daemon/loadbroadcaster.py
+++ b/src/citronvalve/daemon/loadbroadcaster.py
@@ -56,6 +56,14 @@
         eventlet.spawn(self._send_own)
         eventlet.spawn(self._send_sums)
 
+    def report_age(self) -> clock.Ms:
+        """Return the age that a report has when the next one comes.
+
+        A coordinator sends its sums as often as it receives reports.
+        """
+        steps = 1 if self._distributor.topology.is_direct else 2
+        return steps * self._interval()
+
     def _send_own(self) -> None:
         sent_at = -_REPEAT_INTERVAL
         last: messages.RequestCounts = {}
--- a/src/citronvalve/forward/placement.py
+++ b/src/citronvalve/forward/placement.py
@@ -1,5 +1,6 @@
 """Chooses the upstream of a request, or the refusal of the request."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -128,6 +129,13 @@
         found = self._choose(routed, tried, self._env.clock.now())
         return isinstance(found, upstreamchoice.Chosen)
 
+    def set_report_age(self, report_age: Callable[[], clock.Ms]) -> None:
+        """Set how old the loads become that other daemons report.
+
+        :param report_age: returns the ms.
+        """
+        self._choice.report_age = report_age
+
     def is_pressed(self) -> bool:
         """Return whether a recent request found its replicas nearly full."""
         if self._pressed_at is None:
--- a/src/citronvalve/policy/upstreamchoice.py
+++ b/src/citronvalve/policy/upstreamchoice.py
@@ -1,5 +1,6 @@
 """Choice of the upstream for a request by its predicted latency."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import math
 import random
@@ -11,9 +12,13 @@
 from citronvalve.policy import remoteloads
 from citronvalve.policy import upstreamload
 
-#: Random spread in ms.  Otherwise all daemons that choose at the same time
-#: from the same loads would choose the same upstream.
-_JITTER = 8.0
+#: Random spread of the ranks as a part of the age of the loads.  Daemons that
+#: choose by the same reports would all choose the upstreams that were free
+#: then, and the older the reports the more requests come before the next.
+_SPREAD_PART = 0.35
+
+#: Least random spread in ms.
+_MIN_SPREAD = 8.0
 
 #: Penalty in ms for an upstream of another data centre: traffic between data
 #: centres costs money, and a network partition cuts the upstream off.
@@ -109,11 +114,14 @@
 
     :param loads: the loads.
     :param rng: random source of the spread.
+    :ivar report_age: returns the age in ms that other daemons' reports have
+        before the next ones.
     """
 
     def __init__(self, loads: LoadTable, rng: random.Random) -> None:
         self._loads = loads
         self._rng = rng
+        self.report_age: Callable[[], clock.Ms] = lambda: 0
 
     def choose(
         self,
@@ -129,7 +137,8 @@
         :param pace: predicts the model's latency.
         :param now: monotonic ms.
         """
-        scan = _Scan(job, pace, self._loads, self._rng, now)
+        spread = max(_MIN_SPREAD, _SPREAD_PART * self.report_age())
+        scan = _Scan(job, pace, self._loads, self._rng, spread, now)
         remote = []
         for candidate in candidates:
             if candidate.is_local:
@@ -173,12 +182,14 @@
         pace: enginepace.EnginePace,
         loads: LoadTable,
         rng: random.Random,
+        spread: float,
         now: clock.Ms,
     ) -> None:
         self._job = job
         self._pace = pace
         self._loads = loads
         self._rng = rng
+        self._spread = spread
         self._now = now
         self._best: Chosen | None = None
         self._best_rank = True, math.inf
@@ -203,7 +214,7 @@
         if first > self._job.patience:
             return
         penalty = 0.0 if candidate.is_local else _REMOTE_PENALTY
-        rank = late, first + penalty + self._rng.random() * _JITTER
+        rank = late, first + penalty + self._rng.random() * self._spread
         if rank < self._best_rank:
             self._best_rank = rank
             self._best = Chosen(candidate.upstream, forecast, late)
--- a/tests/work/site.py
+++ b/tests/work/site.py
@@ -25,6 +25,7 @@
 #: Times in ms.
 _REPORT_INTERVAL = 150
 _FORMING_TIME = 16_000
+_MAX_DIRECT_DAEMONS = 12
 _STALL_DETECTED_AFTER = 450
 _CALLER_LATENCY = 3.0
 _ROUNDS_BEFORE_ADDING = 3
@@ -82,6 +83,9 @@
         self.placement = placement.Placement(
             self.env, self.directory, self.loads, placement.ColdLimits()
         )
+        # With many daemons, coordinators send sums of the reports.
+        steps = 1 if site.work.daemons <= _MAX_DIRECT_DAEMONS else 2
+        self.placement.set_report_age(lambda: steps * _REPORT_INTERVAL)
         self.versions = {}
 
 
--- a/tests/work/work.feature
+++ b/tests/work/work.feature
@@ -16,6 +16,8 @@
     Examples:
       | what                                       | seed |
       | nothing else happens                       | 1    |
+      | data centre 0 is out of service for 9 s    | 1    |
+      | data centre 0 is out of service for 9 s    | 2    |
 
   Scenario: the same seed gives the same run
     Given the work of "kitamura"
