Exchange replicas between models by the use of their slots

Cause: requests a replica were compared, and a model gave a replica up only below half of the other's. With replicas of 8 and 2 runners that rested with the large model at 0.75 of its slots and the small one at 0.36; and a closure of one small replica hardly ever completed a large one.

Change: models are compared by their load with a margin of two deviations, as a part of their slots. Where the busiest model's callers would soon wait, a domain's replicas of another model are closed, as many as complete one of it with the free runners there that need no load; those are held for it.

--- a/src/citronvalve/replicas/builder.py
+++ b/src/citronvalve/replicas/builder.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Iterator
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from citronvalve.model import clock
 from citronvalve.replicas import demand as demands
@@ -26,11 +27,22 @@
 #: small replica of a domain of 11 that lost a member would not form again.
 _SPARES_FOR_REPAIR = 1
 
+#: A model whose demand is below this ratio of another one's is oversupplied.
+_OVERSUPPLY_RATIO = 0.5
+
 _Kind = orders.OrderKind
 _FreeByDomain = dict[str, list[runners.Runner]]
 _Counts = collections.Counter[str]
 
 
+class Formed(NamedTuple):
+    """A new replica; if not started, it waits for its weights."""
+
+    model: str
+    domain: str
+    started: bool
+
+
 class ReplicaBuilder:
     """Forms the replicas of one service.
 
@@ -63,8 +75,9 @@
         self.pending_by_key: dict[
             membership.GroupKey, pendings.PendingReplica
         ] = {}
-        self.demand = demands.Demand()
+        self.demand = demands.Demand(spec)
         self._largest_by_domain: Mapping[str, modelspec.ModelSpec] = {}
+        self._held_for_by_domain: Mapping[str, str] = {}
 
     def is_inherited(self, key: membership.GroupKey) -> bool:
         """Return whether an earlier leader formed a group.
@@ -131,9 +144,10 @@
         free_by_domain: _FreeByDomain,
         count_by_model: _Counts,
         largest_by_domain: Mapping[str, modelspec.ModelSpec],
+        held_for_by_domain: Mapping[str, str],
         list_growing: bool,
         now: clock.Ms,
-    ) -> None:
+    ) -> list[Formed]:
         """Form as many replicas as possible from the free runners.
 
         Replicas that need no load and so serve within two seconds go first,
@@ -143,15 +157,22 @@
         :param count_by_model: replicas that exist or are being formed.
         :param largest_by_domain: the largest model with a replica in each
             domain; spares stay there to repair it.
+        :param held_for_by_domain: the model for which a domain's free runners
+            are held until others join them.
         :param list_growing: whether more runners are expected shortly.
         :param now: monotonic ms.
+        :returns: the replicas that are being formed now.
         """
+        formed = []
         self._largest_by_domain = largest_by_domain
+        self._held_for_by_domain = held_for_by_domain
         for staged_only in (True, False):
-            while self._form_one(
+            while one := self._form_one(
                 free_by_domain, count_by_model, list_growing, staged_only, now
             ):
-                pass
+                if one.started:
+                    formed.append(one)
+        return formed
 
     def _form_one(
         self,
@@ -160,7 +181,7 @@
         list_growing: bool,
         staged_only: bool,
         now: clock.Ms,
-    ) -> bool:
+    ) -> Formed | None:
         oversupplied = self._oversupplied(count_by_model)
         for model in self._by_demand(count_by_model):
             if model.name in oversupplied:
@@ -173,44 +194,57 @@
             if domain is None and list_growing:
                 # Replicas of a smaller model would take the runners of the
                 # larger one, which will fit once the list is complete.
-                return False
+                return None
             if domain is None:
                 continue
             free = free_by_domain[domain]
             members = self._choose_members(free, model)
             # Counted as formed even while its weights are being staged, so
             # that the next model does not take its members.
-            if staged_only or self._weights.ensure_staged(members, model, now):
+            started = staged_only or self._weights.ensure_staged(
+                members, model, now
+            )
+            if started:
                 self._start(members, model, now)
             count_by_model[model.name] += 1
             for runner in members:
                 free.remove(runner)
-            return True
-        return False
+            return Formed(model.name, domain, started)
+        return None
 
     def _by_demand(self, count_by_model: _Counts) -> list[modelspec.ModelSpec]:
+        """Return the models by their demand once there is one more replica."""
         models = self._spec.model_by_name
-        return self.demand.ranked(models, count_by_model)
+        pressure_by_model = self.demand.pressures(
+            _with_one_more(models, count_by_model)
+        )
+        return sorted(
+            models.values(), key=lambda m: (-pressure_by_model[m.name], m.name)
+        )
 
     def _oversupplied(self, count_by_model: _Counts) -> set[str]:
-        most_demanded = self.most_demanded(count_by_model)
-        if most_demanded is None or self._weights.before_traffic:
+        """Return the models of which another replica would stay idle."""
+        if self._weights.before_traffic:
             return set()
-        models = self._spec.model_by_name
-        return self.demand.oversupplied(most_demanded, models, count_by_model)
-
-    def most_demanded(
-        self, count_by_model: _Counts
-    ) -> modelspec.ModelSpec | None:
-        """Return the model in highest demand that fits into some domain.
-
-        :param count_by_model: replicas that exist or are being formed.
-        """
         largest_size = self._liveness.largest_domain_size()
         for model in self._by_demand(count_by_model):
             if model.size <= largest_size:
-                return model
-        return None
+                return self._oversupplied_beside(model, count_by_model)
+        return set()
+
+    def _oversupplied_beside(
+        self, model: modelspec.ModelSpec, count_by_model: _Counts
+    ) -> set[str]:
+        models = self._spec.model_by_name
+        pressure_by_model = self.demand.pressures(
+            _with_one_more(models, count_by_model)
+        )
+        limit = _OVERSUPPLY_RATIO * pressure_by_model[model.name]
+        return {
+            name
+            for name, pressure in pressure_by_model.items()
+            if pressure < limit
+        }
 
     def _best_domain(
         self,
@@ -222,10 +256,10 @@
         # Best fit: among equal join times prefers the domain with the fewest
         # free runners, so that a larger one can still hold a larger replica.
         candidates = []
-        oversupplied = self.demand.oversupplied(
-            model, self._spec.model_by_name, count_by_model
-        )
+        oversupplied = self._oversupplied_beside(model, count_by_model)
         for domain, free in free_by_domain.items():
+            if self._held_for_by_domain.get(domain, model.name) != model.name:
+                continue
             spares = self._spares_to_keep(domain, model, oversupplied)
             if len(free) < model.size + spares:
                 continue
@@ -310,3 +344,9 @@
                 ),
                 now,
             )
+
+
+def _with_one_more(
+    models: Mapping[str, modelspec.ModelSpec], count_by_model: _Counts
+) -> dict[str, int]:
+    return {name: count_by_model[name] + 1 for name in models}
--- a/src/citronvalve/replicas/demand.py
+++ b/src/citronvalve/replicas/demand.py
@@ -1,32 +1,37 @@
 """Demand for replicas of each model."""
 
+from collections.abc import Callable
 from collections.abc import Mapping
+import math
 
 from citronvalve.model import clock
-from citronvalve.routes import modelspec
+from citronvalve.routes import enginespec
 
 #: An observed load loses half its weight in this time: bursts last some
 #: seconds, and a replica takes up to 2 s to form.
 _HALF_LIFE: clock.Ms = 4_000
 
-#: A model whose demand is below this ratio of another one's is oversupplied.
-#: With one replica more or fewer each of its replicas still has about half
-#: as many requests, so runners don't move back and forth.
-_OVERSUPPLY_RATIO = 0.5
-
 #: Lower bound of a model's load as a part of its declared share, since a
 #: model without an open replica shows no load.
 _MIN_DECLARED_PART = 0.5
 
+#: Slots beyond the mean load, in standard deviations of a Poisson load.  A
+#: model with few requests needs more spare slots for each of them.
+_MARGIN_DEVIATIONS = 2.0
+
 
 class Demand:
-    """Ranks models by their declared share, or by load once there is any.
+    """Compares models by the use of their slots, with a safety margin.
 
+    Models are compared by their declared share until there is any load.
     The declared share is a share of the runners' work, of which a replica of
     twice the size does twice as much.  The load counts requests at replicas.
+
+    :param spec: engine settings of the service.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, spec: enginespec.EngineSpec) -> None:
+        self._spec = spec
         self._load_by_model: dict[str, float] = {}
         self._observed_at: clock.Ms | None = None
 
@@ -51,63 +56,44 @@
                 old_weight * previous + (1 - old_weight) * load
             )
 
-    def ranked(
-        self,
-        models: Mapping[str, modelspec.ModelSpec],
-        count_by_model: Mapping[str, int],
-    ) -> list[modelspec.ModelSpec]:
-        """Return the models by demand, the highest first.
+    def pressures(self, count_by_model: Mapping[str, int]) -> dict[str, float]:
+        """Return each model's load with its margin, as a part of its slots.
 
-        The demand is the load of each replica once there is one more, so the
-        model with the busiest replicas comes first.
+        Above 1 callers are likely to wait.  Without any load only the ratio
+        between models has a meaning.
 
-        :param models: by name.
-        :param count_by_model: replicas that exist or are being formed.
+        :param count_by_model: replicas; none counts as one.
         """
-        demand_by_model = self._demand_by_model(models, count_by_model, 1)
-        return sorted(
-            models.values(), key=lambda m: (-demand_by_model[m.name], m.name)
-        )
+        need = _with_margin if self.has_load else float
+        return self._per_slot(need, count_by_model)
 
-    def oversupplied(
-        self,
-        top: modelspec.ModelSpec,
-        models: Mapping[str, modelspec.ModelSpec],
-        count_by_model: Mapping[str, int],
-        removed: int = 0,
-    ) -> set[str]:
-        """Return the models that are oversupplied compared with another.
-
-        :param top: the model in higher demand.
-        :param models: by name.
-        :param count_by_model: replicas that exist or are being formed.
-        :param removed: 1 for models that could also close one replica.
+    def utilizations(
+        self, count_by_model: Mapping[str, int]
+    ) -> dict[str, float]:
+        """Return each model's load as a part of its slots.
+
+        :param count_by_model: replicas; none counts as one.
         """
-        demand_by_model = self._demand_by_model(models, count_by_model, 1)
-        without_by_model = self._demand_by_model(
-            models, count_by_model, 1 - removed
-        )
-        return {
-            name
-            for name in models
-            if without_by_model[name]
-            < _OVERSUPPLY_RATIO * demand_by_model[top.name]
-        }
+        return self._per_slot(float, count_by_model)
 
-    def _demand_by_model(
+    def _per_slot(
         self,
-        models: Mapping[str, modelspec.ModelSpec],
+        need: Callable[[float], float],
         count_by_model: Mapping[str, int],
-        added: int,
     ) -> dict[str, float]:
         return {
-            name: weight / max(1, count_by_model.get(name, 0) + added)
-            for name, weight in self._weight_by_model(models).items()
+            name: need(load)
+            / (self._spec.slots * max(1, count_by_model.get(name, 0)))
+            for name, load in self._loads().items()
         }
 
-    def _weight_by_model(
-        self, models: Mapping[str, modelspec.ModelSpec]
-    ) -> dict[str, float]:
+    @property
+    def has_load(self) -> bool:
+        """Return whether any request has been observed."""
+        return any(self._load_by_model.values())
+
+    def _loads(self) -> dict[str, float]:
+        models = self._spec.model_by_name
         declared = {m.name: m.initial_share / m.size for m in models.values()}
         total = sum(self._load_by_model.get(name, 0.0) for name in models)
         if not total:
@@ -117,3 +103,7 @@
             name: max(self._load_by_model.get(name, 0.0), scale * weight)
             for name, weight in declared.items()
         }
+
+
+def _with_margin(load: float) -> float:
+    return load + _MARGIN_DEVIATIONS * math.sqrt(load)
--- a/src/citronvalve/replicas/planner.py
+++ b/src/citronvalve/replicas/planner.py
@@ -6,12 +6,12 @@
 from citronvalve.model import clock
 from citronvalve.replicas import builder
 from citronvalve.replicas import demand
+from citronvalve.replicas import exchanger
 from citronvalve.replicas import liveness as liveness_
 from citronvalve.replicas import membership
 from citronvalve.replicas import order as orders
 from citronvalve.replicas import outbox
 from citronvalve.replicas import phase as phases
-from citronvalve.replicas import rebalancer
 from citronvalve.replicas import replica as replicas
 from citronvalve.replicas import reservations
 from citronvalve.replicas import runner as runners
@@ -76,7 +76,9 @@
         self._found_at_by_key: dict[membership.GroupKey, clock.Ms] = {}
         self._seen_ranks_by_key: dict[membership.GroupKey, set[int]] = {}
         self._stalled_keys: set[membership.GroupKey] = set()
-        self._rebalancer = rebalancer.Rebalancer(spec, self._builder)
+        self._exchanger = exchanger.Exchanger(
+            spec, self._builder.demand, self._weights
+        )
         self._late_orders_until: clock.Ms = 0
         self._unsettled: set[str] = set()
         self._usable: list[runners.Runner] = []
@@ -162,17 +164,19 @@
         list_growing = (
             self.before_traffic and now - self._grown_at < _GROWTH_PAUSE
         )
-        self._builder.form(
+        if not self.before_traffic:
+            self._exchanger.step(
+                replica_by_key, free_by_domain, count_by_model, now
+            )
+        for formed in self._builder.form(
             free_by_domain,
             count_by_model,
             self._largest_by_domain(replica_by_key),
+            self._exchanger.held_for_by_domain,
             list_growing,
             now,
-        )
-        if not self.before_traffic:
-            self._rebalancer.step(
-                replica_by_key, free_by_domain, count_by_model, now
-            )
+        ):
+            self._exchanger.record_formed(formed.model, formed.domain, now)
         if not list_growing:
             spares = free_by_domain.values()
             self._weights.stage_spares(spares, count_by_model, now)
@@ -335,7 +339,7 @@
         head = replica.head
         if head.leaving or not self.liveness.is_listed(head.id):
             return False
-        if replica.key in self._rebalancer.to_close:
+        if replica.key in self._exchanger.to_close:
             return False
         if replica.phase is _Phase.CLOSING:
             return False
