Exchange only replicas that orders can reach

Cause: with a data centre behind a partition, exchanges were planned there; no order is sent to it, and until they were abandoned after 8 s they used up what may close at once.

Change: the planner passes complete open replicas of settled data centres that are not being closed; one function begins one exchange.

--- a/src/citronvalve/replicas/exchanger.py
+++ b/src/citronvalve/replicas/exchanger.py
@@ -9,7 +9,6 @@
 from citronvalve.model import clock
 from citronvalve.replicas import demand as demands
 from citronvalve.replicas import membership
-from citronvalve.replicas import phase
 from citronvalve.replicas import replica as replicas
 from citronvalve.replicas import runner as runners
 from citronvalve.replicas import weights as weights_
@@ -106,14 +105,14 @@
 
     def step(
         self,
-        replica_by_key: Mapping[membership.GroupKey, replicas.Replica],
+        closable: Iterable[replicas.Replica],
         free_by_domain: Mapping[str, list[runners.Runner]],
         count_by_model: Mapping[str, int],
         now: clock.Ms,
     ) -> None:
         """Begin exchanges, and abandon those that take too long.
 
-        :param replica_by_key: all replicas.
+        :param closable: complete open replicas that orders can reach.
         :param free_by_domain: free runners.
         :param count_by_model: replicas that exist or are being formed.
         :param now: monotonic ms.
@@ -124,34 +123,41 @@
         models = self._spec.model_by_name
         if len(models) < 2 or not self._demand.has_load:
             return
-        open_by_domain = self._open_by_domain(replica_by_key)
         planned = self._planned_counts(count_by_model)
-        while True:
-            pressure_by_model = self._demand.pressures(planned)
-            model = max(
-                models.values(), key=lambda m: pressure_by_model[m.name]
-            )
-            pressure = pressure_by_model[model.name]
-            if pressure < _MIN_PRESSURE:
-                return
-            options = [
-                option
-                for option in self._options(
-                    model, open_by_domain, free_by_domain, planned, now
-                )
-                if option.pressure <= _MAX_DONOR_SHARE * pressure
-            ]
-            if not options:
-                return
-            best = min(options)
-            self.exchange_by_domain[best.domain] = Exchange(
-                model.name, best.keys, now + _MAX_DURATION
-            )
-            gained = max(
-                1, best.closed * models[best.keys[0].model].size // model.size
+        while self._begin_one(closable, free_by_domain, planned, now):
+            pass
+
+    def _begin_one(
+        self,
+        closable: Iterable[replicas.Replica],
+        free_by_domain: Mapping[str, list[runners.Runner]],
+        planned: collections.Counter[str],
+        now: clock.Ms,
+    ) -> bool:
+        """Begin the best exchange, if there is one; return whether it did."""
+        models = self._spec.model_by_name
+        pressure_by_model = self._demand.pressures(planned)
+        model = max(models.values(), key=lambda m: pressure_by_model[m.name])
+        pressure = pressure_by_model[model.name]
+        if pressure < _MIN_PRESSURE:
+            return False
+        options = [
+            option
+            for option in self._options(
+                model, closable, free_by_domain, planned, now
             )
-            planned[model.name] += gained
-            planned[best.keys[0].model] -= best.closed
+            if option.pressure <= _MAX_DONOR_SHARE * pressure
+        ]
+        if not options:
+            return False
+        best = min(options)
+        self.exchange_by_domain[best.domain] = Exchange(
+            model.name, best.keys, now + _MAX_DURATION
+        )
+        other = models[best.keys[0].model]
+        planned[other.name] -= best.closed
+        planned[model.name] += max(1, best.closed * other.size // model.size)
+        return True
 
     def record_formed(self, model: str, domain: str, now: clock.Ms) -> None:
         """End the exchange that a new replica completes, if any.
@@ -168,18 +174,6 @@
         del self.exchange_by_domain[domain]
         self._paused_until_by_domain[domain] = now + _PAUSE
 
-    def _open_by_domain(
-        self,
-        replica_by_key: Mapping[membership.GroupKey, replicas.Replica],
-    ) -> dict[str, list[replicas.Replica]]:
-        open_by_domain: dict[str, list[replicas.Replica]] = {}
-        for replica in replica_by_key.values():
-            if replica.phase is phase.Phase.OPEN and replica.is_complete():
-                open_by_domain.setdefault(replica.head.domain, []).append(
-                    replica
-                )
-        return open_by_domain
-
     def _planned_counts(
         self, count_by_model: Mapping[str, int]
     ) -> collections.Counter[str]:
@@ -195,7 +189,7 @@
     def _options(
         self,
         model: modelspec.ModelSpec,
-        open_by_domain: Mapping[str, list[replicas.Replica]],
+        closable: Iterable[replicas.Replica],
         free_by_domain: Mapping[str, list[runners.Runner]],
         planned: collections.Counter[str],
         now: clock.Ms,
@@ -203,7 +197,7 @@
         others = [
             m for m in self._spec.model_by_name.values() if m is not model
         ]
-        for domain, there in open_by_domain.items():
+        for domain, there in _by_domain(closable).items():
             if not self._may_begin(domain, now):
                 continue
             free = free_by_domain.get(domain, ())
@@ -270,3 +264,12 @@
             self._weights.join_time(runner, model) < model.load_time
             for runner in candidates
         )
+
+
+def _by_domain(
+    closable: Iterable[replicas.Replica],
+) -> dict[str, list[replicas.Replica]]:
+    there_by_domain: dict[str, list[replicas.Replica]] = {}
+    for replica in closable:
+        there_by_domain.setdefault(replica.head.domain, []).append(replica)
+    return there_by_domain
--- a/src/citronvalve/replicas/planner.py
+++ b/src/citronvalve/replicas/planner.py
@@ -166,7 +166,10 @@
         )
         if not self.before_traffic:
             self._exchanger.step(
-                replica_by_key, free_by_domain, count_by_model, now
+                self._closable(replica_by_key),
+                free_by_domain,
+                count_by_model,
+                now,
             )
         for formed in self._builder.form(
             free_by_domain,
@@ -241,6 +244,19 @@
         seen = self._seen_ranks_by_key[replica.key]
         return set(range(replica.size)) - seen
 
+    def _closable(
+        self, replica_by_key: _ReplicaByKey
+    ) -> list[replicas.Replica]:
+        """Return the complete open replicas that orders can reach."""
+        return [
+            replica
+            for key, replica in replica_by_key.items()
+            if replica.phase is _Phase.OPEN
+            and replica.is_complete()
+            and replica.head.datacentre not in self._unsettled
+            and key not in self._dissolved_at_by_key
+        ]
+
     def _largest_by_domain(
         self, replica_by_key: _ReplicaByKey
     ) -> dict[str, modelspec.ModelSpec]:
--- a/tests/replicas/exchanging.feature
+++ b/tests/replicas/exchanging.feature
@@ -41,3 +41,13 @@
     When 12 s pass there without a loss
     Then more than 45 small replicas stand
     And no promise about groups was broken there
+
+  Scenario: a data centre is cut off while the large model is in demand
+    Guards against an exchange that is planned where no order arrives, and
+    keeps the others from beginning.
+
+    Given a shifted site with 20 requests at "m0" and 150 at "m1"
+    When the runners of "zone-0" are cut off, and 2 s pass
+    And "m0" has 80 requests for 6 s, and 20 again for 0 s
+    Then replicas have been closed, and none of "zone-0"
+    And no promise about groups was broken there
--- a/tests/replicas/steps/shiftedsite_steps.py
+++ b/tests/replicas/steps/shiftedsite_steps.py
@@ -4,6 +4,7 @@
 
 import behave
 
+from citronvalve.replicas import order as orders
 from tests.replicas import shiftedsite
 
 
@@ -37,6 +38,24 @@
     context.site.run(rest * 1_000)
 
 
+@behave.when('the runners of "{zone}" are cut off, and {seconds:d} s pass')
+def step_cut(context, zone, seconds):
+    world = context.site.world
+    for runner in world.partition(zone):
+        world.planner.suspect_group(runner.id)
+    context.site.run(seconds * 1_000)
+
+
+@behave.then('replicas have been closed, and none of "{zone}"')
+def step_closed_elsewhere(context, zone):
+    closed = [
+        context.site.world.runner_by_id[order.runner].datacentre
+        for _, order in context.site.world.sent
+        if order.kind is orders.OrderKind.CLOSE
+    ]
+    assert closed and zone not in closed, closed
+
+
 @behave.then("the site has at least {fewest:d} large replicas at any time")
 def step_fewest(context, fewest):
     counts = [state.large for state in context.site.states]
