Keep what callers got apart from how a work is played

No change of behaviour: the results of a simulated work have a module of their own, and a comment that repeated a line goes into the docstring.

--- a/benchmarks/shifted.py
+++ b/benchmarks/shifted.py
@@ -39,9 +39,9 @@
     losses = "losses" if has_losses else "no losses"
     name = f"{path.stem}, {trouble}, {losses}"
     for what, value in (
-        ("worth", [one.worth() for one in played]),
-        ("worst 2 s", [one.worst_window() for one in played]),
-        ("worst kind", [_worst_kind(one) for one in played]),
+        ("worth", [one.results.worth() for one in played]),
+        ("worst 2 s", [one.results.worst_window() for one in played]),
+        ("worst kind", [one.results.worst_kind() for one in played]),
         ("sent elsewhere", [_remote_part(one) for one in played]),
         ("free runners", [statistics.mean(one.free) for one in played]),
     ):
@@ -66,9 +66,5 @@
     return one
 
 
-def _worst_kind(one: site.Site) -> float:
-    return min(outcome.worth for outcome in one.outcomes().values())
-
-
 def _remote_part(one: site.Site) -> float:
     return one.sent_locally[False] / max(1, one.sent_locally.total())
--- a/src/citronvalve/daemon/messagetask.py
+++ b/src/citronvalve/daemon/messagetask.py
@@ -176,7 +176,7 @@
         The leader reads for all.  While there is no leader, as at the start
         and after it was killed, the coordinator of each data centre reads for
         that data centre; it is known once the daemons have exchanged
-        messages.
+        messages.  A daemon that hears no other one reads for itself only.
         """
         if self._lease.is_renewed:
             return True
@@ -187,7 +187,6 @@
         ):
             return False
         if not self._distributor.reachable_count(now):
-            # A daemon that is cut off reads for nobody else.
             return False
         return self._distributor.topology.is_coordinator(now)
 
--- a/tests/work/engine.py
+++ b/tests/work/engine.py
@@ -6,7 +6,7 @@
 
 
 class Job:
-    """One try of a request; ``rank`` is True for a late one.
+    """One try of a request, which waits behind the others if it is late.
 
     ``first_at`` is when its first event was sent, and ``last_at`` the last
     one, both in ms.
@@ -44,7 +44,6 @@
         self._late = collections.deque()
         self._busy = False
         self.stalled = False
-        self.draining = False
         self.on_end = lambda job: None
 
     @property
--- a/tests/work/site.py
+++ b/tests/work/site.py
@@ -11,7 +11,6 @@
 import math
 import random
 import types
-from typing import NamedTuple
 
 from citronvalve.forward import directory as directories
 from citronvalve.forward import placement
@@ -21,6 +20,7 @@
 from citronvalve.routes import modelspec
 from tests.replicas import world as worlds
 from tests.work import engine as engines
+from tests.work import results
 
 #: Times in ms.
 _REPORT_INTERVAL = 150
@@ -32,46 +32,6 @@
 _AVOID_TIME = 2_500
 
 
-class Call:
-    """A caller's request and how it went."""
-
-    __slots__ = (
-        "arrived_at",
-        "datacentre",
-        "events",
-        "kind",
-        "prompt",
-        "result",
-        "retried",
-        "tried",
-    )
-
-    def __init__(self, kind, datacentre, prompt, events, now):
-        self.kind = kind
-        self.datacentre = datacentre
-        self.prompt = prompt
-        self.events = events
-        self.arrived_at = now
-        self.tried = []
-        self.retried = False
-        self.result = None
-
-
-class Outcome(NamedTuple):
-    """How the calls of one kind went.
-
-    ``lost`` ones have no whole answer.  ``worth`` is the part that callers
-    got of what all answers in time were worth.
-    """
-
-    asked: int
-    in_time: int
-    late: int
-    refused: int
-    lost: int
-    worth: float
-
-
 class _Daemon:
     def __init__(self, site, number):
         self.datacentre = f"zone-{number % site.work.datacentres}"
@@ -180,45 +140,10 @@
             self.clock.advance(max(0, int(at) - self.clock.now()))
             function()
 
-    def outcomes(self):
-        """Return how the calls of each kind went."""
-        found = {}
-        for kind in self.work.requests:
-            calls = [call for call in self.calls if call.kind is kind]
-            count = collections.Counter(call.result for call in calls)
-            worth = count["in_time"] * kind.worth
-            worth += count["late"] * kind.late_worth
-            found[kind.name] = Outcome(
-                len(calls),
-                count["in_time"],
-                count["late"],
-                count["refused"],
-                count["lost"] + count[None],
-                worth / (max(1, len(calls)) * kind.worth),
-            )
-        return found
-
-    def worth(self):
-        """Return the part of the whole worth that callers got."""
-        total = got = 0.0
-        outcomes = self.outcomes()
-        for kind in self.work.requests:
-            outcome = outcomes[kind.name]
-            total += outcome.asked * kind.worth
-            got += outcome.worth * outcome.asked * kind.worth
-        return got / total
-
-    def worst_window(self, span=2_000):
-        """Return the least part of the worth in any window of some ms."""
-        by_window = collections.defaultdict(lambda: [0.0, 0.0])
-        for call in self.calls:
-            part = by_window[(call.arrived_at - self.begin) // span]
-            part[0] += call.kind.worth
-            if call.result == "in_time":
-                part[1] += call.kind.worth
-            elif call.result == "late":
-                part[1] += call.kind.late_worth
-        return min(got / total for total, got in by_window.values())
+    @property
+    def results(self):
+        """Return what the callers got."""
+        return results.Results(self.calls, self.work.requests, self.begin)
 
     def _schedule(self, at, function):
         heapq.heappush(self._due, (at, next(self._serial), function))
@@ -250,7 +175,7 @@
     def _arrive(self, kind, number):
         self._arrive_later(kind, number)
         factor = self.rng.lognormvariate(-0.25, 0.7)
-        call = Call(
+        call = results.Call(
             kind,
             f"zone-{number}",
             max(40, int(kind.prompt_tokens * factor)),
--- a/tests/work/steps/work_steps.py
+++ b/tests/work/steps/work_steps.py
@@ -45,7 +45,7 @@
     played = site.Site(context.work, seed)
     played.run()
     assert not played.world.violations, played.world.violations
-    context.outcomes = played.outcomes()
+    context.outcomes = played.results.outcomes()
 
 
 @behave.then('at least {least:d} in 100 of "{kind}" are in time')
