--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -227,7 +227,7 @@
                 runner_listener.store_failed_at = lambda t=tail_: (
                     t.outage.failed_at
                 )
-                self._lease.is_store_away = lambda t=tail_: t.is_store_away
+                self._lease.is_store_away = tail_.is_store_away
             eventlet.spawn(tail_.run)
 
     def _peers_wait(self) -> clock.Ms:
--- a/src/citronvalve/replicas/exchanger.py
+++ b/src/citronvalve/replicas/exchanger.py
@@ -40,12 +40,13 @@
 
 
 class Exchange(NamedTuple):
-    """Replicas that are closed for a replica of another model.
+    """Replicas that are closed for those of another model.
 
-    ``until`` is monotonic ms.
+    ``gained`` is how many their runners form; ``until`` is monotonic ms.
     """
 
     model: str
+    gained: int
     keys: tuple[membership.GroupKey, ...]
     until: clock.Ms
 
@@ -151,12 +152,13 @@
         if not options:
             return False
         best = min(options)
+        other = models[best.keys[0].model]
+        gained = max(1, best.closed * other.size // model.size)
         self.exchange_by_domain[best.domain] = Exchange(
-            model.name, best.keys, now + _MAX_DURATION
+            model.name, gained, best.keys, now + _MAX_DURATION
         )
-        other = models[best.keys[0].model]
         planned[other.name] -= best.closed
-        planned[model.name] += max(1, best.closed * other.size // model.size)
+        planned[model.name] += gained
         return True
 
     def record_formed(self, model: str, domain: str, now: clock.Ms) -> None:
@@ -183,7 +185,7 @@
         """
         planned = collections.Counter(count_by_model)
         for exchange in self.exchange_by_domain.values():
-            planned[exchange.model] += 1
+            planned[exchange.model] += exchange.gained
         return planned
 
     def _options(
@@ -271,5 +273,6 @@
 ) -> dict[str, list[replicas.Replica]]:
     there_by_domain: dict[str, list[replicas.Replica]] = {}
     for replica in closable:
-        there_by_domain.setdefault(replica.head.domain, []).append(replica)
+        domain = replica.member_by_rank[0].domain
+        there_by_domain.setdefault(domain, []).append(replica)
     return there_by_domain
--- a/src/citronvalve/replicas/planner.py
+++ b/src/citronvalve/replicas/planner.py
@@ -253,7 +253,7 @@
             for key, replica in replica_by_key.items()
             if replica.phase is _Phase.OPEN
             and replica.is_complete()
-            and replica.head.datacentre not in self._unsettled
+            and replica.member_by_rank[0].datacentre not in self._unsettled
             and key not in self._dissolved_at_by_key
         ]
 
--- a/src/citronvalve/storage/tail.py
+++ b/src/citronvalve/storage/tail.py
@@ -131,7 +131,6 @@
             return self._read_all(started_at, is_reader)
         return self._read_changes(started_at, is_reader)
 
-    @property
     def is_store_away(self) -> bool:
         """Return whether the store failed after the last confirmation."""
         failed_at = self.outage.failed_at
