--- /dev/null
+++ b/tests/work/daemons.py
@@ -0,0 +1,99 @@
+"""Daemons that place requests by what they know, and their reports."""
+
+import collections
+import types
+
+from citronvalve.forward import directory as directories
+from citronvalve.forward import placement
+from citronvalve.policy import upstreamchoice
+
+#: Time in ms between two reports of a daemon.
+REPORT_INTERVAL = 150
+
+#: With more daemons, coordinators send sums of the reports.
+_MAX_DIRECT_DAEMONS = 12
+
+
+class Daemon:
+    """One daemon with the real placement.
+
+    :param work: the work.
+    :param number: decides the data centre.
+    :param clock: the clock.
+    :param rng: random source.
+    """
+
+    def __init__(self, work, number, clock, rng):
+        self.datacentre = f"zone-{number % work.datacentres}"
+        self.loads = upstreamchoice.LoadTable()
+        self._directory = directories.Directory(self.datacentre)
+        self._version_by_id = {}
+        env = types.SimpleNamespace(
+            clock=clock, rng=rng, daemon_count=work.daemons
+        )
+        self.placement = placement.Placement(
+            env, self._directory, self.loads, placement.ColdLimits()
+        )
+        steps = 1 if work.daemons <= _MAX_DIRECT_DAEMONS else 2
+        self.placement.set_report_age(lambda: steps * REPORT_INTERVAL)
+
+    def update_directory(self, world, out):
+        """Apply the list of runners.
+
+        :param world: the runners.
+        :param out: the data centre that is out of service, or None.
+        """
+        for runner in world.runner_by_id.values():
+            if self._version_by_id.get(runner.id) != runner.list_version:
+                self._version_by_id[runner.id] = runner.list_version
+                self._directory.update_runner(runner)
+        for gone in world.unlisted & self._version_by_id.keys():
+            del self._version_by_id[gone]
+            self._directory.remove(gone)
+        self._directory.set_datacentres_out(frozenset({out} if out else ()))
+
+    def counts(self):
+        """Return its requests and how many are late, by upstream."""
+        return {
+            upstream: (load.own, load.late)
+            for upstream, load in self.loads.load_by_upstream.items()
+            if load.own
+        }
+
+
+class Reports:
+    """Tells each daemon the requests of all others.
+
+    Those of its own data centre are as of now, those of others as of up to
+    two reports before.  Until the next report all of them age.
+
+    :param all_daemons: the daemons.
+    """
+
+    def __init__(self, all_daemons):
+        self._daemons = all_daemons
+        self._snapshots = collections.deque(maxlen=3)
+
+    def send(self, now):
+        """Send the reports of all daemons.
+
+        :param now: ms.
+        """
+        self._snapshots.append([daemon.counts() for daemon in self._daemons])
+        for daemon in self._daemons:
+            daemon.loads.remote_loads.record(
+                "others", self._counts_of_others(daemon), now
+            )
+
+    def _counts_of_others(self, daemon):
+        local, older = self._snapshots[-1], self._snapshots[0]
+        total = collections.defaultdict(lambda: [0, 0])
+        for number, other in enumerate(self._daemons):
+            if other is daemon:
+                continue
+            is_local = other.datacentre == daemon.datacentre
+            counts = (local if is_local else older)[number]
+            for upstream, (count, late) in counts.items():
+                total[upstream][0] += count
+                total[upstream][1] += late
+        return {upstream: tuple(both) for upstream, both in total.items()}
--- a/tests/work/site.py
+++ b/tests/work/site.py
@@ -12,43 +12,22 @@
 import random
 import types
 
-from citronvalve.forward import directory as directories
-from citronvalve.forward import placement
 from citronvalve.model import manualclock
 from citronvalve.model import refusal
-from citronvalve.policy import upstreamchoice
 from citronvalve.routes import modelspec
 from tests.replicas import world as worlds
+from tests.work import daemons
 from tests.work import engine as engines
 from tests.work import results
 
 #: Times in ms.
-_REPORT_INTERVAL = 150
 _FORMING_TIME = 16_000
-_MAX_DIRECT_DAEMONS = 12
 _STALL_DETECTED_AFTER = 450
 _CALLER_LATENCY = 3.0
 _ROUNDS_BEFORE_ADDING = 3
 _AVOID_TIME = 2_500
 
 
-class _Daemon:
-    def __init__(self, site, number):
-        self.datacentre = f"zone-{number % site.work.datacentres}"
-        self.directory = directories.Directory(self.datacentre)
-        self.loads = upstreamchoice.LoadTable()
-        self.env = types.SimpleNamespace(
-            clock=site.clock, rng=site.rng, daemon_count=site.work.daemons
-        )
-        self.placement = placement.Placement(
-            self.env, self.directory, self.loads, placement.ColdLimits()
-        )
-        # With many daemons, coordinators send sums of the reports.
-        steps = 1 if site.work.daemons <= _MAX_DIRECT_DAEMONS else 2
-        self.placement.set_report_age(lambda: steps * _REPORT_INTERVAL)
-        self.versions = {}
-
-
 class Site:
     """One run of a work.
 
@@ -103,8 +82,11 @@
         self._service = types.SimpleNamespace(
             name="svc", engine=self.spec, cold_rate=0
         )
-        self._daemons = [_Daemon(self, n) for n in range(work.daemons)]
-        self._snapshots = collections.deque(maxlen=3)
+        self._daemons = [
+            daemons.Daemon(work, number, self.clock, self.rng)
+            for number in range(work.daemons)
+        ]
+        self._reports = daemons.Reports(self._daemons)
         self._out = None
         self._losses = 0
         self._added = 0
@@ -191,7 +173,7 @@
         if self._out == call.datacentre:
             here = [d for d in self._daemons if d.datacentre != self._out]
         daemon = self.rng.choice(here)
-        self._update_directory(daemon)
+        daemon.update_directory(self.world, self._out)
         kind = call.kind
         routed = types.SimpleNamespace(
             service=self._service,
@@ -382,49 +364,8 @@
     def _set_out(self, datacentre):
         self._out = datacentre
 
-    # What daemons know.
-
-    def _update_directory(self, daemon):
-        world = self.world
-        for runner in world.runner_by_id.values():
-            if daemon.versions.get(runner.id) != runner.list_version:
-                daemon.versions[runner.id] = runner.list_version
-                daemon.directory.update_runner(runner)
-        for gone in world.unlisted & daemon.versions.keys():
-            del daemon.versions[gone]
-            daemon.directory.remove(gone)
-        out = frozenset({self._out} if self._out else ())
-        daemon.directory.set_datacentres_out(out)
-
     def _tick_reports(self):
-        """Tell each daemon the requests of all others.
-
-        Those of its own data centre are as of now, those of others as of up
-        to two reports before.  Until the next report all of them age.
-        """
         now = self.clock.now()
-        self._snapshots.append([_counts(daemon) for daemon in self._daemons])
-        local, older = self._snapshots[-1], self._snapshots[0]
-        for daemon in self._daemons:
-            total = collections.defaultdict(lambda: [0, 0])
-            for number, other in enumerate(self._daemons):
-                if other is daemon:
-                    continue
-                is_local = other.datacentre == daemon.datacentre
-                counts = (local if is_local else older)[number]
-                for upstream, (count, late) in counts.items():
-                    total[upstream][0] += count
-                    total[upstream][1] += late
-            daemon.loads.remote_loads.record(
-                "others", {u: tuple(n) for u, n in total.items()}, now
-            )
+        self._reports.send(now)
         if now < self.end:
-            self._schedule(now + _REPORT_INTERVAL, self._tick_reports)
-
-
-def _counts(daemon):
-    return {
-        upstream: (load.own, load.late)
-        for upstream, load in daemon.loads.load_by_upstream.items()
-        if load.own
-    }
+            self._schedule(now + daemons.REPORT_INTERVAL, self._tick_reports)
