Log each exchange of replicas with what decided it

Cause: found by reading the change as an engineer on call: a healthy replica was closed, and the log had the order but no reason.

Change: the leader logs 'exchange begun' with domain, model, closed groups and each model's load with its margin as a part of its slots. The planner stays free of a log: it hands over what it has begun.

--- a/src/citronvalve/daemon/plannertask.py
+++ b/src/citronvalve/daemon/plannertask.py
@@ -200,6 +200,14 @@
         now: clock.Ms,
     ) -> None:
         given = planner.step(listed, now)
+        for exchange in planner.take_begun_exchanges():
+            self._env.log.change(
+                "exchange begun",
+                domain=exchange.domain,
+                model=exchange.model,
+                groups=[key.name for key in exchange.keys],
+                pressure_by_model=exchange.pressure_by_model,
+            )
         left = planner.left_runners()
         if left == self._recorded_by_service.get(name, frozenset()):
             self._spawn_all(planner, given)
--- a/src/citronvalve/replicas/exchanger.py
+++ b/src/citronvalve/replicas/exchanger.py
@@ -42,12 +42,15 @@
 class Exchange(NamedTuple):
     """Replicas that are closed for those of another model.
 
-    ``gained`` is how many their runners form; ``until`` is monotonic ms.
+    ``gained`` is how many their runners form, ``pressure_by_model`` what
+    decided, and ``until`` monotonic ms.
     """
 
+    domain: str
     model: str
     gained: int
     keys: tuple[membership.GroupKey, ...]
+    pressure_by_model: dict[str, float]
     until: clock.Ms
 
 
@@ -85,6 +88,7 @@
         self._demand = demand
         self._weights = weights
         self._paused_until_by_domain: dict[str, clock.Ms] = {}
+        self._begun: list[Exchange] = []
         self.exchange_by_domain: dict[str, Exchange] = {}
 
     @property
@@ -154,13 +158,25 @@
         best = min(options)
         other = models[best.keys[0].model]
         gained = max(1, best.closed * other.size // model.size)
-        self.exchange_by_domain[best.domain] = Exchange(
-            model.name, gained, best.keys, now + _MAX_DURATION
+        begun = Exchange(
+            best.domain,
+            model.name,
+            gained,
+            best.keys,
+            pressure_by_model,
+            now + _MAX_DURATION,
         )
+        self.exchange_by_domain[best.domain] = begun
+        self._begun.append(begun)
         planned[other.name] -= best.closed
         planned[model.name] += gained
         return True
 
+    def take_begun(self) -> list[Exchange]:
+        """Return the exchanges begun since the last call."""
+        begun, self._begun = self._begun, []
+        return begun
+
     def record_formed(self, model: str, domain: str, now: clock.Ms) -> None:
         """End the exchange that a new replica completes, if any.
 
--- a/src/citronvalve/replicas/planner.py
+++ b/src/citronvalve/replicas/planner.py
@@ -126,6 +126,10 @@
         """
         self._reservations.record_result(order, result, now)
 
+    def take_begun_exchanges(self) -> list[exchanger.Exchange]:
+        """Return the exchanges begun since the last call."""
+        return self._exchanger.take_begun()
+
     def left_runners(self) -> frozenset[str]:
         """Return the runners that left, or will, the group of a lost head.
 
--- a/tests/replicas/exchanging.feature
+++ b/tests/replicas/exchanging.feature
@@ -51,3 +51,11 @@
     And "m0" has 80 requests for 6 s, and 20 again for 0 s
     Then replicas have been closed, and none of "zone-0"
     And no promise about groups was broken there
+
+  Scenario: an exchange tells what decided it
+    Guards against closed replicas of which the log gives no reason.
+
+    Given a shifted site with 80 requests at "m0" and 150 at "m1"
+    When 1 s pass there without a loss
+    Then the first exchange is told with its closed groups of "m1", for "m0", the busier one
+    And no exchange is told twice
--- a/tests/replicas/steps/shiftedsite_steps.py
+++ b/tests/replicas/steps/shiftedsite_steps.py
@@ -56,6 +56,24 @@
     assert closed and zone not in closed, closed
 
 
+@behave.then(
+    'the first exchange is told with its closed groups of "{other}", for '
+    '"{model}", the busier one'
+)
+def step_told(context, other, model):
+    told = context.site.world.planner.take_begun_exchanges()[0]
+    assert told.model == model, told
+    assert {key.model for key in told.keys} == {other}, told
+    assert set(told.keys) <= context.site.closures(), told
+    pressures = told.pressure_by_model
+    assert pressures[model] > pressures[other], told
+
+
+@behave.then("no exchange is told twice")
+def step_told_once(context):
+    assert not context.site.world.planner.take_begun_exchanges()
+
+
 @behave.then("the site has at least {fewest:d} large replicas at any time")
 def step_fewest(context, fewest):
     counts = [state.large for state in context.site.states]
