Say why open upstreams are passed over, and count new connections

What callers saw: `no replica of the model is open`, also where replicas were open and the daemon itself passed them over.

Change, without any of logic: a refusal counts the open upstreams that are passed over by cause (after failures, avoided, cold or busy, tried); `upstream stands still` says whether it was found here or elsewhere; `citronvalve_forward_openings_total` counts new connections to upstreams by result (opened, refused, unreached).

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -113,6 +113,7 @@
         env, settings = self.env, self._settings
         self._stall_detector = stalldetector.StallDetector(env, self._loads)
         pool = connectionpool.ConnectionPool(env.clock)
+        pool.on_opening = env.metrics.record_opening
         self._crash_detector = crashdetector.CrashDetector(env, pool)
         self._dependencies = dependencies.Dependencies(
             env,
--- a/src/citronvalve/forward/connectionpool.py
+++ b/src/citronvalve/forward/connectionpool.py
@@ -1,6 +1,7 @@
 """A pool of idle connections to upstreams."""
 
 import collections
+from collections.abc import Callable
 import socket
 
 from eventlet.green import socket as green_socket
@@ -36,12 +37,15 @@
 
     :param time_source: the clock.
     :ivar opened: how many connections were opened.
+    :ivar on_opening: called with the result of each attempt to open one:
+        ``opened``, ``refused`` or ``unreached``.
     """
 
     def __init__(self, time_source: clock.Clock) -> None:
         self._clock = time_source
         self._idle_by_address: dict[str, collections.deque] = {}
         self.opened = 0
+        self.on_opening: Callable[[str], None] = lambda _: None
 
     def acquire(
         self, address: str, retryable: bool
@@ -135,13 +139,16 @@
             )
         except ConnectionRefusedError as error:
             sock.close()
+            self.on_opening("refused")
             raise exchangeerror.ExchangeError(
                 exchangeerror.ExchangeFailure.REFUSED, str(error)
             ) from error
         except OSError as error:
             sock.close()
+            self.on_opening("unreached")
             raise exchangeerror.ExchangeError(
                 exchangeerror.ExchangeFailure.UNREACHED, str(error)
             ) from error
         self.opened += 1
+        self.on_opening("opened")
         return upstreamconnection.UpstreamConnection(sock, self._clock)
--- a/src/citronvalve/forward/metrics.py
+++ b/src/citronvalve/forward/metrics.py
@@ -23,6 +23,9 @@
         self._attempts = self._counter(
             "tries_total", "Tries at upstreams, by how they ended."
         )
+        self._openings = self._counter(
+            "openings_total", "New connections to upstreams, by result."
+        )
         self._malformed = self._counter(
             "malformed_total", "Bytes that were no request, by status."
         )
@@ -61,6 +64,13 @@
         """
         self._attempts.inc({"result": result})
 
+    def record_opening(self, result: str) -> None:
+        """Count an attempt to open a connection to an upstream.
+
+        :param result: how it ended.
+        """
+        self._openings.inc({"result": result})
+
     def record_malformed(self, status: int) -> None:
         """Count malformed input.
 
--- a/src/citronvalve/forward/placement.py
+++ b/src/citronvalve/forward/placement.py
@@ -1,6 +1,8 @@
 """Chooses the upstream of a request, or the refusal of the request."""
 
+import collections
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -116,7 +118,10 @@
                 f"all {found.candidates} replicas are full",
                 max(_MIN_RETRY_AFTER, found.retry_in),
             )
-        return self._refuse(routed, _no_upstream_reason(routed), _REPAIR_TIME)
+        why = self._passed_over(routed, tried, now)
+        return self._refuse(
+            routed, why or _no_upstream_reason(routed), _REPAIR_TIME
+        )
 
     def can_place(
         self, routed: routedrequest.RoutedRequest, tried: list[str]
@@ -160,9 +165,9 @@
         tried: list[str],
         now: clock.Ms,
     ) -> upstreamchoice.Chosen | upstreamchoice.Full:
-        service, engine = routed.service, routed.service.engine
+        engine = routed.service.engine
         if engine is None:
-            candidates = self._directory.plain_upstreams(service.name)
+            candidates = self._candidates(routed)
             eligible = self._eligible(candidates, routed, tried, now)
             chosen = self._choice.least_loaded(eligible, now)
             if chosen is None:
@@ -171,13 +176,42 @@
         model = engine.model_by_name.get(routed.model)
         if model is None:
             return _NO_UPSTREAM
-        candidates = self._directory.open_heads(service.name, model.name)
+        candidates = self._candidates(routed)
         eligible = self._eligible(candidates, routed, tried, now)
         pace = self._pace(routed.service, model)
         return self._choice.choose(
             self._job(routed, tried, now), eligible, pace, now
         )
 
+    def _candidates(
+        self, routed: routedrequest.RoutedRequest
+    ) -> Collection[upstreamchoice.Candidate]:
+        """Return the upstreams in service that could run the request."""
+        service = routed.service
+        if service.engine is None:
+            return self._directory.plain_upstreams(service.name)
+        return self._directory.open_heads(service.name, routed.model)
+
+    def _passed_over(
+        self,
+        routed: routedrequest.RoutedRequest,
+        tried: list[str],
+        now: clock.Ms,
+    ) -> str:
+        """Return why none of the upstreams in service is used, or nothing."""
+        candidates = self._candidates(routed)
+        if not candidates:
+            return ""
+        counts = collections.Counter(
+            "tried"
+            if candidate.upstream in tried
+            else self._choice.why_unavailable(candidate.upstream, now)
+            or "cold or busy"
+            for candidate in candidates
+        )
+        reasons = ", ".join(f"{n} {why}" for why, n in counts.most_common())
+        return f"none of {len(candidates)} open upstreams is used: {reasons}"
+
     def _pace(
         self, service: services.Service, model: modelspec.ModelSpec
     ) -> enginepace.EnginePace:
--- a/src/citronvalve/forward/stalldetector.py
+++ b/src/citronvalve/forward/stalldetector.py
@@ -70,7 +70,7 @@
         if now - load.last_heard_at < _ACTIVITY_WINDOW:
             return False
         if upstream not in self._stalled:
-            self._mark_stalled(upstream, now)
+            self._mark_stalled(upstream, now, is_own=True)
             self.on_stall(upstream)
         return True
 
@@ -84,9 +84,11 @@
             now - self._loads.of(upstream).last_heard_at < _ACTIVITY_WINDOW
         )
         if not is_active and upstream not in self._stalled:
-            self._mark_stalled(upstream, now)
+            self._mark_stalled(upstream, now, is_own=False)
 
-    def _mark_stalled(self, upstream: str, now: clock.Ms) -> None:
+    def _mark_stalled(
+        self, upstream: str, now: clock.Ms, *, is_own: bool
+    ) -> None:
         load = self._loads.of(upstream)
         self._stalled.add(upstream)
         load.avoid_until = now + _STALL_AVOID_TIME
@@ -95,6 +97,7 @@
             upstream=upstream,
             silent_ms=now - load.last_heard_at if load.last_heard_at else None,
             own_requests=load.own,
+            found="here" if is_own else "elsewhere",
         )
 
     def record_pause(self, duration: clock.Ms) -> None:
--- a/src/citronvalve/policy/upstreamchoice.py
+++ b/src/citronvalve/policy/upstreamchoice.py
@@ -150,6 +150,17 @@
                 scan.consider(candidate)
         return scan.result()
 
+    def why_unavailable(self, upstream: str, now: clock.Ms) -> str:
+        """Return why an upstream gets no new requests, or nothing.
+
+        :param upstream: its id.
+        :param now: monotonic ms.
+        """
+        load = self._loads.of(upstream)
+        if _is_available(load, now):
+            return ""
+        return "avoided" if load.avoid_until > now else "after failures"
+
     def least_loaded(
         self, candidates: Iterable[Candidate], now: clock.Ms
     ) -> str | None:
--- a/tests/forward/answers.feature
+++ b/tests/forward/answers.feature
@@ -84,6 +84,20 @@
     Then it gets 503, and 0 runs were made
     And its response has a Retry-After of less than a second
 
+  Scenario Outline: the reason why <which> upstreams are passed over
+    Guards against a refusal that says that no upstream is open while open
+    ones are passed over: the cause is then sought at the upstreams.
+
+    Given two plain runners, of which both "whole"
+    When both are <which> and a caller calls /once/thing
+    Then it gets 503, and 0 runs were made
+    And the refusal's reason is "none of 2 open upstreams is used: 2 <reason>"
+
+    Examples:
+      | which   | reason         |
+      | failing | after failures |
+      | avoided | avoided        |
+
   Scenario: a request that crashes each runner that runs it
     Guards against the loss of all runners when the caller retries after each
     crash. Other requests are served by the runners that are left.
--- a/tests/forward/rig.py
+++ b/tests/forward/rig.py
@@ -67,7 +67,7 @@
         self.directory.adopt(_catalogue(timeout, attempts))
         self.directory.list_known = True
         self.directory.confirmed_at = self.env.clock.now()
-        loads = upstreamchoice.LoadTable()
+        self.loads = loads = upstreamchoice.LoadTable()
         limits = retrybudget.RetryLimits(0.2, 100, 10_000)
         self.stall_detector = stalldetector.StallDetector(self.env, loads)
         pool = connectionpool.ConnectionPool(self.env.clock)
--- a/tests/forward/steps/forward_steps.py
+++ b/tests/forward/steps/forward_steps.py
@@ -107,6 +107,30 @@
     context.got = context.rig.send(path, body=b"question")
 
 
+_PASS_OVER_BY_STATE = {
+    "failing": lambda load, now: load.circuit.record_failure(now, fatal=True),
+    "avoided": lambda load, now: setattr(load, "avoid_until", now + 60_000),
+}
+
+
+@behave.when("both are {state} and a caller calls {path}")
+def step_passed_over(context, state, path):
+    now = context.rig.env.clock.now()
+    for name in context.rig.runners:
+        _PASS_OVER_BY_STATE[state](context.rig.loads.of(name), now)
+    step_call(context, path)
+
+
+@behave.then('the refusal\'s reason is "{reason}"')
+def step_reason(context, reason):
+    reasons = [
+        line["why"]
+        for event, line in context.rig.log.lines
+        if event == "refused"
+    ]
+    assert reasons == [reason], reasons
+
+
 @behave.when("a caller disconnects from {path} {when} the first event")
 def step_disconnect(context, path, when):
     host, _, port = context.rig.address.rpartition(":")
