--- a/standins/soak/caller.py
+++ b/standins/soak/caller.py
@@ -85,9 +85,16 @@
             got = connection.getresponse()
             data = got.read()
         except (OSError, http.client.HTTPException) as error:
+            self._book.first(
+                daemon.name, began, False, f"{asked.id}: {error!r}"
+            )
             self._cut(daemon, asked, began, sent, error)
             raise
         self._judge(asked, got, data)
+        served = got.status == 200
+        self._book.first(
+            daemon.name, began, served, f"{asked.id}: {data[:300]!r}"
+        )
         if got.status in _NOT_RUN:
             wait = float(got.headers.get("Retry-After", "0.1"))
             eventlet.sleep(min(wait, 2.0))
--- a/standins/soak/daemon.py
+++ b/standins/soak/daemon.py
@@ -11,6 +11,8 @@
 
 _HOST = "127.0.0.1"
 
+_LINKED = pathlib.Path(__file__).with_name("linked.py")
+
 
 class Daemon:
     """A process that can be killed, paused, stopped and started again.
@@ -19,6 +21,8 @@
     :param zone: where it stands.
     :param store: host:port of the store.
     :param folder: takes settings and output.
+    :param number: tells it from the other daemons.
+    :ivar source: the address that its connections come from.
     :ivar build: the checkout that it runs from its next start on.
     :ivar front: host:port for callers.
     :ivar peers: host:port for other daemons.
@@ -27,9 +31,15 @@
     """
 
     def __init__(
-        self, name: str, zone: str, store: str, folder: pathlib.Path
+        self,
+        name: str,
+        zone: str,
+        store: str,
+        folder: pathlib.Path,
+        number: int = 0,
     ) -> None:
         self.name, self.zone = name, zone
+        self.source = f"127.0.1.{number + 1}"
         self.build = builds.HERE
         self.front = process.free_address()
         self.ready = process.free_address()
@@ -37,6 +47,7 @@
         self.link = relays.Relay(store)
         self._folder = folder
         self._settings = folder / f"{name}.json"
+        self._links = folder / f"{name}-links.json"
         self._first = True
         self._process: process.Process | None = None
         self.up = False
@@ -48,7 +59,8 @@
         self._process = process.Process(
             self.name,
             [
-                *("-W", "ignore"),
+                *("-W", "ignore", str(_LINKED)),
+                *(self.source, str(self._links)),
                 *self.build.arguments(self.name, "platform/serve.py"),
             ],
             self.ready,
@@ -80,6 +92,18 @@
         }
         self._settings.write_text(json.dumps(value))
 
+    def lead(self, targets: list[str], instead: str) -> None:
+        """Lead its new connections to some addresses to another one.
+
+        :param targets: the addresses.
+        :param instead: the other one.
+        """
+        written = self._links.with_suffix(".new")
+        written.write_text(
+            json.dumps({"targets": targets, "instead": instead})
+        )
+        written.replace(self._links)
+
     def is_ready(self) -> bool:
         """Tell whether it says that it can serve."""
         connection = http.client.HTTPConnection(self.ready, timeout=1)
--- a/standins/soak/installation.py
+++ b/standins/soak/installation.py
@@ -10,6 +10,7 @@
 from standins import rowstore
 from standins.soak import daemon as daemons
 from standins.soak import ledger as ledgers
+from standins.soak import links
 from standins.soak import operator as operators
 from standins.soak import place as places
 from standins.soak import relay as relays
@@ -30,6 +31,9 @@
 #: Seconds that a zone stays out of service.
 _OUT_FOR = 7.0
 
+#: Parts of the daemons that lose their links to all runners at once.
+_CUT_SHARES = (0.2, 0.5, 0.7, 0.85, 1.0)
+
 _Fault = schedules.Fault
 _TROUBLE_BY_FAULT = {
     _Fault.STORE_BUSY: "busy",
@@ -72,9 +76,11 @@
                 ZONES[n % len(ZONES)],
                 self.store.address,
                 folder,
+                n,
             )
             for n in range(count)
         ]
+        self.links = links.Links(self._runner_by_name.values())
         self._do_by_fault: dict[_Fault, Callable] = {
             _Fault.KILL: self._kill,
             _Fault.PAUSE: self._pause,
@@ -94,6 +100,7 @@
             _Fault.ANSWERS_LOST: self._answers_lost,
             _Fault.VERSIONS: self._versions,
             _Fault.ZONE_OUT: self._zone_out,
+            _Fault.LINKS: self._cut_links,
         }
 
     @property
@@ -285,6 +292,17 @@
             self.operator.write()
             eventlet.sleep(0.15)
 
+    def _cut_links(self, event: schedules.Event) -> None:
+        how = list(links.Cut)[event.target % len(links.Cut)]
+        share = _CUT_SHARES[event.target % len(_CUT_SHARES)]
+        count = max(1, round(share * len(self.daemons)))
+        began, calm = self._book.now, self._book.is_calm_but_for(event.fault)
+        cut_off = self.daemons[:count]
+        self.links.cut_for(cut_off, how, 3 * event.span)
+        if calm and self._book.is_calm_but_for(event.fault):
+            names = {daemon.name for daemon in cut_off}
+            self._book.look_at_cut(names, began + links.SETTLED)
+
     def _zone_out(self, event: schedules.Event) -> None:
         zone = ZONES[event.target % len(ZONES)]
         self.operator.set_out(zone, True)
--- a/standins/soak/ledger.py
+++ b/standins/soak/ledger.py
@@ -9,6 +9,13 @@
 #: Seconds after a fault until the promises with a bound in time hold again.
 CALM = 3.0
 
+#: Callers of daemons without links to any runner are served at least this
+#: part as often as others; fewer tries on either side tell nothing.
+_CUT_PART, _CUT_TRIES = 2 / 3, 10
+
+
+SERVED_ALIKE = "callers of daemons without links are served as others are"
+
 
 class Asked(NamedTuple):
     """One attempt of a caller, and whether it may run more than once."""
@@ -37,6 +44,15 @@
     at: float
 
 
+class First(NamedTuple):
+    """A caller's first try of a request, ``at`` in seconds."""
+
+    daemon: str
+    at: float
+    served: bool
+    detail: str
+
+
 class Ledger:
     """Keeps both sides' accounts and compares them.
 
@@ -62,6 +78,7 @@
         self._trouble_ended: float | None = None
         self._stood_still_until: float | None = None
         self.queued = 0.0
+        self.firsts: list[First] = []
 
     @property
     def now(self) -> float:
@@ -76,6 +93,47 @@
         self.ends[how] += 1
         self.ended.append((self.now, how))
 
+    def first(self, daemon: str, at: float, served: bool, detail: str) -> None:
+        """Take in how a caller's first try ended.
+
+        :param daemon: that took it.
+        :param at: when it was sent, in seconds.
+        :param served: whether it was answered with success.
+        :param detail: shown when it was not.
+        """
+        self.firsts.append(First(daemon, at, served, detail))
+
+    def is_calm_but_for(self, name: str) -> bool:
+        """Tell whether no other fault is felt.
+
+        :param name: the fault that is left out.
+        """
+        others = any(n for fault, n in self._troubles.items() if fault != name)
+        ended = self._trouble_ended
+        return not others and (ended is None or ended < self.now - CALM)
+
+    def look_at_cut(self, cut_off: set[str], since: float) -> None:
+        """Look whether callers of daemons without links were served.
+
+        :param cut_off: these daemons' names.
+        :param since: seconds at which the promise begins to hold.
+        """
+        there = [f for f in self.firsts if f.at >= since]
+        cut = [f for f in there if f.daemon in cut_off]
+        others = [f for f in there if f.daemon not in cut_off]
+        failed = [f for f in cut if not f.served]
+        if min(len(cut), len(others)) < _CUT_TRIES:
+            return
+        share = 1 - len(failed) / len(cut)
+        usual = sum(f.served for f in others) / len(others)
+        self.look(
+            SERVED_ALIKE,
+            share >= _CUT_PART * usual,
+            f"served {len(cut) - len(failed)} of {len(cut)}, others "
+            f"{sum(f.served for f in others)} of {len(others)}; "
+            f"{[f.detail for f in failed[:3]]}",
+        )
+
     def trouble(self, name: str, begins: bool) -> None:
         """Take in that a fault begins or ends.
 
--- a/standins/soak/relay.py
+++ b/standins/soak/relay.py
@@ -9,6 +9,9 @@
 from eventlet import hubs
 
 _PIECE = 65_536
+
+#: Seconds between two looks whether what is held back may pass.
+_HELD_LOOK = 0.02
 _RESET = b"\1\0\0\0\0\0\0\0"
 
 
@@ -44,6 +47,8 @@
         self._target = host, int(port)
         self._open: set[socket.socket] = set()
         self._forgotten: set[socket.socket] = set()
+        self._source_by_socket: dict[socket.socket, str] = {}
+        self._held_sources: set[str] = set()
         self._harm = Harm.NONE
         self.delay = 0.2
         self._listener = eventlet.listen(("127.0.0.1", 0))
@@ -62,9 +67,28 @@
             self.reset()
         self._harm = harm
 
-    def reset(self) -> None:
-        """Reset the open connections."""
+    def hold(self, source: str) -> None:
+        """Hold back what connections from an address carry.
+
+        :param source: the address.
+        """
+        self._held_sources.add(source)
+
+    def release(self, source: str) -> None:
+        """Pass on what was held back.
+
+        :param source: the address.
+        """
+        self._held_sources.discard(source)
+
+    def reset(self, source: str = "") -> None:
+        """Reset the open connections.
+
+        :param source: only those from this address, if one is given.
+        """
         for sock in list(self._open):
+            if source and self._source_by_socket.get(sock) != source:
+                continue
             with contextlib.suppress(OSError):
                 sock.setsockopt(
                     plain_socket.SOL_SOCKET, plain_socket.SO_LINGER, _RESET
@@ -102,11 +126,14 @@
                 plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1
             )
         self._open |= {near, far}
+        source = near.getpeername()[0]
+        self._source_by_socket |= {near: source, far: source}
         back = eventlet.spawn(self._pass, far, near, True)
         self._pass(near, far, False)
         back.wait()
         self._open -= {near, far}
         self._forgotten -= {near, far}
+        del self._source_by_socket[near], self._source_by_socket[far]
         _close(near)
         _close(far)
 
@@ -120,11 +147,17 @@
                     continue
                 if self._harm is Harm.DELAYED:
                     eventlet.sleep(self.delay)
+                self._wait_released(source)
                 sink.sendall(data)
+        self._wait_released(source)
         with contextlib.suppress(OSError):
             if source not in self._forgotten:
                 sink.shutdown(plain_socket.SHUT_WR)
 
+    def _wait_released(self, source: socket.socket) -> None:
+        while self._source_by_socket.get(source) in self._held_sources:
+            eventlet.sleep(_HELD_LOOK)
+
     def _is_lost(self, source: socket.socket, is_answer: bool) -> bool:
         if source in self._forgotten or self._harm is Harm.SILENT:
             return True
--- a/standins/soak/schedule.py
+++ b/standins/soak/schedule.py
@@ -28,6 +28,7 @@
     ANSWERS_LOST = "answers lost"
     VERSIONS = "versions in quick succession"
     ZONE_OUT = "zone out of service"
+    LINKS = "links of daemons to all runners"
 
 
 #: Work that operators plan; it excuses nothing.
@@ -48,6 +49,11 @@
 #: Seconds until all groups stand.
 _FIRST = 6.0
 
+#: Part of the series in which daemons lose their links.
+_CUT_SHARE = 0.6
+
+_DRAWN = [fault for fault in Fault if fault is not Fault.LINKS]
+
 _LINK_HARMS = tuple(h for h in relays.Harm if h is not relays.Harm.NONE)
 
 
@@ -71,14 +77,19 @@
     :param seconds: how long it lasts.
     """
     chance = random.Random(seed)
+    # Drawn apart, so that a seed's other events stay as they are.
+    cuts = random.Random(f"{seed}/links")
     events = []
     began = _FIRST
     while began + _SERIES + _CALM < seconds:
         for _ in range(chance.randint(3, 8)):
             at = began + chance.uniform(0, _SERIES - 3)
-            events.append(_one(chance, at, list(Fault)))
+            events.append(_one(chance, at, _DRAWN))
         quiet = began + _SERIES + chance.uniform(3.5, 5.0)
         events.append(_one(chance, quiet, sorted(PLANNED)))
+        if cuts.random() < _CUT_SHARE:
+            at = began + cuts.uniform(0, _SERIES - 3)
+            events.append(_one(cuts, at, [Fault.LINKS]))
         began += _SERIES + _CALM
     return sorted(events)
 
--- a/tests/processes/processes.feature
+++ b/tests/processes/processes.feature
@@ -34,6 +34,26 @@
     Then no promise was broken
     And the head worked when its member listened no more
 
+  Scenario Outline: the connections of <which> to all runners <how>
+    Guards against daemons that refuse their callers while only their own
+    links to the upstreams are gone: callers, store and other daemons reach
+    them all the time.
+
+    Given a soak of seed 41 for 20 s with 6 daemons, 24 callers and no faults
+    And from 6 s to 16 s the connections of <which> to all runners <how>
+    When it has run
+    Then no promise was broken
+    And callers of daemons with and without links were compared
+    And from 2 s after the links are back all are served
+
+    Examples: cuts
+      | which           | how                                   |
+      | two daemons     | hang                                  |
+      | two daemons     | are reset                             |
+      | two daemons     | live on while new ones are refused    |
+      | one zone        | hang                                  |
+      | all but one     | are reset                             |
+
   Scenario: a process starts right after connections were reset
     The soak of seed 544 lost a daemon's start: the number of a connection that
     a relay had reset went to the new process's pipe, and the hub still had
--- a/tests/processes/steps/processes_steps.py
+++ b/tests/processes/steps/processes_steps.py
@@ -15,6 +15,7 @@
 from standins import process
 from standins import rowstore
 from standins.soak import ledger as ledgers
+from standins.soak import links
 from standins.soak import operator as operators
 from standins.soak import relay as relays
 from standins.soak import run as runs
@@ -52,12 +53,21 @@
     _make(context, seed, seconds, count)
 
 
-def _make(context, seed, seconds, count, *longest):
+def _make(context, seed, seconds, count, *longest, callers=12):
     context.soak = runs.Soak(
-        seed, seconds, count, 12, _folder(context), *longest
+        seed, seconds, count, callers, _folder(context), *longest
     )
 
 
+@behave.given(
+    "a soak of seed {seed:d} for {seconds:d} s with {count:d} daemons, "
+    "{callers:d} callers and no faults"
+)
+def step_calm_callers(context, seed, seconds, count, callers):
+    _make(context, seed, seconds, count, callers=callers)
+    context.soak.events = []
+
+
 def _folder(context):
     folder = tempfile.TemporaryDirectory()
     context.add_cleanup(folder.cleanup)
@@ -125,6 +135,49 @@
     context.soak.run()
 
 
+_CUT_OFF_BY_WHICH = {
+    "two daemons": lambda fleet: fleet[:2],
+    "one zone": lambda fleet: [d for d in fleet if d.zone == fleet[0].zone],
+    "all but one": lambda fleet: fleet[1:],
+    "all daemons": lambda fleet: fleet,
+}
+
+
+@behave.given(
+    "from {first:d} s to {last:d} s the connections of {which} to all runners "
+    "{how}"
+)
+def step_cut(context, first, last, which, how):
+    soak, book = context.soak, context.soak.book
+    made = soak.installation
+    cut_off = _CUT_OFF_BY_WHICH[which](made.daemons)
+
+    def cut(_):
+        eventlet.sleep(first)
+        book.trouble("links", True)
+        made.links.cut_for(cut_off, links.Cut(how), last - first)
+        book.trouble("links", False)
+        names = {daemon.name for daemon in cut_off}
+        book.look_at_cut(names, first + links.SETTLED)
+
+    context.links_back_at = last
+    soak.beside = cut
+
+
+@behave.then("callers of daemons with and without links were compared")
+def step_compared(context):
+    looked = context.soak.book.looked_by_promise
+    assert looked[ledgers.SERVED_ALIKE] == 1, looked
+
+
+@behave.then("from {seconds:d} s after the links are back all are served")
+def step_back(context, seconds):
+    since = context.links_back_at + seconds
+    later = [f for f in context.soak.book.firsts if f.at >= since]
+    failed = [f for f in later if not f.served]
+    assert later and not failed, (len(later), failed)
+
+
 @behave.then("the head worked when its member listened no more")
 def step_worked(context):
     assert context.worked
