--- a/src/citronvalve/daemon/entrysettings.py
+++ b/src/citronvalve/daemon/entrysettings.py
@@ -13,7 +13,10 @@
     ``grace`` is the time in ms from the request to stop to the end of the
     process, ``stall`` the time in ms without progress after which a replica
     counts as broken.  ``first_start`` is set when the whole system starts
-    for the first time.
+    for the first time.  Other daemons reach this one at ``peers``, and at
+    ``relay`` with requests for upstreams that they have no link to; without
+    that address none is relayed.  Requests leave the region for no relay:
+    ``region`` names its data centres, none if there is only one region.
     """
 
     name: str
@@ -26,3 +29,5 @@
     grace: clock.Ms
     stall: clock.Ms
     first_start: bool
+    relay: str = ""
+    region: frozenset[str] = frozenset()
--- a/src/citronvalve/daemon/messagetask.py
+++ b/src/citronvalve/daemon/messagetask.py
@@ -269,7 +269,10 @@
             self._hellos_due -= 1
             self._broadcast(
                 messages.Hello(
-                    self._env.name, self._address, self._env.datacentre
+                    self._env.name,
+                    self._address,
+                    self._env.datacentre,
+                    self._lease.own_peer.relay,
                 )
             )
 
@@ -297,15 +300,19 @@
             self._sockets.send(f"tcp://{address}", data)
 
     def _on_hello(self, message: messages.Hello) -> None:
-        peer = leases.Peer(message.address, message.datacentre)
+        self._add_peer(message)
+
+    def _add_peer(
+        self, message: messages.Hello | messages.FullTableRequest
+    ) -> None:
+        peer = leases.Peer(message.address, message.datacentre, message.relay)
         self._lease.add_peer(message.name, peer)
 
     def _on_table_request(self, message: messages.FullTableRequest) -> None:
         if not message.address:
             self.tables.on_full_request(message)
             return
-        peer = leases.Peer(message.address, message.datacentre)
-        self._lease.add_peer(message.name, peer)
+        self._add_peer(message)
         if message.table == leases.TABLE:
             self._send_members(message)
         else:
@@ -314,14 +321,15 @@
     def _send_members(self, message: messages.FullTableRequest) -> None:
         peers = self._lease.peer_by_name.items()
         members = messages.Members(
-            {name: (peer.address, peer.datacentre) for name, peer in peers}
+            {name: (peer.address, peer.datacentre) for name, peer in peers},
+            {name: peer.relay for name, peer in peers if peer.relay},
         )
         self._send_all([distributors.Outgoing(message.name, members)])
 
     def _on_members(self, message: messages.Members) -> None:
         self._lease.add_peers(
             {
-                name: leases.Peer(*peer)
+                name: leases.Peer(*peer, message.relay_by_name.get(name, ""))
                 for name, peer in message.by_name.items()
             }
         )
--- a/src/citronvalve/daemon/newcomers.py
+++ b/src/citronvalve/daemon/newcomers.py
@@ -114,7 +114,11 @@
             the receiver knows are sent.
         """
         return messages.FullTableRequest(
-            self._env.name, table, self._address, self._env.datacentre
+            self._env.name,
+            table,
+            self._address,
+            self._env.datacentre,
+            self._lease.own_peer.relay,
         )
 
     def on_request(self, message: messages.FullTableRequest) -> None:
--- a/src/citronvalve/forward/attempt.py
+++ b/src/citronvalve/forward/attempt.py
@@ -5,6 +5,7 @@
 import h11
 
 from citronvalve.forward import attemptresult
+from citronvalve.forward import connector as connectors
 from citronvalve.forward import dependencies
 from citronvalve.forward import eventsplitter
 from citronvalve.forward import exchangeerror
@@ -66,7 +67,8 @@
         )
         self._load = deps.loads.of(chosen.upstream)
         self._is_start_counted = False
-        self._address = ""
+        self._target = connectors.Target(chosen.upstream, "", "")
+        self.relay = ""
         self._response: responsehead.ResponseHead | None = None
 
     def run(self) -> attemptresult.AttemptResult:
@@ -76,16 +78,15 @@
             return attemptresult.AttemptResult(
                 _Ending.NOT_RUN, "the upstream is no longer in the list"
             )
-        self._address = runner.address
+        self._target = connectors.target_of(runner)
         retryable = self._routed.route.may_repeat
         try:
-            connection = self._deps.pool.acquire(runner.address, retryable)
-        except exchangeerror.ExchangeError as error:
-            self._load.circuit.record_failure(
-                self._env.clock.now(), fatal=True
+            connection = self._deps.pool.acquire(
+                self._target, self._routed.id, retryable
             )
-            self._deps.stall_detector.record_silence(self._chosen.upstream)
-            return attemptresult.AttemptResult(_Ending.NOT_RUN, str(error))
+        except exchangeerror.ExchangeError as error:
+            return self._handle_unreached(error)
+        self.relay = connection.relay
         self._load.own += 1
         self._load.late += self._chosen.late
         reusable = False
@@ -95,7 +96,7 @@
             reusable = reusable or result.ending is _Ending.NOT_RUN
             return result
         except exchangeerror.ExchangeError as error:
-            return self._handle_failure(error, runner.address)
+            return self._handle_failure(error)
         finally:
             self._load.own -= 1
             self._record_start()
@@ -105,10 +106,26 @@
             else:
                 connection.close()
 
+    def _handle_unreached(
+        self, error: exchangeerror.ExchangeError
+    ) -> attemptresult.AttemptResult:
+        if error.failure is _Failure.NO_LINK:
+            return attemptresult.AttemptResult(_Ending.UNLINKED, str(error))
+        self._load.circuit.record_failure(self._env.clock.now(), fatal=True)
+        if error.is_certain:
+            self._deps.stall_detector.record_silence(
+                self._chosen.upstream, checked=True
+            )
+        return attemptresult.AttemptResult(_Ending.NOT_RUN, str(error))
+
     def _exchange(
         self, connection: upstreamconnection.UpstreamConnection
     ) -> attemptresult.AttemptResult:
         self._reply.check_caller()
+        if self._env.clock.now() >= self._routed.deadline:
+            return attemptresult.AttemptResult(
+                _Ending.NOT_RUN, "the deadline passed before it was sent"
+            )
         request = self._routed.request
         connection.send(
             request.method, request.target, self._request_head(), request.body
@@ -200,13 +217,17 @@
             self._load.late -= 1
 
     def _record_response(self, response: responsehead.ResponseHead) -> None:
-        self._deps.stall_detector.record_activity(self._chosen.upstream)
+        self._record_activity()
         self._record_start()
         load = response.load(self._env.header_names)
         if load is not None:
             now = self._env.clock.now()
             self._load.record_report(load.running, load.waiting, now)
 
+    def _record_activity(self) -> None:
+        self._deps.stall_detector.record_activity(self._chosen.upstream)
+        self._deps.connector.record_activity(self.relay)
+
     def _handle_rejection(
         self,
         connection: upstreamconnection.UpstreamConnection,
@@ -256,7 +277,7 @@
         if self._response is None or self._response.is_framed():
             return
         try:
-            self._deps.pool.check_listening(self._address)
+            self._deps.pool.check_listening(self._target)
         except exchangeerror.ExchangeError as error:
             raise exchangeerror.ExchangeError(
                 _Failure.BROKEN,
@@ -278,7 +299,7 @@
                 raise exchangeerror.ExchangeError(
                     _Failure.BROKEN, "response ended early"
                 )
-            self._deps.stall_detector.record_activity(self._chosen.upstream)
+            self._record_activity()
             events = splitter.feed(bytes(event.data))
             data = b"".join(e.raw for e in events if self._is_next(e))
             if data:
@@ -333,18 +354,22 @@
         self._reply.send(data)
 
     def _handle_failure(
-        self, error: exchangeerror.ExchangeError, address: str
+        self, error: exchangeerror.ExchangeError
     ) -> attemptresult.AttemptResult:
+        if error.failure is _Failure.NO_LINK:
+            # The relay refused it before it passed anything on.
+            return attemptresult.AttemptResult(_Ending.NOT_RUN, str(error))
         now = self._env.clock.now()
         if now < self._routed.deadline:
             self._load.circuit.record_failure(now, fatal=False)
         if error.failure is _Failure.SILENT:
             # All open connections may be silent while new ones work.
-            self._deps.pool.close_idle(address)
+            self._deps.pool.close_idle(self._target.address)
+            if self.relay:
+                self._deps.connector.record_silence(self.relay)
             return attemptresult.AttemptResult(_Ending.STALLED, str(error))
         if error.failure is _Failure.BROKEN:
-            upstream = self._chosen.upstream
             self._deps.crash_detector.check_upstream(
-                self._routed, upstream, address
+                self._routed, self._target
             )
         return attemptresult.AttemptResult(_Ending.BROKEN, str(error))
--- a/src/citronvalve/forward/attemptresult.py
+++ b/src/citronvalve/forward/attemptresult.py
@@ -15,6 +15,8 @@
     FAILED = enum.auto()
     #: The request certainly did not run.
     NOT_RUN = enum.auto()
+    #: The same, since no link leads to the upstream.
+    UNLINKED = enum.auto()
     #: The request may have run; there is no complete response.
     BROKEN = enum.auto()
     #: Nothing arrived in time; the upstream may be stalled.
--- a/src/citronvalve/forward/connectionpool.py
+++ b/src/citronvalve/forward/connectionpool.py
@@ -1,19 +1,12 @@
 """A pool of idle connections to upstreams."""
 
 import collections
-from collections.abc import Callable
-import socket
 
-from eventlet.green import socket as green_socket
-
-from citronvalve.forward import exchangeerror
+from citronvalve.forward import connector as connectors
+from citronvalve.forward import transport as transports
 from citronvalve.forward import upstreamconnection
 from citronvalve.model import clock
 
-#: A healthy upstream accepts a connection within some ms; a dropped SYN is
-#: retransmitted after a second, which is too late.
-_CONNECT_TIMEOUT: clock.Ms = 400
-
 #: Used when an upstream states no keep-alive timeout.
 _DEFAULT_KEEP_ALIVE: clock.Ms = 4_000
 
@@ -29,47 +22,51 @@
 #: from several daemons.
 _MAX_IDLE_PER_UPSTREAM = 8
 
-_TCP_USER_TIMEOUT: clock.Ms = 10_000
-
 
 class ConnectionPool:
-    """Opens connections and keeps idle ones by address.
+    """Keeps idle connections by address.
 
     :param time_source: the clock.
-    :ivar opened: how many connections were opened.
-    :ivar on_opening: called with the result of each attempt to open one:
-        ``opened``, ``refused`` or ``unreached``.
+    :param connector: opens connections.
     """
 
-    def __init__(self, time_source: clock.Clock) -> None:
+    def __init__(
+        self, time_source: clock.Clock, connector: connectors.Connector
+    ) -> None:
         self._clock = time_source
+        self._connector = connector
         self._idle_by_address: dict[str, collections.deque] = {}
-        self.opened = 0
-        self.on_opening: Callable[[str], None] = lambda _: None
 
     def acquire(
-        self, address: str, retryable: bool
+        self, target: connectors.Target, request_id: str, retryable: bool
     ) -> upstreamconnection.UpstreamConnection:
         """Return a connection that is ready for a request.
 
-        :param address: host:port.
+        :param target: the upstream.
+        :param request_id: the request's id.
         :param retryable: whether the request may be retried.
         :raises exchangeerror.ExchangeError: when the upstream can't be
             connected to; nothing was sent.
         """
         now = self._clock.now()
-        idle = self._idle_by_address.get(address)
+        is_lost = self._connector.links.is_lost(target.upstream, now)
+        idle = self._idle_by_address.get(target.address)
         while idle:
             connection, idle_since = idle.pop()
+            # Connections of before a loss may carry nothing any more, and
+            # after it the direct way is the shorter one.
+            is_right_way = bool(connection.relay) is is_lost
             is_fresh = retryable or now - idle_since <= _MAX_IDLE_NON_RETRYABLE
             if (
-                is_fresh
+                is_right_way
+                and is_fresh
                 and now < connection.reusable_until
                 and connection.is_idle()
+                and connection.begin(request_id)
             ):
                 return connection
             connection.close()
-        return self._open(address)
+        return self._connect(target, request_id)
 
     def release(
         self,
@@ -103,18 +100,33 @@
         )
         idle.append((connection, now))
 
-    def check_listening(self, address: str) -> None:
-        """Check that an address accepts connections.
+    def check_listening(self, target: connectors.Target) -> None:
+        """Check that an upstream accepts connections, on any way.
 
         The connection that is opened for it is kept for the next request.
 
-        :param address: host:port.
-        :raises exchangeerror.ExchangeError: when it does not.
+        :param target: the upstream.
+        :raises exchangeerror.ExchangeError: when it does not, or no link
+            leads to it.
         """
-        connection = self._open(address)
-        connection.reusable_until = self._clock.now() + _DEFAULT_KEEP_ALIVE
-        idle = self._idle_by_address.setdefault(address, collections.deque())
-        idle.append((connection, self._clock.now()))
+        connection = self._connect(target, "")
+        if connection.end_request():
+            self._keep(target, connection)
+        else:
+            connection.close()
+
+    def keep(
+        self, target: connectors.Target, transport: transports.Transport
+    ) -> None:
+        """Keep an unused connection for the next request.
+
+        :param target: the upstream.
+        :param transport: connected to it.
+        """
+        self._keep(
+            target,
+            upstreamconnection.UpstreamConnection(transport, self._clock),
+        )
 
     def close_idle(self, address: str) -> None:
         """Close the idle connections to an address.
@@ -127,28 +139,21 @@
         for connection, _ in self._idle_by_address.pop(address, ()):
             connection.close()
 
-    def _open(self, address: str) -> upstreamconnection.UpstreamConnection:
-        host, _, port = address.rpartition(":")
-        sock = green_socket.socket()
-        sock.settimeout(_CONNECT_TIMEOUT / clock.SECOND)
-        try:
-            sock.connect((host, int(port)))
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT
-            )
-        except ConnectionRefusedError as error:
-            sock.close()
-            self.on_opening("refused")
-            raise exchangeerror.ExchangeError(
-                exchangeerror.ExchangeFailure.REFUSED, str(error)
-            ) from error
-        except OSError as error:
-            sock.close()
-            self.on_opening("unreached")
-            raise exchangeerror.ExchangeError(
-                exchangeerror.ExchangeFailure.UNREACHED, str(error)
-            ) from error
-        self.opened += 1
-        self.on_opening("opened")
-        return upstreamconnection.UpstreamConnection(sock, self._clock)
+    def _connect(
+        self, target: connectors.Target, request_id: str
+    ) -> upstreamconnection.UpstreamConnection:
+        return upstreamconnection.UpstreamConnection(
+            self._connector.open(target, request_id), self._clock
+        )
+
+    def _keep(
+        self,
+        target: connectors.Target,
+        connection: upstreamconnection.UpstreamConnection,
+    ) -> None:
+        now = self._clock.now()
+        connection.reusable_until = now + _DEFAULT_KEEP_ALIVE
+        idle = self._idle_by_address.setdefault(
+            target.address, collections.deque()
+        )
+        idle.append((connection, now))
--- /dev/null
+++ b/src/citronvalve/forward/connector.py
@@ -0,0 +1,332 @@
+"""Opens connections to upstreams, directly or through another daemon."""
+
+from collections.abc import Callable
+from collections.abc import Collection
+import errno
+from typing import NamedTuple
+
+from eventlet.green import socket as green_socket
+
+from citronvalve.forward import environment as environments
+from citronvalve.forward import exchangeerror
+from citronvalve.forward import relayframe
+from citronvalve.forward import relaytransport
+from citronvalve.forward import transport
+from citronvalve.model import clock
+from citronvalve.policy import links as links_
+from citronvalve.policy import relaychoice
+from citronvalve.replicas import runner as runners
+
+#: A healthy upstream accepts a connection within some ms; a dropped SYN is
+#: retransmitted after a second, which is too late.
+_CONNECT_TIMEOUT: clock.Ms = 400
+
+#: After this time another daemon is asked whether it reaches the upstream.
+_DOUBT_TIME: clock.Ms = 150
+
+#: Longest wait for a daemon that relays: it tries the upstream, and another
+#: one if that fails.
+_RELAY_TIMEOUT: clock.Ms = 450
+
+#: Daemons that are asked for one connection.
+_MAX_ASKED = 3
+
+#: No further daemon is asked after this time.
+_MAX_ASK_TIME: clock.Ms = 600
+
+_Failure = exchangeerror.ExchangeFailure
+_Reason = relayframe.Reason
+
+
+class Target(NamedTuple):
+    """An upstream, its address as host:port, and its data centre."""
+
+    upstream: str
+    address: str
+    datacentre: str
+
+
+class Connector:
+    """Opens connections and tells lost links from lost upstreams.
+
+    :param env: the daemon's environment.
+    :param links: the state of this VM's links.
+    :ivar relays: returns the other daemons that may relay.
+    :ivar datacentre_count: returns the number of data centres with upstreams.
+    :ivar on_opening: called with the result of each attempt to open a direct
+        connection: ``opened``, ``refused`` or ``unreached``.
+    :ivar on_relaying: called with the result of each request to another
+        daemon: ``opened``, ``failed`` or the reason of its refusal.
+    :ivar on_lost: called with an upstream that another daemon reached and
+        this one did not.
+    :ivar on_cut: called when all links are found lost.
+    :ivar opened: number of direct connections that were opened.
+    """
+
+    def __init__(
+        self, env: environments.Environment, links: links_.Links
+    ) -> None:
+        self._env = env
+        self._choice = relaychoice.RelayChoice(env.datacentre, env.rng)
+        self.links = links
+        self.relays: Callable[[], Collection[relaychoice.Relay]] = tuple
+        self.datacentre_count: Callable[[], int] = lambda: 1
+        self.on_opening: Callable[[str], None] = lambda _: None
+        self.on_relaying: Callable[[str], None] = lambda _: None
+        self.on_lost: Callable[[str], None] = lambda _: None
+        self.on_cut: Callable[[], None] = lambda: None
+        self.opened = 0
+
+    def open(self, target: Target, request_id: str) -> transport.Transport:
+        """Open a connection to an upstream on the way that works.
+
+        :param target: the upstream.
+        :param request_id: the request that it is for.
+        :raises exchangeerror.ExchangeError: when it can't be reached; nothing
+            was sent.
+        """
+        if self.links.is_lost(target.upstream, self._env.clock.now()):
+            return self._open_relayed(target, request_id)
+        sock = green_socket.socket()
+        try:
+            self._connect(sock, target, _DOUBT_TIME)
+        except TimeoutError:
+            return self._open_late(sock, target, request_id)
+        except OSError as error:
+            sock.close()
+            return self._replace(target, request_id, error)
+        return self._opened(sock, target)
+
+    def open_direct(
+        self, target: Target, timeout: clock.Ms = _DOUBT_TIME
+    ) -> transport.SocketTransport:
+        """Open a direct connection, whatever is known of the links.
+
+        :param target: the upstream.
+        :param timeout: ms.
+        :raises exchangeerror.ExchangeError: when it fails.
+        """
+        sock = green_socket.socket()
+        try:
+            self._connect(sock, target, timeout)
+        except OSError as error:
+            sock.close()
+            raise self._failed(error) from error
+        return self._opened(sock, target)
+
+    def may_relay(self) -> bool:
+        """Return whether another daemon may be asked to relay."""
+        now = self._env.clock.now()
+        return self._choice.is_any_usable(self.relays(), now)
+
+    def is_relaying_proven(self) -> bool:
+        """Return whether another daemon has shown lately that it has links."""
+        return self._choice.is_proven(self._env.clock.now())
+
+    def record_activity(self, relay: str) -> None:
+        """Record that an upstream sent data.
+
+        :param relay: the daemon that relayed it, empty for a direct one.
+        """
+        now = self._env.clock.now()
+        if relay:
+            self._choice.record_worked(relay, now)
+        else:
+            self.links.record_heard(now)
+
+    def record_silence(self, relay: str) -> None:
+        """Record that a connection through another daemon went silent.
+
+        :param relay: its name.
+        """
+        self._choice.record_silence(relay, self._env.clock.now())
+
+    def _open_late(
+        self, sock: green_socket.socket, target: Target, request_id: str
+    ) -> transport.Transport:
+        """Ask another daemon while the own connection is still opening."""
+        # This process may have stood still while it was opened.
+        if sock.fd.connect_ex(_split(target.address)) in (0, errno.EISCONN):
+            return self._opened(sock, target)
+        relayed = self._ask_others(target, request_id)
+        if isinstance(relayed, transport.Transport):
+            sock.close()
+            self.on_opening("unreached")
+            self._record_lost(target)
+            return relayed
+        try:
+            self._connect(sock, target, _CONNECT_TIMEOUT - _DOUBT_TIME)
+        except OSError as error:
+            sock.close()
+            is_certain = relayed is not _Reason.NO_LINK
+            raise self._failed(error, is_certain) from error
+        return self._opened(sock, target)
+
+    def _replace(
+        self, target: Target, request_id: str, error: OSError
+    ) -> transport.Transport:
+        relayed = self._ask_others(target, request_id)
+        failed = self._failed(error, relayed is not _Reason.NO_LINK)
+        if not isinstance(relayed, transport.Transport):
+            raise failed from error
+        self._record_lost(target)
+        return relayed
+
+    def _open_relayed(
+        self, target: Target, request_id: str
+    ) -> transport.Transport:
+        relayed = self._ask_others(target, request_id)
+        if isinstance(relayed, transport.Transport):
+            return relayed
+        if relayed is _Reason.UPSTREAM_DOWN:
+            raise exchangeerror.ExchangeError(
+                _Failure.UNREACHED, "another daemon does not reach it either"
+            )
+        raise exchangeerror.ExchangeError(
+            _Failure.NO_LINK,
+            "this VM has no link to the upstream, and no other daemon relays",
+        )
+
+    def _ask_others(
+        self, target: Target, request_id: str
+    ) -> transport.Transport | _Reason | None:
+        """Return a relayed connection, or why there is none.
+
+        :returns: None if there is no daemon to ask.
+        """
+        asked: set[str] = set()
+        end = self._env.clock.now() + _MAX_ASK_TIME
+        while len(asked) < _MAX_ASKED and self._env.clock.now() < end:
+            now = self._env.clock.now()
+            relay = self._choice.choose(self.relays(), asked, now)
+            if relay is None:
+                break
+            asked.add(relay.name)
+            answer = self._ask(relay, target, request_id)
+            if answer is not None:
+                return answer
+        return _Reason.NO_LINK if self.relays() else None
+
+    def _ask(
+        self, relay: relaychoice.Relay, target: Target, request_id: str
+    ) -> transport.Transport | _Reason | None:
+        """Ask one daemon; return None if another one may be asked."""
+        opening = relayframe.Opening(
+            self._env.name, target.upstream, request_id
+        )
+        sock = green_socket.socket()
+        name = relay.name
+        try:
+            sock.settimeout(_DOUBT_TIME / clock.SECOND)
+            sock.connect(_split(relay.address))
+        except OSError as error:
+            sock.close()
+            return self._note_failure(name, opening, repr(error))
+        self._choice.record_open(name)
+        transport.prepare(sock)
+        relayed = relaytransport.RelayTransport(
+            sock, name, opening, lambda: self._choice.record_closed(name)
+        )
+        try:
+            relayed.wait_opened(_RELAY_TIMEOUT)
+        except relaytransport.RelayRefusedError as error:
+            relayed.close()
+            return self._note_refusal(name, opening, error.reason)
+        except OSError as error:
+            relayed.close()
+            return self._note_failure(name, opening, repr(error))
+        self.on_relaying("opened")
+        self._choice.record_worked(name, self._env.clock.now())
+        return relayed
+
+    def _note_refusal(
+        self, relay: str, opening: relayframe.Opening, reason: str
+    ) -> _Reason | None:
+        known = {one.value: one for one in _Reason}.get(reason)
+        self.on_relaying(known or "failed")
+        self._log_refusal(relay, opening, reason)
+        now = self._env.clock.now()
+        match known:
+            case _Reason.UPSTREAM_DOWN:
+                self._choice.record_worked(relay, now)
+                return known
+            case _Reason.NOT_IN_SERVICE:
+                return None
+            case _:
+                busy = known is _Reason.BUSY
+                self._choice.record_refusal(relay, now, busy)
+                return None
+
+    def _note_failure(
+        self, relay: str, opening: relayframe.Opening, why: str
+    ) -> None:
+        self.on_relaying("failed")
+        self._log_refusal(relay, opening, why)
+        self._choice.record_refusal(relay, self._env.clock.now(), busy=False)
+
+    def _log_refusal(
+        self, relay: str, opening: relayframe.Opening, why: str
+    ) -> None:
+        self._env.log.note(
+            "not relayed",
+            opening.request,
+            relay=relay,
+            upstream=opening.upstream,
+            why=why,
+        )
+
+    def _connect(
+        self, sock: green_socket.socket, target: Target, timeout: clock.Ms
+    ) -> None:
+        sock.settimeout(timeout / clock.SECOND)
+        sock.connect(_split(target.address))
+
+    def _opened(
+        self, sock: green_socket.socket, target: Target
+    ) -> transport.SocketTransport:
+        self.opened += 1
+        self.on_opening("opened")
+        was_cut = self.links.is_cut
+        self.links.record_opened(target.upstream, self._env.clock.now())
+        if was_cut and not self.links.is_cut:
+            self._env.log.change("links back", upstream=target.upstream)
+        return transport.prepare(sock)
+
+    def _failed(
+        self, error: OSError, is_certain: bool = True
+    ) -> exchangeerror.ExchangeError:
+        refused = isinstance(error, ConnectionRefusedError)
+        failure = _Failure.REFUSED if refused else _Failure.UNREACHED
+        self.on_opening(failure.value)
+        self.links.record_failed()
+        return exchangeerror.ExchangeError(
+            failure, str(error), is_certain=is_certain
+        )
+
+    def _record_lost(self, target: Target) -> None:
+        was_cut = self.links.is_cut
+        self.links.record_failed()
+        self.links.record_lost(
+            target.upstream,
+            target.datacentre,
+            self.datacentre_count(),
+            self._env.clock.now(),
+        )
+        self._env.log.change("link lost", upstream=target.upstream)
+        if self.links.is_cut and not was_cut:
+            self._env.log.change("links cut", upstream=target.upstream)
+            self.on_cut()
+        self.on_lost(target.upstream)
+
+
+def target_of(runner: runners.Runner) -> Target:
+    """Return where an upstream is.
+
+    :param runner: its entry.
+    """
+    return Target(runner.id, runner.address, runner.datacentre)
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/src/citronvalve/forward/crashdetector.py
+++ b/src/citronvalve/forward/crashdetector.py
@@ -6,6 +6,7 @@
 
 from citronvalve.forward import callerrequest
 from citronvalve.forward import connectionpool
+from citronvalve.forward import connector as connectors
 from citronvalve.forward import environment as environments
 from citronvalve.forward import exchangeerror
 from citronvalve.forward import routedrequest
@@ -65,7 +66,7 @@
         )
 
     def check_upstream(
-        self, routed: routedrequest.RoutedRequest, upstream: str, address: str
+        self, routed: routedrequest.RoutedRequest, target: connectors.Target
     ) -> None:
         """Check whether an upstream is down after its connection broke.
 
@@ -73,12 +74,18 @@
         would be chosen before this loss is counted.
 
         :param routed: the request that ran on the connection.
-        :param upstream: the upstream's id.
-        :param address: host:port.
+        :param target: the upstream.
         """
+        upstream = target.upstream
         try:
-            self._pool.check_listening(address)
+            self._pool.check_listening(target)
         except exchangeerror.ExchangeError as error:
+            is_linked = (
+                error.failure is not exchangeerror.ExchangeFailure.NO_LINK
+            )
+            if not is_linked or not error.is_certain:
+                # The connection may have broken with the link.
+                return
             request_fingerprint = fingerprint(
                 routed.request, self._env.header_names.api_key
             )
--- a/src/citronvalve/forward/dependencies.py
+++ b/src/citronvalve/forward/dependencies.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from citronvalve.forward import connectionpool
+from citronvalve.forward import connector as connectors
 from citronvalve.forward import crashdetector
 from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
@@ -18,6 +19,7 @@
     env: environments.Environment
     directory: directories.Directory
     loads: upstreamchoice.LoadTable
+    connector: connectors.Connector
     pool: connectionpool.ConnectionPool
     placement: placements.Placement
     retry_budgets: retrybudgets.RetryBudgets
--- a/src/citronvalve/forward/directory.py
+++ b/src/citronvalve/forward/directory.py
@@ -1,6 +1,8 @@
 """A daemon's current view of routes and upstreams."""
 
 import collections.abc
+from collections.abc import Callable
+import random
 
 from citronvalve.model import clock
 from citronvalve.policy import upstreamchoice
@@ -10,6 +12,9 @@
 #: One-way latency in ms to another data centre.
 _REMOTE_LATENCY = 1.0
 
+#: Upstreams that are looked at for one that is wanted.
+_SAMPLED = 24
+
 _CandidateById = dict[str, upstreamchoice.Candidate]
 
 
@@ -131,6 +136,39 @@
         """
         return self._upstreams_by_service.get(service, {}).values()
 
+    def is_in_service(self, upstream: str) -> bool:
+        """Return whether an upstream may get new requests.
+
+        :param upstream: its id.
+        """
+        runner = self.runner_by_id.get(upstream)
+        return (
+            runner is not None
+            and not runner.leaving
+            and runner.datacentre not in self.datacentres_out
+        )
+
+    def sample(
+        self,
+        rng: random.Random,
+        is_wanted: Callable[[runners.Runner], bool] = lambda _: True,
+    ) -> runners.Runner | None:
+        """Return an upstream that should accept connections, if one is found.
+
+        :param rng: random source.
+        :param is_wanted: returns whether an upstream may be chosen.
+        """
+        ids = list(self.runner_by_id)
+        for upstream in rng.sample(ids, min(_SAMPLED, len(ids))):
+            runner = self.runner_by_id[upstream]
+            if self.is_in_service(upstream) and is_wanted(runner):
+                return runner
+        return None
+
+    def datacentre_count(self) -> int:
+        """Return the number of data centres with upstreams."""
+        return len({r.datacentre for r in self.runner_by_id.values()})
+
     def _candidate(self, runner: runners.Runner) -> upstreamchoice.Candidate:
         is_local = runner.datacentre == self._datacentre
         return upstreamchoice.Candidate(
--- a/src/citronvalve/forward/dispatch.py
+++ b/src/citronvalve/forward/dispatch.py
@@ -20,6 +20,7 @@
 _MIN_ATTEMPT_TIME: clock.Ms = 60
 
 _Ending = attemptresult.Ending
+_CERTAINLY_NOT_RUN = frozenset({_Ending.NOT_RUN, _Ending.UNLINKED})
 _Kind = refusal.RefusalKind
 
 
@@ -97,12 +98,13 @@
             "try ended",
             self._routed.id,
             upstream=chosen.upstream,
+            relay=attempt.relay,
             ending=result.ending.name,
             why=result.why,
             after=self._progress.last_event_id,
             expected_ms=round(chosen.forecast.first),
         )
-        if result.ending is _Ending.NOT_RUN:
+        if result.ending in _CERTAINLY_NOT_RUN:
             self._rejections += 1
         else:
             self._runs += 1
@@ -129,6 +131,10 @@
     def _may_retry(self, result: attemptresult.AttemptResult) -> bool:
         if not self._may_attempt_again():
             return False
+        if result.ending is _Ending.UNLINKED:
+            # Nothing was sent, so no retry is spent.  Without any link the
+            # other upstreams can't be reached either.
+            return not self._deps.connector.links.is_cut
         may_have_run = result.ending is not _Ending.NOT_RUN
         if may_have_run and not self._may_run_again(self._runs):
             return False
--- a/src/citronvalve/forward/exchangeerror.py
+++ b/src/citronvalve/forward/exchangeerror.py
@@ -6,10 +6,12 @@
 
 
 class ExchangeFailure(enum.StrEnum):
-    """How an exchange failed; after the first two, nothing was sent."""
+    """How an exchange failed; after the first three, nothing was sent."""
 
     UNREACHED = "unreached"
     REFUSED = "refused"
+    #: Neither this VM nor another daemon that relays has a link.
+    NO_LINK = "no link"
     #: Closed or reset; a request that was sent may have run.
     BROKEN = "broken"
     SILENT = "silent"
@@ -21,10 +23,15 @@
 
     :param failure: its kind.
     :param why: the cause, as text.
+    :param is_certain: whether it is the upstream that failed, and not the
+        link to it, as far as other daemons can tell.
     """
 
-    def __init__(self, failure: ExchangeFailure, why: str) -> None:
+    def __init__(
+        self, failure: ExchangeFailure, why: str, *, is_certain: bool = True
+    ) -> None:
         super().__init__(
             why, remedy="retry at another upstream if the request is retryable"
         )
         self.failure = failure
+        self.is_certain = is_certain
--- a/src/citronvalve/forward/metrics.py
+++ b/src/citronvalve/forward/metrics.py
@@ -26,6 +26,9 @@
         self._openings = self._counter(
             "openings_total", "New connections to upstreams, by result."
         )
+        self._relayings = self._counter(
+            "relayings_total", "Other daemons asked to relay, by result."
+        )
         self._malformed = self._counter(
             "malformed_total", "Bytes that were no request, by status."
         )
@@ -71,6 +74,13 @@
         """
         self._openings.inc({"result": result})
 
+    def record_relaying(self, result: str) -> None:
+        """Count a request to another daemon to relay.
+
+        :param result: how it ended.
+        """
+        self._relayings.inc({"result": result})
+
     def record_malformed(self, status: int) -> None:
         """Count malformed input.
 
--- /dev/null
+++ b/src/citronvalve/forward/relayframe.py
@@ -0,0 +1,135 @@
+"""Frames between a daemon and the one that relays for it."""
+
+from collections.abc import Iterator
+import enum
+import struct
+from typing import NamedTuple
+
+import msgspec
+
+from citronvalve.model import errors
+
+_HEADER = struct.Struct("!BI")
+
+#: Most bytes of a frame's content.
+MAX_CONTENT = 262_144
+
+
+class FrameKind(enum.IntEnum):
+    """What a frame carries."""
+
+    #: The next request on this connection; its content is an ``Opening``.
+    OPEN = 1
+    #: The connection to the upstream is open.
+    OPENED = 2
+    #: It is not; nothing of the request was sent.  The content is a reason.
+    REFUSED = 3
+    #: Bytes to or from the upstream.
+    DATA = 4
+    #: The upstream has closed the connection in order.
+    END = 5
+    #: The connection to the upstream broke.
+    BROKEN = 6
+    #: The request has ended; the connection is kept for the next one.
+    DONE = 7
+
+
+class Reason(enum.StrEnum):
+    """Why a connection is not relayed."""
+
+    #: The upstream does not answer, though others do.
+    UPSTREAM_DOWN = "upstream down"
+    #: The relaying daemon has no link to any upstream either.
+    NO_LINK = "no link"
+    #: The relaying daemon does not list the upstream, or it is leaving or
+    #: out of service.
+    NOT_IN_SERVICE = "not in service"
+    #: The relaying daemon relays as much as it can.
+    BUSY = "busy"
+    #: The relaying daemon is stopping.
+    STOPPING = "stopping"
+
+
+class Opening(msgspec.Struct, array_like=True, frozen=True):
+    """A request that ``daemon`` has for an upstream."""
+
+    daemon: str
+    upstream: str
+    request: str
+
+
+class Frame(NamedTuple):
+    """One frame."""
+
+    kind: FrameKind
+    content: bytes = b""
+
+
+class FrameError(errors.UpstreamError):
+    """The bytes are no frames.
+
+    :param why: the cause.
+    """
+
+    def __init__(self, why: str) -> None:
+        super().__init__(why, remedy="run the same release on all daemons")
+
+
+def encode(kind: FrameKind, content: bytes = b"") -> bytes:
+    """Encode one or more frames of a kind.
+
+    :param kind: the kind.
+    :param content: split if it is too long for one frame.
+    """
+    if len(content) <= MAX_CONTENT:
+        return _HEADER.pack(kind, len(content)) + content
+    first, rest = content[:MAX_CONTENT], content[MAX_CONTENT:]
+    return encode(kind, first) + encode(kind, rest)
+
+
+def encode_opening(opening: Opening) -> bytes:
+    """Encode the announcement of a request.
+
+    :param opening: the request.
+    """
+    return encode(FrameKind.OPEN, msgspec.msgpack.encode(opening))
+
+
+def decode_opening(content: bytes) -> Opening:
+    """Decode the announcement of a request.
+
+    :param content: of the frame.
+    :raises FrameError: when it is invalid.
+    """
+    try:
+        return msgspec.msgpack.decode(content, type=Opening)
+    except msgspec.MsgspecError as error:
+        raise FrameError(str(error)[:200]) from error
+
+
+class Decoder:
+    """Splits received bytes into frames."""
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[Frame]:
+        """Return the frames that are complete.
+
+        :param data: as received.
+        :raises FrameError: when the bytes are no frames.
+        """
+        self._buffer += data
+        while len(self._buffer) >= _HEADER.size:
+            kind, size = _HEADER.unpack_from(self._buffer)
+            if size > MAX_CONTENT:
+                raise FrameError(f"a frame of {size} bytes is too long")
+            end = _HEADER.size + size
+            if len(self._buffer) < end:
+                return
+            content = bytes(self._buffer[_HEADER.size : end])
+            del self._buffer[:end]
+            try:
+                yield Frame(FrameKind(kind), content)
+            except ValueError as error:
+                raise FrameError(str(error)) from error
--- /dev/null
+++ b/src/citronvalve/forward/relayserver.py
@@ -0,0 +1,285 @@
+"""Relays requests for daemons that have no links to the upstreams."""
+
+from collections.abc import Callable
+import contextlib
+
+import eventlet
+from eventlet.green import socket as green_socket
+
+from citronvalve.forward import connector as connectors
+from citronvalve.forward import directory as directories
+from citronvalve.forward import environment as environments
+from citronvalve.forward import exchangeerror
+from citronvalve.forward import relayframe
+from citronvalve.forward import transport
+from citronvalve.model import clock
+from citronvalve.model import errors
+from citronvalve.replicas import runner as runners
+
+_BACKLOG = 256
+
+_READ_SIZE = 65_536
+
+#: Relayed connections at a time.  More would take the processor time that
+#: this VM's own callers need.
+_MAX_CONNECTIONS = 128
+
+#: A connection on which nothing moves for this long is closed.
+_IDLE_TIMEOUT: clock.Ms = 30_000
+
+_Kind = relayframe.FrameKind
+_Reason = relayframe.Reason
+
+
+class RelayServer:
+    """Accepts connections of other daemons.
+
+    Each connection reaches one upstream.  The other daemon decides on the
+    request as it does on its own links; this one only checks that the
+    upstream is in service, and connects directly, so that nothing is relayed
+    twice.
+
+    :param address: host:port.
+    :param env: the daemon's environment.
+    :param directory: the upstreams.
+    :param connector: opens the connections.
+    :raises errors.SettingsError: when the address can't be bound.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        env: environments.Environment,
+        directory: directories.Directory,
+        connector: connectors.Connector,
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        self._env = env
+        self._directory = directory
+        self._connector = connector
+        self._connections: set[_Connection] = set()
+        self._task: eventlet.greenthread.GreenThread | None = None
+        try:
+            self._socket = eventlet.listen((host, int(port)), backlog=_BACKLOG)
+        except OSError as error:
+            raise errors.SettingsError(
+                str(error),
+                where=address,
+                remedy="free the address or give another one",
+            ) from error
+
+    @property
+    def address(self) -> str:
+        """Return host:port with the actual port, also if port 0 was given."""
+        host, port = self._socket.getsockname()[:2]
+        return f"{host}:{port}"
+
+    @property
+    def count(self) -> int:
+        """Return the number of requests that are being relayed."""
+        return sum(one.is_busy for one in self._connections)
+
+    def start(self) -> None:
+        """Start to accept connections."""
+        self._task = eventlet.spawn(self._accept)
+
+    def close(self) -> None:
+        """Stop accepting, and close all connections."""
+        if self._task is not None:
+            self._task.kill()
+        with contextlib.suppress(OSError):
+            self._socket.close()
+        for connection in list(self._connections):
+            connection.close()
+
+    def find_refusal(self, upstream: str) -> relayframe.Reason | None:
+        """Return why no request is relayed to an upstream, or None.
+
+        :param upstream: its id.
+        """
+        if self._env.stopping:
+            return _Reason.STOPPING
+        if self._connector.links.is_cut:
+            return _Reason.NO_LINK
+        if not self._directory.is_in_service(upstream):
+            return _Reason.NOT_IN_SERVICE
+        if self.count > _MAX_CONNECTIONS:
+            return _Reason.BUSY
+        return None
+
+    def open(
+        self, upstream: str
+    ) -> transport.SocketTransport | relayframe.Reason:
+        """Connect to an upstream, or return why that is impossible.
+
+        :param upstream: its id.
+        """
+        runner = self._directory.runner_by_id[upstream]
+        try:
+            return self._connector.open_direct(connectors.target_of(runner))
+        except exchangeerror.ExchangeError:
+            return self._find_cause(runner)
+
+    def _find_cause(self, failed: runners.Runner) -> relayframe.Reason:
+        """Return whether an upstream or this VM's link to it is lost.
+
+        :param failed: the upstream; another one of its data centre shows it.
+        """
+        other = self._directory.sample(
+            self._env.rng,
+            lambda runner: (
+                runner.id != failed.id
+                and runner.datacentre == failed.datacentre
+            ),
+        )
+        if other is None:
+            return _Reason.NO_LINK
+        try:
+            self._connector.open_direct(connectors.target_of(other)).close()
+        except exchangeerror.ExchangeError:
+            return _Reason.NO_LINK
+        return _Reason.UPSTREAM_DOWN
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._socket.accept()
+            except OSError as error:
+                self._env.log.change("not accepted", why=str(error))
+                eventlet.sleep(0.05)
+                continue
+            eventlet.spawn(self._serve, sock)
+
+    def _serve(self, sock: green_socket.socket) -> None:
+        connection = _Connection(self, self._env, transport.prepare(sock))
+        self._connections.add(connection)
+        try:
+            connection.run()
+        finally:
+            self._connections.discard(connection)
+            connection.close()
+
+
+class _Connection:
+    """One relayed connection.
+
+    :param server: decides what is relayed.
+    :param env: the daemon's environment.
+    :param near: connected to the other daemon.
+    """
+
+    def __init__(
+        self,
+        server: RelayServer,
+        env: environments.Environment,
+        near: transport.SocketTransport,
+    ) -> None:
+        self._server = server
+        self._env = env
+        self._near = near
+        self._far: transport.SocketTransport | None = None
+        self._pump: eventlet.greenthread.GreenThread | None = None
+        self._opening: relayframe.Opening | None = None
+        self._began_at: clock.Ms = 0
+        self._moved_at: clock.Ms = 0
+        self._bytes_back = 0
+        self._act_by_kind: dict[_Kind, Callable[[bytes], bool]] = {
+            _Kind.OPEN: self._open,
+            _Kind.DATA: self._send,
+            _Kind.DONE: self._done,
+        }
+
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request was announced that has not ended."""
+        return self._opening is not None
+
+    def run(self) -> None:
+        """Relay until one side closes."""
+        decoder = relayframe.Decoder()
+        try:
+            while data := self._receive():
+                for frame in decoder.feed(data):
+                    if not self._act_by_kind[frame.kind](frame.content):
+                        return
+        except (OSError, KeyError, relayframe.FrameError) as error:
+            self._end(f"{type(error).__name__}: {error}")
+        else:
+            self._end("the other daemon closed")
+
+    def close(self) -> None:
+        """Close both sides; the upstream ends what it runs."""
+        self._end("closed")
+        self._near.close()
+        if self._far is not None:
+            self._far.close()
+        if self._pump is not None:
+            self._pump.kill()
+
+    def _receive(self) -> bytes:
+        while True:
+            try:
+                return self._near.receive(_READ_SIZE, _IDLE_TIMEOUT)
+            except TimeoutError:
+                if self._env.clock.now() - self._moved_at >= _IDLE_TIMEOUT:
+                    return b""
+
+    def _open(self, content: bytes) -> bool:
+        opening = relayframe.decode_opening(content)
+        self._end("the next request follows")
+        refused = self._server.find_refusal(opening.upstream)
+        self._opening = opening
+        self._began_at = self._moved_at = self._env.clock.now()
+        self._bytes_back = 0
+        if refused is None and self._far is None:
+            opened = self._server.open(opening.upstream)
+            if isinstance(opened, relayframe.Reason):
+                refused = opened
+            else:
+                self._far = opened
+                self._pump = eventlet.spawn(self._pass_back)
+        if refused is not None:
+            self._near.send(
+                relayframe.encode(_Kind.REFUSED, refused.value.encode())
+            )
+            self._end(f"refused: {refused}")
+            return False
+        self._near.send(relayframe.encode(_Kind.OPENED))
+        return True
+
+    def _done(self, _: bytes) -> bool:
+        self._end("done")
+        return True
+
+    def _send(self, content: bytes) -> bool:
+        if self._far is None:
+            raise relayframe.FrameError("data before a request")
+        self._moved_at = self._env.clock.now()
+        self._far.send(content)
+        return True
+
+    def _pass_back(self) -> None:
+        try:
+            while data := self._far.receive(_READ_SIZE, None):
+                self._moved_at = self._env.clock.now()
+                self._bytes_back += len(data)
+                self._near.send(relayframe.encode(_Kind.DATA, data))
+            self._near.send(relayframe.encode(_Kind.END))
+        except OSError:
+            with contextlib.suppress(OSError):
+                self._near.send(relayframe.encode(_Kind.BROKEN))
+        self._end("the upstream closed")
+
+    def _end(self, why: str) -> None:
+        opening, self._opening = self._opening, None
+        if opening is None:
+            return
+        self._env.log.note(
+            "relayed",
+            opening.request,
+            daemon=opening.daemon,
+            upstream=opening.upstream,
+            bytes_back=self._bytes_back,
+            took_ms=self._env.clock.now() - self._began_at,
+            why=why,
+        )
--- a/src/citronvalve/forward/responsereader.py
+++ b/src/citronvalve/forward/responsereader.py
@@ -40,6 +40,9 @@
 #: is taken to hang; a retryable request is then sent to another.
 _PLAIN_STALL_FACTOR = 2.5
 
+#: A plain upstream that is silent for this long may be behind a lost link.
+_PLAIN_DOUBT_TIME: clock.Ms = 450
+
 _Failure = exchangeerror.ExchangeFailure
 
 
@@ -110,7 +113,10 @@
                     raise
                 waited += self._count_silence(self._clock.now() - started_at)
                 # Checked at each poll: a replica may open in between.
-                if self._is_given_up(waited, timeout) and self._can_switch():
+                is_given_up = self._is_given_up(waited, timeout) or (
+                    not connection.relay and self._is_link_lost(waited)
+                )
+                if is_given_up and self._can_switch():
                     raise
 
     def _count_silence(self, elapsed: clock.Ms) -> clock.Ms:
@@ -119,6 +125,15 @@
             self._stall_detector.record_pause(elapsed)
         return min(elapsed, _MAX_POLL_TIME)
 
+    def _is_link_lost(self, waited: clock.Ms) -> bool:
+        """Return whether a plain upstream is silent by a lost link."""
+        is_plain = self._routed.service.engine is None
+        return (
+            is_plain
+            and waited >= _PLAIN_DOUBT_TIME
+            and self._stall_detector.is_link_lost(self._chosen.upstream)
+        )
+
     def _is_given_up(self, waited: clock.Ms, timeout: clock.Ms) -> bool:
         if self._routed.service.engine is None:
             return waited >= timeout
--- a/src/citronvalve/forward/stalldetector.py
+++ b/src/citronvalve/forward/stalldetector.py
@@ -25,6 +25,9 @@
     :param env: the daemon's environment.
     :param loads: the upstreams' loads.
     :ivar on_stall: called with the id of an upstream found stalled.
+    :ivar is_lost: returns whether this VM has lost its link to an upstream,
+        whose silence then says nothing about it.
+    :ivar is_doubted: returns whether that is being checked.
     """
 
     def __init__(
@@ -34,6 +37,8 @@
         self._loads = loads
         self._stalled: set[str] = set()
         self.on_stall: Callable[[str], None] = lambda _: None
+        self.is_lost: Callable[[str], bool] = lambda _: False
+        self.is_doubted: Callable[[str], bool] = lambda _: False
         self._last_pause_at: clock.Ms | None = None
 
     def record_activity(self, upstream: str) -> None:
@@ -60,20 +65,37 @@
         self._stalled.discard(upstream)
         return False
 
-    def record_silence(self, upstream: str) -> bool:
+    def record_silence(self, upstream: str, checked: bool = False) -> bool:
         """Record a silence; return whether the whole upstream is silent.
 
         :param upstream: its id.
+        :param checked: whether the link is known to be not at fault.
         """
         now = self._env.clock.now()
         load = self._loads.of(upstream)
         if now - load.last_heard_at < _ACTIVITY_WINDOW:
             return False
+        if not checked and self.is_lost(upstream):
+            return True
         if upstream not in self._stalled:
+            if not checked and self.is_doubted(upstream):
+                return False
             self._mark_stalled(upstream, now, is_own=True)
             self.on_stall(upstream)
         return True
 
+    def is_link_lost(self, upstream: str) -> bool:
+        """Return whether the link to a silent upstream is lost.
+
+        A link in doubt is checked; a later call has the result.
+
+        :param upstream: its id.
+        """
+        if self.is_lost(upstream):
+            return True
+        self.is_doubted(upstream)
+        return False
+
     def record_remote_stall(self, upstream: str) -> None:
         """Record a stall that another daemon has found.
 
--- /dev/null
+++ b/src/citronvalve/forward/transport.py
@@ -0,0 +1,112 @@
+"""The way on which the bytes of an exchange travel."""
+
+import abc
+import contextlib
+import socket
+
+from eventlet.green import socket as green_socket
+
+from citronvalve.forward import receiving
+from citronvalve.model import clock
+
+_TCP_USER_TIMEOUT: clock.Ms = 10_000
+
+
+class Transport(abc.ABC):
+    """A stream of bytes to an upstream and back.
+
+    :ivar relay: name of the daemon that relays it, empty if it is direct.
+    """
+
+    relay = ""
+
+    def begin(self, request_id: str) -> None:
+        """Announce the next request on an open transport.
+
+        :param request_id: its id.
+        :raises OSError: when the transport is closed.
+        """
+
+    def end_request(self) -> None:
+        """Announce that the request has ended and the transport is kept.
+
+        :raises OSError: when the transport is closed.
+        """
+
+    @abc.abstractmethod
+    def send(self, data: bytes) -> None:
+        """Send all bytes.
+
+        :param data: the bytes.
+        :raises OSError: when the transport is closed.
+        """
+
+    @abc.abstractmethod
+    def receive(self, max_bytes: int, timeout: clock.Ms | None) -> bytes:
+        """Return the next bytes, or none when the upstream has closed.
+
+        :param max_bytes: most bytes to return.
+        :param timeout: ms to wait, or None.
+        :raises TimeoutError: when nothing arrived in time.
+        :raises OSError: when the upstream or the way to it broke.
+        """
+
+    @abc.abstractmethod
+    def is_idle(self) -> bool:
+        """Return whether it is open with nothing to read."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Close it."""
+
+
+class SocketTransport(Transport):
+    """A direct connection.
+
+    :param sock: a connected green socket.
+    """
+
+    def __init__(self, sock: green_socket.socket) -> None:
+        self._sock = sock
+
+    def send(self, data: bytes) -> None:
+        self._sock.settimeout(None)
+        self._sock.sendall(data)
+
+    def receive(self, max_bytes: int, timeout: clock.Ms | None) -> bytes:
+        return receiving.receive(self._sock, max_bytes, timeout)
+
+    def is_idle(self) -> bool:
+        return is_quiet(self._sock)
+
+    def close(self) -> None:
+        with contextlib.suppress(OSError):
+            self._sock.close()
+
+
+def prepare(sock: green_socket.socket) -> SocketTransport:
+    """Return the transport of a connected socket.
+
+    :param sock: a green socket.
+    """
+    # A peer that has closed already may refuse options; reading shows it.
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT
+        )
+    return SocketTransport(sock)
+
+
+def is_quiet(sock: green_socket.socket) -> bool:
+    """Return whether a socket is open with nothing to read.
+
+    :param sock: a green socket.
+    """
+    try:
+        sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
--- a/src/citronvalve/forward/upstreamconnection.py
+++ b/src/citronvalve/forward/upstreamconnection.py
@@ -1,14 +1,14 @@
 """One connection to an upstream, for one exchange at a time."""
 
 import contextlib
-import socket
 
 import eventlet
 import h11
 
 from citronvalve.forward import exchangeerror
 from citronvalve.forward import headers
-from citronvalve.forward import receiving
+from citronvalve.forward import relaytransport
+from citronvalve.forward import transport as transports
 from citronvalve.model import clock
 
 _READ_SIZE = 65_536
@@ -22,16 +22,18 @@
 
 
 class UpstreamConnection:
-    """An h11 client on one socket.
+    """An h11 client on one transport.
 
-    :param sock: a connected socket.
+    :param transport: connected to the upstream.
     :param time_source: the clock.
     :ivar reusable_until: monotonic ms until which it may be reused.
     :ivar used: whether an exchange on it has completed.
     """
 
-    def __init__(self, sock: socket.socket, time_source: clock.Clock) -> None:
-        self._sock = sock
+    def __init__(
+        self, transport: transports.Transport, time_source: clock.Clock
+    ) -> None:
+        self._transport = transport
         self._clock = time_source
         self._parser = h11.Connection(h11.CLIENT)
         self._method = b"GET"
@@ -39,6 +41,22 @@
         self.reusable_until: clock.Ms = 0
         self.used = False
 
+    @property
+    def relay(self) -> str:
+        """Return the name of the daemon that relays, empty if direct."""
+        return self._transport.relay
+
+    def begin(self, request_id: str) -> bool:
+        """Announce the next request; return False if it must be closed.
+
+        :param request_id: the request's id.
+        """
+        try:
+            self._transport.begin(request_id)
+        except OSError:
+            return False
+        return True
+
     def send(
         self,
         method: bytes,
@@ -120,6 +138,14 @@
         if trailing:
             self._parser.receive_data(trailing)
 
+    def end_request(self) -> bool:
+        """Announce the end of a request; return False if it must be closed."""
+        try:
+            self._transport.end_request()
+        except OSError:
+            return False
+        return True
+
     def prepare_reuse(self) -> bool:
         """Reset for the next request; return False if it must be closed."""
         sent = self._sender is None or self._sender.dead
@@ -130,6 +156,8 @@
             return False
         if parser.their_state is not h11.DONE:
             return False
+        if not self.end_request():
+            return False
         parser.start_next_cycle()
         self._sender = None
         self.used = True
@@ -140,25 +168,17 @@
 
         Data that arrives between two exchanges belongs to no request.
         """
-        try:
-            self._sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        return self._transport.is_idle()
 
     def close(self) -> None:
         """Close it; the upstream cancels the request that it was running."""
         if self._sender is not None:
             self._sender.kill()
-        with contextlib.suppress(OSError):
-            self._sock.close()
+        self._transport.close()
 
     def _send(self, data: bytes) -> None:
         try:
-            self._sock.settimeout(None)
-            self._sock.sendall(data)
+            self._transport.send(data)
         except OSError as error:
             raise exchangeerror.ExchangeError(
                 _Failure.BROKEN, str(error)
@@ -176,11 +196,15 @@
                 _Failure.SILENT, "no data arrived in time"
             )
         try:
-            return receiving.receive(self._sock, _READ_SIZE, remaining)
+            return self._transport.receive(_READ_SIZE, remaining)
         except TimeoutError as error:
             raise exchangeerror.ExchangeError(
                 _Failure.SILENT, "no data arrived in time"
             ) from error
+        except relaytransport.RelayRefusedError as error:
+            raise exchangeerror.ExchangeError(
+                _Failure.NO_LINK, str(error)
+            ) from error
         except OSError as error:
             raise exchangeerror.ExchangeError(
                 _Failure.BROKEN, str(error)
--- a/src/citronvalve/peers/messages.py
+++ b/src/citronvalve/peers/messages.py
@@ -13,17 +13,25 @@
 
 
 class Hello(msgspec.Struct, tag="hello", array_like=True, frozen=True):
-    """The sender has started and listens at ``address``."""
+    """The sender has started and listens at ``address``.
+
+    It relays requests at ``relay``; an older release does not.
+    """
 
     name: str
     address: str
     datacentre: str
+    relay: str = ""
 
 
 class Members(msgspec.Struct, tag="members", array_like=True, frozen=True):
-    """All daemons that the leader knows: address and data centre by name."""
+    """All daemons that the leader knows: address and data centre by name.
+
+    ``relay_by_name`` are the addresses at which they relay requests.
+    """
 
     by_name: dict[str, tuple[str, str]]
+    relay_by_name: dict[str, str] = {}
 
 
 class Heartbeat(msgspec.Struct, tag="beat", array_like=True, frozen=True):
@@ -73,6 +81,7 @@
     table: str
     address: str = ""
     datacentre: str = ""
+    relay: str = ""
 
 
 class TableRows(msgspec.Struct, tag="rows", array_like=True, frozen=True):
--- a/src/citronvalve/replicas/lease.py
+++ b/src/citronvalve/replicas/lease.py
@@ -63,10 +63,14 @@
 
 
 class Peer(NamedTuple):
-    """A daemon's address, as ``host:port``, and its data centre."""
+    """A daemon's address, as ``host:port``, and its data centre.
+
+    ``relay`` is the address at which it relays requests, empty if it doesn't.
+    """
 
     address: str
     datacentre: str
+    relay: str = ""
 
 
 class Lease:
@@ -89,6 +93,7 @@
     :ivar has_majority: returns whether most daemons were heard recently.
     :ivar renewed_at: ms of the last write of the lease, including
         suspensions, or None.
+    :ivar own_peer: the same as the parameter.
     :ivar peer_by_name: addresses of all daemons, including this one.
     """
 
@@ -108,7 +113,7 @@
         self._row_changed_at: clock.Ms = 0
         self._write_count = 0
         self._registered = False
-        self._own_peer = own_peer
+        self.own_peer = own_peer
         self._leader_heard_at: clock.Ms | None = None
         self._scanned_at: clock.Ms | None = None
         self._acquired_at: clock.Ms | None = None
@@ -313,7 +318,7 @@
             own = row_by_key.get(f"{_DAEMON_PREFIX}{self._name}")
             # A restarted daemon mostly has the address that it had.
             self._registered = (
-                own is not None and own.value == self._own_peer._asdict()
+                own is not None and own.value == self.own_peer._asdict()
             )
         if not self._registered:
             self._register()
@@ -327,14 +332,18 @@
         self._row = row
 
     def _record_peer(self, name: str, row: rows.Row) -> None:
-        peer = row.value.get("address"), row.value.get("datacentre")
+        peer = (
+            row.value.get("address"),
+            row.value.get("datacentre"),
+            row.value.get("relay", ""),
+        )
         # The row of this daemon may be from an earlier start.
         if name != self._name and all(isinstance(p, str) for p in peer):
             self.peer_by_name[name] = Peer(*peer)
 
     def _register(self) -> None:
         key = f"{_DAEMON_PREFIX}{self._name}"
-        write = rows.Write(TABLE, key, self._own_peer._asdict())
+        write = rows.Write(TABLE, key, self.own_peer._asdict())
         done = self._service.commit(rows.Transaction(key, (), (write,)))
         self._registered = isinstance(done, rows.Committed)
 
--- a/standins/scriptedrunner.py
+++ b/standins/scriptedrunner.py
@@ -230,6 +230,19 @@
         sock.sendall(self._head(fields, extra="Connection: close\r\n") + body)
         return False
 
+    def _pauses_unframed(self, sock, fields) -> bool:
+        self.runs += 1
+        head = self._head(fields, extra="Connection: close\r\n")
+        sock.sendall(head + b"answer of")
+        eventlet.sleep(_PAUSE)
+        sock.sendall(b" " + self._name.encode())
+        return False
+
+    def _closes_late(self, sock, fields) -> bool:
+        self.runs += 1
+        eventlet.sleep(_PAUSE)
+        return False
+
     def _crashes_unframed(self, sock, fields) -> bool:
         self.runs += 1
         self.close()
--- a/standins/soak/daemon.py
+++ b/standins/soak/daemon.py
@@ -44,6 +44,7 @@
         self.front = process.free_address()
         self.ready = process.free_address()
         self.peers = process.free_address()
+        self._relay = process.free_address()
         self.link = relays.Relay(store)
         self._folder = folder
         self._settings = folder / f"{name}.json"
@@ -73,13 +74,16 @@
 
     def write(self) -> None:
         """Write the settings file as it is to be now."""
-        port = int(self.peers.rpartition(":")[2])
+        ports = [
+            int(address.rpartition(":")[2])
+            for address in (self.peers, self._relay)
+        ]
         value = {
             "NodeName": self.name,
             "Zone": self.zone,
             "Ip": _HOST,
             "Listen": {"Front": self.front, "Ready": self.ready},
-            "InternalPorts": [port, port],
+            "InternalPorts": ports,
             "Bootstrap": self._first,
             "Bounds": {
                 "RetryBudgetSlack": self.slack,
--- a/standins/soak/links.py
+++ b/standins/soak/links.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Iterable
 import enum
-import socket
 
 import eventlet
 
+from standins import hangingport
 from standins import process
 from standins.soak import daemon as daemons
 from standins.soak import runner as runners
@@ -25,9 +25,6 @@
 #: Seconds after which the promises about cut daemons hold.
 SETTLED = 3.0
 
-#: Connections that fill the queue of a port that nobody accepts from.
-_FILLING = 4
-
 
 class Links:
     """The links of all daemons to all runners.
@@ -38,15 +35,7 @@
     def __init__(self, all_runners: Iterable[runners.Runner]) -> None:
         self._runners = list(all_runners)
         self._refusing = process.free_address()
-        self._held = [socket.socket()]
-        self._held[0].bind(("127.0.0.1", 0))
-        self._held[0].listen(0)
-        self._hanging = "%s:%d" % self._held[0].getsockname()
-        for _ in range(_FILLING):
-            filler = socket.socket()
-            filler.setblocking(False)
-            filler.connect_ex(self._held[0].getsockname())
-            self._held.append(filler)
+        self._hanging = hangingport.HangingPort()
 
     def cut(self, daemon: daemons.Daemon, how: Cut) -> None:
         """Cut a daemon off from all runners.
@@ -56,7 +45,9 @@
         """
         hangs = how is Cut.HANGS
         targets = [runner.relay.address for runner in self._runners]
-        daemon.lead(targets, self._hanging if hangs else self._refusing)
+        daemon.lead(
+            targets, self._hanging.address if hangs else self._refusing
+        )
         for runner in self._runners:
             if hangs:
                 runner.relay.hold(daemon.source)
--- a/tests/adapter/steps/program_steps.py
+++ b/tests/adapter/steps/program_steps.py
@@ -262,6 +262,7 @@
 #: Counters and histograms that are served only after their first observation.
 _EXPOSED_ON_USE = {
     "citronvalve_forward_openings_total",
+    "citronvalve_forward_relayings_total",
     "citronvalve_forward_malformed_total",
     "citronvalve_forward_orders_total",
     "citronvalve_forward_event_gap_seconds",
--- a/tests/forward/rig.py
+++ b/tests/forward/rig.py
@@ -5,17 +5,20 @@
 from citronvalve.forward import acceptor
 from citronvalve.forward import admission
 from citronvalve.forward import connectionpool
+from citronvalve.forward import connector
 from citronvalve.forward import crashdetector
 from citronvalve.forward import dependencies
 from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
 from citronvalve.forward import forwarder
 from citronvalve.forward import headernames
+from citronvalve.forward import linkchecker
 from citronvalve.forward import placement
 from citronvalve.forward import retrybudgets
 from citronvalve.forward import stalldetector
 from citronvalve.model import clock
 from citronvalve.model import decisionlog
+from citronvalve.policy import links
 from citronvalve.policy import retrybudget
 from citronvalve.policy import upstreamchoice
 from citronvalve.replicas import membership
@@ -47,13 +50,24 @@
         self.lines.append((event, inputs))
 
 
+class CuttableConnector(connector.Connector):
+    """Opens no connection while ``refuses`` is set."""
+
+    refuses = False
+
+    def _connect(self, sock, target, timeout):
+        if self.refuses:
+            raise ConnectionRefusedError("the links are cut")
+        super()._connect(sock, target, timeout)
+
+
 class Rig:
     """A daemon with routes /once/, /any/ and /stream/ of host h.example."""
 
-    def __init__(self, scripts, timeout=2_000, attempts=2):
+    def __init__(self, scripts, timeout=2_000, attempts=2, name="daemon-1"):
         self.log = RecordingLog()
         self.env = environments.Environment(
-            "daemon-1",
+            name,
             "zone-0",
             clock.SystemClock(),
             random.Random(7),
@@ -70,12 +84,20 @@
         self.loads = loads = upstreamchoice.LoadTable()
         limits = retrybudget.RetryLimits(0.2, 100, 10_000)
         self.stall_detector = stalldetector.StallDetector(self.env, loads)
-        pool = connectionpool.ConnectionPool(self.env.clock)
+        self.connector = CuttableConnector(self.env, links.Links())
+        pool = connectionpool.ConnectionPool(self.env.clock, self.connector)
+        self.link_checker = linkchecker.LinkChecker(
+            self.env, self.directory, self.connector, pool
+        )
+        self.connector.on_lost = self.link_checker.confirm
+        self.stall_detector.is_lost = self.link_checker.is_lost
+        self.stall_detector.is_doubted = self.link_checker.is_doubted
         self.retry_budgets = retrybudgets.RetryBudgets(self.env, limits)
         deps = dependencies.Dependencies(
             self.env,
             self.directory,
             loads,
+            self.connector,
             pool,
             placement.Placement(
                 self.env, self.directory, loads, placement.ColdLimits()
@@ -84,6 +106,7 @@
             self.stall_detector,
             crashdetector.CrashDetector(self.env, pool),
         )
+        self.crash_detector = deps.crash_detector
         self.forwarder = forwarder.Forwarder(
             deps, admission.Admission(self.env, self.directory)
         )
--- a/tests/forward/steps/waiting_steps.py
+++ b/tests/forward/steps/waiting_steps.py
@@ -43,6 +43,8 @@
     ``pauses`` are the ms by which the first reads are delayed.
     """
 
+    relay = ""
+
     def __init__(self, time, sends_at, pauses):
         self._clock = time
         self._sends_at = sends_at
