Keep what a daemon does about its links in one task

The wiring of links, relays and the lead was spread over entrydaemon.py; it is daemon/linktask.py now. A caller that leaves while a relay is asked closes that connection at once. Long bodies are split into frames in one pass.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -13,6 +13,7 @@
 from citronvalve.daemon import decisionwriter
 from citronvalve.daemon import entrysettings
 from citronvalve.daemon import health
+from citronvalve.daemon import linktask
 from citronvalve.daemon import listener
 from citronvalve.daemon import messagetask
 from citronvalve.daemon import plannertask
@@ -20,22 +21,16 @@
 from citronvalve.daemon import runnerlistener
 from citronvalve.forward import acceptor
 from citronvalve.forward import admission
-from citronvalve.forward import connectionpool
-from citronvalve.forward import connector
 from citronvalve.forward import crashdetector
 from citronvalve.forward import dependencies
 from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
 from citronvalve.forward import forwarder
-from citronvalve.forward import linkchecker
 from citronvalve.forward import placement
-from citronvalve.forward import relayserver
 from citronvalve.forward import retrybudgets
 from citronvalve.forward import stalldetector
 from citronvalve.model import clock
 from citronvalve.model import errors
-from citronvalve.policy import links
-from citronvalve.policy import relaychoice
 from citronvalve.policy import upstreamchoice
 from citronvalve.replicas import lease
 from citronvalve.replicas import leaverecord
@@ -111,34 +106,24 @@
         eventlet.spawn(self._clean_up)
         self._operator_listener.start()
         self._acceptor.start()
-        self._link_checker.start()
-        if self._relay_server is not None:
-            self._relay_server.start()
+        self._links.start()
         self._stop.wait()
         self._drain()
 
     def _make_forwarding(self) -> None:
         env, settings = self.env, self._settings
         self._stall_detector = stalldetector.StallDetector(env, self._loads)
-        self._connector = connector.Connector(env, links.Links())
-        self._connector.on_opening = env.metrics.record_opening
-        self._connector.on_relaying = env.metrics.record_relaying
-        self._connector.relays = self._relays
-        self._connector.datacentre_count = self.directory.datacentre_count
-        pool = connectionpool.ConnectionPool(env.clock, self._connector)
-        self._link_checker = linkchecker.LinkChecker(
-            env, self.directory, self._connector, pool
+        self._links = linktask.LinkTask(
+            env, settings, self.directory, self._loads
         )
-        self._connector.on_lost = self._link_checker.confirm
-        self._connector.on_cut = self._on_links_cut
-        self._stall_detector.is_lost = self._link_checker.is_lost
-        self._stall_detector.is_doubted = self._link_checker.is_doubted
+        self._links.attach(self._stall_detector)
+        pool = self._links.pool
         self._crash_detector = crashdetector.CrashDetector(env, pool)
         self._dependencies = dependencies.Dependencies(
             env,
             self.directory,
             self._loads,
-            self._connector,
+            self._links.connector,
             pool,
             placement.Placement(
                 env, self.directory, self._loads, settings.cold
@@ -162,6 +147,7 @@
             env.clock,
             env.log,
         )
+        self._links.lease = self._lease
         self._messages = messagetask.MessageTask(
             env, self._settings.peers, self._lease, self._loads
         )
@@ -188,45 +174,14 @@
         )
         self._stall_detector.on_stall = self._messages.broadcast_stall
 
-    def _relays(self) -> list[relaychoice.Relay]:
-        """Return the other daemons that may relay requests."""
-        region = self._settings.region
-        return [
-            relaychoice.Relay(name, peer.relay, peer.datacentre)
-            for name, peer in self._lease.peer_by_name.items()
-            if peer.relay
-            and name != self.env.name
-            and (not region or peer.datacentre in region)
-        ]
-
-    def _on_links_cut(self) -> None:
-        # What failed until now may have failed by the links.
-        for load in self._loads.load_by_upstream.values():
-            load.reset_failures()
-
     def _lead_rank(self) -> int:
-        """Return this daemon's place among the candidates for the lead.
-
-        One that reaches no upstream can't give orders; it comes last.
-        """
-        rank = self._messages.lead_rank()
-        if self._connector.links.is_cut:
-            rank += self._lease.daemon_count
-        return rank
+        return self._links.lead_rank(self._messages.lead_rank())
 
     def _on_stall(self, upstream: str) -> None:
         self._stall_detector.record_remote_stall(upstream)
         self._planner_task.suspect_group(upstream)
 
     def _make_listeners(self) -> None:
-        self._relay_server: relayserver.RelayServer | None = None
-        if self._settings.relay:
-            self._relay_server = relayserver.RelayServer(
-                self._settings.relay,
-                self.env,
-                self.directory,
-                self._connector,
-            )
         self._acceptor = acceptor.Acceptor(
             self._settings.callers,
             self.env,
@@ -300,17 +255,10 @@
         while True:
             if not self.env.stopping:
                 self._lease.step()
-                self._resign_if_cut()
+                self._links.resign_if_cut()
                 self.env.daemon_count = self._lease.daemon_count
             eventlet.sleep(lease.RENEW_INTERVAL / clock.SECOND)
 
-    def _resign_if_cut(self) -> None:
-        """Leave the lead to a daemon that can give orders."""
-        if not self._lease.held or not self._connector.links.is_cut:
-            return
-        if self._connector.is_relaying_proven():
-            self._lease.resign()
-
     def _clean_up(self) -> None:
         while True:
             listed = set(self.directory.runner_by_id)
@@ -326,9 +274,7 @@
         age = (now - self.directory.confirmed_at) / clock.SECOND
         set_gauge("in_progress", "Requests now.", self._forwarder.in_progress)
         set_gauge("connections", "Callers' connections.", self._acceptor.count)
-        is_cut = float(self._connector.links.is_cut)
-        set_gauge("links_cut", "Whether it reaches no upstream.", is_cut)
-        set_gauge("relaying", "Requests for other daemons.", self._relaying())
+        self._links.set_gauges(set_gauge)
         set_gauge("log_lines_dropped", "Lines dropped.", self._log.dropped)
         set_gauge(
             "leading", "Whether it leads.", float(bool(self._lease.held))
@@ -342,9 +288,6 @@
         set_gauge("configuration_version", "Version in force.", version)
         set_gauge("configuration_age_seconds", "Since it was the newest.", age)
 
-    def _relaying(self) -> int:
-        return self._relay_server.count if self._relay_server else 0
-
     def _on_stop(self, *_: object) -> None:
         # A signal handler must not switch tasks.
         eventlet.hubs.get_hub().schedule_call_global(0, self._request_stop)
@@ -381,13 +324,12 @@
             eventlet.sleep(_DRAIN_POLL_INTERVAL / clock.SECOND)
         self._acceptor.close()
         while (
-            self._acceptor.count or self._relaying()
+            self._acceptor.count or self._links.relaying
         ) and env.clock.now() < ends_at:
             self._acceptor.close_idle()
             eventlet.sleep(_DRAIN_POLL_INTERVAL / clock.SECOND)
         env.log.change("stopped", left=self._forwarder.in_progress)
-        if self._relay_server is not None:
-            self._relay_server.close()
+        self._links.close()
         self._messages.close()
         self._log.flush()
 
--- a/src/citronvalve/forward/connector.py
+++ b/src/citronvalve/forward/connector.py
@@ -7,6 +7,7 @@
 
 from eventlet.green import socket as green_socket
 
+from citronvalve.forward import callergone
 from citronvalve.forward import environment as environments
 from citronvalve.forward import exchangeerror
 from citronvalve.forward import relayframe
@@ -228,13 +229,16 @@
             sock, name, opening, lambda: self._choice.record_closed(name)
         )
         try:
-            relayed.wait_opened(_RELAY_TIMEOUT)
+            relayed.wait_opened(self._env.clock, _RELAY_TIMEOUT)
         except relaytransport.RelayRefusedError as error:
             relayed.close()
             return self._note_refusal(name, opening, error.reason)
         except OSError as error:
             relayed.close()
             return self._note_failure(name, opening, repr(error))
+        except callergone.CallerGoneError:
+            relayed.close()
+            raise
         self.on_relaying("opened")
         self._choice.record_worked(name, self._env.clock.now())
         return relayed
--- a/src/citronvalve/forward/relayframe.py
+++ b/src/citronvalve/forward/relayframe.py
@@ -83,8 +83,11 @@
     """
     if len(content) <= MAX_CONTENT:
         return _HEADER.pack(kind, len(content)) + content
-    first, rest = content[:MAX_CONTENT], content[MAX_CONTENT:]
-    return encode(kind, first) + encode(kind, rest)
+    parts = (
+        content[start : start + MAX_CONTENT]
+        for start in range(0, len(content), MAX_CONTENT)
+    )
+    return b"".join(encode(kind, part) for part in parts)
 
 
 def encode_opening(opening: Opening) -> bytes:
--- a/src/citronvalve/forward/relaytransport.py
+++ b/src/citronvalve/forward/relaytransport.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 import contextlib
-import time
 
 from eventlet.green import socket as green_socket
 
@@ -66,17 +65,18 @@
     def end_request(self) -> None:
         self._write(relayframe.encode(_Kind.DONE))
 
-    def wait_opened(self, timeout: clock.Ms) -> None:
+    def wait_opened(self, time_source: clock.Clock, timeout: clock.Ms) -> None:
         """Announce the first request and wait until it can be sent.
 
+        :param time_source: the clock.
         :param timeout: ms.
         :raises RelayRefusedError: when the other daemon can't relay.
         :raises OSError: when it does not answer.
         """
         self._write(relayframe.encode_opening(self._opening))
-        end = time.monotonic() + timeout / clock.SECOND
+        end = time_source.now() + timeout
         while not self._confirmed:
-            left = round((end - time.monotonic()) * clock.SECOND)
+            left = end - time_source.now()
             if left <= 0:
                 raise TimeoutError("the relay does not answer")
             self._read(left)
--- a/tests/daemon/leading.feature
+++ b/tests/daemon/leading.feature
@@ -26,6 +26,22 @@
     And it acquires the lease
     Then within 0.5 s it has ordered the head to cut
 
+  Scenario Outline: a leader without links, and <others> for it
+    Guards against replicas that nobody repairs: a leader whose links to all
+    upstreams are lost gives orders that don't arrive. Where nobody has links,
+    a change of the leader would only cost time.
+
+    Given a daemon that follows a list of 6 free runners
+    And it acquires the lease
+    When its links are cut for <seconds> s, and <others> for it
+    Then it <leads>
+
+    Examples: cuts
+      | seconds | others          | leads                                   |
+      | 2.5     | others relay    | has resigned, and is the last candidate |
+      | 2.5     | nobody relays   | leads                                   |
+      | 0.2     | others relay    | leads                                   |
+
   Scenario: members of a lost head are recorded before they are ordered to leave
     Guards against a runner in two groups: the next leader must know who has
     left the group of a head that may still serve.
--- a/tests/daemon/steps/leading_steps.py
+++ b/tests/daemon/steps/leading_steps.py
@@ -239,6 +239,31 @@
         context.add_cleanup(eventlet.spawn(task).kill)
 
 
+@behave.when("its links are cut for {seconds:g} s, and {others} for it")
+def step_links_cut(context, seconds, others):
+    daemon = context.daemon
+    connector, now = daemon._links.connector, daemon.env.clock.now()
+    for upstream in ("r-1", "r-2"):
+        connector.links.record_lost(upstream, "zone-0", 1, now)
+    assert connector.links.is_cut
+    if others == "others relay":
+        connector._choice.record_worked("daemon-2", now)
+    eventlet.sleep(seconds)
+
+
+@behave.then("it has resigned, and is the last candidate")
+def step_resigned(context):
+    daemon = context.daemon
+    assert not daemon._lease.held
+    daemon._lease.add_peer("daemon-2", lease.Peer("addr", "zone-0"))
+    assert daemon._lead_rank() >= 2, daemon._lead_rank()
+
+
+@behave.then("it leads")
+def step_leads(context):
+    assert context.daemon._lease.held
+
+
 @behave.when("it loses the lease while orders wait")
 def step_lose(context):
     eventlet.sleep(0.5)
