Bound what a relay tries, and keep its frames whole

A daemon that finds two upstreams of a data centre unreachable says so for 200 ms without trying others: where all VMs are cut, each asks the others. Both tasks of a relayed connection write frames, one at a time now. A request for another upstream on an open relayed connection is an error. A connection that is slow to open is given up at once when another daemon does not reach the upstream either.

--- a/src/citronvalve/forward/connector.py
+++ b/src/citronvalve/forward/connector.py
@@ -155,8 +155,11 @@
             self.on_opening("unreached")
             self._record_lost(target)
             return relayed
+        # What another daemon can't reach either is not waited for.
+        is_down = relayed is _Reason.UPSTREAM_DOWN
+        rest = 1 if is_down else _CONNECT_TIMEOUT - _DOUBT_TIME
         try:
-            self._connect(sock, target, _CONNECT_TIMEOUT - _DOUBT_TIME)
+            self._connect(sock, target, rest)
         except OSError as error:
             sock.close()
             is_certain = relayed is not _Reason.NO_LINK
--- a/src/citronvalve/forward/relayserver.py
+++ b/src/citronvalve/forward/relayserver.py
@@ -5,6 +5,7 @@
 
 import eventlet
 from eventlet.green import socket as green_socket
+import eventlet.semaphore
 
 from citronvalve.forward import connector as connectors
 from citronvalve.forward import directory as directories
@@ -27,6 +28,10 @@
 #: A connection on which nothing moves for this long is closed.
 _IDLE_TIMEOUT: clock.Ms = 30_000
 
+#: Two upstreams of a data centre that can't be connected to answer for the
+#: others there for this time.
+_CUT_VALID: clock.Ms = 200
+
 _Kind = relayframe.FrameKind
 _Reason = relayframe.Reason
 
@@ -58,6 +63,7 @@
         self._directory = directory
         self._connector = connector
         self._connections: set[_Connection] = set()
+        self._cut_until_by_datacentre: dict[str, clock.Ms] = {}
         self._task: eventlet.greenthread.GreenThread | None = None
         try:
             self._socket = eventlet.listen((host, int(port)), backlog=_BACKLOG)
@@ -103,6 +109,10 @@
             return _Reason.NO_LINK
         if not self._directory.is_in_service(upstream):
             return _Reason.NOT_IN_SERVICE
+        datacentre = self._directory.runner_by_id[upstream].datacentre
+        cut_until = self._cut_until_by_datacentre.get(datacentre, 0)
+        if self._env.clock.now() < cut_until:
+            return _Reason.NO_LINK
         if self.count > _MAX_CONNECTIONS:
             return _Reason.BUSY
         return None
@@ -137,6 +147,8 @@
         try:
             self._connector.open_direct(connectors.target_of(other)).close()
         except exchangeerror.ExchangeError:
+            until = self._env.clock.now() + _CUT_VALID
+            self._cut_until_by_datacentre[failed.datacentre] = until
             return _Reason.NO_LINK
         return _Reason.UPSTREAM_DOWN
 
@@ -179,6 +191,8 @@
         self._near = near
         self._far: transport.SocketTransport | None = None
         self._pump: eventlet.greenthread.GreenThread | None = None
+        self._upstream = ""
+        self._write_lock = eventlet.semaphore.Semaphore()
         self._opening: relayframe.Opening | None = None
         self._began_at: clock.Ms = 0
         self._moved_at: clock.Ms = 0
@@ -231,7 +245,10 @@
         self._opening = opening
         self._began_at = self._moved_at = self._env.clock.now()
         self._bytes_back = 0
+        if self._far is not None and opening.upstream != self._upstream:
+            raise relayframe.FrameError("a request for another upstream")
         if refused is None and self._far is None:
+            self._upstream = opening.upstream
             opened = self._server.open(opening.upstream)
             if isinstance(opened, relayframe.Reason):
                 refused = opened
@@ -239,14 +256,17 @@
                 self._far = opened
                 self._pump = eventlet.spawn(self._pass_back)
         if refused is not None:
-            self._near.send(
-                relayframe.encode(_Kind.REFUSED, refused.value.encode())
-            )
+            self._write(_Kind.REFUSED, refused.value.encode())
             self._end(f"refused: {refused}")
             return False
-        self._near.send(relayframe.encode(_Kind.OPENED))
+        self._write(_Kind.OPENED)
         return True
 
+    def _write(self, kind: relayframe.FrameKind, content: bytes = b"") -> None:
+        # Both tasks of the connection write frames.
+        with self._write_lock:
+            self._near.send(relayframe.encode(kind, content))
+
     def _done(self, _: bytes) -> bool:
         self._end("done")
         return True
@@ -263,11 +283,11 @@
             while data := self._far.receive(_READ_SIZE, None):
                 self._moved_at = self._env.clock.now()
                 self._bytes_back += len(data)
-                self._near.send(relayframe.encode(_Kind.DATA, data))
-            self._near.send(relayframe.encode(_Kind.END))
+                self._write(_Kind.DATA, data)
+            self._write(_Kind.END)
         except OSError:
             with contextlib.suppress(OSError):
-                self._near.send(relayframe.encode(_Kind.BROKEN))
+                self._write(_Kind.BROKEN)
         self._end("the upstream closed")
 
     def _end(self, why: str) -> None:
