--- a/src/citronvalve/daemon/linktask.py
+++ b/src/citronvalve/daemon/linktask.py
@@ -113,7 +113,8 @@
         links = self.connector.links
         if self.lease is None or not self.lease.held or not links.is_cut:
             return
-        is_lasting = self._env.clock.now() - links.changed_at >= _RESIGN_DELAY
+        cut_for = self._env.clock.now() - (links.changed_at or 0)
+        is_lasting = cut_for >= _RESIGN_DELAY
         if is_lasting and self.connector.is_relaying_proven():
             self.lease.resign()
 
--- a/src/citronvalve/forward/connector.py
+++ b/src/citronvalve/forward/connector.py
@@ -225,7 +225,8 @@
             sock.connect(_split(relay.address))
         except OSError as error:
             sock.close()
-            return self._note_failure(name, opening, repr(error))
+            self._note_failure(name, opening, repr(error))
+            return None
         self._choice.record_open(name)
         transport.prepare(sock)
         relayed = relaytransport.RelayTransport(
@@ -238,7 +239,8 @@
             return self._note_refusal(name, opening, error.reason)
         except OSError as error:
             relayed.close()
-            return self._note_failure(name, opening, repr(error))
+            self._note_failure(name, opening, repr(error))
+            return None
         except callergone.CallerGoneError:
             relayed.close()
             raise
--- a/src/citronvalve/forward/relayserver.py
+++ b/src/citronvalve/forward/relayserver.py
@@ -254,7 +254,7 @@
                 refused = opened
             else:
                 self._far = opened
-                self._pump = eventlet.spawn(self._pass_back)
+                self._pump = eventlet.spawn(self._pass_back, opened)
         if refused is not None:
             self._write(_Kind.REFUSED, refused.value.encode())
             self._end(f"refused: {refused}")
@@ -278,9 +278,9 @@
         self._far.send(content)
         return True
 
-    def _pass_back(self) -> None:
+    def _pass_back(self, far: transport.SocketTransport) -> None:
         try:
-            while data := self._far.receive(_READ_SIZE, None):
+            while data := far.receive(_READ_SIZE, None):
                 self._moved_at = self._env.clock.now()
                 self._bytes_back += len(data)
                 self._write(_Kind.DATA, data)
