Count links as lost where no VM can tell, and return with them

What callers saw: where the links of all VMs were cut and came back, requests went on being refused (`none of 4 open upstreams is used: 4 after failures`): each upstream's circuit had opened, with waits of up to 30 s.

If no other daemon reaches an upstream, nor another one of its data centre, nobody can tell the upstream's failure from the links', and it was the upstream that was blamed.

Change: the link counts as lost then, too. Two such upstreams cut the links as a whole; requests are refused at once without a connection or a retry, and the probes of the links find the way back. An upstream that another daemon calls down is blamed as before. One notion less: errors no longer carry whether they are certain.

--- a/src/citronvalve/forward/attempt.py
+++ b/src/citronvalve/forward/attempt.py
@@ -112,10 +112,9 @@
         if error.failure is _Failure.NO_LINK:
             return attemptresult.AttemptResult(_Ending.UNLINKED, str(error))
         self._load.circuit.record_failure(self._env.clock.now(), fatal=True)
-        if error.is_certain:
-            self._deps.stall_detector.record_silence(
-                self._chosen.upstream, checked=True
-            )
+        self._deps.stall_detector.record_silence(
+            self._chosen.upstream, checked=True
+        )
         return attemptresult.AttemptResult(_Ending.NOT_RUN, str(error))
 
     def _exchange(
--- a/src/citronvalve/forward/connector.py
+++ b/src/citronvalve/forward/connector.py
@@ -58,8 +58,7 @@
         connection: ``opened``, ``refused`` or ``unreached``.
     :ivar on_relaying: called with the result of each request to another
         daemon: ``opened``, ``failed`` or the reason of its refusal.
-    :ivar on_lost: called with an upstream that another daemon reached and
-        this one did not.
+    :ivar on_lost: called with an upstream to which the link was lost.
     :ivar on_cut: called when all links are found lost.
     :ivar opened: number of direct connections that were opened.
     """
@@ -115,11 +114,6 @@
             raise self._failed(error) from error
         return self._opened(sock, target)
 
-    def may_relay(self) -> bool:
-        """Return whether another daemon may be asked to relay."""
-        now = self._env.clock.now()
-        return self._choice.is_any_usable(self.relays(), now)
-
     def is_relaying_proven(self) -> bool:
         """Return whether another daemon has shown lately that it has links."""
         return self._choice.is_proven(self._env.clock.now())
@@ -153,7 +147,7 @@
         if isinstance(relayed, transport.Transport):
             sock.close()
             self.on_opening("unreached")
-            self._record_lost(target)
+            self._record_lost(target, relayed.relay)
             return relayed
         # What another daemon can't reach either is not waited for.
         is_down = relayed is _Reason.UPSTREAM_DOWN
@@ -162,20 +156,30 @@
             self._connect(sock, target, rest)
         except OSError as error:
             sock.close()
-            is_certain = relayed is not _Reason.NO_LINK
-            raise self._failed(error, is_certain) from error
+            raise self._unreached(target, relayed, error) from error
         return self._opened(sock, target)
 
     def _replace(
         self, target: Target, request_id: str, error: OSError
     ) -> transport.Transport:
         relayed = self._ask_others(target, request_id)
-        failed = self._failed(error, relayed is not _Reason.NO_LINK)
         if not isinstance(relayed, transport.Transport):
-            raise failed from error
-        self._record_lost(target)
+            raise self._unreached(target, relayed, error) from error
+        self._failed(error)
+        self._record_lost(target, relayed.relay)
         return relayed
 
+    def _unreached(
+        self, target: Target, reason: _Reason | None, error: OSError
+    ) -> exchangeerror.ExchangeError:
+        """Return the error for an upstream that no daemon reaches."""
+        failed = self._failed(error)
+        if reason is not _Reason.NO_LINK:
+            return failed
+        # Nobody can tell the upstream's failure from the links'.
+        self._record_lost(target, "")
+        return _no_link()
+
     def _open_relayed(
         self, target: Target, request_id: str
     ) -> transport.Transport:
@@ -186,10 +190,7 @@
             raise exchangeerror.ExchangeError(
                 _Failure.UNREACHED, "another daemon does not reach it either"
             )
-        raise exchangeerror.ExchangeError(
-            _Failure.NO_LINK,
-            "this VM has no link to the upstream, and no other daemon relays",
-        )
+        raise _no_link()
 
     def _ask_others(
         self, target: Target, request_id: str
@@ -301,18 +302,14 @@
             self._env.log.change("links back", upstream=target.upstream)
         return transport.prepare(sock)
 
-    def _failed(
-        self, error: OSError, is_certain: bool = True
-    ) -> exchangeerror.ExchangeError:
+    def _failed(self, error: OSError) -> exchangeerror.ExchangeError:
         refused = isinstance(error, ConnectionRefusedError)
         failure = _Failure.REFUSED if refused else _Failure.UNREACHED
         self.on_opening(failure.value)
         self.links.record_failed()
-        return exchangeerror.ExchangeError(
-            failure, str(error), is_certain=is_certain
-        )
+        return exchangeerror.ExchangeError(failure, str(error))
 
-    def _record_lost(self, target: Target) -> None:
+    def _record_lost(self, target: Target, relay: str) -> None:
         was_cut = self.links.is_cut
         self.links.record_failed()
         self.links.record_lost(
@@ -321,13 +318,22 @@
             self.datacentre_count(),
             self._env.clock.now(),
         )
-        self._env.log.change("link lost", upstream=target.upstream)
+        self._env.log.change(
+            "link lost", upstream=target.upstream, relay=relay
+        )
         if self.links.is_cut and not was_cut:
             self._env.log.change("links cut", upstream=target.upstream)
             self.on_cut()
         self.on_lost(target.upstream)
 
 
+def _no_link() -> exchangeerror.ExchangeError:
+    return exchangeerror.ExchangeError(
+        _Failure.NO_LINK,
+        "this VM has no link to the upstream, and no other daemon relays",
+    )
+
+
 def target_of(runner: runners.Runner) -> Target:
     """Return where an upstream is.
 
--- a/src/citronvalve/forward/crashdetector.py
+++ b/src/citronvalve/forward/crashdetector.py
@@ -80,10 +80,7 @@
         try:
             self._pool.check_listening(target)
         except exchangeerror.ExchangeError as error:
-            is_linked = (
-                error.failure is not exchangeerror.ExchangeFailure.NO_LINK
-            )
-            if not is_linked or not error.is_certain:
+            if error.failure is exchangeerror.ExchangeFailure.NO_LINK:
                 # The connection may have broken with the link.
                 return
             request_fingerprint = fingerprint(
--- a/src/citronvalve/forward/exchangeerror.py
+++ b/src/citronvalve/forward/exchangeerror.py
@@ -23,15 +23,10 @@
 
     :param failure: its kind.
     :param why: the cause, as text.
-    :param is_certain: whether it is the upstream that failed, and not the
-        link to it, as far as other daemons can tell.
     """
 
-    def __init__(
-        self, failure: ExchangeFailure, why: str, *, is_certain: bool = True
-    ) -> None:
+    def __init__(self, failure: ExchangeFailure, why: str) -> None:
         super().__init__(
             why, remedy="retry at another upstream if the request is retryable"
         )
         self.failure = failure
-        self.is_certain = is_certain
--- a/src/citronvalve/forward/linkchecker.py
+++ b/src/citronvalve/forward/linkchecker.py
@@ -90,7 +90,7 @@
 
     def _start_check(self, upstream: str) -> bool:
         runner = self._directory.runner_by_id.get(upstream)
-        if runner is None or not self._connector.may_relay():
+        if runner is None or not self._connector.relays():
             return False
         self._checking.add(upstream)
         eventlet.spawn(self._check, connectors.target_of(runner))
--- a/src/citronvalve/policy/links.py
+++ b/src/citronvalve/policy/links.py
@@ -5,9 +5,9 @@
 
 from citronvalve.model import clock
 
-#: Upstreams that other VMs reach and this one does not, with no connection
-#: opened in between, that show a loss of all links; they are of as many data
-#: centres, if there are so many.
+#: Upstreams to which the link is lost, with no connection opened in between,
+#: that show a loss of all links; they are of as many data centres, if there
+#: are so many.
 _LOST_TO_CUT = 2
 
 #: Connections opened in a row that show that the links are back.
@@ -63,8 +63,10 @@
 
     A connection that fails says nothing by itself.  That another VM reaches
     the same upstream at the same time shows that the link is lost, and not
-    the upstream.  One such upstream may have dropped a connection; two with
-    no connection opened in between show that all links are lost.
+    the upstream; where all VMs have lost their links, none can tell, and the
+    link counts as lost as well.  One such upstream may have dropped a
+    connection; two with no connection opened in between show that all links
+    are lost.
 
     :ivar state: of the links as a whole.
     :ivar changed_at: monotonic ms of the last change of the state, or None.
@@ -129,7 +131,7 @@
     def record_lost(
         self, upstream: str, datacentre: str, datacentres: int, now: clock.Ms
     ) -> None:
-        """Record that another VM reached an upstream that this one did not.
+        """Record that the link to an upstream is lost.
 
         :param upstream: the upstream's id.
         :param datacentre: where it is.
--- a/src/citronvalve/policy/relaychoice.py
+++ b/src/citronvalve/policy/relaychoice.py
@@ -64,14 +64,6 @@
         ]
         return min(usable, key=lambda r: self._rank(r, now), default=None)
 
-    def is_any_usable(self, relays: Collection[Relay], now: clock.Ms) -> bool:
-        """Return whether a daemon may be asked.
-
-        :param relays: the other daemons.
-        :param now: monotonic ms.
-        """
-        return any(self._is_usable(relay.name, now) for relay in relays)
-
     def is_proven(self, now: clock.Ms) -> bool:
         """Return whether another daemon has shown lately that it has links.
 
--- a/tests/processes/processes.feature
+++ b/tests/processes/processes.feature
@@ -54,6 +54,21 @@
       | one zone        | hang                                  |
       | all but one     | are reset                             |
 
+  Scenario Outline: the connections of all daemons to all runners <how>
+    Guards against upstreams that stay unused when the links are back, since
+    what failed with the links was counted as their failures.
+
+    Given a soak of seed 41 for 20 s with 6 daemons, 24 callers and no faults
+    And from 6 s to 15 s the connections of all daemons to all runners <how>
+    When it has run
+    Then no promise was broken
+    And from 2 s after the links are back all are served
+
+    Examples: all
+      | how                                |
+      | hang                               |
+      | are reset                          |
+
   Scenario: a process starts right after connections were reset
     The soak of seed 544 lost a daemon's start: the number of a connection that
     a relay had reset went to the new process's pipe, and the hub still had
