Blame no link for an upstream that others no longer list

Cause, found by reading: a daemon that was refused by all others because they no longer list an upstream, as when it has just left, took that for lost links; two such in different data centres would have cut the links as a whole for half a second, with a new leader. Nobody saw it.

Change: `not in service` from another daemon is a verdict on the upstream, as `upstream down` is; only where nobody can tell the link counts as lost. A daemon that stops or has just started says `not serving` and gives no verdict. The listening ports of callers and of relayed requests share one class, portlistener.py.

--- a/src/citronvalve/forward/acceptor.py
+++ b/src/citronvalve/forward/acceptor.py
@@ -1,14 +1,11 @@
 """The callers' listening socket and the connections on it."""
 
 from collections.abc import Callable
-import contextlib
 import socket
 
-import eventlet
-
 from citronvalve.forward import callerconnection
 from citronvalve.forward import environment as environments
-from citronvalve.model import errors
+from citronvalve.forward import portlistener
 from citronvalve.routes import callerlimits
 
 #: Connections that the kernel queues until they are accepted.  A burst of
@@ -37,26 +34,18 @@
         limits: Callable[[], callerlimits.CallerLimits],
         handler: callerconnection.Handler,
     ) -> None:
-        host, _, port = address.rpartition(":")
         self._env = env
         self._limits = limits
         self._handler = handler
         self._connections: set[callerconnection.CallerConnection] = set()
-        self._task: eventlet.greenthread.GreenThread | None = None
-        try:
-            self._socket = eventlet.listen((host, int(port)), backlog=_BACKLOG)
-        except OSError as error:
-            raise errors.SettingsError(
-                str(error),
-                where=address,
-                remedy="free the address or give another one",
-            ) from error
+        self._listener = portlistener.PortListener(
+            address, _BACKLOG, env, self._serve
+        )
 
     @property
     def address(self) -> str:
         """Return host:port with the actual port, also if port 0 was given."""
-        host, port = self._socket.getsockname()[:2]
-        return f"{host}:{port}"
+        return self._listener.address
 
     @property
     def count(self) -> int:
@@ -65,14 +54,11 @@
 
     def start(self) -> None:
         """Start to accept connections."""
-        self._task = eventlet.spawn(self._accept)
+        self._listener.start()
 
     def close(self) -> None:
         """Stop accepting, and close the connections that are idle."""
-        if self._task is not None:
-            self._task.kill()
-        with contextlib.suppress(OSError):
-            self._socket.close()
+        self._listener.close()
         self.close_idle()
 
     def close_idle(self) -> None:
@@ -80,16 +66,6 @@
         for connection in list(self._connections):
             connection.close_if_idle()
 
-    def _accept(self) -> None:
-        while True:
-            try:
-                sock, _ = self._socket.accept()
-            except OSError as error:
-                self._env.log.change("not accepted", why=str(error))
-                eventlet.sleep(0.05)
-                continue
-            eventlet.spawn(self._serve, sock)
-
     def _serve(self, sock: socket.socket) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = callerconnection.CallerConnection(
--- a/src/citronvalve/forward/connector.py
+++ b/src/citronvalve/forward/connector.py
@@ -38,6 +38,9 @@
 _Failure = exchangeerror.ExchangeFailure
 _Reason = relayframe.Reason
 
+#: Reasons that say something about the upstream.
+_VERDICTS = frozenset({_Reason.UPSTREAM_DOWN, _Reason.NOT_IN_SERVICE})
+
 
 class Target(NamedTuple):
     """An upstream, its address as host:port, and its data centre."""
@@ -200,6 +203,7 @@
         :returns: None if there is no daemon to ask.
         """
         asked: set[str] = set()
+        found = _Reason.NO_LINK if self.relays() else None
         end = self._env.clock.now() + _MAX_ASK_TIME
         while len(asked) < _MAX_ASKED and self._env.clock.now() < end:
             now = self._env.clock.now()
@@ -208,14 +212,17 @@
                 break
             asked.add(relay.name)
             answer = self._ask(relay, target, request_id)
-            if answer is not None:
+            if answer is _Reason.NOT_IN_SERVICE:
+                # One that has just started may be listed elsewhere.
+                found = answer
+            elif answer is not None:
                 return answer
-        return _Reason.NO_LINK if self.relays() else None
+        return found
 
     def _ask(
         self, relay: relaychoice.Relay, target: Target, request_id: str
     ) -> transport.Transport | _Reason | None:
-        """Ask one daemon; return None if another one may be asked."""
+        """Ask one daemon; return None if it can't tell."""
         opening = relayframe.Opening(
             self._env.name, target.upstream, request_id
         )
@@ -256,16 +263,12 @@
         self.on_relaying(known or "failed")
         self._log_refusal(relay, opening, reason)
         now = self._env.clock.now()
-        match known:
-            case _Reason.UPSTREAM_DOWN:
-                self._choice.record_worked(relay, now)
-                return known
-            case _Reason.NOT_IN_SERVICE:
-                return None
-            case _:
-                busy = known is _Reason.BUSY
-                self._choice.record_refusal(relay, now, busy)
-                return None
+        if known is _Reason.UPSTREAM_DOWN:
+            self._choice.record_worked(relay, now)
+        if known in _VERDICTS:
+            return known
+        self._choice.record_refusal(relay, now, known is _Reason.BUSY)
+        return None
 
     def _note_failure(
         self, relay: str, opening: relayframe.Opening, why: str
--- /dev/null
+++ b/src/citronvalve/forward/portlistener.py
@@ -0,0 +1,72 @@
+"""A listening port whose connections are served on green threads."""
+
+from collections.abc import Callable
+import contextlib
+
+import eventlet
+from eventlet.green import socket as green_socket
+
+from citronvalve.forward import environment as environments
+from citronvalve.model import errors
+
+#: Time in s after a failure to accept, as with too many open files.
+_FAILURE_PAUSE = 0.05
+
+
+class PortListener:
+    """Accepts connections and serves each on a green thread of its own.
+
+    :param address: host:port.
+    :param backlog: connections that the kernel queues until they are
+        accepted.
+    :param env: the daemon's environment.
+    :param serve: serves a connection until it ends.
+    :raises errors.SettingsError: when the address can't be bound.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        backlog: int,
+        env: environments.Environment,
+        serve: Callable[[green_socket.socket], None],
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        self._env = env
+        self._serve = serve
+        self._task: eventlet.greenthread.GreenThread | None = None
+        try:
+            self._socket = eventlet.listen((host, int(port)), backlog=backlog)
+        except OSError as error:
+            raise errors.SettingsError(
+                str(error),
+                where=address,
+                remedy="free the address or give another one",
+            ) from error
+
+    @property
+    def address(self) -> str:
+        """Return host:port with the actual port, also if port 0 was given."""
+        host, port = self._socket.getsockname()[:2]
+        return f"{host}:{port}"
+
+    def start(self) -> None:
+        """Start to accept connections."""
+        self._task = eventlet.spawn(self._accept)
+
+    def close(self) -> None:
+        """Stop accepting; connections that are open go on."""
+        if self._task is not None:
+            self._task.kill()
+        with contextlib.suppress(OSError):
+            self._socket.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._socket.accept()
+            except OSError as error:
+                self._env.log.change("not accepted", why=str(error))
+                eventlet.sleep(_FAILURE_PAUSE)
+                continue
+            eventlet.spawn(self._serve, sock)
--- a/src/citronvalve/forward/relayframe.py
+++ b/src/citronvalve/forward/relayframe.py
@@ -46,8 +46,8 @@
     NOT_IN_SERVICE = "not in service"
     #: The relaying daemon relays as much as it can.
     BUSY = "busy"
-    #: The relaying daemon is stopping.
-    STOPPING = "stopping"
+    #: The relaying daemon is stopping, or does not know the upstreams yet.
+    NOT_SERVING = "not serving"
 
 
 class Opening(msgspec.Struct, array_like=True, frozen=True):
--- a/src/citronvalve/forward/relayserver.py
+++ b/src/citronvalve/forward/relayserver.py
@@ -11,10 +11,10 @@
 from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
 from citronvalve.forward import exchangeerror
+from citronvalve.forward import portlistener
 from citronvalve.forward import relayframe
 from citronvalve.forward import transport
 from citronvalve.model import clock
-from citronvalve.model import errors
 from citronvalve.replicas import runner as runners
 
 _BACKLOG = 256
@@ -58,27 +58,19 @@
         directory: directories.Directory,
         connector: connectors.Connector,
     ) -> None:
-        host, _, port = address.rpartition(":")
         self._env = env
         self._directory = directory
         self._connector = connector
         self._connections: set[_Connection] = set()
         self._cut_until_by_datacentre: dict[str, clock.Ms] = {}
-        self._task: eventlet.greenthread.GreenThread | None = None
-        try:
-            self._socket = eventlet.listen((host, int(port)), backlog=_BACKLOG)
-        except OSError as error:
-            raise errors.SettingsError(
-                str(error),
-                where=address,
-                remedy="free the address or give another one",
-            ) from error
+        self._listener = portlistener.PortListener(
+            address, _BACKLOG, env, self._serve
+        )
 
     @property
     def address(self) -> str:
         """Return host:port with the actual port, also if port 0 was given."""
-        host, port = self._socket.getsockname()[:2]
-        return f"{host}:{port}"
+        return self._listener.address
 
     @property
     def count(self) -> int:
@@ -87,14 +79,11 @@
 
     def start(self) -> None:
         """Start to accept connections."""
-        self._task = eventlet.spawn(self._accept)
+        self._listener.start()
 
     def close(self) -> None:
         """Stop accepting, and close all connections."""
-        if self._task is not None:
-            self._task.kill()
-        with contextlib.suppress(OSError):
-            self._socket.close()
+        self._listener.close()
         for connection in list(self._connections):
             connection.close()
 
@@ -103,8 +92,8 @@
 
         :param upstream: its id.
         """
-        if self._env.stopping:
-            return _Reason.STOPPING
+        if self._env.stopping or not self._directory.ready:
+            return _Reason.NOT_SERVING
         if self._connector.links.is_cut:
             return _Reason.NO_LINK
         if not self._directory.is_in_service(upstream):
@@ -152,16 +141,6 @@
             return _Reason.NO_LINK
         return _Reason.UPSTREAM_DOWN
 
-    def _accept(self) -> None:
-        while True:
-            try:
-                sock, _ = self._socket.accept()
-            except OSError as error:
-                self._env.log.change("not accepted", why=str(error))
-                eventlet.sleep(0.05)
-                continue
-            eventlet.spawn(self._serve, sock)
-
     def _serve(self, sock: green_socket.socket) -> None:
         connection = _Connection(self, self._env, transport.prepare(sock))
         self._connections.add(connection)
--- a/tests/forward/relaying.feature
+++ b/tests/forward/relaying.feature
@@ -73,6 +73,32 @@
       | all links are cut               |
       | the upstreams don't answer      |
       | the process is stopping         |
+      | the process has just started    |
+
+  Scenario Outline: an upstream fails, and the other daemon's <cause>
+    Guards against a cut that is none: an upstream that has left the others'
+    lists is gone, and its failure says nothing about the links.
+
+    Given a daemon with links to two upstreams that "whole", and one with links
+    And at the other daemon <cause>
+    When the upstreams fail and a caller calls /once/thing
+    Then it gets 503, and 0 runs were made
+    And the link is <known>
+
+    Examples: verdicts
+      | cause                           | known         |
+      | the upstreams are leaving       | not at fault  |
+      | the upstreams are not listed    | not at fault  |
+      | the upstreams don't answer      | lost          |
+      | all links are cut               | lost          |
+      | the process has just started    | lost          |
+
+  Scenario: an upstream is down, and the other daemon finds it so
+    Given a daemon with links to two upstreams that "whole", and one with links
+    When one upstream is down and a caller calls /once/thing
+    Then it gets 200 with the complete body of a runner
+    And the link is not at fault
+    And the other daemon was asked
 
   Scenario Outline: the caller of a relayed request disconnects <when>
     Guards against runs that no caller waits for.
--- a/tests/forward/steps/relaying_steps.py
+++ b/tests/forward/steps/relaying_steps.py
@@ -139,7 +139,12 @@
     relay.rig.env.stopping = True
 
 
+def _start(relay):
+    relay.rig.directory.list_known = False
+
+
 _DO_BY_CAUSE = {
+    "the process has just started": _start,
     "the upstreams are leaving": _leave,
     "their data centre is out": _take_out,
     "the upstreams are not listed": _unlist,
@@ -200,6 +205,42 @@
     _send(context, path)
 
 
+@behave.when("the upstreams fail and a caller calls {path}")
+def step_fail(context, path):
+    _cut(context)
+    _send(context, path)
+
+
+@behave.when("one upstream is down and a caller calls {path}")
+def step_down(context, path):
+    # Demoted, the other one is tried second.
+    directory = context.rig.directory
+    other = directory.runner_by_id["plain-2"]
+    directory.update_runner(
+        other._replace(
+            datacentre="zone-1", list_version=other.list_version + 1
+        )
+    )
+    context.rig.runners["plain-1"].close()
+    context.got = context.rig.send(path, body=b"question")
+
+
+@behave.then("the other daemon was asked")
+def step_asked(context):
+    reasons = [
+        line["why"]
+        for event, line in context.rig.log.lines
+        if event == "not relayed"
+    ]
+    assert reasons == ["upstream down"], reasons
+
+
+@behave.then("the link is {known}")
+def step_verdict(context, known):
+    logged = [event for event, _ in context.rig.log.lines]
+    assert ("link lost" in logged) is (known == "lost"), logged
+
+
 @behave.when("the links are back for {seconds:g} s")
 def step_back(context, seconds):
     true_by_id = context.true_by_id
