Read all data of a relayed response before what broke its connection

What callers would have seen: a 502 for an answer that was complete, when its upstream reset the connection right after it; the frames of the data and of the reset then come in one piece. Found by reading.

Cause: the frame of the reset was raised as an error while the data before it was still unread. On a direct connection the data is read first.

Change: what broke the connection is kept until its data has been read.

Measured: tests/forward, a relayed at-most-once request, runner whole_then_resets: failed 3 of 3 before, passes; forward 121 of 121.

--- a/src/citronvalve/forward/relaytransport.py
+++ b/src/citronvalve/forward/relaytransport.py
@@ -52,6 +52,7 @@
         self._decoder = relayframe.Decoder()
         self._data = bytearray()
         self._ended = False
+        self._error: OSError | None = None
         self._confirmed = False
         self._closed = False
 
@@ -76,6 +77,7 @@
         self._write(relayframe.encode_opening(self._opening))
         end = time_source.now() + timeout
         while not self._confirmed:
+            self._check()
             left = end - time_source.now()
             if left <= 0:
                 raise TimeoutError("the relay does not answer")
@@ -86,13 +88,14 @@
 
     def receive(self, max_bytes: int, timeout: clock.Ms | None) -> bytes:
         while not self._data and not self._ended:
+            self._check()
             self._read(timeout)
         data = bytes(self._data[:max_bytes])
         del self._data[:max_bytes]
         return data
 
     def is_idle(self) -> bool:
-        if self._data or self._ended:
+        if self._data or self._ended or self._error:
             return False
         return transport.is_quiet(self._sock)
 
@@ -116,7 +119,7 @@
             for frame in self._decoder.feed(data):
                 self._apply(frame)
         except relayframe.FrameError as error:
-            raise ConnectionResetError(str(error)) from error
+            self._error = ConnectionResetError(str(error))
 
     def _apply(self, frame: relayframe.Frame) -> None:
         match frame.kind:
@@ -127,6 +130,14 @@
             case _Kind.END:
                 self._ended = True
             case _Kind.REFUSED if not self._confirmed:
-                raise RelayRefusedError(frame.content.decode("latin-1"))
+                reason = frame.content.decode("latin-1")
+                self._error = RelayRefusedError(reason)
             case _:
-                raise ConnectionResetError("the upstream's connection broke")
+                self._error = ConnectionResetError(
+                    "the upstream's connection broke"
+                )
+
+    def _check(self) -> None:
+        """Raise what broke the connection, once its data has been read."""
+        if self._error is not None:
+            raise self._error
--- a/standins/scriptedrunner.py
+++ b/standins/scriptedrunner.py
@@ -230,6 +230,13 @@
         sock.sendall(self._head(fields, extra="Connection: close\r\n") + body)
         return False
 
+    def _whole_then_resets(self, sock, fields) -> bool:
+        self._whole(sock, fields)
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
+        )
+        return False
+
     def _pauses_unframed(self, sock, fields) -> bool:
         self.runs += 1
         head = self._head(fields, extra="Connection: close\r\n")
--- a/tests/forward/relaying.feature
+++ b/tests/forward/relaying.feature
@@ -29,6 +29,7 @@
     Examples: ways
       | way                   | status | runs |
       | whole                 | 200    | 1    |
+      | whole_then_resets     | 200    | 1    |
       | cut_short             | 502    | 1    |
       | closes                | 502    | 1    |
       | no_http               | 502    | 1    |
