Find a cut from one silent upstream

What callers saw: after links that hang, the second caller of a plain service had to find the cut out for itself. Found by reading.

Cause: a check that was started by a silence counted as one in progress when it asked for the second one that shows a cut of all links. And a request that may run once did not start a check if its silence was already over the usual bound when the check was due.

Change: only checks of other upstreams stand in the way of the second one, and the check is looked at before the bound.

Measured: tests/forward, one silent upstream shows that all links are lost: failed without either change, passes; forward 122 of 122.

--- a/src/citronvalve/forward/linkchecker.py
+++ b/src/citronvalve/forward/linkchecker.py
@@ -72,7 +72,7 @@
         :param upstream: the lost one; the other is of another data centre, if
             there is one.
         """
-        if self._connector.links.is_cut or self._checking:
+        if self._connector.links.is_cut or self._checking - {upstream}:
             return
         lost = self._directory.runner_by_id.get(upstream)
         if lost is None:
--- a/src/citronvalve/forward/responsereader.py
+++ b/src/citronvalve/forward/responsereader.py
@@ -113,9 +113,10 @@
                     raise
                 waited += self._count_silence(self._clock.now() - started_at)
                 # Checked at each poll: a replica may open in between.
-                is_given_up = self._is_given_up(waited, timeout) or (
-                    not connection.relay and self._is_link_lost(waited)
-                )
+                # Checked for each request: also one that can't switch shows
+                # that a link is lost.
+                is_lost = not connection.relay and self._is_link_lost(waited)
+                is_given_up = is_lost or self._is_given_up(waited, timeout)
                 if is_given_up and self._can_switch():
                     raise
 
--- a/tests/forward/relaying.feature
+++ b/tests/forward/relaying.feature
@@ -135,6 +135,14 @@
       | closes_late | /any/thing |
       | silent      | /any/thing |
 
+  Scenario: one silent upstream shows that all links are lost
+    Guards against a second caller who has to find that out: no request is
+    sent but the one that may run once.
+
+    Given a daemon with links to two upstreams that "silent", and one with links
+    When the links are lost while a caller calls /once/thing
+    Then all links are known to be lost
+
   Scenario: a sound upstream is silent for a second
     Guards against relayed requests where the links work.
 
--- a/tests/forward/steps/relaying_steps.py
+++ b/tests/forward/steps/relaying_steps.py
@@ -307,6 +307,12 @@
     assert "link lost" in logged, context.rig.log.lines
 
 
+@behave.then("all links are known to be lost")
+def step_all_lost(context):
+    logged = [event for event, _ in context.rig.log.lines]
+    assert "links cut" in logged, context.rig.log.lines
+
+
 @behave.then("the links are sound")
 def step_links(context):
     state = context.rig.connector.links.state
