Show in a request's trace since when its daemon's links were cut

On call, the line of a refused request says that no link leads to its upstream; the line that says since when was left out, since it names another upstream or is older than the six seconds that a trace looks back.

--- a/src/citronvalve/cli/explaining.py
+++ b/src/citronvalve/cli/explaining.py
@@ -15,6 +15,9 @@
 #: only after four seconds.
 _LOOKBACK: clock.Ms = 6_000
 
+#: Events that say whether a daemon has links to the upstreams.
+_LINK_EVENTS = frozenset({"links cut", "links back"})
+
 _COMMON_FIELDS = ("wall_ms", "at_ms", "event", "daemon", "datacentre")
 
 _Line = dict[str, Any]
@@ -23,7 +26,8 @@
 def explain(request: str, *files: str) -> report.Report:
     """Show the decisions about a request in chronological order.
 
-    Includes changes of its upstreams and their groups from shortly before.
+    Includes changes of its upstreams and their groups from shortly before,
+    and since when the links of its daemons have been cut.
     Times are from the daemons' wall clocks, which may differ by some ms.
 
     :param request: id of the request.
@@ -48,7 +52,12 @@
             "another attempt, or its lines were dropped under load",
         )
     timeline = sorted(
-        [*own_lines, *_related_lines(lines, own_lines)], key=_wall_time
+        [
+            *own_lines,
+            *_related_lines(lines, own_lines),
+            *_cut_lines(lines, own_lines),
+        ],
+        key=_wall_time,
     )
     started_at = min(map(_wall_time, own_lines))
     text = "\n".join(_format_line(line, started_at) for line in timeline)
@@ -100,6 +109,24 @@
     return related
 
 
+def _cut_lines(lines: list[_Line], own_lines: list[_Line]) -> list[_Line]:
+    """Return since when the links of the request's daemons were cut, if so."""
+    until = max(map(_wall_time, own_lines))
+    daemons = {line.get("daemon") for line in own_lines}
+    last_by_daemon = {
+        line["daemon"]: line
+        for line in sorted(lines, key=_wall_time)
+        if line["event"] in _LINK_EVENTS
+        and line.get("daemon") in daemons
+        and _wall_time(line) <= until
+    }
+    return [
+        line
+        for line in last_by_daemon.values()
+        if line["event"] == "links cut"
+    ]
+
+
 def _wall_time(line: _Line) -> clock.Ms:
     return int(line.get("wall_ms", 0))
 
--- a/tests/logs/logs.feature
+++ b/tests/logs/logs.feature
@@ -26,6 +26,19 @@
     Given a log whose reader pauses for a second
     Then a line reports how many were dropped
 
+  Scenario Outline: a request at a daemon that logged <events> 20 s before
+    Guards against a refusal whose cause is too old to be shown: a cut lasts
+    for as long as nobody mends it.
+
+    Given a log with <events> of a daemon, and a request 20 s later
+    When the tool explains the request
+    Then the tool shows <count> cuts
+
+    Examples: cuts
+      | events                    | count |
+      | links cut                 | 1     |
+      | links cut, links back     | 0     |
+
   Scenario Outline: a <kind> request is traced from its id to its cause
     The lines are those that a daemon logs while scripted runners fail.
 
--- a/tests/logs/steps/log_steps.py
+++ b/tests/logs/steps/log_steps.py
@@ -134,6 +134,35 @@
 }
 
 
+@behave.given(
+    "a log with {events} of a daemon, and a request {seconds:d} s later"
+)
+def step_events(context, events, seconds):
+    lines = [
+        {"wall_ms": number, "event": event, "upstream": "other"}
+        for number, event in enumerate(events.split(", "))
+    ]
+    at = 1_000 * seconds
+    lines.append({"wall_ms": at, "event": "refused", "request": "req-1"})
+    context.recorded = "".join(
+        json.dumps({"daemon": "daemon-1", **line}) + "\n" for line in lines
+    )
+
+
+@behave.when("the tool explains the request")
+def step_explain(context):
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "daemon.log"
+        path.write_text(context.recorded)
+        context.explanation = explaining.explain("req-1", str(path))
+
+
+@behave.then("the tool shows {count:d} cuts")
+def step_cuts(context, count):
+    text = context.explanation.text
+    assert text.count("links cut") == count, text
+
+
 @behave.when("a request is {kind}")
 def step_kind(context, kind):
     path, scripts = _SCRIPTS_BY_KIND[kind]
