Name the requesting daemon in a field of its own

On call, the lines of a relaying daemon carried the name of the daemon that it relayed for, in place of its own: the field `daemon` names who logs a line. It is `requested_by` now. Found in a trace of `citronvalve explain`.

--- a/src/citronvalve/forward/relayserver.py
+++ b/src/citronvalve/forward/relayserver.py
@@ -276,7 +276,7 @@
         self._env.log.note(
             "relayed",
             opening.request,
-            daemon=opening.daemon,
+            requested_by=opening.daemon,
             upstream=opening.upstream,
             bytes_back=self._bytes_back,
             took_ms=self._env.clock.now() - self._began_at,
--- a/tests/forward/steps/relaying_steps.py
+++ b/tests/forward/steps/relaying_steps.py
@@ -281,10 +281,12 @@
         for line in own
     ), context.rig.log.lines
     other = context.relays[0].rig.log.lines
+    # The field that names the daemon that logs a line is not overridden.
+    assert not any("daemon" in line for _, line in other), other
     assert any(
         event == "relayed"
         and line["request"] == "req-1"
-        and line["daemon"] == "daemon-1"
+        and line["requested_by"] == "daemon-1"
         for event, line in other
     ), other
 
