Tell a data centre that is cut off from a VM without links

Cause: two lost upstreams of two data centres showed a cut of all links. A data centre that is cut off loses all others and keeps its own.

Change: one of the two must be of the VM's own data centre, if that has any. The second one is looked for there.

--- a/benchmarks/linkrelay.py
+++ b/benchmarks/linkrelay.py
@@ -56,7 +56,7 @@
         runner.Runner("u", "plain", upstream, "a", slots=6, list_version=1)
     )
     server = relayserver.RelayServer(
-        address, env, upstreams, connector.Connector(env, links.Links())
+        address, env, upstreams, connector.Connector(env, links.Links("a"))
     )
     server.start()
     eventlet.sleep(1)
--- a/src/citronvalve/daemon/linktask.py
+++ b/src/citronvalve/daemon/linktask.py
@@ -47,11 +47,13 @@
         self._region = settings.region
         self._loads = loads
         self.lease: leases.Lease | None = None
-        self.connector = connectors.Connector(env, links_.Links())
+        self.connector = connectors.Connector(
+            env, links_.Links(env.datacentre)
+        )
         self.connector.on_opening = env.metrics.record_opening
         self.connector.on_relaying = env.metrics.record_relaying
         self.connector.relays = self._relays
-        self.connector.datacentre_count = directory.datacentre_count
+        self.connector.datacentres = directory.datacentres
         self.connector.on_cut = self._on_cut
         self.pool = connectionpool.ConnectionPool(env.clock, self.connector)
         self._checker = linkchecker.LinkChecker(
--- a/src/citronvalve/forward/connector.py
+++ b/src/citronvalve/forward/connector.py
@@ -56,7 +56,7 @@
     :param env: the daemon's environment.
     :param links: the state of this VM's links.
     :ivar relays: returns the other daemons that may relay.
-    :ivar datacentre_count: returns the number of data centres with upstreams.
+    :ivar datacentres: returns the data centres with upstreams.
     :ivar on_opening: called with the result of each attempt to open a direct
         connection: ``opened``, ``refused`` or ``unreached``.
     :ivar on_relaying: called with the result of each request to another
@@ -73,7 +73,7 @@
         self._choice = relaychoice.RelayChoice(env.datacentre, env.rng)
         self.links = links
         self.relays: Callable[[], Collection[relaychoice.Relay]] = tuple
-        self.datacentre_count: Callable[[], int] = lambda: 1
+        self.datacentres: Callable[[], set[str]] = set
         self.on_opening: Callable[[str], None] = lambda _: None
         self.on_relaying: Callable[[str], None] = lambda _: None
         self.on_lost: Callable[[str], None] = lambda _: None
@@ -318,7 +318,7 @@
         self.links.record_lost(
             target.upstream,
             target.datacentre,
-            self.datacentre_count(),
+            self.datacentres(),
             self._env.clock.now(),
         )
         self._env.log.change(
--- a/src/citronvalve/forward/directory.py
+++ b/src/citronvalve/forward/directory.py
@@ -165,9 +165,9 @@
                 return runner
         return None
 
-    def datacentre_count(self) -> int:
-        """Return the number of data centres with upstreams."""
-        return len({r.datacentre for r in self.runner_by_id.values()})
+    def datacentres(self) -> set[str]:
+        """Return the data centres with upstreams."""
+        return {r.datacentre for r in self.runner_by_id.values()}
 
     def _candidate(self, runner: runners.Runner) -> upstreamchoice.Candidate:
         is_local = runner.datacentre == self._datacentre
--- a/src/citronvalve/forward/linkchecker.py
+++ b/src/citronvalve/forward/linkchecker.py
@@ -69,20 +69,26 @@
     def confirm(self, upstream: str) -> None:
         """Check another upstream, since the link to one was lost.
 
-        :param upstream: the lost one; the other is of another data centre, if
-            there is one.
+        :param upstream: the lost one; the other one is of this VM's data
+            centre if that is not, and else of another one.
         """
         if self._connector.links.is_cut or self._checking - {upstream}:
             return
         lost = self._directory.runner_by_id.get(upstream)
         if lost is None:
             return
-        is_only = self._directory.datacentre_count() == 1
+        here = self._env.datacentre
+        is_only = len(self._directory.datacentres()) == 1
+        # One loss here and one elsewhere show a cut.
         other = self._directory.sample(
             self._env.rng,
             lambda runner: (
                 runner.id != upstream
-                and (is_only or runner.datacentre != lost.datacentre)
+                and (
+                    is_only
+                    or (runner.datacentre == here)
+                    is not (lost.datacentre == here)
+                )
             ),
         )
         if other is not None:
--- a/src/citronvalve/policy/links.py
+++ b/src/citronvalve/policy/links.py
@@ -6,8 +6,7 @@
 from citronvalve.model import clock
 
 #: Upstreams to which the link is lost, with no connection opened in between,
-#: that show a loss of all links; they are of as many data centres, if there
-#: are so many.
+#: that show a loss of all links.
 _LOST_TO_CUT = 2
 
 #: Connections opened in a row that show that the links are back.
@@ -66,13 +65,16 @@
     the upstream; where all VMs have lost their links, none can tell, and the
     link counts as lost as well.  One such upstream may have dropped a
     connection; two with no connection opened in between show that all links
-    are lost.
+    are lost, if one is of this VM's data centre and one is not: a data centre
+    that is cut off from the others reaches its own upstreams.
 
+    :param datacentre: this VM's data centre.
     :ivar state: of the links as a whole.
     :ivar changed_at: monotonic ms of the last change of the state, or None.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, datacentre: str) -> None:
+        self._datacentre = datacentre
         self.state = State.SOUND
         self.changed_at: clock.Ms | None = None
         self._loss_by_upstream: dict[str, _Loss] = {}
@@ -129,26 +131,38 @@
         self._opened_in_a_row = 0
 
     def record_lost(
-        self, upstream: str, datacentre: str, datacentres: int, now: clock.Ms
+        self,
+        upstream: str,
+        datacentre: str,
+        datacentres: set[str],
+        now: clock.Ms,
     ) -> None:
         """Record that the link to an upstream is lost.
 
         :param upstream: the upstream's id.
         :param datacentre: where it is.
-        :param datacentres: number of data centres with upstreams.
+        :param datacentres: all data centres with upstreams.
         :param now: monotonic ms.
         """
         known = self._loss_by_upstream.get(upstream)
         wait = min(2 * known.wait, _MAX_WAIT) if known else _FIRST_WAIT
         self._loss_by_upstream[upstream] = _Loss(now + wait, wait)
-        row = self._lost_in_a_row
-        row[upstream] = datacentre
-        found = len(set(row.values()))
-        if len(row) >= _LOST_TO_CUT and found >= min(
-            _LOST_TO_CUT, datacentres
+        self._lost_in_a_row[upstream] = datacentre
+        if len(self._lost_in_a_row) >= _LOST_TO_CUT and self._is_everywhere(
+            datacentres
         ):
             self._move(Event.ENOUGH_LOST, now)
 
+    def _is_everywhere(self, datacentres: set[str]) -> bool:
+        """Return whether the last losses were here and elsewhere."""
+        lost = set(self._lost_in_a_row.values())
+        others = datacentres - {self._datacentre}
+        is_here = self._datacentre in lost
+        is_elsewhere = bool(lost - {self._datacentre})
+        return (is_here or self._datacentre not in datacentres) and (
+            is_elsewhere or not others
+        )
+
     def _move(self, event: Event, now: clock.Ms) -> None:
         old, self.state = self.state, _NEXT_STATE[self.state, event]
         if old is self.state:
--- a/tests/daemon/steps/leading_steps.py
+++ b/tests/daemon/steps/leading_steps.py
@@ -244,7 +244,7 @@
     daemon = context.daemon
     connector, now = daemon._links.connector, daemon.env.clock.now()
     for upstream in ("r-1", "r-2"):
-        connector.links.record_lost(upstream, "zone-0", 1, now)
+        connector.links.record_lost(upstream, "zone-0", {"zone-0"}, now)
     assert connector.links.is_cut
     if others == "others relay":
         connector._choice.record_worked("daemon-2", now)
--- a/tests/forward/steps/relaying_steps.py
+++ b/tests/forward/steps/relaying_steps.py
@@ -124,7 +124,7 @@
 def _cut_relay(relay):
     for name in ("head-1", "head-2"):
         relay.rig.connector.links.record_lost(
-            name, "zone-0", 1, relay.rig.env.clock.now()
+            name, "zone-0", {"zone-0"}, relay.rig.env.clock.now()
         )
 
 
--- a/tests/policy/links.feature
+++ b/tests/policy/links.feature
@@ -23,19 +23,23 @@
       | f1 l1 f2 l2 o3 f1 o3 | cut   | not reached |
       | f1 l1 f2 l2 o3 o4    | sound | reached     |
 
-  Scenario Outline: <events>, in two data centres
-    Guards against requests that are relayed to a data centre whose links
-    work, since those to the other one are lost.
+  Scenario Outline: <events>, in the data centres <datacentres>
+    Guards against requests that are relayed to upstreams whose links work: a
+    data centre that is cut off from all others reaches its own upstreams.
 
-    Given links to two data centres, a and b, whose events are "<events>"
+    Given links of a VM in a to the data centres <datacentres>, whose events are "<events>"
     Then the links are <state>, and upstream 1 is <reached> directly
 
     Examples: data centres
-      | events           | state | reached     |
-      | l1 l2 l3         | sound | not reached |
-      | l2 l3            | sound | reached     |
-      | l2 l3 o4b l5b    | sound | reached     |
-      | l1 l2b           | cut   | not reached |
+      | datacentres | events           | state | reached     |
+      | a b         | l1 l2 l3         | sound | not reached |
+      | a b         | l2 l3            | sound | reached     |
+      | a b         | l2 l3 o4b l5b    | sound | reached     |
+      | a b         | l1 l2b           | cut   | not reached |
+      | a b c       | l2b l3c l4b      | sound | reached     |
+      | a b c       | l2b l3c l1       | cut   | not reached |
+      | a b c       | l1 l3c           | cut   | not reached |
+      | b c         | l2b l3c          | cut   | not reached |
 
   Scenario Outline: links that are lost <times> times within 10 s
     Given links that are lost <times> times, each time <apart> s after their return
--- a/tests/policy/steps/links_steps.py
+++ b/tests/policy/steps/links_steps.py
@@ -12,9 +12,9 @@
 
 
 class _Rig:
-    def __init__(self, datacentres=1):
-        self.datacentres = datacentres
-        self.links = links_.Links()
+    def __init__(self, datacentres="a"):
+        self.datacentres = set(datacentres)
+        self.links = links_.Links("a")
         self.now = 1_000
 
     def play(self, events):
@@ -26,7 +26,8 @@
             elif kind == "f":
                 self.links.record_failed()
             else:
-                datacentre = "b" if upstream.endswith("b") else "a"
+                last = upstream[-1]
+                datacentre = "a" if last.isdigit() else last
                 self.links.record_lost(
                     upstream, datacentre, self.datacentres, self.now
                 )
@@ -39,10 +40,11 @@
 
 
 @behave.given(
-    'links to two data centres, a and b, whose events are "{events}"'
+    "links of a VM in a to the data centres {datacentres}, whose events are "
+    '"{events}"'
 )
-def step_two(context, events):
-    context.links_rig = _Rig(datacentres=2)
+def step_two(context, datacentres, events):
+    context.links_rig = _Rig(datacentres.split())
     context.links_rig.play(events)
 
 
