Report upstreams that nobody reaches to the leader, as before

Change: an upstream that neither this VM nor another daemon reaches is reported and passed over, unless all links of this VM are cut.

Measured: tests/forward 122 of 122, daemon 18, and the two rows of all daemons in tests/processes, all passed.

--- a/src/citronvalve/forward/attempt.py
+++ b/src/citronvalve/forward/attempt.py
@@ -31,10 +31,6 @@
 #: A full upstream has a free slot after about this time.
 _FULL_AVOID_TIME: clock.Ms = 120
 
-#: An upstream that neither this VM nor another daemon reaches is not chosen
-#: for this time, while others are reached.
-_NO_LINK_AVOID_TIME: clock.Ms = 1_000
-
 _Ending = attemptresult.Ending
 _Failure = exchangeerror.ExchangeFailure
 
@@ -115,8 +111,9 @@
     ) -> attemptresult.AttemptResult:
         if error.failure is _Failure.NO_LINK:
             if not self._deps.connector.links.is_cut:
-                self._deps.stall_detector.avoid(
-                    self._chosen.upstream, _NO_LINK_AVOID_TIME
+                # The leader has to learn of a data centre that is cut off.
+                self._deps.stall_detector.record_silence(
+                    self._chosen.upstream, checked=True
                 )
             return attemptresult.AttemptResult(_Ending.UNLINKED, str(error))
         self._load.circuit.record_failure(self._env.clock.now(), fatal=True)
