Log why an order is given, how a probe failed, and each cut answer

`order given` has `why`, `runner silent` has `how` and `silent_ms`, `try ended` has `silent_ms`, `request ended` has the `endings` of its tries, and is logged like a change if the answer was cut. No decision changes: an order is the same whatever it is given for.

--- a/src/citronvalve/daemon/plannertask.py
+++ b/src/citronvalve/daemon/plannertask.py
@@ -286,6 +286,7 @@
             group=order.key.name if order.key else "",
             epoch=order.key.epoch if order.key else 0,
             members=len(order.members),
+            why=order.why,
             told=result.name,
         )
 
@@ -300,6 +301,10 @@
         self._env.log.change(
             "runner silent",
             runner=target.id,
+            how=response,
+            silent_ms=planner.liveness.silent_for(
+                target.id, self._env.clock.now()
+            ),
             lost=planner.liveness.is_lost(target.id),
             departed=planner.liveness.is_departed(target.id),
         )
--- a/src/citronvalve/forward/dispatch.py
+++ b/src/citronvalve/forward/dispatch.py
@@ -44,6 +44,7 @@
         self._routed = routed
         self._reply = reply
         self._tried: list[str] = []
+        self._endings: list[str] = []
         self._runs = 0
         self._rejections = 0
         self._ran = ran.Ran.NO
@@ -57,6 +58,11 @@
         """Return the upstreams that the request was sent to."""
         return tuple(self._tried)
 
+    @property
+    def endings(self) -> tuple[str, ...]:
+        """Return how each attempt ended, in the order of :attr:`tried`."""
+        return tuple(self._endings)
+
     def run(self) -> None:
         """Run attempts until the caller has a response."""
         refused = self._deps.crash_detector.find_refusal(self._routed)
@@ -93,6 +99,7 @@
             self._can_switch,
         )
         result = attempt.run()
+        self._endings.append(result.ending.name)
         self._deps.env.metrics.record_attempt(result.ending.name.lower())
         self._deps.env.log.note(
             "try ended",
@@ -103,6 +110,7 @@
             why=result.why,
             after=self._progress.last_event_id,
             expected_ms=round(chosen.forecast.first),
+            silent_ms=self._silent_for(chosen.upstream),
         )
         if result.ending in _CERTAINLY_NOT_RUN:
             self._rejections += 1
@@ -113,6 +121,15 @@
             self._failure = result
         return result
 
+    def _silent_for(self, upstream: str) -> clock.Ms | None:
+        """Return the ms since an upstream sent anything, None if it never did.
+
+        On any connection of this daemon: a replica that others hear from
+        was not silent.
+        """
+        heard_at = self._deps.loads.of(upstream).last_heard_at
+        return self._deps.env.clock.now() - heard_at if heard_at else None
+
     def _can_switch(self) -> bool:
         """Return whether the request could continue at another upstream.
 
--- a/src/citronvalve/forward/forwarder.py
+++ b/src/citronvalve/forward/forwarder.py
@@ -90,14 +90,18 @@
         env.metrics.record_request(
             routed.route.kind, dispatch.outcome, dispatch.reason
         )
-        env.log.note(
+        # A response that was cut is logged even if other lines are dropped.
+        is_cut = dispatch.outcome == "broken"
+        log = env.log.change if is_cut else env.log.note
+        log(
             "request ended",
-            routed.id,
+            request=routed.id,
             outcome=dispatch.outcome,
             reason=dispatch.reason,
             route=routed.route.name,
             model=routed.model,
             upstreams=dispatch.tried,
+            endings=dispatch.endings,
             took_ms=env.clock.now() - routed.request.arrived_at,
             config=catalogue.version if catalogue else 0,
         )
--- a/src/citronvalve/replicas/liveness.py
+++ b/src/citronvalve/replicas/liveness.py
@@ -151,6 +151,16 @@
         suspicion = self._suspicion_by_id.get(runner_id)
         return suspicion is not None and suspicion.is_lost
 
+    def silent_for(self, runner_id: str, now: clock.Ms) -> clock.Ms:
+        """Return for how long a runner has not answered its probes.
+
+        :param runner_id: its id.
+        :param now: monotonic ms.
+        :returns: ms since the first of the probes in a row that failed.
+        """
+        suspicion = self._suspicion_by_id.get(runner_id)
+        return suspicion.silent_for(now) if suspicion is not None else 0
+
     def is_suspected(self, runner_id: str) -> bool:
         """Return whether a runner is suspected to be lost.
 
--- a/src/citronvalve/replicas/order.py
+++ b/src/citronvalve/replicas/order.py
@@ -23,11 +23,36 @@
     STAGE = "stage"
 
 
+class Reason(enum.StrEnum):
+    """Why an order is given, for the log."""
+
+    #: A new replica is formed, or opened once all members are ready.
+    FORMED = "formed"
+    #: A host gets weights that it may need next.
+    STAGED = "staged"
+    #: The head is leaving or has left the list.
+    HEAD_LEAVES = "head leaves"
+    #: A member is leaving, and a spare can take its place.
+    MEMBER_LEAVES = "member leaves"
+    #: A member is lost or has left the list.
+    MEMBER_GONE = "member gone"
+    #: The head is lost.
+    HEAD_LOST = "head lost"
+    #: Its runners are to form a replica of another model.
+    EXCHANGED = "exchanged"
+    #: It is being closed, by this leader or an earlier one.
+    CLOSING = "closing"
+    #: It was closed before it opened.
+    RELEASED = "released"
+    #: It did not form in time.
+    ABANDONED = "abandoned"
+
+
 class Order(NamedTuple):
     """An order to one runner.
 
     ``runner`` is its id.  ``members`` are ids, the head first; only a join
-    has them.
+    has them.  ``why`` stays with the leader.
     """
 
     kind: OrderKind
@@ -35,6 +60,7 @@
     key: membership.GroupKey | None = None
     model: str = ""
     members: tuple[str, ...] = ()
+    why: Reason = Reason.FORMED
 
 
 class Probe(NamedTuple):
--- a/src/citronvalve/replicas/outbox.py
+++ b/src/citronvalve/replicas/outbox.py
@@ -24,10 +24,12 @@
         :param order: the order.
         :param now: monotonic ms.
         """
-        sent_at = self._sent_at_by_order.get(order)
+        # An order is the same whatever it is given for.
+        same = order._replace(why=orders.Reason.FORMED)
+        sent_at = self._sent_at_by_order.get(same)
         if sent_at is not None and now - sent_at < RETRY_INTERVAL:
             return
-        self._sent_at_by_order[order] = now
+        self._sent_at_by_order[same] = now
         self._queued.append(order)
 
     def add_probe(self, runner_id: str) -> None:
--- a/src/citronvalve/replicas/planner.py
+++ b/src/citronvalve/replicas/planner.py
@@ -331,10 +331,11 @@
             return self._reservations.dissolve_headless(replica, now)
         self._reservations.record_head_alive(key)
         if replica.phase in phases.SERVING:
-            if self._should_keep(replica, spare_count, now):
+            why = self._reason_to_close(replica, spare_count, now)
+            if why is None:
                 self._dissolved_at_by_key.pop(key, None)
             else:
-                self._close(replica, now)
+                self._close(replica, why, now)
             return True
         if replica.is_ready() and key not in self._dissolved_at_by_key:
             self._builder.adopt(replica, now)
@@ -350,37 +351,44 @@
             self._builder.is_inherited(key) and now < self._late_orders_until
         )
 
-    def _should_keep(
+    def _reason_to_close(
         self,
         replica: replicas.Replica,
         spare_count: collections.Counter[str],
         now: clock.Ms,
-    ) -> bool:
+    ) -> orders.Reason | None:
         head = replica.head
         if head.leaving or not self.liveness.is_listed(head.id):
-            return False
+            return orders.Reason.HEAD_LEAVES
         if replica.key in self._exchanger.to_close:
-            return False
+            return orders.Reason.EXCHANGED
         if replica.phase is _Phase.CLOSING:
-            return False
+            return orders.Reason.CLOSING
         if not replica.is_complete():
             # The entry of a missing member may be about to come back.
             found_at = self._found_at_by_key[replica.key]
             known = replica.member_by_rank.keys()
             complete = len(known | self._unknown_ranks(replica))
-            return complete == replica.size and now - found_at < _RELIST_TIME
+            if complete == replica.size and now - found_at < _RELIST_TIME:
+                return None
+            return orders.Reason.MEMBER_GONE
         # A leaving member stays while its head runs requests, so closing the
         # replica only helps once a spare can take its place.
         leaving = any(r.leaving for r in replica.member_by_rank.values())
-        return not (leaving and spare_count[head.domain])
+        if leaving and spare_count[head.domain]:
+            return orders.Reason.MEMBER_LEAVES
+        return None
 
-    def _close(self, replica: replicas.Replica, now: clock.Ms) -> None:
+    def _close(
+        self, replica: replicas.Replica, why: orders.Reason, now: clock.Ms
+    ) -> None:
         self._dissolved_at_by_key.setdefault(replica.key, now)
         drains = self._may_drain(replica, now)
         if drains and replica.phase is _Phase.CLOSING:
             return
         kind = _Kind.CLOSE if drains else _Kind.CUT
-        self._outbox.add(orders.Order(kind, replica.head.id, replica.key), now)
+        order = orders.Order(kind, replica.head.id, replica.key, why=why)
+        self._outbox.add(order, now)
 
     def _may_drain(self, replica: replicas.Replica, now: clock.Ms) -> bool:
         """Return whether a replica may finish its running requests.
--- a/src/citronvalve/replicas/reservations.py
+++ b/src/citronvalve/replicas/reservations.py
@@ -131,8 +131,10 @@
             {runner.id for runner in members}
             | (previous.members if previous else set()),
         )
+        why = orders.Reason.HEAD_LOST
         for runner in members:
-            self._outbox.add(orders.Order(_Kind.LEAVE, runner.id, key), now)
+            leave = orders.Order(_Kind.LEAVE, runner.id, key, why=why)
+            self._outbox.add(leave, now)
         return True
 
     def release(self, replica: replicas.Replica, now: clock.Ms) -> None:
@@ -145,10 +147,10 @@
         :param replica: the group.
         :param now: monotonic ms.
         """
+        why = orders.Reason.RELEASED
         for runner in replica.member_by_rank.values():
-            self._outbox.add(
-                orders.Order(_Kind.LEAVE, runner.id, replica.key), now
-            )
+            leave = orders.Order(_Kind.LEAVE, runner.id, replica.key, why=why)
+            self._outbox.add(leave, now)
 
     def left_runners(self) -> frozenset[str]:
         """Return the runners reserved since their head is lost."""
@@ -241,9 +243,9 @@
                 del self._abandoned_by_key[key]
             else:
                 reserved |= reservation.members
-                self._outbox.add(
-                    orders.Order(_Kind.CUT, reservation.head, key), now
-                )
+                why = orders.Reason.ABANDONED
+                cut = orders.Order(_Kind.CUT, reservation.head, key, why=why)
+                self._outbox.add(cut, now)
         return reserved
 
     def _has_stopped(
--- a/src/citronvalve/replicas/runnerclient.py
+++ b/src/citronvalve/replicas/runnerclient.py
@@ -3,6 +3,7 @@
 import abc
 
 from citronvalve.replicas import order
+from citronvalve.replicas import probefailure
 from citronvalve.replicas import runner
 
 
@@ -23,7 +24,7 @@
     @abc.abstractmethod
     def probe(
         self, target: runner.Runner
-    ) -> runner.Runner | order.OrderResult:
+    ) -> runner.Runner | probefailure.ProbeFailure:
         """Read a runner's state.
 
         :param target: the runner as last known.
--- a/src/citronvalve/replicas/suspicion.py
+++ b/src/citronvalve/replicas/suspicion.py
@@ -50,6 +50,15 @@
         """Return whether the last probe had no answer."""
         return self._failed_probes > 0
 
+    def silent_for(self, now: clock.Ms) -> clock.Ms:
+        """Return the ms since the first of the last failed probes.
+
+        :param now: monotonic ms.
+        """
+        if not self._failed_probes or self._first_probed_at is None:
+            return 0
+        return now - self._first_probed_at
+
     def is_undecided(self, heard_at: clock.Ms | None) -> bool:
         """Return whether it is silent and more probes decide nothing now.
 
--- a/src/citronvalve/replicas/weights.py
+++ b/src/citronvalve/replicas/weights.py
@@ -203,6 +203,11 @@
         self._recent_loads.add(now)
         self._staging_by_id[runner.id] = model.name, now
         self._outbox.add(
-            orders.Order(orders.OrderKind.STAGE, runner.id, model=model.name),
+            orders.Order(
+                orders.OrderKind.STAGE,
+                runner.id,
+                model=model.name,
+                why=orders.Reason.STAGED,
+            ),
             now,
         )
