Add a test of runners that are silent for a second, which fails

Runner.pause: connections are accepted, nothing is answered, no event is written, no order carried out, nothing told to the store, and the entry stays; then the runner goes on where it was. What its caller has left meanwhile is not begun. A silent member does not make its head stand still.

The outline lets heads of replicas, any runners, or plain runners be silent every 2.6 s by a seeded schedule, at least one of each kind awake, beside the versions of the soak. Three checks: a request that was cut is named by a `request ended` line (broken) of its daemon; no promise is broken; no member is told to leave a head that serves. The promises are as they were.

Callers saw IncompleteRead: the connection closed in the middle of a stream.

--- a/standins/soak/caller.py
+++ b/standins/soak/caller.py
@@ -143,6 +143,8 @@
         # An upstream that does not run writes nothing by the deadline.
         over = self._book.now - began >= _DEADLINE
         over = over and self._book.stood_still_since(began)
+        if runs:
+            self._book.cuts.append(ledgers.Cut(asked.id, daemon.name))
         self._book.look(
             "no answer is cut, unless faults do it",
             not runs or over or self._book.troubled_since(runs[0].at),
--- a/standins/soak/installation.py
+++ b/standins/soak/installation.py
@@ -108,6 +108,11 @@
         """Return the daemons that should be serving."""
         return [daemon for daemon in self.daemons if daemon.up]
 
+    @property
+    def all_runners(self) -> list[runners.Runner]:
+        """Return all runners."""
+        return list(self._runner_by_name.values())
+
     def start(self) -> None:
         """Start the daemons."""
         for daemon in self.daemons:
--- a/standins/soak/ledger.py
+++ b/standins/soak/ledger.py
@@ -53,6 +53,13 @@
     detail: str
 
 
+class Cut(NamedTuple):
+    """A request that an upstream ran, and whose answer was cut."""
+
+    id: str
+    daemon: str
+
+
 class Ledger:
     """Keeps both sides' accounts and compares them.
 
@@ -60,6 +67,8 @@
     :ivar broken: the promises that were broken.
     :ivar ends: how requests ended, by status or word.
     :ivar ended: the same with the second of each.
+    :ivar torn: members that were told to leave a head that serves.
+    :ivar cuts: requests whose connection was closed though they ran.
     """
 
     def __init__(self) -> None:
@@ -79,6 +88,8 @@
         self._stood_still_until: float | None = None
         self.queued = 0.0
         self.firsts: list[First] = []
+        self.cuts: list[Cut] = []
+        self.torn: list[str] = []
 
     @property
     def now(self) -> float:
--- a/standins/soak/place.py
+++ b/standins/soak/place.py
@@ -44,6 +44,7 @@
     :ivar deaf: whether its runner listens no more and stays for its head's
         work only.
     :ivar running: streams that its runner writes.
+    :ivar silent: whether its runner does nothing for now, and goes on later.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
         self.group: Group | None = None
         self.alive = True
         self.deaf = False
+        self.silent = False
         self.running = 0
         self._seen_epoch = 0
         self._still_since: float | None = None
@@ -73,6 +75,11 @@
         self.running = self._seen_epoch = 0
         self._still_since = None
 
+    def wait_awake(self) -> None:
+        """Return when its runner is not silent."""
+        while self.silent:
+            eventlet.sleep(_LOOK)
+
     def said(self) -> dict[str, Any] | None:
         """Return what the runner tells of its group."""
         held = self.group
@@ -174,6 +181,8 @@
         if held is None or (held.name, held.epoch) != place:
             return 409
         if kind == "leave":
+            if self._old_head_serves():
+                self._book.torn.append(f"{self._name} of {held.name}")
             self.group = None
             self._on_change()
             return 202
@@ -193,6 +202,7 @@
     def _closed(self, held: Group) -> None:
         while self.running:
             eventlet.sleep(_LOOK)
+        self.wait_awake()
         if self.group is held and held.state == "closing" and self.alive:
             held.state = "ready"
             self._on_change()
@@ -206,6 +216,7 @@
         return 202
 
     def _opened(self, held: Group) -> None:
+        self.wait_awake()
         if self.group is held and held.state == "ready" and self.alive:
             held.state = "open"
             held.is_preempted = False
@@ -230,6 +241,7 @@
         return 202
 
     def _joined(self, held: Group) -> None:
+        self.wait_awake()
         if self.group is held and self.alive:
             held.state = "ready"
             self._on_change()
@@ -238,13 +250,17 @@
         held = self.group
         if held is None:
             return
+        serves = self._old_head_serves()
+        detail = f"{self._name} leaves {held.name} that its head serves"
+        self._book.look("no runner is in two groups", not serves, detail)
+
+    def _old_head_serves(self) -> bool:
+        held = self.group
         head = self._fleet.get(held.members[0])
-        serves = (
+        return (
             head is not None
             and head is not self
             and head.is_with(held)
             and head.group.state in _SERVING
             and not head.is_broken()
         )
-        detail = f"{self._name} leaves {held.name} that its head serves"
-        self._book.look("no runner is in two groups", not serves, detail)
--- a/standins/soak/runner.py
+++ b/standins/soak/runner.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import contextlib
 import random
+import socket as plain_socket
 import time
 from typing import Any
 
@@ -85,7 +87,7 @@
 
     def tell(self) -> None:
         """Write the entry as it is now."""
-        if not self.alive or not self.listed:
+        if not self.alive or not self.listed or self.place.silent:
             return
         state = "ready" if self.draining_at is None else "draining"
         entry: dict[str, Any] = {
@@ -119,6 +121,19 @@
         self.relay.do(relays.Harm.NONE)
         self.tell()
 
+    def pause(self, seconds: float) -> None:
+        """Do nothing for a while, then go on where it was.
+
+        Connections are accepted and its entry stays, as when its process is
+        stopped.
+
+        :param seconds: for how long.
+        """
+        self.place.silent = True
+        eventlet.sleep(seconds)
+        self.place.silent = False
+        self.tell()
+
     def drain(self) -> None:
         """Say that it is leaving."""
         self.draining_at = self._book.now
@@ -142,6 +157,10 @@
         expected = environ.get("HTTP_X_EXPECT_RUNNER")
         body = environ["wsgi.input"].read()
         number = environ.get("HTTP_X_ATTEMPT_ID", "")
+        if self.place.silent:
+            self.place.wait_awake()
+            if _is_left(environ):
+                return self._hang_up(environ)
         if expected not in (None, self.name):
             return self._not_run(start_response, 421, number)
         if path == "/v1/report":
@@ -194,6 +213,7 @@
         if self._sizes:
             return self._stream(environ, start_response, number)
         eventlet.sleep(_WORK)
+        self.place.wait_awake()
         if not self.alive or (self.loses and self._chance.random() < 0.3):
             return self._hang_up(environ)
         seal = f"{self.name}.{number}"
@@ -215,6 +235,7 @@
         try:
             for event in range(first, last + 1):
                 eventlet.sleep(_GAP)
+                place.wait_awake()
                 while place.group is held and place.stands_still():
                     if place.is_broken():
                         break
@@ -258,10 +279,22 @@
         return _json(start_response, status, {}, head)
 
     def _hang_up(self, environ) -> Iterable[bytes]:
-        environ["eventlet.input"].get_socket().shutdown(socket.SHUT_RDWR)
+        with contextlib.suppress(OSError):
+            environ["eventlet.input"].get_socket().shutdown(socket.SHUT_RDWR)
         return [b""]
 
 
+def _is_left(environ: dict[str, Any]) -> bool:
+    """Tell whether nobody waits for the answer any more."""
+    plain = environ["eventlet.input"].get_socket().fd
+    try:
+        return not plain.recv(1, plain_socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 def _head(
     number: str, seal: str, data: bytes | None = None
 ) -> list[tuple[str, str]]:
--- a/tests/processes/processes.feature
+++ b/tests/processes/processes.feature
@@ -24,6 +24,22 @@
       | all replicas stand still for 0.5 s, again and again    |
       | all daemons stand still for 0.5 s, again and again     |
 
+  Scenario Outline: <what>, again and again, and no stream is cut
+    Guards against streams that are reset though nobody died and all links are
+    sound: some runners, never all, are silent for 1.0 to 1.3 s and go on.
+
+    Given a soak of seed <seed> for 22 s with 4 daemons, 24 callers and no faults
+    When it has run while <what>
+    Then each request that was cut is named by its daemon
+    And no promise was broken
+    And no member was told to leave a head that serves
+
+    Examples: silence
+      | what                                      | seed |
+      | heads of replicas are silent for a second | 304  |
+      | any runners are silent for a second       | 306  |
+      | plain runners are silent for a second     | 303  |
+
   Scenario: a member of the only replica leaves while its head works
     The other data centre is out of service. The member says that it leaves,
     listens no more 4 s later, and stays until its head's streams of up to
--- a/tests/processes/steps/processes_steps.py
+++ b/tests/processes/steps/processes_steps.py
@@ -32,6 +32,10 @@
 #: Most events of a long stream; it takes 2.4 s.
 _LONG = 60
 
+#: Seconds between two rounds in which runners fall silent, from the first to
+#: the last of a round, and that each is silent.
+_ROUND, _STAGGER, _SILENT = 2.6, 0.5, (1.0, 1.3)
+
 _DRAW = """
 import sys
 from standins import process
@@ -54,6 +58,7 @@
 
 
 def _make(context, seed, seconds, count, *longest, callers=12):
+    context.chance = random.Random(f"{seed}/silence")
     context.soak = runs.Soak(
         seed, seconds, count, callers, _folder(context), *longest
     )
@@ -121,10 +126,52 @@
     context.worked = member.place.head_works()
 
 
+def _heads(soak):
+    places = [(r, r.place.group) for r in soak.installation.all_runners]
+    return [
+        (runner, len(held.members))
+        for runner, held in places
+        if held is not None and not held.rank and held.state == "open"
+    ]
+
+
+def _all_runners(soak):
+    return [(r, r.service) for r in soak.installation.all_runners]
+
+
+def _desks(soak):
+    every = _all_runners(soak)
+    return [(r, kind) for r, kind in every if kind == operators.DESK]
+
+
+def _silence(find, share):
+    def act(context, soak):
+        chance = context.chance
+        while True:
+            eventlet.sleep(_ROUND)
+            found = find(soak)
+            awake = {kind: chance.randrange(9) for _, kind in found}
+            for kind, spared in awake.items():
+                alike = [r for r, k in found if k == kind]
+                alike.pop(spared % len(alike))
+                for runner in alike:
+                    if chance.random() < share:
+                        eventlet.spawn_after(
+                            chance.uniform(0, _STAGGER),
+                            runner.pause,
+                            chance.uniform(*_SILENT),
+                        )
+
+    return act
+
+
 _DO_BY_WHAT = {
     "all replicas stand still for 0.5 s, again and again": _stop_replicas,
     "all daemons stand still for 0.5 s, again and again": _stop_daemons,
     "a member of the only large replica leaves": _leave,
+    "heads of replicas are silent for a second": _silence(_heads, 0.9),
+    "any runners are silent for a second": _silence(_all_runners, 0.4),
+    "plain runners are silent for a second": _silence(_desks, 0.9),
 }
 
 
@@ -275,6 +322,29 @@
     assert not broken, "\n".join([*told, *stalls])
 
 
+@behave.then("each request that was cut is named by its daemon")
+def step_named(context):
+    soak = context.soak
+    output_by_name = {d.name: d.output() for d in soak.installation.daemons}
+    unnamed = [
+        cut
+        for cut in soak.book.cuts
+        if not _is_named(cut.id, output_by_name[cut.daemon])
+    ]
+    assert not unnamed, unnamed
+
+
+@behave.then("no member was told to leave a head that serves")
+def step_whole(context):
+    torn = context.soak.book.torn
+    assert not torn, torn
+
+
+def _is_named(request, output):
+    own = [line for line in output.splitlines() if request in line]
+    return any('"request ended"' in o and '"broken"' in o for o in own)
+
+
 @behave.then("each promise that holds always was looked at")
 def step_looked(context):
     looked = context.soak.book.looked_by_promise
