Take no pause of a runner for its death

Members of a silent head were ordered to leave, so that it stood still when it went on, and was ordered to cut 2.2 s later; a silent member had its head cut at once.

Cause: a probe told only whether a report came. A pause, a dead host and a closed port looked alike. Class: silence is taken for death, and acted upon by what can't be undone.

Each probe now opens a new connection, and how it fails decides. A port that is closed or unreachable means what it did, as fast as before. A runner that accepts connections and does not answer is passed over for new requests and new replicas as before, but counts as lost only after the time in which its group breaks by itself, and only if others of its data centre answered all the while. A leader that stood still itself draws no conclusion. A reported stall ends a replica whose member a new leader does not know only if its head answers meanwhile.

--- a/src/citronvalve/daemon/plannertask.py
+++ b/src/citronvalve/daemon/plannertask.py
@@ -297,7 +297,9 @@
         if isinstance(response, runners.Runner):
             planner.liveness.record_answer(target.id, self._env.clock.now())
             return
-        planner.liveness.record_no_answer(target.id, self._env.clock.now())
+        planner.liveness.record_no_answer(
+            target.id, response, self._env.clock.now()
+        )
         self._env.log.change(
             "runner silent",
             runner=target.id,
--- a/src/citronvalve/replicas/liveness.py
+++ b/src/citronvalve/replicas/liveness.py
@@ -3,6 +3,7 @@
 import collections
 
 from citronvalve.model import clock
+from citronvalve.replicas import probefailure
 from citronvalve.replicas import runner as runners
 from citronvalve.replicas import suspicion as suspicions
 
@@ -36,9 +37,13 @@
     can't reach it.  So a runner that is suspected or has left the list is
     probed before it counts as lost, and with it a witness: another runner of
     the data centre, whose answer shows that runners there can answer.
+
+    :param pause_limit: longest ms for which a runner that accepts connections
+        may leave its probes without an answer.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, pause_limit: clock.Ms) -> None:
+        self._pause_limit = pause_limit
         self._suspicion_by_id: dict[str, suspicions.Suspicion] = {}
         self._unlisted_by_id: dict[str, tuple[runners.Runner, clock.Ms]] = {}
         self._listed_by_id: dict[str, runners.Runner] = {}
@@ -47,6 +52,7 @@
         self._datacentre_probed_at: clock.Ms = -_DATACENTRE_PROBE_INTERVAL
         self._unreachable_since: dict[str, clock.Ms] = {}
         self._healed_at_by_datacentre: dict[str, clock.Ms] = {}
+        self._witness_asked_at_by_id: dict[str, clock.Ms] = {}
 
     def apply_list(
         self, runner_by_id: dict[str, runners.Runner], now: clock.Ms
@@ -71,6 +77,11 @@
             for r, at in self._answered_at_by_id.items()
             if r in self._listed_by_id
         }
+        self._witness_asked_at_by_id = {
+            r: at
+            for r, at in self._witness_asked_at_by_id.items()
+            if r in self._listed_by_id
+        }
         for gone, (_, since) in list(self._unlisted_by_id.items()):
             if now - since > _UNLISTED_RETENTION:
                 del self._unlisted_by_id[gone]
@@ -81,7 +92,11 @@
 
         :param runner_id: its id.
         """
-        self._suspicion_by_id.setdefault(runner_id, suspicions.Suspicion())
+        if runner_id not in self._suspicion_by_id:
+            self._suspicion_by_id[runner_id] = self._new_suspicion()
+
+    def _new_suspicion(self) -> suspicions.Suspicion:
+        return suspicions.Suspicion(self._pause_limit)
 
     def alive(self) -> list[runners.Runner]:
         """Return all runners that are not lost, listed or not."""
@@ -151,6 +166,14 @@
         suspicion = self._suspicion_by_id.get(runner_id)
         return suspicion is not None and suspicion.is_lost
 
+    def is_paused(self, runner_id: str) -> bool:
+        """Return whether a runner accepts connections and does not answer.
+
+        :param runner_id: its id.
+        """
+        suspicion = self._suspicion_by_id.get(runner_id)
+        return suspicion is not None and suspicion.is_paused
+
     def silent_for(self, runner_id: str, now: clock.Ms) -> clock.Ms:
         """Return for how long a runner has not answered its probes.
 
@@ -197,7 +220,7 @@
         :param now: monotonic ms.
         """
         due = self._due_datacentre_probes(now)
-        first_probed = []
+        to_compare = []
         for runner_id, suspicion in self._suspicion_by_id.items():
             heard_at = self._heard_at(runner_id)
             if (
@@ -207,9 +230,9 @@
             ):
                 continue
             if suspicion.record_probe(now, heard_at):
-                first_probed.append(runner_id)
+                to_compare.append(runner_id)
             due.append(runner_id)
-        return due + self._witnesses(first_probed)
+        return due + self._witnesses(to_compare, now)
 
     def _probe_interval(
         self,
@@ -223,11 +246,15 @@
             return _SUSPECT_PROBE_INTERVAL
         return _SLOW_PROBE_INTERVAL
 
-    def _witnesses(self, suspects: list[str]) -> list[str]:
+    def _witnesses(self, suspects: list[str], now: clock.Ms) -> list[str]:
         """Return one runner for each data centre of suspected ones.
 
+        Those that did not answer when they were last asked come last, since
+        they may be dead, too.
+
         :param suspects: ids; runners of their domains come last, since a
             whole domain may be lost.
+        :param now: monotonic ms.
         """
         found = [held for held in map(self.find, suspects) if held]
         domains = {held.domain for held in found}
@@ -242,9 +269,22 @@
             ]
             if able:
                 witness_by_datacentre[datacentre] = min(
-                    able, key=lambda r: r.domain in domains
+                    able,
+                    key=lambda r: (
+                        r.domain in domains,
+                        self._has_ignored_probe(r.id),
+                    ),
                 )
-        return [witness.id for witness in witness_by_datacentre.values()]
+        chosen = [witness.id for witness in witness_by_datacentre.values()]
+        self._witness_asked_at_by_id.update(dict.fromkeys(chosen, now))
+        return chosen
+
+    def _has_ignored_probe(self, witness: str) -> bool:
+        asked_at = self._witness_asked_at_by_id.get(witness)
+        answered_at = self._answered_at_by_id.get(witness)
+        if asked_at is None:
+            return False
+        return answered_at is None or answered_at < asked_at
 
     def _heard_at(self, runner_id: str) -> clock.Ms | None:
         held = self.find(runner_id)
@@ -291,7 +331,7 @@
         for runner_id in self._suspicion_by_id:
             held = self.find(runner_id)
             if held is not None and held.datacentre == datacentre:
-                self._suspicion_by_id[runner_id] = suspicions.Suspicion()
+                self._suspicion_by_id[runner_id] = self._new_suspicion()
 
     def _undecided_datacentres(self) -> set[str]:
         return {
@@ -345,15 +385,20 @@
         if suspicion is not None:
             suspicion.record_unlisted_answer()
 
-    def record_no_answer(self, runner_id: str, now: clock.Ms) -> None:
-        """Record that a probe had no answer.
+    def record_no_answer(
+        self, runner_id: str, how: probefailure.ProbeFailure, now: clock.Ms
+    ) -> None:
+        """Record that a probe had no report.
 
-        A refused connection counts the same: during a partition the network
-        may refuse it on behalf of a runner that is alive.
+        A refused connection counts like one that was not opened: during a
+        partition the network may refuse it on behalf of a runner that is
+        alive.
 
         :param runner_id: its id.
+        :param how: how the probe failed.
         :param now: monotonic ms.
         """
         suspicion = self._suspicion_by_id.get(runner_id)
-        if suspicion is not None:
-            suspicion.record_failure(now)
+        if suspicion is None or how is probefailure.ProbeFailure.OWN_PAUSE:
+            return
+        suspicion.record_failure(how, now)
--- a/src/citronvalve/replicas/planner.py
+++ b/src/citronvalve/replicas/planner.py
@@ -58,7 +58,7 @@
         epochs: Iterator[int],
     ) -> None:
         self.spec = spec
-        self.liveness = liveness_.Liveness()
+        self.liveness = liveness_.Liveness(pause_limit=stall_timeout)
         self._outbox = outbox.Outbox()
         self._reservations = reservations.Reservations(
             self.liveness, self._outbox, stall_timeout
@@ -228,7 +228,13 @@
     def _record_ranks(
         self, replica_by_key: _ReplicaByKey, now: clock.Ms
     ) -> None:
-        self._stalled_keys &= replica_by_key.keys()
+        # A head that pauses stands still whatever its members do.
+        self._stalled_keys = {
+            key
+            for key in self._stalled_keys & replica_by_key.keys()
+            if (head := replica_by_key[key].head) is None
+            or not self.liveness.is_paused(head.id)
+        }
         self._found_at_by_key = {
             key: self._found_at_by_key.get(key, now) for key in replica_by_key
         }
@@ -241,13 +247,18 @@
     def _unknown_ranks(self, replica: replicas.Replica) -> set[int]:
         """Return the ranks of members that were never seen and may live.
 
-        :param replica: has none if it has no head, or one that stalls.
+        :param replica: has none if it has no head, or one that answers while
+            its requests stall.
         """
-        if replica.head is None or replica.key in self._stalled_keys:
+        if replica.head is None or self._is_stalled(replica):
             return set()
         seen = self._seen_ranks_by_key[replica.key]
         return set(range(replica.size)) - seen
 
+    def _is_stalled(self, replica: replicas.Replica) -> bool:
+        is_reported = replica.key in self._stalled_keys
+        return is_reported and not self.liveness.is_suspected(replica.head.id)
+
     def _closable(
         self, replica_by_key: _ReplicaByKey
     ) -> list[replicas.Replica]:
--- a/src/citronvalve/replicas/probefailure.py
+++ b/src/citronvalve/replicas/probefailure.py
@@ -4,15 +4,22 @@
 
 
 class ProbeFailure(enum.StrEnum):
-    """How a probe failed, which tells a pause from a death."""
+    """How a probe on a new connection failed."""
 
     #: Nothing listens at the runner's address.
     REFUSED = "refused"
     #: No connection was opened in time.
     UNREACHED = "unreached"
-    #: The request was sent, and no answer came in time.
+    #: A connection was opened, and no answer came in time.
     SILENT = "silent"
-    #: The connection broke before the answer.
+    #: A connection was opened, and broke before the answer.
     BROKEN = "broken"
     #: The answer is not the runner's report.
     NO_REPORT = "no report"
+    #: This process did not run, so the time-out says nothing.
+    OWN_PAUSE = "own pause"
+
+
+#: Failures that a runner which only pauses causes, too: its host is up and
+#: something listens there.
+PAUSE_LIKE = frozenset({ProbeFailure.SILENT, ProbeFailure.BROKEN})
--- a/src/citronvalve/replicas/suspicion.py
+++ b/src/citronvalve/replicas/suspicion.py
@@ -1,6 +1,7 @@
 """Probe results of a runner that may be lost."""
 
 from citronvalve.model import clock
+from citronvalve.replicas import probefailure
 
 #: Consecutive failed probes after which a runner counts as silent.  One may
 #: be due to a dropped packet; two still take less than a second.
@@ -10,11 +11,16 @@
 class Suspicion:
     """Suspicion that one runner is lost.
 
-    A silent runner is lost only if another runner of its data centre answered
-    between its failed probes.  Otherwise the whole data centre may have
-    paused; once another runner answers, the probes start anew, since not all
-    resume at the same time.
+    A runner without an open port is lost only if another runner of its data
+    centre answered between its failed probes.  Otherwise the whole data
+    centre may have paused; once another runner answers, the probes start
+    anew, since not all resume at the same time.
 
+    One that accepts connections and does not answer may pause.  It is lost
+    only after the time in which its group would break by itself, and only if
+    others of its data centre answered all the while.
+
+    :param pause_limit: longest ms for which a runner may pause.
     :ivar probed_at: monotonic ms of the last probe, None before the first.
     :ivar silent_at: monotonic ms from which it counts as silent, or None.
     :ivar is_lost: whether it counts as lost.
@@ -25,16 +31,20 @@
         "_failed_probes",
         "_first_probed_at",
         "_is_conclusive",
+        "_pause_limit",
+        "_paused_since",
         "answered_unlisted",
         "is_lost",
         "probed_at",
         "silent_at",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, pause_limit: clock.Ms) -> None:
+        self._pause_limit = pause_limit
         self._failed_probes = 0
         self._first_probed_at: clock.Ms | None = None
         self._is_conclusive = False
+        self._paused_since: clock.Ms | None = None
         self.probed_at: clock.Ms | None = None
         self.silent_at: clock.Ms | None = None
         self.is_lost = False
@@ -45,19 +55,25 @@
         """Return whether the last probes in a row had no answer."""
         return self.silent_at is not None
 
+    @property
+    def is_paused(self) -> bool:
+        """Return whether it accepts connections and does not answer."""
+        return self._paused_since is not None and not self.is_lost
+
     @property
     def last_probe_failed(self) -> bool:
         """Return whether the last probe had no answer."""
-        return self._failed_probes > 0
+        return self._failed_probes > 0 or self.is_paused
 
     def silent_for(self, now: clock.Ms) -> clock.Ms:
         """Return the ms since the first of the last failed probes.
 
         :param now: monotonic ms.
         """
-        if not self._failed_probes or self._first_probed_at is None:
-            return 0
-        return now - self._first_probed_at
+        since = self._paused_since
+        if self._failed_probes:
+            since = self._first_probed_at
+        return now - since if since is not None else 0
 
     def is_undecided(self, heard_at: clock.Ms | None) -> bool:
         """Return whether it is silent and more probes decide nothing now.
@@ -70,11 +86,14 @@
         return not _is_heard_since(heard_at, self.probed_at)
 
     def record_probe(self, now: clock.Ms, heard_at: clock.Ms | None) -> bool:
-        """Record that a probe is sent; return whether probes start anew.
+        """Record that a probe is sent; return whether a witness is needed.
 
         :param now: monotonic ms.
         :param heard_at: as for :meth:`is_undecided`.
         """
+        if self.is_paused and not _is_heard_since(heard_at, self.probed_at):
+            # The whole data centre may pause.
+            self._paused_since = now
         if self._failed_probes >= _FAILURES_UNTIL_SILENT and not self.is_lost:
             self._failed_probes = 0
             self._first_probed_at = None
@@ -83,13 +102,20 @@
             self._first_probed_at = now
         self.probed_at = now
         self._is_conclusive = _is_heard_since(heard_at, self._first_probed_at)
-        return starts_anew
+        return starts_anew or self.is_paused
 
-    def record_failure(self, now: clock.Ms) -> None:
-        """Record that a probe had no answer.
+    def record_failure(
+        self, how: probefailure.ProbeFailure, now: clock.Ms
+    ) -> None:
+        """Record that a probe had no report.
 
+        :param how: how it failed.
         :param now: monotonic ms.
         """
+        if how in probefailure.PAUSE_LIKE:
+            self._record_pause(now)
+            return
+        self._paused_since = None
         self._failed_probes += 1
         if self._failed_probes < _FAILURES_UNTIL_SILENT:
             return
@@ -97,10 +123,23 @@
             self.silent_at = now
         self.is_lost = self.is_lost or self._is_conclusive
 
+    def _record_pause(self, now: clock.Ms) -> None:
+        if self.is_lost:
+            return
+        if self._paused_since is None:
+            self._paused_since = self.probed_at
+        # A connection was opened, so that earlier failures are void.
+        self._failed_probes = 0
+        self._first_probed_at = self.silent_at = None
+        if self.silent_for(now) >= self._pause_limit:
+            self.is_lost = True
+            self.silent_at = now
+
     def record_unlisted_answer(self) -> None:
         """Record that the runner answered a probe after it left the list."""
         self._failed_probes = 0
         self._first_probed_at = self.silent_at = None
+        self._paused_since = None
         self.is_lost = False
         self.answered_unlisted = True
 
--- /dev/null
+++ b/tests/adapter/probes.feature
@@ -0,0 +1,45 @@
+Feature: A probe tells a runner that pauses from a host that is gone
+  The leader acts upon how a probe failed: a pause can't close a port.
+
+  Scenario Outline: a runner that <does>
+    Guards against a pause that looks like a death.
+
+    Given a runner that <does>
+    When it is probed
+    Then the probe gives "<result>"
+
+    Examples: states
+      | does                                           | result     |
+      | answers                                        | report     |
+      | listens no more                                | refused    |
+      | has a port that no connection reaches          | unreached  |
+      | accepts connections and answers nothing        | silent     |
+      | closes each connection at once                 | broken     |
+      | answers as another runner                      | no report  |
+      | answers with what is no report                 | no report  |
+
+  Scenario: a runner that leaves a kept connection silent
+    Guards against probes on a kept connection, which may have gone silent
+    for good while new ones work.
+
+    Given a runner that answers
+    When it is probed
+    And it is probed
+    Then the probe gives "report"
+
+  Scenario: a host goes dark after an answered probe
+    Guards against a dead host that looks like a pause, since a connection of
+    before is still open.
+
+    Given a runner that answers
+    When it is probed
+    And from then on no connection reaches its port
+    And it is probed
+    Then the probe gives "unreached"
+
+  Scenario: the prober itself does not run for a second
+    Guards against a leader's own pause that counts as the runner's silence.
+
+    Given a runner that accepts connections and answers nothing
+    When it is probed and the prober stands still for 1.0 s
+    Then the probe gives "own pause"
--- /dev/null
+++ b/tests/adapter/steps/probe_steps.py
@@ -0,0 +1,131 @@
+"""Steps about probes of runners."""
+
+import contextlib
+import socket as plain_socket
+import time
+
+import behave
+import eventlet
+from eventlet.green import socket
+from eventlet import patcher
+
+from citronvalve.model import clock
+from citronvalve.replicas import runner as runners
+from standins import hangingport
+
+#: Stops this whole process.
+_block = patcher.original("time").sleep
+
+_REPORT = b'{"born": 7, "Staged": []}'
+_RESET = b"\1\0\0\0\0\0\0\0"
+
+
+def _answer(sock, status=b"200 OK", body=_REPORT):
+    sock.recv(65_536)
+    length = b"%d" % len(body)
+    sock.sendall(
+        b"HTTP/1.1 "
+        + status
+        + b"\r\nContent-Length: "
+        + length
+        + b"\r\n\r\n"
+        + body
+    )
+
+
+def _answer_once(sock):
+    """Answer, and keep the connection open without ever answering again."""
+    _answer(sock)
+    eventlet.sleep(60)
+
+
+def _reset(sock):
+    sock.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_LINGER, _RESET)
+    sock.close()
+
+
+_SERVE_BY_WHAT = {
+    "answers": _answer_once,
+    "accepts connections and answers nothing": lambda _: eventlet.sleep(60),
+    "closes each connection at once": _reset,
+    "answers as another runner": lambda s: _answer(s, b"421 No", b""),
+    "answers with what is no report": lambda s: _answer(s, body=b"[1]"),
+}
+
+
+def _accept(listener, serve):
+    while True:
+        sock, _ = listener.accept()
+        eventlet.spawn(_serve, sock, serve)
+
+
+def _serve(sock, serve):
+    with contextlib.suppress(OSError):
+        serve(sock)
+
+
+def _listen(context, serve):
+    listener = eventlet.listen(("127.0.0.1", 0))
+    task = eventlet.spawn(_accept, listener, serve)
+    context.add_cleanup(task.kill)
+    return "127.0.0.1:%d" % listener.getsockname()[1]
+
+
+def _hang(context):
+    port = hangingport.HangingPort()
+    context.add_cleanup(port.close)
+    return port.address
+
+
+def _close(context):
+    with contextlib.closing(socket.socket()) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return "127.0.0.1:%d" % probe.getsockname()[1]
+
+
+_ADDRESS_BY_WHAT = {
+    "has a port that no connection reaches": _hang,
+    "listens no more": _close,
+}
+
+
+@behave.given("a runner that {does}")
+def step_runner(context, does):
+    from adapter import runnerorders
+
+    context.orders = runnerorders.RunnerOrders(clock.SystemClock())
+    _place(context, does)
+
+
+@behave.when("from then on no connection reaches its port")
+def step_gone(context):
+    _place(context, "has a port that no connection reaches")
+
+
+def _place(context, does):
+    make = _ADDRESS_BY_WHAT.get(does)
+    if make is not None:
+        address = make(context)
+    else:
+        address = _listen(context, _SERVE_BY_WHAT[does])
+    context.target = runners.Runner("m0", "svc", address, "zone-0")
+
+
+@behave.when("it is probed")
+def step_probe(context):
+    context.result = context.orders.probe(context.target)
+
+
+@behave.when("it is probed and the prober stands still for {seconds:g} s")
+def step_probe_paused(context, seconds):
+    eventlet.spawn_after(0.1, _block, seconds)
+    began = time.monotonic()
+    step_probe(context)
+    assert time.monotonic() - began >= seconds
+
+
+@behave.then('the probe gives "{result}"')
+def step_result(context, result):
+    got = context.result
+    seen = "report" if isinstance(got, runners.Runner) else got.value
+    assert seen == result, got
--- a/tests/replicas/world.py
+++ b/tests/replicas/world.py
@@ -9,6 +9,7 @@
 from citronvalve.replicas import order as orders
 from citronvalve.replicas import phase
 from citronvalve.replicas import planner as planners
+from citronvalve.replicas import probefailure
 from citronvalve.replicas import runner as runners
 from citronvalve.routes import enginespec
 from citronvalve.routes import modelspec
@@ -56,6 +57,8 @@
         self.runner_by_id = {}
         self.unreachable = set()
         self.refusing = set()
+        self.paused = set()
+        self._orders_in_pause = []
         self.delayed = set()
         self.unlisted = set()
         self.delayed_orders = []
@@ -129,7 +132,9 @@
                 )
             else:
                 self.carry_out(action)
-                unanswered = action.runner in self.unreachable | self.refusing
+                unanswered = action.runner in (
+                    self.unreachable | self.refusing | self.paused
+                )
                 result = (
                     orders.OrderResult.SILENT
                     if unanswered
@@ -152,6 +157,9 @@
         runner = self.runner_by_id.get(order.runner)
         if runner is None or order.runner in self.unreachable:
             return
+        if order.runner in self.paused:
+            self._orders_in_pause.append(order)
+            return
         handler = getattr(self, f"_on_{order.kind.value}")
         handler(runner, order)
 
@@ -167,6 +175,13 @@
         """Crash a runner; if not silent, its port refuses connections."""
         (self.unreachable if silent else self.refusing).add(name)
 
+    def resume(self, names):
+        """Let paused runners go on; they carry out what they were ordered."""
+        self.paused -= set(names)
+        held, self._orders_in_pause = self._orders_in_pause, []
+        for order in held:
+            self.carry_out(order)
+
     def restart(self, name):
         """Restart a runner under its id, without a group."""
         self.unreachable.discard(name)
@@ -293,6 +308,8 @@
         for name, at in list(self._ready_at_by_id.items()):
             runner = self.runner_by_id[name]
             held = runner.membership
+            if name in self.paused:
+                continue
             if name in self.unreachable or held is None:
                 del self._ready_at_by_id[name]
             elif self.now >= at and held.phase is phase.Phase.JOINING:
@@ -317,10 +334,21 @@
 
     def _probe(self, name):
         liveness = self.planner.liveness
-        if name in self.unreachable or name in self.refusing:
-            liveness.record_no_answer(name, self.now)
-        else:
+        failure = self._probe_failure(name)
+        if failure is None:
             liveness.record_answer(name, self.now)
+        else:
+            liveness.record_no_answer(name, failure, self.now)
+
+    def _probe_failure(self, name):
+        for names, failure in (
+            (self.unreachable, probefailure.ProbeFailure.UNREACHED),
+            (self.refusing, probefailure.ProbeFailure.REFUSED),
+            (self.paused, probefailure.ProbeFailure.SILENT),
+        ):
+            if name in names:
+                return failure
+        return None
 
     def _check_groups(self):
         head_by_member = {}
