--- a/src/citronvalve/replicas/liveness.py
+++ b/src/citronvalve/replicas/liveness.py
@@ -399,6 +399,5 @@
         :param now: monotonic ms.
         """
         suspicion = self._suspicion_by_id.get(runner_id)
-        if suspicion is None or how is probefailure.ProbeFailure.OWN_PAUSE:
-            return
-        suspicion.record_failure(how, now)
+        if suspicion is not None:
+            suspicion.record_failure(how, now)
--- a/src/citronvalve/replicas/probefailure.py
+++ b/src/citronvalve/replicas/probefailure.py
@@ -16,8 +16,6 @@
     BROKEN = "broken"
     #: The answer is not the runner's report.
     NO_REPORT = "no report"
-    #: This process did not run, so the time-out says nothing.
-    OWN_PAUSE = "own pause"
 
 
 #: Failures that a runner which only pauses causes, too: its host is up and
