Count missed read-backs of a VM from the first missed one

Callers' answers on a group would be reset, and the group be down for a load, when its VM missed a single read-back after a pause of the daemon: the leader replaced the VM, which was alive, by a spare.

Cause: a missed read-back counted as the second one if it was sent 1.5 s or more after the last answered one. A daemon that pauses asks nothing for that time, so that its first miss counted as two.

The second miss is now told by the time at which the first missed one was sent: both were really asked, 0.9 s or more apart, whatever the daemon did before. With regular polls a lost VM is found as fast as before.

--- a/src/citronvalve/groups/observation.py
+++ b/src/citronvalve/groups/observation.py
@@ -39,7 +39,9 @@
 
     A refused connection is conclusive; a timeout is not.  A single missed
     read-back may be a lost packet, and the next one may still be in progress
-    when the last answer becomes too old.  Two must have been missed.
+    when the last answer becomes too old.  Two must have been missed.  They
+    are counted by the times of the missed ones alone: after the last answer,
+    this daemon may have paused and asked nothing.
 
     :param status: its status; None if it was never polled.
     :param now: monotonic time in ms.
@@ -47,10 +49,12 @@
     """
     if status is None or status.is_down:
         return status is not None
-    unanswered = status.contacted_at - status.seen_at
+    if status.missed_since is None:
+        return False
+    missed_for = status.contacted_at - status.missed_since
     return (
         is_unreachable(status, now, timings)
-        and unanswered > timings.second_miss_after
+        and missed_for >= timings.second_miss_after
     )
 
 
--- a/src/citronvalve/groups/timing.py
+++ b/src/citronvalve/groups/timing.py
@@ -17,8 +17,9 @@
     ``unreachable_after``: age from which a read-back is not acted on.  A VM
     with no answer for this long and two missed polls is lost; with one poll
     per second, detection takes at most 3 s.
-    ``second_miss_after``: a poll sent later than this after the last answer
-    is at least the second one that was missed.
+    ``second_miss_after``: a poll sent this long after the first one that was
+    missed counts as the second one.  It is less than the interval of polls,
+    which varies by some ms.
     ``max_state_age``: older group states are not used for routing.
     ``max_order_delay``: longest time that an order may take to arrive; the
     client times out earlier.
@@ -32,7 +33,7 @@
     max_clock_drift: clock.Ms = 500
     renew_interval: clock.Ms = 3_000
     unreachable_after: clock.Ms = 2_000
-    second_miss_after: clock.Ms = 1_500
+    second_miss_after: clock.Ms = 900
     max_state_age: clock.Ms = 3_000
     max_order_delay: clock.Ms = 3_000
     drain_timeout: clock.Ms = 30_000
--- a/src/citronvalve/groups/vmstatustable.py
+++ b/src/citronvalve/groups/vmstatustable.py
@@ -41,14 +41,9 @@
             return
         if isinstance(answer, holding.Holding) and answer.vm == vm:
             new = vmstatus.VmStatus(answer, sent_at, sent_at)
-        elif last is None:
-            is_down = not isinstance(answer, missing.AnswerLost)
-            new = vmstatus.VmStatus(None, sent_at, sent_at, is_down)
-        elif isinstance(answer, missing.AnswerLost):
-            new = last._replace(contacted_at=sent_at)
         else:
-            # The connection was refused, or another VM has the address.
-            new = last._replace(contacted_at=sent_at, is_down=True)
+            last = last or vmstatus.VmStatus(None, sent_at, sent_at)
+            new = _without_answer(last, answer, sent_at)
         self.status_by_vm[vm] = new
 
     def record_order_answer(
@@ -74,3 +69,15 @@
         for by_vm in (self.status_by_vm, self.uncertain_until_by_vm):
             for vm in set(by_vm) - vms:
                 del by_vm[vm]
+
+
+def _without_answer(
+    last: vmstatus.VmStatus, answer: engines.ReadBack, sent_at: clock.Ms
+) -> vmstatus.VmStatus:
+    if not isinstance(answer, missing.AnswerLost):
+        # The connection was refused, or another VM has the address.
+        return last._replace(contacted_at=sent_at, is_down=True)
+    missed_since = last.missed_since
+    if missed_since is None:
+        missed_since = sent_at
+    return last._replace(contacted_at=sent_at, missed_since=missed_since)
--- a/tests/groups/world.py
+++ b/tests/groups/world.py
@@ -28,9 +28,9 @@
 class Process:
     """One daemon's leader, with its own connections to table and engines."""
 
-    def __init__(self, world, name):
+    def __init__(self, world, name, engines_class):
         self.points = trip.Trip()
-        self.engines = fakeengines.FakeEngines(
+        self.engines = engines_class(
             world.engine_by_address, world.clock, self.points
         )
         self.is_paused = False
@@ -106,9 +106,9 @@
             switches=declared.Switches(),
         )
 
-    def start(self, name):
+    def start(self, name, engines_class=fakeengines.FakeEngines):
         self.start_count += 1
-        process = Process(self, f"{name}/{self.start_count}")
+        process = Process(self, f"{name}/{self.start_count}", engines_class)
         process.leader.update_declared(self.declared())
         self.process_by_name[name] = process
         return process
