Take only a refused connection for the end of an engine

Callers' answers on a group would be reset, and the group be down for a load, when the leader failed once to open a connection to one of its VMs for a reason of its own: no descriptor, no local port, no route, a name that is not resolved. All groups at once if the daemon has the fault. Found by reading and test; no user reported it.

Cause: one refused connection is conclusive, and every error of the library in connecting, less the timeout, was reported as one (NewConnectionError includes all errors of the socket and the resolver).

Only ECONNREFUSED, which the VM's own system sends, is now conclusive. The others are missed read-backs, of which two are needed. Orders are sent as before: both answers leave them uncertain.

A daemon that can't connect for two polls in a row still takes VMs for lost.

--- a/src/citronvalve/groups/httpengines.py
+++ b/src/citronvalve/groups/httpengines.py
@@ -27,7 +27,19 @@
 _MAX_POOLS = 2_048
 
 _UNCERTAIN_ERRORS = (urllib3.exceptions.HTTPError, OSError, ValueError)
-_NOT_SENT_ERROR = urllib3.exceptions.NewConnectionError
+
+
+def _is_refused(error: Exception) -> bool:
+    """Return whether the VM answered that nothing listens there.
+
+    Other errors of a connection may come from this daemon or the network:
+    no descriptor, port, route or name.  They tell nothing about the VM.
+
+    :param error: raised by a call.
+    """
+    return isinstance(
+        error, urllib3.exceptions.NewConnectionError
+    ) and isinstance(error.__cause__, ConnectionRefusedError)
 
 
 class _BadAnswerError(ValueError):
@@ -108,9 +120,9 @@
             if len(content) > _MAX_ANSWER_BYTES:
                 raise _BadAnswerError(f"more than {_MAX_ANSWER_BYTES} bytes")
             return decode(response.status, content)
-        except _NOT_SENT_ERROR as error:
-            return missing.Unavailable(str(error), url)
         except (*_UNCERTAIN_ERRORS, msgspec.MsgspecError) as error:
+            if _is_refused(error):
+                return missing.Unavailable(str(error), url)
             return missing.AnswerLost(str(error), url)
 
     @staticmethod
--- a/tests/groups/silent.feature
+++ b/tests/groups/silent.feature
@@ -26,3 +26,21 @@
       | rank 1  | 1300    | 1300  |
       | each VM | 1000    | 1000  |
       | each VM | 1300    | 1300  |
+
+  Scenario Outline: a read-back whose connection fails: <how>
+    Guards against replacing sound VMs because this daemon can't connect:
+    each error but a timeout was taken for a refused connection, which shows
+    that no engine runs.
+    When a connection to a VM fails once with <how>
+    Then the VM counts as <state>
+
+    Examples:
+      | how                       | state   |
+      | connection refused        | lost    |
+      | no route to host          | present |
+      | network unreachable       | present |
+      | too many open files       | present |
+      | no local port             | present |
+      | name not resolved         | present |
+      | name not resolved in time | present |
+      | no answer in time         | present |
--- a/tests/groups/steps/silent_steps.py
+++ b/tests/groups/steps/silent_steps.py
@@ -1,11 +1,19 @@
 """Steps about VMs and daemons that are silent for a while."""
 
+import errno
+import socket
 from typing import NamedTuple
+from unittest import mock
 
 import behave
 
+from citronvalve.groups import holding
+from citronvalve.groups import httpengines
+from citronvalve.groups import observation
+from citronvalve.groups import vmstatustable
 from citronvalve.model import missing
 from standins import fakeengines
+from tests.groups import world
 
 #: The times of the task that polls and of its client, in ms.
 _POLL_INTERVAL = 1_000
@@ -21,6 +29,17 @@
 _SILENCE_STARTS = range(1, _POLL_INTERVAL, 100)
 _PAUSE_STARTS = range(-1_400, 1_500, 200)
 
+_ERROR_BY_NAME = {
+    "connection refused": OSError(errno.ECONNREFUSED, "refused"),
+    "no route to host": OSError(errno.EHOSTUNREACH, "no route"),
+    "network unreachable": OSError(errno.ENETUNREACH, "no network"),
+    "too many open files": OSError(errno.EMFILE, "no descriptor"),
+    "no local port": OSError(errno.EADDRNOTAVAIL, "no port"),
+    "name not resolved": socket.gaierror(socket.EAI_NONAME, "no name"),
+    "name not resolved in time": socket.gaierror(socket.EAI_AGAIN, "later"),
+    "no answer in time": TimeoutError("timed out"),
+}
+
 _SETTLED = 3_000
 _WATCHED = 8_000
 
@@ -138,3 +157,22 @@
             for each in cluster.engine_by_address.values()
         },
     )
+
+
+@behave.when("a connection to a VM fails once with {how}")
+def step_connection_fails(context, how):
+    with mock.patch(
+        "urllib3.util.connection.create_connection",
+        side_effect=_ERROR_BY_NAME[how],
+    ):
+        context.read_back = httpengines.HttpEngines().read_holding("a0:1")
+
+
+@behave.then("the VM counts as {state}")
+def step_counts_as(context, state):
+    table = vmstatustable.VmStatusTable(world.TIMINGS)
+    table.record_read_back("a0", holding.Holding("a0", "a0.0", 0), 0)
+    table.record_read_back("a0", context.read_back, _POLL_INTERVAL)
+    status = table.status_by_vm["a0"]
+    is_lost = observation.is_lost(status, 2 * _POLL_INTERVAL, world.TIMINGS)
+    assert is_lost == (state == "lost"), (context.read_back, status)
