Add rows of daemons that are stopped for a second

Five daemons on simulated links, each stopped for 1.0 or 1.3 s forty times in all at different phases of heartbeats and loans: none was marked dead or took a new incarnation, and the slot of a cold upstream was lent to exactly one at every event.

--- a/tests/peers/failures.feature
+++ b/tests/peers/failures.feature
@@ -11,6 +11,19 @@
     Then the lender does not act, and holds no loan
     And within 3000 ms it acts in a new incarnation
 
+  Scenario Outline: a member that was stopped for <span> ms keeps its place
+    Guards against a pause that is taken for a death, at any phase of the
+    heartbeats and of the loans: another member would take over its keys, and
+    the cold upstream's slot would lapse.
+    Given 5 members that lend a cold upstream's only slot
+    When each member is stopped for <span> ms in turn, eight times
+    Then no member was ever marked dead, and the slot was always lent
+
+    Examples:
+      | span |
+      | 1000 |
+      | 1300 |
+
   Scenario: a new member becomes the lender while slots are lent
     A daemon joins and ranks first for the upstream.  The borrower of the
     only slot still uses it, and the new lender doesn't know the loan.  It may
--- a/tests/peers/steps/failure_steps.py
+++ b/tests/peers/steps/failure_steps.py
@@ -10,6 +10,11 @@
 from standins import memorylinks
 from tests.peers import cluster
 
+#: Times in ms: more than a member takes to be heard of again, and a part of
+#: the interval of heartbeats.
+_BETWEEN_STOPS = 5_000
+_PHASE = 130
+
 
 @behave.given("{count:d} members that lend a cold upstream's only slot")
 def step_members(context, count):
@@ -39,6 +44,42 @@
     context.links.run(span)
 
 
+@behave.when("each member is stopped for {span:d} ms in turn, eight times")
+def step_stopped_in_turn(context, span):
+    incarnation_by_name = _incarnations(context)
+    context.faults = []
+
+    def check():
+        if sum(cluster.held_slots(context, cluster.COLD).values()) != 1:
+            context.faults.append("the slot is not lent once")
+        if _incarnations(context) != incarnation_by_name:
+            context.faults.append("a new incarnation")
+        for name in context.names:
+            if cluster.state(context, name).membership.dead():
+                context.faults.append(f"{name} marked a member dead")
+
+    context.links.after_each = check
+    for number in range(8):
+        for name in context.names:
+            context.links.run(_BETWEEN_STOPS + number * _PHASE)
+            context.links.stop(name)
+            context.links.run(span)
+            context.links.wake(name)
+    context.links.run(_BETWEEN_STOPS)
+
+
+def _incarnations(context):
+    return {
+        name: cluster.state(context, name).authority.incarnation
+        for name in context.names
+    }
+
+
+@behave.then("no member was ever marked dead, and the slot was always lent")
+def step_kept(context):
+    assert not context.faults, (len(context.faults), context.faults[:5])
+
+
 @behave.then("the lender does not act, and holds no loan")
 def step_not_acting(context):
     assert not cluster.state(context, context.lender).authority.may_act()
