Keep who left a lost head reserved when the head answers again

Cause: a sign of life of the head ended the reservation of its members, as if they had never left. They now stay reserved until the head has answered an order to cut, has left, or reports that it does not serve; the order is given as soon as the head is back.

An answer that came late counts as a pause, and a report of a stall is dropped once this daemon hears the head. - a hung runner was repaired only after an unbroken row of ten answers of others (up to 20 s if a fifth of them is lost). Spans in which others answer are added up; a longer gap between two probes, in which the leader did not run, counts for 1 s at most. - connections that are not opened any more, after one that was, decide nothing: a runner that pauses accepts none, so that its queue gets full. - replicas with a runner in doubt are not closed for an exchange.

--- a/src/citronvalve/daemon/plannertask.py
+++ b/src/citronvalve/daemon/plannertask.py
@@ -140,9 +140,18 @@
         self._inherited_stalls = [
             head
             for head, at in self._stalled_at_by_head.items()
-            if now - at < self._stall
+            if now - at < self._stall and not self._has_sent_since(head, at)
         ]
 
+    def _has_sent_since(self, head: str, at: clock.Ms) -> bool:
+        return self._loads.of(head).last_heard_at > at
+
+    def _drop_ended_stalls(self, planner: planners.Planner) -> None:
+        """Drop the reports of heads that this daemon has heard since."""
+        for head, at in self._stalled_at_by_head.items():
+            if self._has_sent_since(head, at):
+                planner.record_activity(head)
+
     def _step(self) -> None:
         now = self._env.clock.now()
         for name, service in self._directory.catalogue.service_by_name.items():
@@ -155,6 +164,7 @@
                 )
                 planner.inherit_left(self._left_at_by_id(name))
                 self._planner_by_service[name] = planner
+            self._drop_ended_stalls(planner)
             planner.before_traffic = self._is_before_traffic()
             planner.demand.observe(
                 self._load_by_model(name, service, now), now
--- a/src/citronvalve/replicas/liveness.py
+++ b/src/citronvalve/replicas/liveness.py
@@ -26,6 +26,9 @@
 #: stale: its entries come back within 2 s, and delayed orders arrive.
 _SETTLING_TIME: clock.Ms = 2_500
 
+#: An answer that took longer than this was held up by a pause of the runner.
+_PROMPT_ANSWER: clock.Ms = 150
+
 #: A runner that left the list is remembered for this long.
 _UNLISTED_RETENTION: clock.Ms = 30_000
 
@@ -53,6 +56,7 @@
         self._unreachable_since: dict[str, clock.Ms] = {}
         self._healed_at_by_datacentre: dict[str, clock.Ms] = {}
         self._witness_asked_at_by_id: dict[str, clock.Ms] = {}
+        self._late: set[str] = set()
 
     def apply_list(
         self, runner_by_id: dict[str, runners.Runner], now: clock.Ms
@@ -174,6 +178,15 @@
         suspicion = self._suspicion_by_id.get(runner_id)
         return suspicion is not None and suspicion.is_paused
 
+    def take_paused(self) -> set[str]:
+        """Return the runners found to have paused since the last call.
+
+        They are silent still, or answered a probe late.
+        """
+        paused = set(filter(self.is_paused, self._suspicion_by_id))
+        late, self._late = self._late, set()
+        return late | paused
+
     def silent_for(self, runner_id: str, now: clock.Ms) -> clock.Ms:
         """Return for how long a runner has not answered its probes.
 
@@ -376,6 +389,7 @@
         :param now: monotonic ms.
         """
         self._answered_at_by_id[runner_id] = now
+        self._record_late_answer(runner_id, now)
         held = self._listed_by_id.get(runner_id)
         if held is not None:
             self._heard_at_by_datacentre[held.datacentre] = now
@@ -385,6 +399,13 @@
         if suspicion is not None:
             suspicion.record_unlisted_answer()
 
+    def _record_late_answer(self, runner_id: str, now: clock.Ms) -> None:
+        suspicion = self._suspicion_by_id.get(runner_id)
+        if suspicion is None or suspicion.probed_at is None:
+            return
+        if now - suspicion.probed_at > _PROMPT_ANSWER:
+            self._late.add(runner_id)
+
     def record_no_answer(
         self, runner_id: str, how: probefailure.ProbeFailure, now: clock.Ms
     ) -> None:
--- a/src/citronvalve/replicas/planner.py
+++ b/src/citronvalve/replicas/planner.py
@@ -115,6 +115,15 @@
             if other is not None and other.key == held.membership.key:
                 self.liveness.suspect(runner.id)
 
+    def record_activity(self, head_id: str) -> None:
+        """Record that the head of a replica that was stalled sent data.
+
+        :param head_id: the head's id.
+        """
+        held = self.liveness.find(head_id)
+        if held is not None and held.membership is not None:
+            self._stalled_keys.discard(held.membership.key)
+
     def record_result(
         self, order: orders.Order, result: orders.OrderResult, now: clock.Ms
     ) -> None:
@@ -229,11 +238,12 @@
         self, replica_by_key: _ReplicaByKey, now: clock.Ms
     ) -> None:
         # A head that pauses stands still whatever its members do.
+        paused = self.liveness.take_paused()
         self._stalled_keys = {
             key
             for key in self._stalled_keys & replica_by_key.keys()
             if (head := replica_by_key[key].head) is None
-            or not self.liveness.is_paused(head.id)
+            or head.id not in paused
         }
         self._found_at_by_key = {
             key: self._found_at_by_key.get(key, now) for key in replica_by_key
@@ -262,13 +272,20 @@
     def _closable(
         self, replica_by_key: _ReplicaByKey
     ) -> list[replicas.Replica]:
-        """Return the complete open replicas that orders can reach."""
+        """Return the complete open replicas that orders can reach.
+
+        Not those with a runner in doubt, which may pause.
+        """
         return [
             replica
             for key, replica in replica_by_key.items()
             if replica.phase is _Phase.OPEN
             and replica.is_complete()
             and replica.member_by_rank[0].datacentre not in self._unsettled
+            and not any(
+                self.liveness.is_suspected(member.id)
+                for member in replica.member_by_rank.values()
+            )
             and key not in self._dissolved_at_by_key
         ]
 
@@ -340,7 +357,7 @@
             if self._may_drain(replica, now):
                 return True
             return self._reservations.dissolve_headless(replica, now)
-        self._reservations.record_head_alive(key)
+        self._reservations.record_head_alive(replica, now)
         if replica.phase in phases.SERVING:
             why = self._reason_to_close(replica, spare_count, now)
             if why is None:
--- a/src/citronvalve/replicas/reservations.py
+++ b/src/citronvalve/replicas/reservations.py
@@ -8,6 +8,7 @@
 from citronvalve.replicas import order as orders
 from citronvalve.replicas import outbox as outboxes
 from citronvalve.replicas import pending as pendings
+from citronvalve.replicas import phase
 from citronvalve.replicas import replica as replicas
 from citronvalve.replicas import runner as runners
 
@@ -29,8 +30,8 @@
 class _Reservation(NamedTuple):
     """Members that are reserved for the group of a head.
 
-    ``expires_at`` is monotonic ms; for an abandoned group it is when the
-    group was abandoned.
+    ``expires_at`` is monotonic ms; for a group whose head is to stop it is
+    when that was decided.
     """
 
     head: str
@@ -96,13 +97,29 @@
             self._open_answered &= live_keys
             self._cut_answered &= live_keys
 
-    def record_head_alive(self, key: membership.GroupKey) -> None:
+    def record_head_alive(
+        self, replica: replicas.Replica, now: clock.Ms
+    ) -> None:
         """Record that the head of a group is alive.
 
-        :param key: the group.
+        If it counted as lost and members have left meanwhile, it may serve
+        without them.  They stay reserved until it has stopped.
+
+        :param replica: the group.
+        :param now: monotonic ms.
         """
-        self._lost_by_key.pop(key, None)
+        key = replica.key
         self._headless_since.pop(key, None)
+        lost = self._lost_by_key.get(key)
+        if lost is None or replica.is_complete():
+            return
+        if replica.phase not in phase.SERVING:
+            del self._lost_by_key[key]
+        elif key not in self._abandoned_by_key:
+            self._cut_answered.discard(key)
+            self._abandoned_by_key[key] = _Reservation(
+                replica.head.id, now, lost.members
+            )
 
     def dissolve_headless(
         self, replica: replicas.Replica, now: clock.Ms
@@ -241,6 +258,7 @@
         for key, reservation in list(self._abandoned_by_key.items()):
             if self._has_stopped(key, reservation, now):
                 del self._abandoned_by_key[key]
+                self._lost_by_key.pop(key, None)
             else:
                 reserved |= reservation.members
                 why = orders.Reason.ABANDONED
--- a/src/citronvalve/replicas/suspicion.py
+++ b/src/citronvalve/replicas/suspicion.py
@@ -7,6 +7,10 @@
 #: be due to a dropped packet; two still take less than a second.
 _FAILURES_UNTIL_SILENT = 2
 
+#: More time than this between two probes is not counted as a silence: the
+#: leader may not have run.
+_MAX_PROBE_INTERVAL: clock.Ms = 1_000
+
 
 class Suspicion:
     """Suspicion that one runner is lost.
@@ -17,8 +21,10 @@
     anew, since not all resume at the same time.
 
     One that accepts connections and does not answer may pause.  It is lost
-    only after the time in which its group would break by itself, and only if
-    others of its data centre answered all the while.
+    only after the time in which its group would break by itself, of which
+    only those spans count in which another runner of its data centre
+    answered.  Connections that are not opened any more are no further sign:
+    a runner that pauses accepts none, so that its queue gets full.
 
     :param pause_limit: longest ms for which a runner may pause.
     :ivar probed_at: monotonic ms of the last probe, None before the first.
@@ -32,6 +38,7 @@
         "_first_probed_at",
         "_is_conclusive",
         "_pause_limit",
+        "_paused_for",
         "_paused_since",
         "answered_unlisted",
         "is_lost",
@@ -45,6 +52,7 @@
         self._first_probed_at: clock.Ms | None = None
         self._is_conclusive = False
         self._paused_since: clock.Ms | None = None
+        self._paused_for: clock.Ms = 0
         self.probed_at: clock.Ms | None = None
         self.silent_at: clock.Ms | None = None
         self.is_lost = False
@@ -91,9 +99,9 @@
         :param now: monotonic ms.
         :param heard_at: as for :meth:`is_undecided`.
         """
-        if self.is_paused and not _is_heard_since(heard_at, self.probed_at):
-            # The whole data centre may pause.
-            self._paused_since = now
+        if self.is_paused and _is_heard_since(heard_at, self.probed_at):
+            span = now - self.probed_at
+            self._paused_for += min(span, _MAX_PROBE_INTERVAL)
         if self._failed_probes >= _FAILURES_UNTIL_SILENT and not self.is_lost:
             self._failed_probes = 0
             self._first_probed_at = None
@@ -112,7 +120,8 @@
         :param how: how it failed.
         :param now: monotonic ms.
         """
-        if how in probefailure.PAUSE_LIKE:
+        is_full = how is probefailure.ProbeFailure.UNREACHED and self.is_paused
+        if how in probefailure.PAUSE_LIKE or is_full:
             self._record_pause(now)
             return
         self._paused_since = None
@@ -127,11 +136,11 @@
         if self.is_lost:
             return
         if self._paused_since is None:
-            self._paused_since = self.probed_at
+            self._paused_since, self._paused_for = self.probed_at, 0
         # A connection was opened, so that earlier failures are void.
         self._failed_probes = 0
         self._first_probed_at = self.silent_at = None
-        if self.silent_for(now) >= self._pause_limit:
+        if self._paused_for >= self._pause_limit:
             self.is_lost = True
             self.silent_at = now
 
--- a/tests/replicas/silence.feature
+++ b/tests/replicas/silence.feature
@@ -72,10 +72,36 @@
     Guards against a repair that waits for one runner's answer for ever.
 
     Given 6 domains of 11 runners serve
-    And the spares of "zone-0" accept connections and never answer
+    And the runner that is probed first beside it never answers
     When a member of the first "large" replica is silent for ever
     Then within 8 s its head is ordered to cut
 
+  Scenario Outline: probes that fail as <failures>, while others <others>
+    Guards against failures that a pause gives, too, and that count as those
+    of a dead runner, and against a silence that others share.
+
+    Given a runner that is probed every 400 ms, while others <others>
+    When its probes fail as <failures>
+    Then it counts as <state>
+
+    Examples: sequences
+      | failures                       | others | state |
+      | unreached                      | answer | alive |
+      | 2 unreached                    | answer | lost  |
+      | 2 refused                      | answer | lost  |
+      | 2 no report                    | answer | lost  |
+      | 9 unreached                    | pause  | alive |
+      | unreached, silent, unreached   | answer | alive |
+      | refused, silent, refused       | answer | alive |
+      | refused, broken, refused       | answer | alive |
+      | silent, 9 unreached            | answer | alive |
+      | silent, 2 refused              | answer | lost  |
+      | 10 silent                      | answer | alive |
+      | 11 silent                      | answer | lost  |
+      | 10 broken                      | answer | alive |
+      | 11 broken                      | answer | lost  |
+      | 99 silent                      | pause  | alive |
+
   Scenario: a member dies beside a replica that pauses
     Guards against a pause that keeps a data centre from being repaired.
 
--- a/tests/replicas/steps/silence_steps.py
+++ b/tests/replicas/steps/silence_steps.py
@@ -3,6 +3,8 @@
 import behave
 
 from citronvalve.replicas import order as orders
+from citronvalve.replicas import probefailure
+from citronvalve.replicas import suspicion as suspicions
 from tests.replicas import world as worlds
 
 #: Time from the silence of a head to its report.
@@ -70,7 +72,7 @@
     world = context.world
     names = [r.id for r in world.runner_by_id.values() if r.datacentre == zone]
     context.affected = [world.runner_by_id[name] for name in names]
-    began = world.now
+    began, sent_before = world.now, len(world.sent)
     world.paused |= set(names)
     world.run(_UNTIL_REPORT)
     for runner in context.affected:
@@ -82,6 +84,8 @@
         while world.now < began + seconds * 1_000 + step * number:
             world.step()
         world.resume([name])
+    sent = [act for _, act in world.sent[sent_before:] if act.runner in names]
+    assert not sent, sent
 
 
 @behave.when('{which} of the first "{model}" replica is silent for ever')
@@ -90,13 +94,44 @@
     _silence(context, names)
 
 
-@behave.given('the spares of "{zone}" accept connections and never answer')
-def step_spares_hang(context, zone):
-    context.world.paused |= {
-        runner.id
-        for runner in context.world.runner_by_id.values()
-        if runner.datacentre == zone and runner.membership is None
-    }
+@behave.given("the runner that is probed first beside it never answers")
+def step_witness_hangs(context):
+    world = context.world
+    head = world.open_heads("large")[0]
+    context.world.paused.add(
+        next(
+            runner.id
+            for runner in world.runner_by_id.values()
+            if runner.datacentre == head.datacentre
+            and runner.domain != head.domain
+        )
+    )
+
+
+@behave.given("a runner that is probed every 400 ms, while others {others}")
+def step_probed(context, others):
+    context.suspicion = suspicions.Suspicion(worlds.STALL)
+    context.do_others_answer = others == "answer"
+
+
+@behave.when("its probes fail as {failures}")
+def step_fail(context, failures):
+    now, heard_at = 1_000, None
+    for part in failures.split(", "):
+        count, _, name = part.partition(" ")
+        if not count.isdigit():
+            count, name = 1, part
+        for _ in range(int(count)):
+            context.suspicion.record_probe(now, heard_at)
+            heard_at = now if context.do_others_answer else heard_at
+            failure = probefailure.ProbeFailure(name)
+            context.suspicion.record_failure(failure, now + 350)
+            now += 400
+
+
+@behave.then("it counts as {state}")
+def step_state(context, state):
+    assert context.suspicion.is_lost == (state == "lost")
 
 
 @behave.when(
