Look at the outcome only where a cut is to be named

The check that a daemon names each request that was cut also took a line whose reason, not its outcome, was `broken`. It now takes the outcome only, which is stricter.

--- a/tests/processes/steps/processes_steps.py
+++ b/tests/processes/steps/processes_steps.py
@@ -342,7 +342,8 @@
 
 def _is_named(request, output):
     own = [line for line in output.splitlines() if request in line]
-    return any('"request ended"' in o and '"broken"' in o for o in own)
+    ended = [line for line in own if '"event":"request ended"' in line]
+    return any('"outcome":"broken"' in line for line in ended)
 
 
 @behave.then("each promise that holds always was looked at")
