Check that runners were silent while they wrote streams

A row about silent runners would pass if nobody fell silent, or nobody had a stream (found in review). Each row now names how many runners fell silent, and how many of them as they wrote streams.

--- a/tests/processes/processes.feature
+++ b/tests/processes/processes.feature
@@ -30,15 +30,16 @@
 
     Given a soak of seed <seed> for 22 s with 4 daemons, 24 callers and no faults
     When it has run while <what>
-    Then each request that was cut is named by its daemon
+    Then at least <count> runners fell silent, <busy> of them as they wrote streams
+    And each request that was cut is named by its daemon
     And no promise was broken
     And no member was told to leave a head that serves
 
     Examples: silence
-      | what                                      | seed |
-      | heads of replicas are silent for a second | 304  |
-      | any runners are silent for a second       | 306  |
-      | plain runners are silent for a second     | 303  |
+      | what                                      | seed | count | busy |
+      | heads of replicas are silent for a second | 304  | 10    | 10   |
+      | any runners are silent for a second       | 306  | 10    | 5    |
+      | plain runners are silent for a second     | 303  | 10    | 0    |
 
   Scenario: a member of the only replica leaves while its head works
     The other data centre is out of service. The member says that it leaves,
--- a/tests/processes/steps/processes_steps.py
+++ b/tests/processes/steps/processes_steps.py
@@ -59,6 +59,7 @@
 
 def _make(context, seed, seconds, count, *longest, callers=12):
     context.chance = random.Random(f"{seed}/silence")
+    context.silences = []
     context.soak = runs.Soak(
         seed, seconds, count, callers, _folder(context), *longest
     )
@@ -158,13 +159,22 @@
                     if chance.random() < share:
                         eventlet.spawn_after(
                             chance.uniform(0, _STAGGER),
-                            runner.pause,
+                            _pause,
+                            context,
+                            runner,
                             chance.uniform(*_SILENT),
                         )
 
     return act
 
 
+def _pause(context, runner, seconds):
+    # How many streams it writes, None for a plain runner.
+    is_plain = runner.service == operators.DESK
+    context.silences.append(None if is_plain else runner.place.running)
+    runner.pause(seconds)
+
+
 _DO_BY_WHAT = {
     "all replicas stand still for 0.5 s, again and again": _stop_replicas,
     "all daemons stand still for 0.5 s, again and again": _stop_daemons,
@@ -322,6 +332,16 @@
     assert not broken, "\n".join([*told, *stalls])
 
 
+@behave.then(
+    "at least {count:d} runners fell silent, {busy:d} of them as they wrote "
+    "streams"
+)
+def step_silences(context, count, busy):
+    writing = [running for running in context.silences if running]
+    assert len(context.silences) >= count, context.silences
+    assert len(writing) >= busy, context.silences
+
+
 @behave.then("each request that was cut is named by its daemon")
 def step_named(context):
     soak = context.soak
