Keep a silent upstream's connection while another one is tried

Callers of replicas that paused for a second and went on got a part of their stream and a reset, or a 502 or 504 where nothing had been sent yet.

Cause: a silent attempt was given up after 0.35 to 0.45 s (plain services: 2.5 times the objective) if another upstream was predicted to take the request, and its connection was closed before that one was asked. When it then turned the request away, broke, could not be reached or was silent itself, or when the budget of retries or the bound on rejections was used up, or when placement said no right after it had said yes, nothing was left to read.

A silent attempt is now parked: connection, parser, partial body and partial event stay (forward/exchange.py), and it is read in turn with the attempt under way, every 20 ms (forward/parked.py). The first that has an event or a whole body for the caller ends all others, so events of two runs are not mixed. If no further upstream may be tried, the request returns to the silent one until its deadline; that sends nothing and costs no budget. An upstream's own failure (not 408, 421, 429 or 503) is still relayed at once if no answer has begun, and where all links are cut a direct connection is not waited for, as before.

Not changed: a response without a length whose upstream accepts no connection when it ends is still taken for cut. To wait for it could take the part of a crashed upstream that is back for a whole response.

--- a/src/citronvalve/forward/attemptresult.py
+++ b/src/citronvalve/forward/attemptresult.py
@@ -21,6 +21,8 @@
     BROKEN = enum.auto()
     #: Nothing arrived in time; the upstream may be stalled.
     STALLED = enum.auto()
+    #: An earlier upstream went on first; the request may have run.
+    OVERTAKEN = enum.auto()
 
 
 class AttemptResult(NamedTuple):
--- a/src/citronvalve/forward/dispatch.py
+++ b/src/citronvalve/forward/dispatch.py
@@ -4,6 +4,7 @@
 from citronvalve.forward import attemptresult
 from citronvalve.forward import dependencies
 from citronvalve.forward import headers
+from citronvalve.forward import parked
 from citronvalve.forward import reply as replies
 from citronvalve.forward import routedrequest
 from citronvalve.forward import streamprogress
@@ -23,6 +24,9 @@
 _CERTAINLY_NOT_RUN = frozenset({_Ending.NOT_RUN, _Ending.UNLINKED})
 _Kind = refusal.RefusalKind
 
+#: Statuses which imply that the request did not run.
+_NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
 
 class Dispatch:
     """Sends a request to upstreams until it is answered, refused or aborted.
@@ -44,8 +48,11 @@
         self._routed = routed
         self._reply = reply
         self._tried: list[str] = []
-        self._endings: list[str] = []
+        self._ending_by_upstream: dict[str, attemptresult.Ending] = {}
+        self._parked = parked.ParkedAttempts(self._record_ending)
         self._runs = 0
+        self._uncounted_runs = 0
+        self._resumed: attempts.Attempt | None = None
         self._rejections = 0
         self._ran = ran.Ran.NO
         self._failure: attemptresult.AttemptResult | None = None
@@ -61,7 +68,9 @@
     @property
     def endings(self) -> tuple[str, ...]:
         """Return how each attempt ended, in the order of :attr:`tried`."""
-        return tuple(self._endings)
+        return tuple(
+            ending.name for ending in self._ending_by_upstream.values()
+        )
 
     def run(self) -> None:
         """Run attempts until the caller has a response."""
@@ -69,12 +78,15 @@
         if refused is not None:
             self._refuse(refused)
             return
-        while True:
-            chosen = self._deps.placement.place(self._routed, self._tried)
-            if isinstance(chosen, refusal.Refusal):
-                self._end_unplaced(chosen)
-                return
-            result = self._attempt(chosen)
+        try:
+            self._run_attempts()
+        finally:
+            self._parked.close()
+
+    def _run_attempts(self) -> None:
+        result = None
+        while (attempt := self._next(result)) is not None:
+            result = self._run_attempt(attempt)
             if result.ending is _Ending.DELIVERED:
                 self.outcome, self.reason = (
                     "whole",
@@ -82,15 +94,49 @@
                 )
                 self._deps.crash_detector.clear(self._routed)
                 return
-            if not self._may_retry(result):
-                self._end_after(result)
-                return
 
-    def _attempt(
-        self, chosen: upstreamchoice.Chosen
-    ) -> attemptresult.AttemptResult:
+    def _next(
+        self, last: attemptresult.AttemptResult | None
+    ) -> attempts.Attempt | None:
+        """Return the attempt to run or to read on; None after the last one.
+
+        :param last: the result of the one before.
+        """
+        attempt = self._parked.take_answering()
+        if attempt is not None:
+            return attempt
+        refused = None
+        if last is None or self._may_retry(last):
+            chosen = self._deps.placement.place(self._routed, self._tried)
+            if not isinstance(chosen, refusal.Refusal):
+                return self._begin(chosen, last)
+            refused = chosen
+        if not self._has_failure_for_caller():
+            # The caller can ask another daemon.
+            self._parked.close_where(self._is_cut_off)
+            attempt = self._parked.take()
+        if attempt is None and refused is not None:
+            self._end_unplaced(refused)
+        elif attempt is None and last is not None:
+            self._end_after(last)
+        return attempt
+
+    def _has_failure_for_caller(self) -> bool:
+        """Return whether an upstream's own failure can be relayed."""
+        failure = self._failure
+        if failure is None or failure.response is None or self._reply.started:
+            return False
+        return failure.response.status not in _NOT_RUN_STATUSES
+
+    def _begin(
+        self,
+        chosen: upstreamchoice.Chosen,
+        last: attemptresult.AttemptResult | None,
+    ) -> attempts.Attempt:
+        if last is not None and last.ending is not _Ending.UNLINKED:
+            self._deps.retry_budgets.spend(self._routed.service.name)
         self._tried.append(chosen.upstream)
-        attempt = attempts.Attempt(
+        return attempts.Attempt(
             self._deps,
             self._routed,
             self._reply,
@@ -98,9 +144,42 @@
             self._progress,
             self._can_switch,
         )
-        result = attempt.run()
-        self._endings.append(result.ending.name)
+
+    def _run_attempt(
+        self, attempt: attempts.Attempt
+    ) -> attemptresult.AttemptResult:
+        is_first = attempt.result is None
+        self._uncounted_runs = int(is_first)
+        self._resumed = None if is_first else attempt
+        if self._parked:
+            result = attempt.run(self._parked.read, self._parked.close)
+        else:
+            result = attempt.run()
+        if attempt.is_open:
+            self._parked.add(attempt)
+        if is_first:
+            self._record_ran(result)
+        self._record_ending(attempt)
+        return result
+
+    def _record_ran(self, result: attemptresult.AttemptResult) -> None:
         self._deps.env.metrics.record_attempt(result.ending.name.lower())
+        if result.ending in _CERTAINLY_NOT_RUN:
+            self._rejections += 1
+        else:
+            self._runs += 1
+            self._ran = ran.Ran.UNKNOWN
+
+    def _record_ending(self, attempt: attempts.Attempt) -> None:
+        result, chosen = attempt.result, attempt.chosen
+        if result is None:
+            return
+        if result.response is not None:
+            self._failure = result
+        if self._ending_by_upstream.get(chosen.upstream) is result.ending:
+            # It was silent, and is so again.
+            return
+        self._ending_by_upstream[chosen.upstream] = result.ending
         self._deps.env.log.note(
             "try ended",
             self._routed.id,
@@ -112,14 +191,6 @@
             expected_ms=round(chosen.forecast.first),
             silent_ms=self._silent_for(chosen.upstream),
         )
-        if result.ending in _CERTAINLY_NOT_RUN:
-            self._rejections += 1
-        else:
-            self._runs += 1
-            self._ran = ran.Ran.UNKNOWN
-        if result.response is not None:
-            self._failure = result
-        return result
 
     def _silent_for(self, upstream: str) -> clock.Ms | None:
         """Return the ms since an upstream sent anything, None if it never did.
@@ -138,13 +209,19 @@
         of a stream gets a part, because of a pause of some hundred ms.
         """
         deps, service = self._deps, self._routed.service.name
+        if self._resumed is not None and self._is_cut_off(self._resumed):
+            return True
         return (
             self._may_attempt_again()
-            and self._may_run_again(self._runs + 1)
+            and self._may_run_again(self._runs + self._uncounted_runs)
             and deps.retry_budgets.allows(service)
             and deps.placement.can_place(self._routed, self._tried)
         )
 
+    def _is_cut_off(self, attempt: attempts.Attempt) -> bool:
+        """Return whether nothing can arrive, since all links are lost."""
+        return not attempt.relay and self._deps.connector.links.is_cut
+
     def _may_retry(self, result: attemptresult.AttemptResult) -> bool:
         if not self._may_attempt_again():
             return False
@@ -155,7 +232,7 @@
         may_have_run = result.ending is not _Ending.NOT_RUN
         if may_have_run and not self._may_run_again(self._runs):
             return False
-        return self._deps.retry_budgets.spend(self._routed.service.name)
+        return self._deps.retry_budgets.allows(self._routed.service.name)
 
     def _may_attempt_again(self) -> bool:
         remaining = self._routed.deadline - self._deps.env.clock.now()
@@ -195,9 +272,8 @@
         self.outcome = "failed"
         names = self._deps.env.header_names
         status = failure.response.status
-        if status in (408, 421, 429, 503) and failure.response.may_have_run(
-            names
-        ):
+        is_promise = status in _NOT_RUN_STATUSES
+        if is_promise and failure.response.may_have_run(names):
             # These statuses imply that the request did not run, which the
             # upstream did not state.
             self._refuse(self._outcome_unknown(failure))
--- a/src/citronvalve/forward/exchangeerror.py
+++ b/src/citronvalve/forward/exchangeerror.py
@@ -16,6 +16,8 @@
     BROKEN = "broken"
     SILENT = "silent"
     GARBLED = "garbled"
+    #: Another upstream of the same request has answered meanwhile.
+    OVERTAKEN = "overtaken"
 
 
 class ExchangeError(errors.UpstreamError):
--- a/src/citronvalve/forward/responsereader.py
+++ b/src/citronvalve/forward/responsereader.py
@@ -31,6 +31,10 @@
 #: all requests that wait for it then switch at once.
 _POLL_INTERVAL: clock.Ms = 100
 
+#: The same while earlier upstreams of the request are read in turn with this
+#: one.
+_SHARED_POLL_INTERVAL: clock.Ms = 20
+
 #: A poll that takes longer was delayed by a pause of this daemon.  Only this
 #: much of it counts as silence of the upstream: data that arrived in the
 #: pause is still unread, since due timers are served before sockets.
@@ -54,6 +58,9 @@
     :param chosen: the upstream and its forecast.
     :param can_switch: returns whether the request could continue at another
         upstream; if not, the response is awaited until the deadline.
+    :ivar has_other_answered: reads the earlier upstreams of the request that
+        are silent; returns whether one of them had something for the caller.
+        None if there are none.
     """
 
     def __init__(
@@ -68,6 +75,18 @@
         self._routed = routed
         self._chosen = chosen
         self._can_switch = can_switch
+        self.has_other_answered: Callable[[], bool] | None = None
+
+    def check_others(self) -> None:
+        """Read the earlier upstreams of the request that are silent.
+
+        :raises exchangeerror.ExchangeError: when one of them had something
+            for the caller.
+        """
+        if self.has_other_answered is not None and self.has_other_answered():
+            raise exchangeerror.ExchangeError(
+                _Failure.OVERTAKEN, "an earlier upstream went on"
+            )
 
     def next_part(
         self, connection: upstreamconnection.UpstreamConnection
@@ -103,15 +122,21 @@
     ) -> h11.Event:
         end = self._routed.deadline + _DEADLINE_GRACE
         waited: clock.Ms = 0
+        interval = (
+            _POLL_INTERVAL
+            if self.has_other_answered is None
+            else _SHARED_POLL_INTERVAL
+        )
         while True:
             started_at = self._clock.now()
-            poll_end = min(end, started_at + _POLL_INTERVAL)
+            poll_end = min(end, started_at + interval)
             try:
                 return connection.next_event(poll_end)
             except exchangeerror.ExchangeError as error:
                 if error.failure is not _Failure.SILENT or poll_end >= end:
                     raise
                 waited += self._count_silence(self._clock.now() - started_at)
+                self.check_others()
                 # Checked at each poll: a replica may open in between.
                 # Checked for each request: also one that can't switch shows
                 # that a link is lost.
--- a/standins/scriptedrunner.py
+++ b/standins/scriptedrunner.py
@@ -12,6 +12,12 @@
 #: Seconds of a pause that a runner makes in the middle of a stream.
 _PAUSE = 0.8
 
+#: Seconds of a pause after which its caller has given it up.
+_LONG_PAUSE = 1.2
+
+#: Makes a socket's close a reset.
+_RESET = b"\1\0\0\0\0\0\0\0"
+
 
 class ScriptedRunner:
     """Serves on a port of its own until it is closed.
@@ -166,6 +172,49 @@
         eventlet.sleep(_PAUSE)
         return self._stream(sock, fields)
 
+    def _rests_after_three(self, sock, fields) -> bool:
+        self.runs += 1
+        sock.sendall(self._stream_head(fields))
+        for turn, event in enumerate(self._events(fields), 1):
+            sock.sendall(event)
+            if turn == 3:
+                eventlet.sleep(_LONG_PAUSE)
+        sock.sendall(b"0\r\n\r\n")
+        return True
+
+    def _rests_in_an_event(self, sock, fields) -> bool:
+        self.runs += 1
+        sock.sendall(self._stream_head(fields))
+        first, second, *others = self._events(fields)
+        sock.sendall(first + second[:9])
+        eventlet.sleep(_LONG_PAUSE)
+        sock.sendall(second[9:] + b"".join(others) + b"0\r\n\r\n")
+        return True
+
+    def _rests_after_its_head(self, sock, fields) -> bool:
+        self.runs += 1
+        sock.sendall(self._stream_head(fields))
+        eventlet.sleep(_LONG_PAUSE)
+        sock.sendall(b"".join(self._events(fields)) + b"0\r\n\r\n")
+        return True
+
+    def _rests_at_first(self, sock, fields) -> bool:
+        eventlet.sleep(_LONG_PAUSE)
+        return self._stream(sock, fields)
+
+    def _rests_and_is_whole(self, sock, fields) -> bool:
+        eventlet.sleep(_LONG_PAUSE)
+        return self._whole(sock, fields)
+
+    def _rests_in_its_body(self, sock, fields) -> bool:
+        self.runs += 1
+        body = b"answer of " + self._name.encode()
+        head = self._head(fields, extra=f"Content-Length: {len(body)}\r\n")
+        sock.sendall(head + body[:6])
+        eventlet.sleep(_LONG_PAUSE)
+        sock.sendall(body[6:])
+        return True
+
     def _skips_an_event(self, sock, fields) -> bool:
         self.runs += 1
         sock.sendall(self._stream_head(fields))
@@ -174,6 +223,12 @@
         sock.sendall(b"0\r\n\r\n")
         return True
 
+    def _skips_in_a_chunk(self, sock, fields) -> bool:
+        self.runs += 1
+        sock.sendall(self._stream_head(fields))
+        sock.sendall(_chunk(_event(1)) + _chunk(_event(2) + _event(4)))
+        return self._stay_silent(sock)
+
     def _silent(self, sock, fields) -> bool:
         self.runs += 1
         return self._stay_silent(sock)
@@ -191,6 +246,23 @@
         sock.sendall(self._head(fields, 503, extra))
         return True
 
+    def _turns_away_late(self, sock, fields) -> bool:
+        eventlet.sleep(_PAUSE)
+        return self._turns_away(sock, fields)
+
+    def _fails_late(self, sock, fields) -> bool:
+        eventlet.sleep(_PAUSE)
+        return self._fails(sock, fields)
+
+    def _is_another(self, sock, fields) -> bool:
+        sock.sendall(self._head(fields, 421, "Content-Length: 0\r\n"))
+        return True
+
+    def _resets(self, sock, fields) -> bool:
+        self.runs += 1
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        return False
+
     def _falsely_busy(self, sock, fields) -> bool:
         self.runs += 1
         sock.sendall(self._head(fields, 503, "Content-Length: 0\r\n"))
@@ -232,9 +304,7 @@
 
     def _whole_then_resets(self, sock, fields) -> bool:
         self._whole(sock, fields)
-        sock.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
-        )
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
         return False
 
     def _pauses_unframed(self, sock, fields) -> bool:
@@ -262,9 +332,7 @@
         head = self._head(fields, extra="Connection: close\r\n")
         sock.sendall(head + b"answer")
         eventlet.sleep(0.05)
-        sock.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
-        )
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
         return False
 
     def _crashes(self, sock, fields) -> bool:
--- a/tests/forward/rig.py
+++ b/tests/forward/rig.py
@@ -107,6 +107,7 @@
             crashdetector.CrashDetector(self.env, pool),
         )
         self.crash_detector = deps.crash_detector
+        self.placement = deps.placement
         self.forwarder = forwarder.Forwarder(
             deps, admission.Admission(self.env, self.directory)
         )
--- a/tests/forward/steps/relaying_steps.py
+++ b/tests/forward/steps/relaying_steps.py
@@ -50,7 +50,18 @@
 
 
 def _make(context, way, failure="are refused", relays=1, cut=True):
-    rig = context.rig = rigs.Rig(_scripts(way))
+    context.rig = rigs.Rig(_scripts(way))
+    add_relays(context, failure, relays, cut)
+
+
+def add_relays(context, failure="are refused", relays=1, cut=True):
+    """Give the daemon of the scenario other ones that may relay.
+
+    :param failure: how its own connections fail.
+    :param relays: number of other daemons.
+    :param cut: whether its links are lost.
+    """
+    rig = context.rig
     context.relays = [_Relay(rig, f"daemon-{n}") for n in range(2, 2 + relays)]
     for relay in context.relays:
         context.add_cleanup(relay.close)
