Take an opening that timed out for silence, not for a refusal

Callers' requests failed with 502 (attempt 2 ended: not-run) and 503 (2 since it failed), for seconds, when all upstreams of a model had been silent for 1.3 s, kernels included, though the deadline was 10 s. Found by reading and a trial; no user reported it.

Cause: a connection not opened within 1.0 s counted as a refused one, whose upstream has no capacity. The third in a row opens its circuit for 2 s, even that of the last upstream in service, and accepted requests are refused since no slot is left.

A timed-out opening is now an outcome of its own, not-opened (a new value of labels and log fields). It proves as before that nothing ran. It counts against the upstream only while another one of the model is in service, so the last one is not given up for silence; reports tell within 5 s when it is lost. A peer's suspicion of a crash is no longer confirmed by it. Rows in tests/policy show that one silent upstream of two is still left out, and that refused connections act as before.

--- a/src/citronvalve/daemon/policydispatch.py
+++ b/src/citronvalve/daemon/policydispatch.py
@@ -17,6 +17,7 @@
 _OUTCOME_BY_ENDING: dict[dispatches.Ending, outcome.Outcome] = {
     dispatches.Ending.WHOLE: outcome.Outcome.DONE,
     dispatches.Ending.NOT_RUN: outcome.Outcome.NOT_RUN,
+    dispatches.Ending.NOT_OPENED: outcome.Outcome.NOT_OPENED,
     dispatches.Ending.REFUSED: outcome.Outcome.BUSY,
     dispatches.Ending.BROKEN: outcome.Outcome.BROKEN,
     dispatches.Ending.SILENT: outcome.Outcome.SILENT,
--- a/src/citronvalve/entry/dispatch.py
+++ b/src/citronvalve/entry/dispatch.py
@@ -18,6 +18,8 @@
     WHOLE = "whole"
     #: No connection was established, so nothing was sent.
     NOT_RUN = "not-run"
+    #: No connection was established in time, so nothing was sent.
+    NOT_OPENED = "not-opened"
     #: The upstream reported that it did not run the request.
     REFUSED = "refused"
     #: The connection broke; the request may have crashed the upstream.
--- a/src/citronvalve/entry/plain.py
+++ b/src/citronvalve/entry/plain.py
@@ -31,6 +31,7 @@
 
 _ENDING_BY_KIND = {
     failure.FailureKind.UNREACHED: dispatches.Ending.NOT_RUN,
+    failure.FailureKind.NOT_OPENED: dispatches.Ending.NOT_OPENED,
     failure.FailureKind.REFUSED: dispatches.Ending.REFUSED,
     failure.FailureKind.SILENT: dispatches.Ending.SILENT,
 }
--- a/src/citronvalve/entry/relay.py
+++ b/src/citronvalve/entry/relay.py
@@ -27,6 +27,7 @@
     failure.FailureKind.SILENT: dispatches.Ending.SILENT,
     failure.FailureKind.DIVERGED: dispatches.Ending.DIVERGED,
     failure.FailureKind.UNREACHED: dispatches.Ending.NOT_RUN,
+    failure.FailureKind.NOT_OPENED: dispatches.Ending.NOT_OPENED,
     failure.FailureKind.REFUSED: dispatches.Ending.REFUSED,
 }
 
--- a/src/citronvalve/policy/health.py
+++ b/src/citronvalve/policy/health.py
@@ -128,16 +128,9 @@
             self.fence.suspect(fingerprint, target.name, now)
         elif how is outcome.Outcome.NOT_RUN:
             self._confirm_loss(target, now)
-        traits = outcome.TRAITS_BY_OUTCOME[how]
-        unreachable = how is outcome.Outcome.NOT_RUN
-        # The floor applies to upstreams that still answer.  An unreachable
-        # one has no capacity, however many others are out of service.
-        if (
-            traits.is_fatal
-            or unreachable
-            or self._may_open_circuit(target, now)
-        ):
-            target.circuit.record_failure(now, traits.is_fatal)
+        is_fatal = outcome.TRAITS_BY_OUTCOME[how].is_fatal
+        if is_fatal or self._may_count_failure(target, how, now):
+            target.circuit.record_failure(now, is_fatal)
 
     def tick(self, now: clock.Ms) -> None:
         """Record suspected upstreams with an overdue report as lost.
@@ -210,6 +203,23 @@
             # The cause may also be a cold start that was not reported.
             observed.candidate.ramp.mark_cold(now)
 
+    def _may_count_failure(
+        self, target: candidate.Candidate, how: outcome.Outcome, now: clock.Ms
+    ) -> bool:
+        # The floor applies to upstreams that still answer.  An unreachable
+        # one has no capacity, however many others are out of service.  One
+        # that is only silent may go on at once, and is as good as any if no
+        # other is in service; its reports tell when it is lost.
+        if how is outcome.Outcome.NOT_RUN:
+            return True
+        if how is outcome.Outcome.NOT_OPENED:
+            return any(
+                item.block_reason(now) is None
+                for item in self._serving_same_model(target)
+                if item is not target
+            )
+        return self._may_open_circuit(target, now)
+
     def _may_open_circuit(
         self, target: candidate.Candidate, now: clock.Ms
     ) -> bool:
--- a/src/citronvalve/policy/outcome.py
+++ b/src/citronvalve/policy/outcome.py
@@ -13,6 +13,9 @@
     DONE = "done"
     #: Not sent, since no connection could be established.
     NOT_RUN = "not-run"
+    #: Not sent, since no connection was established in time.  The upstream
+    #: may be lost, or only silent for a while.
+    NOT_OPENED = "not-opened"
     #: The upstream rejected it as full and did not run it.
     BUSY = "busy"
     #: The connection broke; the request may have crashed the upstream.
@@ -45,6 +48,7 @@
 TRAITS_BY_OUTCOME: dict[Outcome, Traits] = {
     Outcome.DONE: Traits(ran.Ran.YES, is_failure=False),
     Outcome.NOT_RUN: Traits(ran.Ran.NO, is_failure=True),
+    Outcome.NOT_OPENED: Traits(ran.Ran.NO, is_failure=True),
     Outcome.BUSY: Traits(ran.Ran.NO, is_failure=False),
     Outcome.BROKEN: Traits(ran.Ran.UNKNOWN, is_failure=True),
     Outcome.SILENT: Traits(ran.Ran.UNKNOWN, is_failure=True),
@@ -57,6 +61,7 @@
 #: Outcomes after which the caller still waits for an answer.
 UNANSWERED = {
     Outcome.NOT_RUN,
+    Outcome.NOT_OPENED,
     Outcome.BUSY,
     Outcome.BROKEN,
     Outcome.SILENT,
--- a/src/citronvalve/upstreams/failure.py
+++ b/src/citronvalve/upstreams/failure.py
@@ -24,6 +24,8 @@
     SILENT = "silent"
     #: No connection was established, so nothing was sent.
     UNREACHED = "unreached"
+    #: The same, and nothing refused it: it was not opened in time.
+    NOT_OPENED = "not-opened"
     #: The upstream reported that it did not run the request.
     REFUSED = "refused"
 
@@ -50,11 +52,14 @@
     FailureKind.BROKEN: Recovery.RESUME,
     FailureKind.SILENT: Recovery.RESUME,
     FailureKind.UNREACHED: Recovery.RESUME,
+    FailureKind.NOT_OPENED: Recovery.RESUME,
     FailureKind.REFUSED: Recovery.RESUME,
 }
 
 #: The only kinds that prove that the request did not run.
-NOT_RUN = frozenset({FailureKind.UNREACHED, FailureKind.REFUSED})
+NOT_RUN = frozenset(
+    {FailureKind.UNREACHED, FailureKind.NOT_OPENED, FailureKind.REFUSED}
+)
 
 
 class Failure(missing.Missing):
--- a/src/citronvalve/upstreams/httperror.py
+++ b/src/citronvalve/upstreams/httperror.py
@@ -7,7 +7,7 @@
 #: The first match applies; derived classes precede their bases.
 _KIND_BY_ERROR: tuple[tuple[type[Exception], failure.FailureKind], ...] = (
     (urllib3.exceptions.NewConnectionError, failure.FailureKind.UNREACHED),
-    (urllib3.exceptions.ConnectTimeoutError, failure.FailureKind.UNREACHED),
+    (urllib3.exceptions.ConnectTimeoutError, failure.FailureKind.NOT_OPENED),
     (urllib3.exceptions.TimeoutError, failure.FailureKind.SILENT),
     (Exception, failure.FailureKind.BROKEN),
 )
--- a/tests/policy/failures.feature
+++ b/tests/policy/failures.feature
@@ -50,14 +50,31 @@
     Then the caller <sees>
 
     Examples:
-      | kind       | ended    | sees                            |
-      | repeatable | not-run  | is served by another attempt    |
-      | repeatable | broken   | is served by another attempt    |
-      | one-time   | not-run  | is served by another attempt    |
-      | one-time   | busy     | is served by another attempt    |
-      | one-time   | broken   | is told that it may have run    |
-      | one-time   | silent   | is told that it may have run    |
-      | one-time   | crashed  | is told that it may have run    |
+      | kind       | ended      | sees                            |
+      | repeatable | not-run    | is served by another attempt    |
+      | repeatable | not-opened | is served by another attempt    |
+      | repeatable | broken     | is served by another attempt    |
+      | one-time   | not-run    | is served by another attempt    |
+      | one-time   | not-opened | is served by another attempt    |
+      | one-time   | busy       | is served by another attempt    |
+      | one-time   | broken     | is told that it may have run    |
+      | one-time   | silent     | is told that it may have run    |
+      | one-time   | crashed    | is told that it may have run    |
+
+  Scenario Outline: attempts at <failing> of 2 upstreams end as <ended>
+    Guards against a model out of service because its upstreams were silent
+    for a moment, and against requests to one that is lost while another
+    one answers.
+    Given 2 upstreams
+    When 12 attempts at <failing> of them end as "<ended>"
+    Then <left> of them are in service
+
+    Examples:
+      | failing | ended      | left |
+      | 1       | not-run    | 1    |
+      | 2       | not-run    | 0    |
+      | 1       | not-opened | 1    |
+      | 2       | not-opened | 1    |
 
   Scenario Outline: an upstream that must not get requests
     Given one upstream that <reason>
--- a/tests/policy/steps/dispatcher_steps.py
+++ b/tests/policy/steps/dispatcher_steps.py
@@ -42,6 +42,38 @@
     assert refused.ran is ran.Ran.UNKNOWN, refused
 
 
+@behave.given("{count:d} upstreams")
+def step_upstreams(context, count):
+    names = tuple(f"a{number}" for number in range(count))
+    context.harness = harness.Harness(names)
+    for name in names:
+        context.harness.report(name)
+
+
+@behave.when('{count:d} attempts at {failing:d} of them end as "{how}"')
+def step_attempts_end(context, count, failing, how):
+    system = context.harness
+    failing_names = {f"a{number}" for number in range(failing)}
+    # Fewer end so once none of these upstreams is in service any more.
+    for _ in range(count):
+        system.submit()
+        for ticket, start in list(system.starts.items()):
+            is_failing = start.upstream in failing_names
+            system.end(ticket, how if is_failing else "done")
+        system.tick(10)
+
+
+@behave.then("{count:d} of them are in service")
+def step_in_service(context, count):
+    system = context.harness
+    reason_by_name = {
+        name: each.block_reason(system.now)
+        for name, each in system.dispatcher.fleet.candidate_by_name.items()
+    }
+    in_service = [why for why in reason_by_name.values() if why is None]
+    assert len(in_service) == count, reason_by_name
+
+
 @behave.given("one upstream that {reason}")
 def step_unavailable(context, reason):
     system = context.harness = harness.Harness(("a0",))
