Answer requests that have arrived when idle connections are closed

Callers whose request had arrived when a stopping daemon closed its idle connections got a reset or the end of the connection, and no answer. No line of the log named the request, or one said that the caller had closed.

Cause: a connection counted as idle until a whole request was read, body included, and its socket was shut down for reading and writing. Bytes in the socket's buffer and a request of which a part was read were lost.

A connection is now idle only while nothing of a request has been read, and is not closed while its socket holds unread bytes. The answer to such a request has `Connection: close` since the daemon is stopping, so a stop still ends.

--- a/src/citronvalve/forward/callerconnection.py
+++ b/src/citronvalve/forward/callerconnection.py
@@ -51,7 +51,7 @@
     :param env: the daemon's environment.
     :param limits: returns the limits in force.
     :param handler: answers a request.
-    :ivar idle: whether the connection waits for a request.
+    :ivar idle: whether it waits for a request of which nothing was read.
     """
 
     def __init__(
@@ -87,10 +87,19 @@
 
     def close_if_idle(self) -> None:
         """Close the connection if it waits for a request."""
-        if self.idle:
+        if self.idle and not self._has_unread():
             with contextlib.suppress(OSError):
                 self._sock.shutdown(socket.SHUT_RDWR)
 
+    def _has_unread(self) -> bool:
+        """Return whether bytes have arrived that were not read yet."""
+        try:
+            return bool(
+                self._sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            )
+        except OSError:
+            return False
+
     def check_caller(self) -> None:
         # The green thread that watches the caller has not run yet if nothing
         # has blocked since the request was read.
@@ -152,12 +161,10 @@
             return False
         if request is None:
             return False
-        self.idle = False
         self.started = False
         self._aborted = False
         self._omit_body = request.method == b"HEAD"
         self._answer(request)
-        self.idle = True
         if self._aborted:
             raise BrokenPipeError("the response was aborted")
         if self._parser.our_state is not h11.DONE:
@@ -203,7 +210,7 @@
 
     def _read_request(self) -> callerrequest.CallerRequest | None:
         limits = self._limits()
-        head = self._next_event(limits.idle_timeout + _IDLE_SLACK, limits)
+        head = self._read_head(limits)
         if not isinstance(head, h11.Request):
             return None
         _check_head(head)
@@ -216,7 +223,7 @@
             )
         body = bytearray()
         while True:
-            event = self._next_event(limits.header_timeout, limits)
+            event = self._next_event(limits.header_timeout)
             if isinstance(event, h11.EndOfMessage):
                 break
             if not isinstance(event, h11.Data):
@@ -236,27 +243,36 @@
             arrived_at,
         )
 
-    def _next_event(
-        self, timeout: clock.Ms, limits: callerlimits.CallerLimits
-    ):
-        deadline = self._env.clock.now() + timeout
-        has_data = False
-        while True:
-            event = self._parser.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            remaining = deadline - self._env.clock.now()
-            if remaining <= 0:
+    def _read_head(self, limits: callerlimits.CallerLimits):
+        if not self._parser.trailing_data[0]:
+            self.idle = True
+            data = self._receive_in(limits.idle_timeout + _IDLE_SLACK)
+            self.idle = False
+            if data is None:
                 return None
-            try:
-                data = receiving.receive(self._sock, _READ_SIZE, remaining)
-            except TimeoutError:
+            self._parser.receive_data(data)
+        return self._next_event(limits.header_timeout)
+
+    def _next_event(self, timeout: clock.Ms):
+        deadline = self._env.clock.now() + timeout
+        while (event := self._parser.next_event()) is h11.NEED_DATA:
+            data = self._receive_in(deadline - self._env.clock.now())
+            if data is None:
                 return None
-            if data and not has_data and timeout > limits.header_timeout:
-                # The idle timeout ends with the first byte.
-                has_data = True
-                deadline = self._env.clock.now() + limits.header_timeout
             self._parser.receive_data(data)
+        return event
+
+    def _receive_in(self, timeout: clock.Ms) -> bytes | None:
+        """Return the next bytes, or None if none come in time.
+
+        :param timeout: ms.
+        """
+        if timeout <= 0:
+            return None
+        try:
+            return receiving.receive(self._sock, _READ_SIZE, timeout)
+        except TimeoutError:
+            return None
 
     def _reject_malformed(self, error: h11.RemoteProtocolError) -> None:
         self._env.metrics.record_malformed(error.error_status_hint)
--- /dev/null
+++ b/tests/forward/steps/closing_steps.py
@@ -0,0 +1,78 @@
+"""Steps about connections that a daemon closes by itself."""
+
+import behave
+import eventlet
+from eventlet.green import socket
+
+from tests.forward import rig as rigs
+
+#: Seconds in which the daemon reads what a caller has sent.
+_READ_TIME = 0.1
+
+#: Seconds in which an answer comes.
+_ANSWER_TIME = 1.0
+
+_HEAD = (
+    b"POST /any/thing HTTP/1.1\r\nHost: h.example\r\nX-Key: secret\r\n"
+    b"X-Request-Id: req-1\r\nContent-Length: 5\r\n\r\n"
+)
+_BODY = b"hello"
+
+#: What is sent before the daemon closes its idle connections, and after.
+_PARTS_BY_WHAT = {
+    "a request has arrived": (_HEAD + _BODY, b""),
+    "the head of a request has arrived": (_HEAD, _BODY),
+    "the head of a request has been read": (_HEAD, _BODY),
+    "a part of the head has been read": (_HEAD[:20], _HEAD[20:] + _BODY),
+    "nothing has arrived": (b"", b""),
+}
+
+
+def _connect(rig):
+    host, _, port = rig.address.rpartition(":")
+    return socket.create_connection((host, int(port)), timeout=3)
+
+
+def _receive(sock, seconds):
+    """Return what comes until the end, and whether the end came in time."""
+    got = b""
+    with eventlet.Timeout(seconds, False):
+        while data := sock.recv(65_536):
+            got += data
+        return got, True
+    return got, False
+
+
+@behave.given("a daemon with a kept connection")
+def step_kept(context):
+    context.rig = rigs.Rig({"plain-1": ["whole"]})
+    context.sock = _connect(context.rig)
+    context.sock.sendall(_HEAD + _BODY)
+    assert context.sock.recv(65_536).startswith(b"HTTP/1.1 200")
+    eventlet.sleep(_READ_TIME)
+
+
+@behave.when("{what} as the daemon closes its idle connections")
+def step_close(context, what):
+    before, after = _PARTS_BY_WHAT[what]
+    context.sock.sendall(before)
+    if what.endswith("read"):
+        eventlet.sleep(_READ_TIME)
+    context.rig.env.stopping = True
+    context.rig.acceptor.close_idle()
+    context.sock.sendall(after)
+
+
+@behave.then(
+    "the caller gets a whole answer, after which the connection is closed"
+)
+def step_answered(context):
+    got, is_closed = _receive(context.sock, _ANSWER_TIME)
+    assert got.startswith(b"HTTP/1.1 200"), got
+    assert got.endswith(b"answer of plain-1"), got
+    assert is_closed
+
+
+@behave.then("the caller's connection ends within {seconds:f} s")
+def step_closed(context, seconds):
+    assert _receive(context.sock, seconds) == (b"", True)
