Answer callers that have just connected when a daemon stops

Callers that connected as a daemon stopped listening were reset, or saw their connection end before their first request. Around planned work the users' installation showed requests with no answer, of which no daemon had a line.

Connections in the kernel's queue are now accepted before the socket is closed, and one without a first request stays open for up to 1 s. A kept connection can still be closed as a request is on its way; callers see that it was not read and repeat it.

--- a/src/citronvalve/forward/acceptor.py
+++ b/src/citronvalve/forward/acceptor.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 import socket
 
+import eventlet
+
 from citronvalve.forward import callerconnection
 from citronvalve.forward import environment as environments
 from citronvalve.forward import portlistener
@@ -59,6 +61,8 @@
     def close(self) -> None:
         """Stop accepting, and close the connections that are idle."""
         self._listener.close()
+        # Connections that were accepted last are not counted yet.
+        eventlet.sleep(0)
         self.close_idle()
 
     def close_idle(self) -> None:
--- a/src/citronvalve/forward/callerconnection.py
+++ b/src/citronvalve/forward/callerconnection.py
@@ -35,6 +35,10 @@
 #: Added to the idle timeout, so that a request sent at its end is served.
 _IDLE_SLACK: clock.Ms = 1_000
 
+#: A new connection is not closed as idle for this long, so that the first
+#: request arrives.
+_FIRST_REQUEST_TIME: clock.Ms = 1_000
+
 _VERSIONS = frozenset({b"1.0", b"1.1"})
 
 Handler = Callable[[callerrequest.CallerRequest, reply.Reply], None]
@@ -71,6 +75,7 @@
         self._aborted = False
         self._pipelined_bytes = 0
         self._omit_body = False
+        self._first_request_until = env.clock.now() + _FIRST_REQUEST_TIME
         self.idle = True
         self.started = False
 
@@ -87,7 +92,8 @@
 
     def close_if_idle(self) -> None:
         """Close the connection if it waits for a request."""
-        if self.idle and not self._has_unread():
+        is_new = self._env.clock.now() < self._first_request_until
+        if self.idle and not is_new and not self._has_unread():
             with contextlib.suppress(OSError):
                 self._sock.shutdown(socket.SHUT_RDWR)
 
@@ -162,6 +168,7 @@
         if request is None:
             return False
         self.started = False
+        self._first_request_until = 0
         self._aborted = False
         self._omit_body = request.method == b"HEAD"
         self._answer(request)
--- a/src/citronvalve/forward/portlistener.py
+++ b/src/citronvalve/forward/portlistener.py
@@ -55,12 +55,23 @@
         self._task = eventlet.spawn(self._accept)
 
     def close(self) -> None:
-        """Stop accepting; connections that are open go on."""
+        """Stop accepting; connections that are open go on.
+
+        Those that wait to be accepted are served: closing would reset them.
+        """
         if self._task is not None:
             self._task.kill()
+            self._accept_waiting()
         with contextlib.suppress(OSError):
             self._socket.close()
 
+    def _accept_waiting(self) -> None:
+        # The listening socket does not block, so an error ends it.
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = self._socket.fd.accept()
+                eventlet.spawn(self._serve, green_socket.socket(sock))
+
     def _accept(self) -> None:
         while True:
             try:
--- a/tests/forward/closing.feature
+++ b/tests/forward/closing.feature
@@ -15,6 +15,27 @@
       | the head of a request has been read   |
       | a part of the head has been read      |
 
+  Scenario Outline: a caller has <what> as the daemon stops listening
+    Guards against a stop that resets connections that are not accepted yet,
+    or closes a new one before its first request.
+
+    Given a daemon with a kept connection
+    When a caller has <what> as the daemon stops listening
+    Then the caller gets a whole answer, after which the connection is closed
+
+    Examples:
+      | what                                               |
+      | connected and sent a request                       |
+      | connected, and sends its request 0.2 s later       |
+      | been accepted, and sends its request 0.2 s later   |
+
+  Scenario: a caller that has connected sends nothing as the daemon stops
+    Guards against a stop that waits for a caller that sends nothing.
+
+    Given a daemon with a kept connection
+    When a caller has connected as the daemon stops listening
+    Then no connection is open within 1.2 s
+
   Scenario: nothing has arrived as the daemon closes its idle connections
     Guards against a stop that waits for callers that send nothing.
 
--- a/tests/forward/steps/closing_steps.py
+++ b/tests/forward/steps/closing_steps.py
@@ -3,6 +3,7 @@
 import behave
 import eventlet
 from eventlet.green import socket
+from eventlet import patcher
 
 from tests.forward import rig as rigs
 
@@ -27,6 +28,15 @@
     "nothing has arrived": (b"", b""),
 }
 
+#: Seconds between the drain's calls that close idle connections.
+_DRAIN_INTERVAL = 0.02
+
+#: Seconds for which a caller waits between connecting and sending.
+_THINKING_TIME = 0.2
+
+# Connecting with the monkey-patched module would let the daemon accept.
+_socket = patcher.original("socket")
+
 
 def _connect(rig):
     host, _, port = rig.address.rpartition(":")
@@ -63,6 +73,58 @@
     context.sock.sendall(after)
 
 
+def _start_drain(rig):
+    rig.env.stopping = True
+    rig.acceptor.close()
+    eventlet.spawn(_drain, rig)
+
+
+def _drain(rig):
+    while rig.acceptor.count:
+        rig.acceptor.close_idle()
+        eventlet.sleep(_DRAIN_INTERVAL)
+
+
+def _connect_unaccepted(rig):
+    host, _, port = rig.address.rpartition(":")
+    return socket.socket(_socket.create_connection((host, int(port))))
+
+
+@behave.when("a caller has connected as the daemon stops listening")
+def step_connected(context):
+    context.sock = _connect_unaccepted(context.rig)
+    _start_drain(context.rig)
+
+
+@behave.when(
+    "a caller has connected and sent a request as the daemon stops listening"
+)
+def step_connected_and_sent(context):
+    context.sock = _connect_unaccepted(context.rig)
+    context.sock.fd.send(_HEAD + _BODY)
+    _start_drain(context.rig)
+
+
+@behave.when(
+    "a caller has {what}, and sends its request 0.2 s later as the daemon "
+    "stops listening"
+)
+def step_sends_later(context, what):
+    context.sock = _connect_unaccepted(context.rig)
+    if what == "been accepted":
+        eventlet.sleep(_READ_TIME)
+    _start_drain(context.rig)
+    eventlet.sleep(_THINKING_TIME)
+    context.sock.sendall(_HEAD + _BODY)
+
+
+@behave.then("no connection is open within {seconds:f} s")
+def step_none_open(context, seconds):
+    with eventlet.Timeout(seconds):
+        while context.rig.acceptor.count:
+            eventlet.sleep(_DRAIN_INTERVAL)
+
+
 @behave.then(
     "the caller gets a whole answer, after which the connection is closed"
 )
