Apply a raised idle limit to connections that already wait

A caller keeps a connection for four fifths of the idle limit in force. After a version that raises the limit, a daemon closed connections that already waited by the old limit, so that a request could be cut with no line of the log.

Cause: the time at which a waiting connection ends was computed once, when it began to wait. It is computed anew, from the limit in force, when it passes.

--- a/src/citronvalve/forward/callerconnection.py
+++ b/src/citronvalve/forward/callerconnection.py
@@ -216,11 +216,11 @@
         self._parser.receive_data(data)
 
     def _read_request(self) -> callerrequest.CallerRequest | None:
-        limits = self._limits()
-        head = self._read_head(limits)
+        head = self._read_head()
         if not isinstance(head, h11.Request):
             return None
         _check_head(head)
+        limits = self._limits()
         arrived_at = self._env.clock.now()
         if self._parser.they_are_waiting_for_100_continue:
             self._write(
@@ -250,15 +250,28 @@
             arrived_at,
         )
 
-    def _read_head(self, limits: callerlimits.CallerLimits):
+    def _read_head(self):
         if not self._parser.trailing_data[0]:
             self.idle = True
-            data = self._receive_in(limits.idle_timeout + _IDLE_SLACK)
+            data = self._await_request()
             self.idle = False
             if data is None:
                 return None
             self._parser.receive_data(data)
-        return self._next_event(limits.header_timeout)
+        return self._next_event(self._limits().header_timeout)
+
+    def _await_request(self) -> bytes | None:
+        """Return the first bytes of a request, or None if none come in time.
+
+        The limit may be raised meanwhile.
+        """
+        started_at = self._env.clock.now()
+        while True:
+            limit = self._limits().idle_timeout + _IDLE_SLACK
+            remaining = started_at + limit - self._env.clock.now()
+            data = self._receive_in(remaining)
+            if data is not None or remaining <= 0:
+                return data
 
     def _next_event(self, timeout: clock.Ms):
         deadline = self._env.clock.now() + timeout
--- a/tests/forward/closing.feature
+++ b/tests/forward/closing.feature
@@ -42,3 +42,24 @@
     Given a daemon with a kept connection
     When nothing has arrived as the daemon closes its idle connections
     Then the caller's connection ends within 0.2 s
+
+  Scenario Outline: the idle limit changes from 0.5 s to <limit> s in between
+    Guards against connections that are closed by an older limit: callers keep
+    them for four fifths of the limit in force.
+
+    Given a daemon with a kept connection, and an idle limit of 0.5 s
+    When the limit becomes <limit> s, and a request follows <pause> s later
+    Then the caller gets a whole answer
+
+    Examples:
+      | limit | pause |
+      | 3.0   | 2.2   |
+      | 0.5   | 0.4   |
+      | 0.1   | 0.08  |
+
+  Scenario: the idle limit passes
+    Guards against connections that stay open without a request.
+
+    Given a daemon with a kept connection, and an idle limit of 0.5 s
+    When nothing has arrived within 1.3 s
+    Then the caller's connection ends within 0.5 s
--- a/tests/forward/rig.py
+++ b/tests/forward/rig.py
@@ -66,6 +66,7 @@
 
     def __init__(self, scripts, timeout=2_000, attempts=2, name="daemon-1"):
         self.log = RecordingLog()
+        self.limits = LIMITS
         self.env = environments.Environment(
             name,
             "zone-0",
@@ -111,7 +112,7 @@
             deps, admission.Admission(self.env, self.directory)
         )
         self.acceptor = acceptor.Acceptor(
-            "127.0.0.1:0", self.env, lambda: LIMITS, self.forwarder.handle
+            "127.0.0.1:0", self.env, lambda: self.limits, self.forwarder.handle
         )
         self.acceptor.start()
 
--- a/tests/forward/steps/closing_steps.py
+++ b/tests/forward/steps/closing_steps.py
@@ -5,6 +5,7 @@
 from eventlet.green import socket
 from eventlet import patcher
 
+from citronvalve.model import clock
 from tests.forward import rig as rigs
 
 #: Seconds in which the daemon reads what a caller has sent.
@@ -55,7 +56,23 @@
 
 @behave.given("a daemon with a kept connection")
 def step_kept(context):
+    _keep_connection(context, rigs.LIMITS)
+
+
+@behave.given(
+    "a daemon with a kept connection, and an idle limit of {seconds:f} s"
+)
+def step_kept_limit(context, seconds):
+    _keep_connection(context, _limits(seconds))
+
+
+def _limits(seconds):
+    return rigs.LIMITS._replace(idle_timeout=round(seconds * clock.SECOND))
+
+
+def _keep_connection(context, limits):
     context.rig = rigs.Rig({"plain-1": ["whole"]})
+    context.rig.limits = limits
     context.sock = _connect(context.rig)
     context.sock.sendall(_HEAD + _BODY)
     assert context.sock.recv(65_536).startswith(b"HTTP/1.1 200")
@@ -73,6 +90,27 @@
     context.sock.sendall(after)
 
 
+@behave.when(
+    "the limit becomes {limit:f} s, and a request follows {pause:f} s later"
+)
+def step_limit(context, limit, pause):
+    context.rig.limits = _limits(limit)
+    eventlet.sleep(pause)
+    context.sock.sendall(_HEAD + _BODY)
+
+
+@behave.when("nothing has arrived within {seconds:f} s")
+def step_nothing(context, seconds):
+    assert _receive(context.sock, seconds) == (b"", False)
+
+
+@behave.then("the caller gets a whole answer")
+def step_whole(context):
+    got, _ = _receive(context.sock, _ANSWER_TIME)
+    assert got.startswith(b"HTTP/1.1 200"), got
+    assert got.endswith(b"answer of plain-1"), got
+
+
 def _start_drain(rig):
     rig.env.stopping = True
     rig.acceptor.close()
