Read what has arrived before a read times out

After a pause of a daemon's process, a request whose rest had arrived in the pause was thrown away and its connection was closed with no answer and no line of the log.

Cause: the hub serves timers that are due before it reads from sockets, and after SIGSTOP epoll_wait ends with no event once its time has passed. A read whose time had passed in the pause timed out, though the bytes were there.

`receiving.receive` now looks at the socket once more before it times out. Reads by urllib3 (probes, orders, the store) are not affected by this change.

--- a/src/citronvalve/forward/receiving.py
+++ b/src/citronvalve/forward/receiving.py
@@ -22,13 +22,21 @@
     :raises OSError: when the connection was reset.
     """
     seconds = None if timeout is None else timeout / clock.SECOND
+    is_due = False
     while True:
         try:
             return sock.fd.recv(max_bytes)
         except BlockingIOError:
+            if is_due:
+                raise TimeoutError from None
+        try:
             hubs.trampoline(
                 sock.fd,
                 read=True,
                 timeout=seconds,
                 timeout_exc=TimeoutError,
             )
+        except TimeoutError:
+            # After a pause of the process, due timers are served before
+            # sockets, and bytes that arrived in the pause are unread.
+            is_due = True
--- a/tests/forward/closing.feature
+++ b/tests/forward/closing.feature
@@ -63,3 +63,16 @@
     Given a daemon with a kept connection, and an idle limit of 0.5 s
     When nothing has arrived within 1.3 s
     Then the caller's connection ends within 0.5 s
+
+  Scenario Outline: the daemon stands still for 0.6 s as <what> arrives
+    Guards against a daemon that takes its own pause for a silent caller: as
+    it goes on, a timer is due and the bytes are unread.
+
+    Given a daemon with a kept connection that has read <read>
+    When the daemon stands still for 0.6 s as <what> arrives
+    Then the caller gets a whole answer
+
+    Examples:
+      | read               | what       |
+      | a part of the head | the rest   |
+      | the whole head     | the body   |
--- a/tests/forward/steps/closing_steps.py
+++ b/tests/forward/steps/closing_steps.py
@@ -35,8 +35,16 @@
 #: Seconds for which a caller waits between connecting and sending.
 _THINKING_TIME = 0.2
 
-# Connecting with the monkey-patched module would let the daemon accept.
+#: What the daemon has read, and what follows.
+_SPLIT_BY_READ = {
+    "a part of the head": (_HEAD[:20], _HEAD[20:] + _BODY),
+    "the whole head": (_HEAD, _BODY),
+}
+
+# The monkey-patched modules would let the daemon go on meanwhile.
 _socket = patcher.original("socket")
+_threading = patcher.original("threading")
+_time = patcher.original("time")
 
 
 def _connect(rig):
@@ -111,6 +119,24 @@
     assert got.endswith(b"answer of plain-1"), got
 
 
+@behave.given("a daemon with a kept connection that has read {what}")
+def step_read(context, what):
+    _keep_connection(context, rigs.LIMITS)
+    part, context.rest = _SPLIT_BY_READ[what]
+    context.sock.sendall(part)
+    eventlet.sleep(_READ_TIME)
+
+
+@behave.when("the daemon stands still for {seconds:f} s as {what} arrives")
+def step_pause(context, seconds, what):
+    woken, wake = socket.socketpair()
+    _threading.Timer(_READ_TIME, wake.fd.send, (b"x",)).start()
+    # As after SIGSTOP, the hub goes on with the timers that are due.
+    woken.recv(1)
+    context.sock.fd.send(context.rest)
+    _time.sleep(seconds)
+
+
 def _start_drain(rig):
     rig.env.stopping = True
     rig.acceptor.close()
