Log the requests that are cut as the grace of a daemon ends

Callers whose requests outlasted the grace of a stopping daemon were cut, and no line named them: `stopped` has their count only, since a request's line is written when it ends, and the process exits before that. This is the way found in which a daemon ends a connection with a request that it has read and passed on, and logs no `request ended`.

Before it exits, a daemon now logs `request ended` with the outcome `broken` and the reason `stopped` for each request in progress; the line is not dropped before others. Nothing else changes.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -329,6 +329,7 @@
             self._acceptor.close_idle()
             eventlet.sleep(_DRAIN_POLL_INTERVAL / clock.SECOND)
         env.log.change("stopped", left=self._forwarder.in_progress)
+        self._forwarder.log_cut()
         self._links.close()
         self._messages.close()
         self._log.flush()
--- a/src/citronvalve/forward/forwarder.py
+++ b/src/citronvalve/forward/forwarder.py
@@ -24,6 +24,9 @@
     ) -> None:
         self._deps = deps
         self._admission = admission
+        self._routed_by_dispatch: dict[
+            dispatches.Dispatch, routedrequest.RoutedRequest
+        ] = {}
         self.in_progress = 0
         self.received = 0
 
@@ -46,6 +49,13 @@
         finally:
             self.in_progress -= 1
 
+    def log_cut(self) -> None:
+        """Log all requests in progress as cut, since the process exits."""
+        for dispatch, routed in self._routed_by_dispatch.items():
+            dispatch.outcome, dispatch.reason = "broken", "stopped"
+            self._record_end(routed, dispatch)
+        self._routed_by_dispatch.clear()
+
     def _reject(
         self,
         request: callerrequest.CallerRequest,
@@ -68,6 +78,7 @@
         env = self._deps.env
         self._deps.retry_budgets.record_request(routed.service.name)
         dispatch = dispatches.Dispatch(self._deps, routed, reply)
+        self._routed_by_dispatch[dispatch] = routed
         try:
             dispatch.run()
         except callergone.CallerGoneError:
@@ -78,7 +89,8 @@
             env.log.note("caller lost", routed.id, why=str(error))
             reply.abort()
         finally:
-            self._record_end(routed, dispatch)
+            if self._routed_by_dispatch.pop(dispatch, None) is not None:
+                self._record_end(routed, dispatch)
 
     def _record_end(
         self,
--- a/tests/adapter/program.feature
+++ b/tests/adapter/program.feature
@@ -18,6 +18,15 @@
     Then it is not ready, and the caller gets the whole response
     And it exits with 0
 
+  Scenario: a request outlasts the grace
+    Guards against a caller that is cut by a stop, with no line that names its
+    request: the record of an incident then shows other requests only.
+
+    Given the program runs with a grace of 4 s beside a store and a runner that answers nothing
+    When it gets SIGTERM while a request waits for the runner
+    Then it exits with 0
+    And one line says that the request is broken since the daemon stopped
+
   Scenario: an invalid settings file
     When the program is started with a settings file without an address
     Then it exits with 2 and names the field
--- a/tests/adapter/steps/program_steps.py
+++ b/tests/adapter/steps/program_steps.py
@@ -99,22 +99,34 @@
     return b" 200 " in got.partition(b"\r\n")[0]
 
 
-def _send_request(context):
+def _send_request(context, deadline=3_000, seconds=4.0):
     return scriptedrunner.exchange(
         f"127.0.0.1:{context.ports[0]}",
         b"GET /a/b HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: k\r\n"
-        b"X-Attempt-Id: one\r\nX-Deadline-Ms: 3000\r\n"
-        b"Connection: close\r\n\r\n",
-        4.0,
+        b"X-Attempt-Id: one\r\nX-Deadline-Ms: %d\r\n"
+        b"Connection: close\r\n\r\n" % deadline,
+        seconds,
     )
 
 
 @behave.given("the program runs beside a store and a runner")
 def step_run(context):
+    _run(context, ["whole", "takes_a_second"], {})
+
+
+@behave.given(
+    "the program runs with a grace of {seconds:d} s beside a store and a "
+    "runner that answers nothing"
+)
+def step_run_silent(context, seconds):
+    _run(context, ["silent"], {"GraceS": seconds})
+
+
+def _run(context, script, bounds):
     _prepare(context)
     context.runner = scriptedrunner.ScriptedRunner(
         "i-1",
-        ["whole", "takes_a_second"],
+        script,
         "X-Attempt-Id",
         "X-Runner-Seal",
     )
@@ -130,7 +142,7 @@
                     "Host": "h.example",
                     "Prefix": "/a/",
                     "Kind": "safe",
-                    "TimeoutMs": 3000,
+                    "TimeoutMs": 8000,
                     "TargetLatencyMs": 900,
                     "Service": "s",
                 }
@@ -150,7 +162,8 @@
             "Slots": 6,
         },
     )
-    _write_settings(context)
+    bounds = {"RetryBudgetSlack": 130, "GraceS": 8} | bounds
+    _write_settings(context, Bounds=bounds)
     context.process = _start(context)
 
     def serves():
@@ -218,6 +231,26 @@
     context.got = pending.wait()
 
 
+@behave.when("it gets SIGTERM while a request waits for the runner")
+def step_stop_waiting(context):
+    eventlet.spawn(_send_request, context, 7_000, 8.0)
+    _eventually(lambda: context.runner.requests, "a request")
+    context.process.send_signal(signal.SIGTERM)
+
+
+@behave.then(
+    "one line says that the request is broken since the daemon stopped"
+)
+def step_cut(context):
+    lines = map(json.loads, context.log.read_text().splitlines())
+    ended = [
+        (line["request"], line["outcome"], line["reason"])
+        for line in lines
+        if line.get("event") == "request ended"
+    ]
+    assert ended == [("one", "broken", "stopped")], ended
+
+
 @behave.then("it is not ready, and the caller gets the whole response")
 def step_not_ready(context):
     assert not context.ready
