Log the requests that are not read to their end

A daemon ends the connection of a caller whose request does not come in time, or is malformed. Only a counter told of the latter, and nothing of the former, so the record could not tell such an end from a request that was never read.

`request not read` has `why` (`too slow`, `malformed`) and `detail`. It is dropped like other notes when there are too many lines. A connection that is closed without a byte of a request has no line.

--- a/src/citronvalve/forward/callerconnection.py
+++ b/src/citronvalve/forward/callerconnection.py
@@ -12,6 +12,7 @@
 from citronvalve.forward import callerrequest
 from citronvalve.forward import environment as environments
 from citronvalve.forward import headers
+from citronvalve.forward import notread
 from citronvalve.forward import problem
 from citronvalve.forward import receiving
 from citronvalve.forward import reply
@@ -278,10 +279,16 @@
         while (event := self._parser.next_event()) is h11.NEED_DATA:
             data = self._receive_in(deadline - self._env.clock.now())
             if data is None:
+                self._log_unread(
+                    notread.NotRead.TOO_SLOW, f"no rest within {timeout} ms"
+                )
                 return None
             self._parser.receive_data(data)
         return event
 
+    def _log_unread(self, why: notread.NotRead, detail: str) -> None:
+        self._env.log.note("request not read", why=why, detail=detail)
+
     def _receive_in(self, timeout: clock.Ms) -> bytes | None:
         """Return the next bytes, or None if none come in time.
 
@@ -296,6 +303,7 @@
 
     def _reject_malformed(self, error: h11.RemoteProtocolError) -> None:
         self._env.metrics.record_malformed(error.error_status_hint)
+        self._log_unread(notread.NotRead.MALFORMED, str(error))
         if self._parser.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
             rendered = problem.for_malformed(
                 error.error_status_hint, str(error)
--- a/tests/forward/closing.feature
+++ b/tests/forward/closing.feature
@@ -76,3 +76,26 @@
       | read               | what       |
       | a part of the head | the rest   |
       | the whole head     | the body   |
+
+  Scenario Outline: a caller sends <part> and nothing more
+    Guards against a connection that the daemon ends in the middle of a
+    request, of which no line of the log tells.
+
+    Given a daemon with a kept connection that has read <part>
+    When 0.6 s pass
+    Then the daemon has ended the connection
+    And one line says that a request was not read since it was <why>
+
+    Examples:
+      | part               | why       |
+      | a part of the head | too slow  |
+      | the whole head     | too slow  |
+      | a malformed head   | malformed |
+
+  Scenario: a caller keeps a connection and sends nothing
+    Guards against a line for each connection that is closed in order.
+
+    Given a daemon with a kept connection, and an idle limit of 0.1 s
+    When 1.2 s pass
+    Then the caller's connection ends within 0.2 s
+    And no line says that a request was not read
--- a/tests/forward/steps/closing_steps.py
+++ b/tests/forward/steps/closing_steps.py
@@ -39,6 +39,7 @@
 _SPLIT_BY_READ = {
     "a part of the head": (_HEAD[:20], _HEAD[20:] + _BODY),
     "the whole head": (_HEAD, _BODY),
+    "a malformed head": (b"no HTTP\r\n\r\n", b""),
 }
 
 # The monkey-patched modules would let the daemon go on meanwhile.
@@ -127,6 +128,34 @@
     eventlet.sleep(_READ_TIME)
 
 
+@behave.when("{seconds:f} s pass")
+def step_pass(context, seconds):
+    eventlet.sleep(seconds)
+
+
+@behave.then("the daemon has ended the connection")
+def step_ended(context):
+    assert _receive(context.sock, _ANSWER_TIME)[1]
+
+
+def _unread(context):
+    return [
+        inputs["why"]
+        for event, inputs in context.rig.log.lines
+        if event == "request not read"
+    ]
+
+
+@behave.then("one line says that a request was not read since it was {why}")
+def step_unread(context, why):
+    assert _unread(context) == [why], context.rig.log.lines
+
+
+@behave.then("no line says that a request was not read")
+def step_none_unread(context):
+    assert _unread(context) == [], context.rig.log.lines
+
+
 @behave.when("the daemon stands still for {seconds:f} s as {what} arrives")
 def step_pause(context, seconds, what):
     woken, wake = socket.socketpair()
