Write the lines that are queued when a daemon exits

A daemon that exits lost its last lines: it wrote what fits into the pipe of its log at once, 64 KB, and ended. The lines of what it did last are those that show which requests a stop has cut.

It now flushes up to ten times, 20 ms apart, until nothing is queued.

That lines were lost in this way in the users' record is not shown.

--- a/src/citronvalve/daemon/decisionwriter.py
+++ b/src/citronvalve/daemon/decisionwriter.py
@@ -23,6 +23,10 @@
 
 _FLUSH_INTERVAL: clock.Ms = 20
 
+#: A process that exits waits for its reader for this many intervals at most,
+#: which is within its grace.
+_MAX_LAST_FLUSHES = 10
+
 # The monkey-patched module would block on a full pipe.
 _os = patcher.original("os")
 
@@ -68,6 +72,17 @@
             self.flush()
             eventlet.sleep(_FLUSH_INTERVAL / clock.SECOND)
 
+    def finish(self) -> None:
+        """Write what is queued, as far as the reader accepts it in time.
+
+        A pipe takes 64 KB at once, which is less than may be queued.
+        """
+        for _ in range(_MAX_LAST_FLUSHES):
+            self.flush()
+            if not self._lines:
+                return
+            eventlet.sleep(_FLUSH_INTERVAL / clock.SECOND)
+
     def flush(self) -> None:
         """Write queued lines until the descriptor would block."""
         while self._lines and self._open:
--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -332,7 +332,7 @@
         self._forwarder.log_cut()
         self._links.close()
         self._messages.close()
-        self._log.flush()
+        self._log.finish()
 
 
 def _schedule(delay: clock.Ms, callback: Callable[[], None]) -> None:
--- a/tests/logs/logs.feature
+++ b/tests/logs/logs.feature
@@ -26,6 +26,20 @@
     Given a log whose reader pauses for a second
     Then a line reports how many were dropped
 
+  Scenario Outline: a daemon exits while the reader <what>
+    Guards against lines that are lost as a daemon exits: they show what it
+    did last. A reader that has stopped must not delay the exit.
+
+    Given a log whose reader <what>
+    When 1000 lines are queued and the daemon exits
+    Then <count> lines are read, and it took at most 0.4 s
+
+    Examples: exits
+      | what          | count       |
+      | reads at once | 1000        |
+      | reads nothing | less        |
+      | has closed    | less        |
+
   Scenario Outline: a request at a daemon that logged <events> 20 s before
     Guards against a refusal whose cause is too old to be shown: a cut lasts
     for as long as nobody mends it.
--- a/tests/logs/steps/log_steps.py
+++ b/tests/logs/steps/log_steps.py
@@ -16,6 +16,7 @@
 from tests.forward import rig as rigs
 
 _os = patcher.original("os")
+_threading = patcher.original("threading")
 
 
 @behave.given("a log whose reader {what}")
@@ -83,6 +84,42 @@
     assert context.log.dropped > 0
 
 
+@behave.when("{count:d} lines are queued and the daemon exits")
+def step_exit(context, count):
+    context.got = b""
+    ended = _threading.Event()
+
+    def read():
+        while not ended.wait(0.01):
+            context.got += _read_all(context)
+
+    reader = _threading.Thread(target=read)
+    if context.what == "reads at once":
+        reader.start()
+    for number in range(count):
+        context.log.change("order given", runner=f"i-{number}", why="x" * 100)
+        if number % 500 == 0:
+            context.clock.advance(1_000)
+    began = time.monotonic()
+    context.log.finish()
+    context.took = time.monotonic() - began
+    ended.set()
+    if reader.is_alive():
+        reader.join()
+    if context.what != "has closed":
+        context.got += _read_all(context)
+
+
+@behave.then("{count} lines are read, and it took at most {seconds:f} s")
+def step_exited(context, count, seconds):
+    assert context.took <= seconds, context.took
+    lines = context.got.count(b"\n")
+    if count == "less":
+        assert lines < 1_000, lines
+    else:
+        assert lines == int(count), lines
+
+
 @behave.when("more notes are logged than fit into a second")
 def step_more(context):
     for number in range(5_000):
