Await the first request of a new connection for 0.3 s only as a daemon stops

A request that is taken late after SIGTERM may outlast the grace and is cut.

The wait of up to 1 s for the first request of a new connection has the same risk on a smaller scale: connections are accepted for 3 s, so a request could be taken 4 s after SIGTERM. Callers send their first request within tens of ms of connecting, so the wait is now 0.3 s.

The new scenario, a request 0.6 s after connecting, failed on the commit before and passes now; the rows with 0.2 s are as they were.

--- a/src/citronvalve/forward/callerconnection.py
+++ b/src/citronvalve/forward/callerconnection.py
@@ -37,8 +37,8 @@
 _IDLE_SLACK: clock.Ms = 1_000
 
 #: A new connection is not closed as idle for this long, so that the first
-#: request arrives.
-_FIRST_REQUEST_TIME: clock.Ms = 1_000
+#: request arrives.  A later request might outlast the grace.
+_FIRST_REQUEST_TIME: clock.Ms = 300
 
 _VERSIONS = frozenset({b"1.0", b"1.1"})
 
--- a/tests/forward/closing.feature
+++ b/tests/forward/closing.feature
@@ -29,6 +29,14 @@
       | connected, and sends its request 0.2 s later       |
       | been accepted, and sends its request 0.2 s later   |
 
+  Scenario: a caller has connected, and sends its request late
+    Guards against requests that are taken so late after SIGTERM that the
+    grace ends before they do.
+
+    Given a daemon with a kept connection
+    When a caller has connected, and sends its request 0.6 s later as the daemon stops listening
+    Then the caller gets no answer, and its request has not run
+
   Scenario: a caller that has connected sends nothing as the daemon stops
     Guards against a stop that waits for a caller that sends nothing.
 
--- a/tests/forward/steps/closing_steps.py
+++ b/tests/forward/steps/closing_steps.py
@@ -1,5 +1,7 @@
 """Steps about connections that a daemon closes by itself."""
 
+import contextlib
+
 import behave
 import eventlet
 from eventlet.green import socket
@@ -32,9 +34,6 @@
 #: Seconds between the drain's calls that close idle connections.
 _DRAIN_INTERVAL = 0.02
 
-#: Seconds for which a caller waits between connecting and sending.
-_THINKING_TIME = 0.2
-
 #: What the daemon has read, and what follows.
 _SPLIT_BY_READ = {
     "a part of the head": (_HEAD[:20], _HEAD[20:] + _BODY),
@@ -199,16 +198,27 @@
 
 
 @behave.when(
-    "a caller has {what}, and sends its request 0.2 s later as the daemon "
-    "stops listening"
+    "a caller has {what}, and sends its request {pause:f} s later as the "
+    "daemon stops listening"
 )
-def step_sends_later(context, what):
+def step_sends_later(context, what, pause):
     context.sock = _connect_unaccepted(context.rig)
     if what == "been accepted":
         eventlet.sleep(_READ_TIME)
     _start_drain(context.rig)
-    eventlet.sleep(_THINKING_TIME)
-    context.sock.sendall(_HEAD + _BODY)
+    eventlet.sleep(pause)
+    with contextlib.suppress(OSError):
+        context.sock.sendall(_HEAD + _BODY)
+
+
+@behave.then("the caller gets no answer, and its request has not run")
+def step_not_taken(context):
+    try:
+        assert _receive(context.sock, _ANSWER_TIME) == (b"", True)
+    except ConnectionError:
+        pass
+    # The kept connection had one.
+    assert context.rig.runs() == 1
 
 
 @behave.then("no connection is open within {seconds:f} s")
