--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -329,9 +329,10 @@
             self._acceptor.close_idle()
             eventlet.sleep(_DRAIN_POLL_INTERVAL / clock.SECOND)
         env.log.change("stopped", left=self._forwarder.in_progress)
+        self._forwarder.log_cut()
         self._links.close()
         self._messages.close()
-        self._log.flush()
+        self._log.finish()
 
 
 def _schedule(delay: clock.Ms, callback: Callable[[], None]) -> None:
--- a/src/citronvalve/forward/callerconnection.py
+++ b/src/citronvalve/forward/callerconnection.py
@@ -12,6 +12,7 @@
 from citronvalve.forward import callerrequest
 from citronvalve.forward import environment as environments
 from citronvalve.forward import headers
+from citronvalve.forward import notread
 from citronvalve.forward import problem
 from citronvalve.forward import receiving
 from citronvalve.forward import reply
@@ -35,6 +36,10 @@
 #: Added to the idle timeout, so that a request sent at its end is served.
 _IDLE_SLACK: clock.Ms = 1_000
 
+#: A new connection is not closed as idle for this long, so that the first
+#: request arrives.  A later request might outlast the grace.
+_FIRST_REQUEST_TIME: clock.Ms = 300
+
 _VERSIONS = frozenset({b"1.0", b"1.1"})
 
 Handler = Callable[[callerrequest.CallerRequest, reply.Reply], None]
@@ -51,7 +56,7 @@
     :param env: the daemon's environment.
     :param limits: returns the limits in force.
     :param handler: answers a request.
-    :ivar idle: whether the connection waits for a request.
+    :ivar idle: whether it waits for a request of which nothing was read.
     """
 
     def __init__(
@@ -71,6 +76,7 @@
         self._aborted = False
         self._pipelined_bytes = 0
         self._omit_body = False
+        self._first_request_until = env.clock.now() + _FIRST_REQUEST_TIME
         self.idle = True
         self.started = False
 
@@ -87,10 +93,20 @@
 
     def close_if_idle(self) -> None:
         """Close the connection if it waits for a request."""
-        if self.idle:
+        is_new = self._env.clock.now() < self._first_request_until
+        if self.idle and not is_new and not self._has_unread():
             with contextlib.suppress(OSError):
                 self._sock.shutdown(socket.SHUT_RDWR)
 
+    def _has_unread(self) -> bool:
+        """Return whether bytes have arrived that were not read yet."""
+        try:
+            return bool(
+                self._sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            )
+        except OSError:
+            return False
+
     def check_caller(self) -> None:
         # The green thread that watches the caller has not run yet if nothing
         # has blocked since the request was read.
@@ -152,12 +168,11 @@
             return False
         if request is None:
             return False
-        self.idle = False
         self.started = False
+        self._first_request_until = 0
         self._aborted = False
         self._omit_body = request.method == b"HEAD"
         self._answer(request)
-        self.idle = True
         if self._aborted:
             raise BrokenPipeError("the response was aborted")
         if self._parser.our_state is not h11.DONE:
@@ -202,11 +217,11 @@
         self._parser.receive_data(data)
 
     def _read_request(self) -> callerrequest.CallerRequest | None:
-        limits = self._limits()
-        head = self._next_event(limits.idle_timeout + _IDLE_SLACK, limits)
+        head = self._read_head()
         if not isinstance(head, h11.Request):
             return None
         _check_head(head)
+        limits = self._limits()
         arrived_at = self._env.clock.now()
         if self._parser.they_are_waiting_for_100_continue:
             self._write(
@@ -216,7 +231,7 @@
             )
         body = bytearray()
         while True:
-            event = self._next_event(limits.header_timeout, limits)
+            event = self._next_event(limits.header_timeout)
             if isinstance(event, h11.EndOfMessage):
                 break
             if not isinstance(event, h11.Data):
@@ -236,30 +251,59 @@
             arrived_at,
         )
 
-    def _next_event(
-        self, timeout: clock.Ms, limits: callerlimits.CallerLimits
-    ):
-        deadline = self._env.clock.now() + timeout
-        has_data = False
-        while True:
-            event = self._parser.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            remaining = deadline - self._env.clock.now()
-            if remaining <= 0:
+    def _read_head(self):
+        if not self._parser.trailing_data[0]:
+            self.idle = True
+            data = self._await_request()
+            self.idle = False
+            if data is None:
                 return None
-            try:
-                data = receiving.receive(self._sock, _READ_SIZE, remaining)
-            except TimeoutError:
+            self._parser.receive_data(data)
+        return self._next_event(self._limits().header_timeout)
+
+    def _await_request(self) -> bytes | None:
+        """Return the first bytes of a request, or None if none come in time.
+
+        The limit may be raised meanwhile.
+        """
+        started_at = self._env.clock.now()
+        while True:
+            limit = self._limits().idle_timeout + _IDLE_SLACK
+            remaining = started_at + limit - self._env.clock.now()
+            data = self._receive_in(remaining)
+            if data is not None or remaining <= 0:
+                return data
+
+    def _next_event(self, timeout: clock.Ms):
+        deadline = self._env.clock.now() + timeout
+        while (event := self._parser.next_event()) is h11.NEED_DATA:
+            data = self._receive_in(deadline - self._env.clock.now())
+            if data is None:
+                self._log_unread(
+                    notread.NotRead.TOO_SLOW, f"no rest within {timeout} ms"
+                )
                 return None
-            if data and not has_data and timeout > limits.header_timeout:
-                # The idle timeout ends with the first byte.
-                has_data = True
-                deadline = self._env.clock.now() + limits.header_timeout
             self._parser.receive_data(data)
+        return event
+
+    def _log_unread(self, why: notread.NotRead, detail: str) -> None:
+        self._env.log.note("request not read", why=why, detail=detail)
+
+    def _receive_in(self, timeout: clock.Ms) -> bytes | None:
+        """Return the next bytes, or None if none come in time.
+
+        :param timeout: ms.
+        """
+        if timeout <= 0:
+            return None
+        try:
+            return receiving.receive(self._sock, _READ_SIZE, timeout)
+        except TimeoutError:
+            return None
 
     def _reject_malformed(self, error: h11.RemoteProtocolError) -> None:
         self._env.metrics.record_malformed(error.error_status_hint)
+        self._log_unread(notread.NotRead.MALFORMED, str(error))
         if self._parser.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
             rendered = problem.for_malformed(
                 error.error_status_hint, str(error)
