Let some runners be silent for a second in each soak

Runners of each service, never all, are now silent for 1.0 to 1.3 s in most series and in the calm after them. A silence excuses no broken promise. It is drawn apart, so that the other events of a seed stay as they are.

--- a/standins/soak/installation.py
+++ b/standins/soak/installation.py
@@ -101,6 +101,7 @@
             _Fault.VERSIONS: self._versions,
             _Fault.ZONE_OUT: self._zone_out,
             _Fault.LINKS: self._cut_links,
+            _Fault.RUNNERS_SILENT: self._silence,
         }
 
     @property
@@ -128,13 +129,13 @@
 
         :param event: of the schedule.
         """
-        planned = event.fault in schedules.PLANNED
-        if not planned:
+        is_excuse = event.fault not in schedules.NO_EXCUSE
+        if is_excuse:
             self._book.trouble(event.fault, True)
         try:
             self._do_by_fault[event.fault](event)
         finally:
-            if not planned:
+            if is_excuse:
                 self._book.trouble(event.fault, False)
 
     def members(self, zone: str, model: str) -> list[runners.Runner]:
@@ -308,6 +309,18 @@
             names = {daemon.name for daemon in cut_off}
             self._book.look_at_cut(names, began + links.SETTLED)
 
+    def _silence(self, event: schedules.Event) -> None:
+        """Let some runners of each service be silent for 1.0 to 1.3 s."""
+        chance = random.Random(event.target)
+        pool = eventlet.GreenPool()
+        for service in (operators.MODELS, operators.DESK):
+            alike = [r for r in self.all_runners if r.service == service]
+            able = [r for r in alike if r.alive and r.draining_at is None]
+            count = chance.randrange(len(able)) if able else 0
+            for runner in chance.sample(able, count):
+                pool.spawn(runner.pause, chance.uniform(1.0, 1.3))
+        pool.waitall()
+
     def _zone_out(self, event: schedules.Event) -> None:
         zone = ZONES[event.target % len(ZONES)]
         self.operator.set_out(zone, True)
--- a/standins/soak/schedule.py
+++ b/standins/soak/schedule.py
@@ -29,6 +29,7 @@
     VERSIONS = "versions in quick succession"
     ZONE_OUT = "zone out of service"
     LINKS = "links of daemons to all runners"
+    RUNNERS_SILENT = "some runners silent"
 
 
 #: Work that operators plan; it excuses nothing.
@@ -42,6 +43,9 @@
     }
 )
 
+#: What excuses no broken promise.
+NO_EXCUSE = PLANNED | {Fault.RUNNERS_SILENT}
+
 #: Seconds from the first to the last fault of a series, and of the calm after
 #: it, in which the promises with a bound in time are looked at.
 _SERIES, _CALM = 8.0, 9.0
@@ -52,7 +56,12 @@
 #: Part of the series in which daemons lose their links.
 _CUT_SHARE = 0.6
 
-_DRAWN = [fault for fault in Fault if fault is not Fault.LINKS]
+#: Part of the calms after a series in which runners are silent, and of the
+#: series themselves.
+_SILENT_SHARE = 0.8
+
+_DRAWN_APART = (Fault.LINKS, Fault.RUNNERS_SILENT)
+_DRAWN = [fault for fault in Fault if fault not in _DRAWN_APART]
 
 _LINK_HARMS = tuple(h for h in relays.Harm if h is not relays.Harm.NONE)
 
@@ -79,6 +88,7 @@
     chance = random.Random(seed)
     # Drawn apart, so that a seed's other events stay as they are.
     cuts = random.Random(f"{seed}/links")
+    silences = random.Random(f"{seed}/silences")
     events = []
     began = _FIRST
     while began + _SERIES + _CALM < seconds:
@@ -90,6 +100,10 @@
         if cuts.random() < _CUT_SHARE:
             at = began + cuts.uniform(0, _SERIES - 3)
             events.append(_one(cuts, at, [Fault.LINKS]))
+        for start in (began, began + _SERIES + 3.5):
+            if silences.random() < _SILENT_SHARE:
+                at = start + silences.uniform(0, 2.0)
+                events.append(_one(silences, at, [Fault.RUNNERS_SILENT]))
         began += _SERIES + _CALM
     return sorted(events)
 
