--- a/src/citronvalve/forward/callerconnection.py
+++ b/src/citronvalve/forward/callerconnection.py
@@ -16,6 +16,7 @@
 from citronvalve.forward import problem
 from citronvalve.forward import receiving
 from citronvalve.forward import reply
+from citronvalve.forward import transport
 from citronvalve.model import clock
 from citronvalve.model import refusal
 from citronvalve.routes import callerlimits
@@ -94,19 +95,10 @@
     def close_if_idle(self) -> None:
         """Close the connection if it waits for a request."""
         is_new = self._env.clock.now() < self._first_request_until
-        if self.idle and not is_new and not self._has_unread():
+        if self.idle and not is_new and transport.is_quiet(self._sock):
             with contextlib.suppress(OSError):
                 self._sock.shutdown(socket.SHUT_RDWR)
 
-    def _has_unread(self) -> bool:
-        """Return whether bytes have arrived that were not read yet."""
-        try:
-            return bool(
-                self._sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-            )
-        except OSError:
-            return False
-
     def check_caller(self) -> None:
         # The green thread that watches the caller has not run yet if nothing
         # has blocked since the request was read.
--- a/src/citronvalve/replicas/planner.py
+++ b/src/citronvalve/replicas/planner.py
@@ -260,14 +260,18 @@
         :param replica: has none if it has no head, or one that answers while
             its requests stall.
         """
-        if replica.head is None or self._is_stalled(replica):
+        head = replica.head
+        if head is None or self._is_stalled(replica.key, head):
             return set()
         seen = self._seen_ranks_by_key[replica.key]
         return set(range(replica.size)) - seen
 
-    def _is_stalled(self, replica: replicas.Replica) -> bool:
-        is_reported = replica.key in self._stalled_keys
-        return is_reported and not self.liveness.is_suspected(replica.head.id)
+    def _is_stalled(
+        self, key: membership.GroupKey, head: runners.Runner
+    ) -> bool:
+        """Return whether a replica stalls while its head answers probes."""
+        is_reported = key in self._stalled_keys
+        return is_reported and not self.liveness.is_suspected(head.id)
 
     def _closable(
         self, replica_by_key: _ReplicaByKey
--- a/src/citronvalve/replicas/reservations.py
+++ b/src/citronvalve/replicas/reservations.py
@@ -108,17 +108,17 @@
         :param replica: the group.
         :param now: monotonic ms.
         """
-        key = replica.key
+        key, head = replica.key, replica.head
         self._headless_since.pop(key, None)
         lost = self._lost_by_key.get(key)
-        if lost is None or replica.is_complete():
+        if lost is None or head is None or replica.is_complete():
             return
         if replica.phase not in phase.SERVING:
             del self._lost_by_key[key]
         elif key not in self._abandoned_by_key:
             self._cut_answered.discard(key)
             self._abandoned_by_key[key] = _Reservation(
-                replica.head.id, now, lost.members
+                head.id, now, lost.members
             )
 
     def dissolve_headless(
--- a/src/citronvalve/replicas/suspicion.py
+++ b/src/citronvalve/replicas/suspicion.py
@@ -100,8 +100,7 @@
         :param heard_at: as for :meth:`is_undecided`.
         """
         if self.is_paused and _is_heard_since(heard_at, self.probed_at):
-            span = now - self.probed_at
-            self._paused_for += min(span, _MAX_PROBE_INTERVAL)
+            self._paused_for += self._probe_interval(now)
         if self._failed_probes >= _FAILURES_UNTIL_SILENT and not self.is_lost:
             self._failed_probes = 0
             self._first_probed_at = None
@@ -112,6 +111,11 @@
         self._is_conclusive = _is_heard_since(heard_at, self._first_probed_at)
         return starts_anew or self.is_paused
 
+    def _probe_interval(self, now: clock.Ms) -> clock.Ms:
+        if self.probed_at is None:
+            return 0
+        return min(now - self.probed_at, _MAX_PROBE_INTERVAL)
+
     def record_failure(
         self, how: probefailure.ProbeFailure, now: clock.Ms
     ) -> None:
