--- a/src/citronvalve/replicas/liveness.py
+++ b/src/citronvalve/replicas/liveness.py
@@ -56,7 +56,7 @@
         self._unreachable_since: dict[str, clock.Ms] = {}
         self._healed_at_by_datacentre: dict[str, clock.Ms] = {}
         self._witness_asked_at_by_id: dict[str, clock.Ms] = {}
-        self._late: set[str] = set()
+        self._answered_late: set[str] = set()
 
     def apply_list(
         self, runner_by_id: dict[str, runners.Runner], now: clock.Ms
@@ -184,7 +184,7 @@
         They are silent still, or answered a probe late.
         """
         paused = set(filter(self.is_paused, self._suspicion_by_id))
-        late, self._late = self._late, set()
+        late, self._answered_late = self._answered_late, set()
         return late | paused
 
     def silent_for(self, runner_id: str, now: clock.Ms) -> clock.Ms:
@@ -404,7 +404,7 @@
         if suspicion is None or suspicion.probed_at is None:
             return
         if now - suspicion.probed_at > _PROMPT_ANSWER:
-            self._late.add(runner_id)
+            self._answered_late.add(runner_id)
 
     def record_no_answer(
         self, runner_id: str, how: probefailure.ProbeFailure, now: clock.Ms
