--- a/src/citronvalve/replicas/liveness.py
+++ b/src/citronvalve/replicas/liveness.py
@@ -6,6 +6,7 @@
 from citronvalve.replicas import probefailure
 from citronvalve.replicas import runner as runners
 from citronvalve.replicas import suspicion as suspicions
+from citronvalve.replicas import witnesses
 
 #: Time between two probes of a suspected runner.
 _SUSPECT_PROBE_INTERVAL: clock.Ms = 400
@@ -55,7 +56,7 @@
         self._datacentre_probed_at: clock.Ms = -_DATACENTRE_PROBE_INTERVAL
         self._unreachable_since: dict[str, clock.Ms] = {}
         self._healed_at_by_datacentre: dict[str, clock.Ms] = {}
-        self._witness_asked_at_by_id: dict[str, clock.Ms] = {}
+        self._witness_choice = witnesses.Witnesses()
         self._answered_late: set[str] = set()
 
     def apply_list(
@@ -81,11 +82,7 @@
             for r, at in self._answered_at_by_id.items()
             if r in self._listed_by_id
         }
-        self._witness_asked_at_by_id = {
-            r: at
-            for r, at in self._witness_asked_at_by_id.items()
-            if r in self._listed_by_id
-        }
+        self._witness_choice.retain(self._listed_by_id.keys())
         for gone, (_, since) in list(self._unlisted_by_id.items()):
             if now - since > _UNLISTED_RETENTION:
                 del self._unlisted_by_id[gone]
@@ -260,44 +257,15 @@
         return _SLOW_PROBE_INTERVAL
 
     def _witnesses(self, suspects: list[str], now: clock.Ms) -> list[str]:
-        """Return one runner for each data centre of suspected ones.
-
-        Those that did not answer when they were last asked come last, since
-        they may be dead, too.
-
-        :param suspects: ids; runners of their domains come last, since a
-            whole domain may be lost.
-        :param now: monotonic ms.
-        """
-        found = [held for held in map(self.find, suspects) if held]
-        domains = {held.domain for held in found}
-        witness_by_datacentre: dict[str, runners.Runner] = {}
-        for datacentre in {held.datacentre for held in found}:
-            able = [
-                runner
-                for runner in self._listed_by_id.values()
-                if runner.datacentre == datacentre
-                and not runner.leaving
-                and not self.is_suspected(runner.id)
-            ]
-            if able:
-                witness_by_datacentre[datacentre] = min(
-                    able,
-                    key=lambda r: (
-                        r.domain in domains,
-                        self._has_ignored_probe(r.id),
-                    ),
-                )
-        chosen = [witness.id for witness in witness_by_datacentre.values()]
-        self._witness_asked_at_by_id.update(dict.fromkeys(chosen, now))
-        return chosen
-
-    def _has_ignored_probe(self, witness: str) -> bool:
-        asked_at = self._witness_asked_at_by_id.get(witness)
-        answered_at = self._answered_at_by_id.get(witness)
-        if asked_at is None:
-            return False
-        return answered_at is None or answered_at < asked_at
+        if not suspects:
+            return []
+        able = [
+            runner
+            for runner in self._listed_by_id.values()
+            if not runner.leaving and not self.is_suspected(runner.id)
+        ]
+        known = [held for held in map(self.find, suspects) if held]
+        return self._witness_choice.choose(known, able, now)
 
     def _heard_at(self, runner_id: str) -> clock.Ms | None:
         held = self.find(runner_id)
@@ -389,6 +357,7 @@
         :param now: monotonic ms.
         """
         self._answered_at_by_id[runner_id] = now
+        self._witness_choice.record_answer(runner_id, now)
         self._record_late_answer(runner_id, now)
         held = self._listed_by_id.get(runner_id)
         if held is not None:
