--- a/tests/verdict.py
+++ b/tests/verdict.py
@@ -52,7 +52,8 @@
         for step in element["steps"]
         if step.get("result", {}).get("status") in _BAD
     ]
-    return Outcome(f"{area}: {element['name']}", passed, "\n".join(messages))
+    name = f"{area}: {element['name']}".strip()
+    return Outcome(name, passed, "\n".join(messages))
 
 
 def _message(result: dict) -> str:
