--- a/src/citronvalve/forward/admission.py
+++ b/src/citronvalve/forward/admission.py
@@ -80,6 +80,7 @@
             request.header(names.model).decode("latin-1"),
             prompt_tokens,
             response_tokens,
+            routedrequest.shared_parts(request, names),
         )
 
     def _find_key_holder(
--- a/src/citronvalve/forward/attempt.py
+++ b/src/citronvalve/forward/attempt.py
@@ -5,6 +5,7 @@
 
 from citronvalve.forward import attemptresult
 from citronvalve.forward import connector as connectors
+from citronvalve.forward import crashdetector
 from citronvalve.forward import dependencies
 from citronvalve.forward import exchange as exchanges
 from citronvalve.forward import exchangeerror
@@ -62,6 +63,7 @@
         self._load = deps.loads.of(chosen.upstream)
         self._is_start_counted = False
         self._target = connectors.Target(chosen.upstream, "", "")
+        self._run = crashdetector.Run(self._target)
         self._exchange: exchanges.Exchange | None = None
         self.relay = ""
         self.result: attemptresult.AttemptResult | None = None
@@ -132,6 +134,7 @@
                 _Ending.NOT_RUN, "the upstream is no longer in the list"
             )
         self._target = connectors.target_of(runner)
+        self._run = crashdetector.Run(self._target, runner.start_id)
         try:
             connection = self._deps.pool.acquire(
                 self._target, self._routed.id, self._routed.route.may_repeat
@@ -150,7 +153,7 @@
             self._target,
             connection,
         )
-        exchange.on_heard = self._record_activity
+        exchange.on_heard = self._record_data
         exchange.on_head = self._record_response
         return exchange
 
@@ -211,7 +214,7 @@
             # There is no time for it while another attempt is under way.
             if error.failure is _Failure.BROKEN:
                 self._deps.crash_detector.check_upstream(
-                    self._routed, self._target
+                    self._routed, self._run
                 )
             raise
 
@@ -256,6 +259,7 @@
             self._load.late -= 1
 
     def _record_response(self, response: responsehead.ResponseHead) -> None:
+        self._run = self._run._replace(answered_at=self._env.clock.now())
         self._record_activity()
         self._record_start()
         load = response.load(self._env.header_names)
@@ -263,6 +267,12 @@
             now = self._env.clock.now()
             self._load.record_report(load.running, load.waiting, now)
 
+    def _record_data(self) -> None:
+        if self._run.writing_since is None:
+            now = self._env.clock.now()
+            self._run = self._run._replace(writing_since=now)
+        self._record_activity()
+
     def _record_activity(self) -> None:
         self._deps.stall_detector.record_activity(self.chosen.upstream)
         self._deps.connector.record_activity(self.relay)
--- a/src/citronvalve/forward/crashdetector.py
+++ b/src/citronvalve/forward/crashdetector.py
@@ -1,6 +1,7 @@
 """Detection of requests that crash their upstreams."""
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 import xxhash
 
@@ -19,10 +20,27 @@
 #: hardly three times.
 _MAX_LOSSES = 3
 
+#: Bytes of a part's id that are logged.
+_MAX_SHOWN = 32
+
 #: Time for which a loss counts against a request.
 _LOSS_WINDOW: clock.Ms = 60_000
 
 
+class Run(NamedTuple):
+    """A request's run at an upstream.
+
+    ``start_id`` is of the upstream's start.  ``answered_at`` is when the head
+    of the response arrived, ``writing_since`` when the first data of its body
+    did; monotonic ms, None before.
+    """
+
+    target: connectors.Target
+    start_id: int = 0
+    answered_at: clock.Ms | None = None
+    writing_since: clock.Ms | None = None
+
+
 class CrashDetector:
     """Counts the upstreams that were lost while they ran a request.
 
@@ -66,7 +84,7 @@
         )
 
     def check_upstream(
-        self, routed: routedrequest.RoutedRequest, target: connectors.Target
+        self, routed: routedrequest.RoutedRequest, run: Run
     ) -> None:
         """Check whether an upstream is down after its connection broke.
 
@@ -74,11 +92,12 @@
         would be chosen before this loss is counted.
 
         :param routed: the request that ran on the connection.
-        :param target: the upstream.
+        :param run: its run.
         """
-        upstream = target.upstream
+        broke_at = self._env.clock.now()
+        upstream = run.target.upstream
         try:
-            self._pool.check_listening(target)
+            self._pool.check_listening(run.target)
         except exchangeerror.ExchangeError as error:
             if error.failure is exchangeerror.ExchangeFailure.NO_LINK:
                 # The connection may have broken with the link.
@@ -90,7 +109,11 @@
             self._env.log.change(
                 "upstream lost with a request",
                 upstream=upstream,
+                start_id=run.start_id,
                 fingerprint=request_fingerprint,
+                parts=_shown(routed.shared_parts),
+                answered_ms=_age(run.answered_at, broke_at),
+                writing_ms=_age(run.writing_since, broke_at),
                 why=str(error),
             )
             self.on_crash(request_fingerprint, upstream)
@@ -115,6 +138,15 @@
         )
 
 
+def _age(at: clock.Ms | None, now: clock.Ms) -> clock.Ms | None:
+    return None if at is None else now - at
+
+
+def _shown(parts: tuple[bytes, ...]) -> list[str]:
+    """Return parts as they are logged; ids from callers may be long."""
+    return [part[:_MAX_SHOWN].decode("latin-1") for part in parts]
+
+
 def fingerprint(
     request: callerrequest.CallerRequest, key_header: bytes
 ) -> str:
--- a/src/citronvalve/forward/headernames.py
+++ b/src/citronvalve/forward/headernames.py
@@ -14,8 +14,10 @@
     request; ``at_fault`` is the upstream that caused a rejection; ``load``
     running and waiting requests and slots; ``rank`` 0 to 9, most urgent
     first; ``model``, ``token_counts`` (prompt tokens, most output tokens)
-    and ``length_hint`` describe the work; ``resume_after`` is the last event
-    id that the caller has; ``expected_version`` that of the weights.
+    and ``length_hint`` describe the work; ``prompt_parts`` lists the parts of
+    the prompt in order as comma-separated ID:TOKENS; ``resume_after`` is the
+    last event id that the caller has; ``expected_version`` that of the
+    weights.
     """
 
     request_id: bytes = b"x-request-id"
@@ -31,6 +33,7 @@
     model: bytes = b"x-model"
     token_counts: bytes = b"x-tokens"
     length_hint: bytes = b"x-length-hint"
+    prompt_parts: bytes = b"x-prompt-parts"
     resume_after: bytes = b"last-event-id"
     expected_version: bytes = b"x-expect-version"
 
--- a/src/citronvalve/forward/routedrequest.py
+++ b/src/citronvalve/forward/routedrequest.py
@@ -13,12 +13,18 @@
 #: Assumed response tokens of a request that states no limit.
 _DEFAULT_RESPONSE_TOKENS = 128
 
+#: Parts of a prompt that are looked at; the header of a longer list is bounded
+#: by the limits of callers only.
+_MAX_SHARED_PARTS = 64
+
 
 class RoutedRequest(NamedTuple):
     """An admitted request.
 
     ``deadline`` is monotonic ms: the caller's deadline or the route's
     timeout, whichever comes first.  ``key_holder`` is None on public routes.
+    ``shared_parts`` are the ids of the prompt's parts without the last one,
+    which belongs to the request itself or to its session.
     """
 
     id: str
@@ -30,6 +36,7 @@
     model: str
     prompt_tokens: int
     response_tokens: int
+    shared_parts: tuple[bytes, ...] = ()
 
     @property
     def priority(self) -> int:
@@ -73,3 +80,16 @@
     if max_tokens:
         response_tokens = min(response_tokens, max_tokens)
     return headers.parse_number(prompt) or 0, response_tokens
+
+
+def shared_parts(
+    request: callerrequest.CallerRequest, names: headernames.HeaderNames
+) -> tuple[bytes, ...]:
+    """Return the ids of the prompt's parts that other requests may share.
+
+    :param request: the caller's.
+    :param names: the header names.
+    """
+    entries = request.header(names.prompt_parts).split(b",")
+    ids = (entry.partition(b":")[0].strip() for entry in entries[:-1])
+    return tuple(part for part in ids if part)[:_MAX_SHARED_PARTS]
