--- a/standins/soak/caller.py
+++ b/standins/soak/caller.py
@@ -8,6 +8,7 @@
 
 import eventlet
 
+from standins.soak import crashing
 from standins.soak import daemon as daemons
 from standins.soak import ledger as ledgers
 from standins.soak import operator as operators
@@ -86,14 +87,14 @@
             data = got.read()
         except (OSError, http.client.HTTPException) as error:
             self._book.first(
-                daemon.name, began, False, f"{asked.id}: {error!r}"
+                daemon.name, began, False, f"{asked.id}: {error!r}", asked
             )
             self._cut(daemon, asked, began, sent, error)
             raise
         self._judge(asked, got, data)
         served = got.status == 200
         self._book.first(
-            daemon.name, began, served, f"{asked.id}: {data[:300]!r}"
+            daemon.name, began, served, f"{asked.id}: {data[:300]!r}", asked
         )
         if got.status in _NOT_RUN:
             wait = float(got.headers.get("Retry-After", "0.1"))
@@ -114,9 +115,11 @@
         turn = self._chance.random()
         if turn < 0.6:
             model = self._chance.choice(list(operators.SIZE_BY_MODEL))
+            parts = crashing.sound_parts(number)
             head |= {"X-Model": model, "X-Token-Usage": "100,60"}
+            head["X-Prompt-Prefix"] = parts
             path = f"/stream/{self._chance.randint(3, self._longest)}"
-            made = ledgers.Asked(number, True, path, b"ask", team, key)
+            made = ledgers.Asked(number, True, path, b"ask", team, key, parts)
             return made, "POST", head
         if turn < 0.85:
             body = self._chance.randbytes(self._chance.choice((0, 40, 30_000)))
--- a/standins/soak/ledger.py
+++ b/standins/soak/ledger.py
@@ -18,7 +18,10 @@
 
 
 class Asked(NamedTuple):
-    """One attempt of a caller, and whether it may run more than once."""
+    """One attempt of a caller, and whether it may run more than once.
+
+    ``parts`` are those of its prompt, as ID:TOKENS with commas between.
+    """
 
     id: str
     may_repeat: bool
@@ -26,6 +29,7 @@
     body: bytes
     team: str
     key: str
+    parts: str = ""
 
 
 class Run(NamedTuple):
@@ -51,6 +55,46 @@
     at: float
     served: bool
     detail: str
+    asked: Asked | None = None
+
+
+class PartEvent(NamedTuple):
+    """A request with a part that crashes runners arrives, or a crash by it."""
+
+    at: float
+    part: str
+    upstream: str
+
+
+class Parts:
+    """The parts that crash runners, and what requests with them did.
+
+    :ivar crashing: their ids.
+    :ivar arrivals: the requests that reached runners.
+    :ivar crashes: the runners that crashed.
+    """
+
+    def __init__(self) -> None:
+        self.crashing: set[str] = set()
+        self.arrivals: list[PartEvent] = []
+        self.crashes: list[PartEvent] = []
+
+    def find(self, parts: str) -> str:
+        """Return the crashing part among those of a prompt, or nothing.
+
+        :param parts: as in the request.
+        """
+        ids = [entry.partition(":")[0] for entry in parts.split(",")[:-1]]
+        return next((one for one in ids if one in self.crashing), "")
+
+    def counted_crash(self, part: str, number: int) -> float | None:
+        """Return when a part's crash of some number came, or its last.
+
+        :param part: its id.
+        :param number: from 1 on.
+        """
+        times = [crash.at for crash in self.crashes if crash.part == part]
+        return times[:number][-1] if times else None
 
 
 class Cut(NamedTuple):
@@ -88,6 +132,7 @@
         self._stood_still_until: float | None = None
         self.queued = 0.0
         self.firsts: list[First] = []
+        self.parts = Parts()
         self.cuts: list[Cut] = []
         self.torn: list[str] = []
 
@@ -104,15 +149,23 @@
         self.ends[how] += 1
         self.ended.append((self.now, how))
 
-    def first(self, daemon: str, at: float, served: bool, detail: str) -> None:
+    def first(
+        self,
+        daemon: str,
+        at: float,
+        served: bool,
+        detail: str,
+        asked: Asked | None = None,
+    ) -> None:
         """Take in how a caller's first try ended.
 
         :param daemon: that took it.
         :param at: when it was sent, in seconds.
         :param served: whether it was answered with success.
         :param detail: shown when it was not.
+        :param asked: the request.
         """
-        self.firsts.append(First(daemon, at, served, detail))
+        self.firsts.append(First(daemon, at, served, detail, asked))
 
     def is_calm_but_for(self, name: str) -> bool:
         """Tell whether no other fault is felt.
--- a/standins/soak/relay.py
+++ b/standins/soak/relay.py
@@ -52,8 +52,10 @@
         self._harm = Harm.NONE
         self.delay = 0.2
         self._listener = eventlet.listen(("127.0.0.1", 0))
-        self.address = "127.0.0.1:%d" % self._listener.getsockname()[1]
+        self._port = self._listener.getsockname()
+        self.address = "127.0.0.1:%d" % self._port[1]
         self._task = eventlet.spawn(self._accept)
+        self._reserved: socket.socket | None = None
 
     def do(self, harm: Harm) -> None:
         """Harm connections from now on, or stop to.
@@ -67,6 +69,28 @@
             self.reset()
         self._harm = harm
 
+    def end(self) -> None:
+        """Close all connections and refuse new ones, as a process that ends.
+
+        The port stays bound, so that no other process gets it.
+        """
+        if self._reserved is not None:
+            return
+        self._task.kill()
+        _close(self._listener)
+        self._reserved = _bind(self._port)
+        for sock in list(self._open):
+            with contextlib.suppress(OSError):
+                sock.shutdown(plain_socket.SHUT_RDWR)
+
+    def begin(self) -> None:
+        """Accept connections again."""
+        if self._reserved is None:
+            return
+        self._reserved.listen(50)
+        self._listener, self._reserved = self._reserved, None
+        self._task = eventlet.spawn(self._accept)
+
     def hold(self, source: str) -> None:
         """Hold back what connections from an address carry.
 
@@ -99,7 +123,7 @@
     def close(self) -> None:
         """Stop listening and reset all connections."""
         self._task.kill()
-        _close(self._listener)
+        _close(self._reserved or self._listener)
         self.reset()
 
     def _accept(self) -> None:
@@ -164,6 +188,13 @@
         return is_answer and self._harm is Harm.ONE_WAY
 
 
+def _bind(port: tuple[str, int]) -> socket.socket:
+    sock = socket.socket()
+    sock.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_REUSEADDR, 1)
+    sock.bind(port)
+    return sock
+
+
 def _close(sock: socket.socket) -> None:
     with contextlib.suppress(OSError):
         _forget(sock)
--- a/standins/soak/runner.py
+++ b/standins/soak/runner.py
@@ -22,6 +22,10 @@
 _GAP = 0.04
 _WORK = 0.08
 
+#: Seconds from the begin of an answer to the crash by a part of its prompt,
+#: from then until the entry lapses, and until the runner is back.
+_CRASH_AFTER, _LAPSE, _BACK = (0.03, 0.12), 1.5, 3.0
+
 #: Seconds between two looks of a stream that stands still.
 _LOOK = 0.05
 
@@ -112,12 +116,29 @@
         self.place.crash()
         self.relay.do(relays.Harm.REFUSED)
 
+    def end_process(self) -> None:
+        """Crash, lapse from the list and start again, as processes do.
+
+        Its connections are closed and its port refuses.
+        """
+        self._life += 1
+        life = self._life
+        self.place.crash()
+        self.relay.end()
+        eventlet.sleep(_LAPSE)
+        if life == self._life and not self.alive:
+            self._store.drop("servers", self.name)
+            eventlet.sleep(_BACK - _LAPSE)
+        if life == self._life and not self.alive:
+            self.start()
+
     def start(self) -> None:
         """Come back with nothing known, under the same id."""
         self.place.start()
         self.listed = True
         self.draining_at = None
         self._born = round(time.time() * 1_000)
+        self.relay.begin()
         self.relay.do(relays.Harm.NONE)
         self.tell()
 
@@ -189,6 +210,13 @@
 
     def _serve(self, environ, start_response, body) -> Iterable[bytes]:
         number = environ.get("HTTP_X_ATTEMPT_ID", "")
+        parts = environ.get("HTTP_X_PROMPT_PREFIX", "")
+        part = self._book.parts.find(parts)
+        if part:
+            now = self._book.now
+            self._book.parts.arrivals.append(
+                ledgers.PartEvent(now, part, self.name)
+            )
         if self._sizes:
             held = self.place.group
             if held is None or held.rank or held.state != "open":
@@ -207,9 +235,13 @@
                 body,
                 environ.get("HTTP_X_TENANT", ""),
                 environ.get("HTTP_X_API_KEY", ""),
+                parts,
             ),
             self.name,
         )
+        if part:
+            delay = self._chance.uniform(*_CRASH_AFTER)
+            eventlet.spawn_after(delay, self._crash_by, part, self._life)
         if self._sizes:
             return self._stream(environ, start_response, number)
         eventlet.sleep(_WORK)
@@ -221,6 +253,14 @@
         start_response("200 OK", _head(number, seal, data))
         return [data]
 
+    def _crash_by(self, part: str, life: int) -> None:
+        if life == self._life and self.alive:
+            now = self._book.now
+            self._book.parts.crashes.append(
+                ledgers.PartEvent(now, part, self.name)
+            )
+            self.end_process()
+
     def _stream(self, environ, start_response, number) -> Iterable[bytes]:
         first = int(environ.get("HTTP_LAST_EVENT_ID") or 0) + 1
         count = int(environ["PATH_INFO"].rstrip("/").rpartition("/")[2])
--- a/tests/processes/processes.feature
+++ b/tests/processes/processes.feature
@@ -86,6 +86,36 @@
       | hang                               |
       | are reset                          |
 
+  Scenario Outline: requests with <which> crash runners, <more>
+    Guards against runners that crash one after the other: a part of the
+    prompt ends each runner that begins to write on it, and the requests with
+    it have nothing else in common.
+
+    Given a soak of seed <seed> for 26 s with 6 daemons, 20 callers and no faults
+    And from 6 s on requests with <which> crash runners, <more>
+    When it has run
+    Then no promise was broken
+    And at most 3 requests with a crashing part reach runners later than 3 s after its fifth crash
+    And from 6 s after it requests with its key or first part are served at least half as often as before
+
+    Examples: crashes
+      | which                   | more                                     | seed |
+      | one part                | all of one team                          | 471  |
+      | one part                | of all teams                             | 472  |
+      | one part                | one in two seconds                       | 473  |
+      | one part                | while daemons are killed and start again | 474  |
+      | the first part          | all of one team                          | 475  |
+      | two parts               | a team each                              | 476  |
+
+  Scenario: heads of replicas crash by chance
+    Guards against sound requests that are refused since they ran on runners
+    that crashed without them.
+
+    Given a soak of seed 477 for 22 s with 6 daemons, 20 callers and no faults
+    When it has run while a head of a replica crashes each 0.9 s
+    Then no promise was broken
+    And no request was refused for crashes
+
   Scenario: a process starts right after connections were reset
     The soak of seed 544 lost a daemon's start: the number of a connection that
     a relay had reset went to the new process's pipe, and the hub still had
--- /dev/null
+++ b/tests/processes/steps/crashing_steps.py
@@ -0,0 +1,135 @@
+"""Steps about parts of prompts that crash runners."""
+
+import json
+import random
+
+import behave
+import eventlet
+
+from standins.soak import crashing
+
+#: Seconds at which the first request with such a part is sent.
+_FIRST = 6.0
+
+#: Seconds from the first such request to the first daemon that is killed,
+#: between two, and from a daemon's end to its start.
+_KILLS_AFTER, _KILLS_APART, _START_AFTER = 9.0, 1.0, 0.3
+
+#: Requests that are compared at least.
+_COMPARED = 20
+
+_ONE, _ALL = ("team-0",), ("team-0", "team-1", "team-2", "team-3")
+
+_TEAMS_BY_MORE = {"of all teams": _ALL}
+_INTERVAL_BY_MORE = {"one in two seconds": 2.0}
+
+
+def _plans(which, more):
+    teams = _TEAMS_BY_MORE.get(more, _ONE)
+    interval = _INTERVAL_BY_MORE.get(more, 0.2)
+    if which == "two parts":
+        return [
+            crashing.Plan("c1", _ONE, False, 2 * interval),
+            crashing.Plan("c2", ("team-1",), False, 2 * interval),
+        ]
+    return [crashing.Plan("c1", teams, which == "the first part", interval)]
+
+
+@behave.given(
+    "from {first:d} s on requests with {which} crash runners, {more}"
+)
+def step_crashing(context, first, which, more):
+    soak = context.soak
+    fleet = soak.installation.daemons
+    context.crashing = [
+        crashing.CrashingCaller(
+            fleet, soak.book, random.Random(f"{plan.part}/{first}"), plan
+        )
+        for plan in _plans(which, more)
+    ]
+
+    def send(_):
+        eventlet.sleep(first)
+        soak.book.trouble("crashing parts", True)
+        for caller in context.crashing:
+            eventlet.spawn(caller.run, 60)
+        if "killed" in more:
+            _kill_in_turn(fleet[:3])
+
+    soak.beside = send
+
+
+def _kill_in_turn(fleet):
+    eventlet.sleep(_KILLS_AFTER)
+    for daemon in fleet:
+        daemon.kill()
+        eventlet.sleep(_START_AFTER)
+        daemon.start()
+        eventlet.sleep(_KILLS_APART)
+
+
+@behave.then(
+    "at most {most:d} requests with a crashing part reach runners later than "
+    "{seconds:d} s after its fifth crash"
+)
+def step_late(context, most, seconds):
+    parts = context.soak.book.parts
+    for caller in context.crashing:
+        part = caller.plan.part
+        fifth = parts.counted_crash(part, crashing.COUNTED)
+        assert fifth is not None, "no runner crashed"
+        since = fifth + seconds
+        late = [a for a in parts.arrivals if a.part == part and a.at > since]
+        sent = sum(at > since for at in caller.sent)
+        crashes = sum(crash.part == part for crash in parts.crashes)
+        assert sent > most, f"only {sent} were sent"
+        assert len(late) <= most, (
+            f"{part}: {len(late)} of {sent} later than {since:.2f} s; "
+            f"{crashes} crashes in all"
+        )
+
+
+@behave.then(
+    "from {seconds:d} s after it requests with its key or first part are "
+    "served at least half as often as before"
+)
+def step_kin(context, seconds):
+    book = context.soak.book
+    for caller in context.crashing:
+        fifth = book.parts.counted_crash(caller.plan.part, crashing.COUNTED)
+        streams = [f for f in book.firsts if f.asked and f.asked.parts]
+        kin = [f for f in streams if _is_kin(f.asked, caller.plan)]
+        before = [f for f in kin if f.at < _FIRST]
+        after = [f for f in kin if f.at >= fifth + seconds]
+        assert min(len(before), len(after)) >= _COMPARED
+        usual = sum(f.served for f in before) / len(before)
+        served = sum(f.served for f in after)
+        assert served >= usual * len(after) / 2, (
+            f"served {served} of {len(after)}, before "
+            f"{sum(f.served for f in before)} of {len(before)}; "
+            f"{[f.detail for f in after if not f.served][:4]}"
+        )
+
+
+def _is_kin(asked, plan):
+    first = plan.part if plan.is_first else "a0"
+    return asked.team in plan.teams or asked.parts.startswith(f"{first}:")
+
+
+@behave.then("no request was refused for crashes")
+def step_none_fenced(context):
+    refused = [
+        line["why"]
+        for daemon in context.soak.installation.daemons
+        for line in map(_parse, daemon.output().splitlines())
+        if line.get("event") == "refused"
+        and "lost while running" in line["why"]
+    ]
+    assert not refused, (len(refused), refused[:3])
+
+
+def _parse(line):
+    try:
+        return json.loads(line)
+    except ValueError:
+        return {}
--- a/tests/processes/steps/processes_steps.py
+++ b/tests/processes/steps/processes_steps.py
@@ -36,6 +36,9 @@
 #: the last of a round, and that each is silent.
 _ROUND, _STAGGER, _SILENT = 2.6, 0.5, (1.0, 1.3)
 
+#: Seconds between two crashes of heads.
+_CRASHES_APART = 0.9
+
 _DRAW = """
 import sys
 from standins import process
@@ -136,6 +139,15 @@
     ]
 
 
+def _crash_heads(context, soak):
+    soak.book.trouble("heads crash", True)
+    while True:
+        eventlet.sleep(_CRASHES_APART)
+        heads = [runner for runner, _ in _heads(soak)]
+        if heads:
+            eventlet.spawn(context.chance.choice(heads).end_process)
+
+
 def _all_runners(soak):
     return [(r, r.service) for r in soak.installation.all_runners]
 
@@ -176,6 +188,7 @@
 
 
 _DO_BY_WHAT = {
+    "a head of a replica crashes each 0.9 s": _crash_heads,
     "all replicas stand still for 0.5 s, again and again": _stop_replicas,
     "all daemons stand still for 0.5 s, again and again": _stop_daemons,
     "a member of the only large replica leaves": _leave,
