--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -101,6 +101,7 @@
         eventlet.spawn(self._log.run)
         self._follow_tables()
         self._messages.start(self._peers_wait())
+        self._crash_exchange.start()
         eventlet.spawn(self._renew_lease)
         eventlet.spawn(self._planner_task.run)
         eventlet.spawn(self._clean_up)
@@ -164,8 +165,7 @@
         self._messages.on_stall = self._on_stall
         self._lease.has_majority = self._messages.hears_majority
         self._lease.rank = self._lead_rank
-        self._messages.on_crash = self._crash_detector.record_loss
-        self._crash_detector.on_crash = self._messages.broadcast_crash
+        self._exchange_crashes()
         self._messages.load_broadcaster.is_nearly_full = (
             self._dependencies.placement.is_pressed
         )
@@ -174,6 +174,17 @@
         )
         self._stall_detector.on_stall = self._messages.broadcast_stall
 
+    def _exchange_crashes(self) -> None:
+        detector = self._crash_detector
+        exchange = self._messages.exchange_crashes(detector.suspects)
+        detector.on_crash = exchange.send_losses
+        detector.on_proof = exchange.send_proofs
+        detector.may_try = lambda: bool(
+            self._lease.held and self._lease.may_act()
+        )
+        detector.wait_known = exchange.wait_known
+        self._crash_exchange = exchange
+
     def _lead_rank(self) -> int:
         return self._links.lead_rank(self._messages.lead_rank())
 
--- a/src/citronvalve/daemon/messagetask.py
+++ b/src/citronvalve/daemon/messagetask.py
@@ -5,6 +5,7 @@
 
 import eventlet
 
+from citronvalve.daemon import crashexchange
 from citronvalve.daemon import loadbroadcaster
 from citronvalve.daemon import newcomers
 from citronvalve.daemon import tablemessages
@@ -17,6 +18,7 @@
 from citronvalve.peers import peersettings
 from citronvalve.peers import rendezvous
 from citronvalve.peers import sockets as sockets_
+from citronvalve.policy import crashsuspects
 from citronvalve.policy import upstreamchoice
 from citronvalve.replicas import lease as leases
 from citronvalve.storage import rows
@@ -61,8 +63,6 @@
     :param lease: the leader lease and the known daemons.
     :param loads: the loads that are sent and received.
     :ivar tables: makes and applies messages about the followed tables.
-    :ivar on_crash: called with the fingerprint of a request and the upstream
-        that was lost with it, as another daemon reports them.
     :ivar load_broadcaster: sends the load of upstreams.
     :ivar on_stall: called with the id of a stalled upstream.
     """
@@ -95,14 +95,15 @@
             messages.TableChanges: self.tables.on_changes,
             messages.FullTableRequest: self._on_table_request,
             messages.TableRows: self.tables.on_rows,
-            messages.Crash: self._on_crash,
+            # A release before takes only repeats of a whole request for it.
+            messages.Crash: lambda _: None,
             messages.Stall: self._on_stall,
             messages.DaemonLoads: self._on_daemon_loads,
             messages.DatacentreLoads: self._on_datacentre_loads,
             messages.OtherLoads: self._on_other_loads,
             messages.Relayed: self._on_relayed,
         }
-        self.on_crash: Callable[[str, str], None] = lambda *_: None
+        self._on_contact: Callable[[], None] = lambda: None
         self._distributor = distributors.Distributor(
             env.name, env.datacentre, loads
         )
@@ -210,13 +211,27 @@
             wanted = messages.FullTableRequest(self._env.name, table)
             self._send_all([distributors.Outgoing(self._lease.leader, wanted)])
 
-    def broadcast_crash(self, fingerprint: str, upstream: str) -> None:
-        """Report an upstream that was lost with a request to all daemons.
+    def exchange_crashes(
+        self, suspects: crashsuspects.CrashSuspects
+    ) -> crashexchange.CrashExchange:
+        """Return the exchange of evidence about crashes, for its messages.
 
-        :param fingerprint: the request's fingerprint.
-        :param upstream: the upstream's id.
+        :param suspects: the evidence.
         """
-        self._broadcast(messages.Crash(fingerprint, upstream))
+        exchange = crashexchange.CrashExchange(
+            self._env,
+            self._address,
+            self._lease,
+            suspects,
+            self._broadcast,
+            self._send_message,
+        )
+        self._handler_by_type |= {
+            messages.CrashEvidence: exchange.on_evidence,
+            messages.CrashEvidenceRequest: exchange.on_request,
+        }
+        self._on_contact = exchange.record_contact
+        return exchange
 
     def lead_rank(self) -> int:
         """Return this daemon's place among the candidates for the lead."""
@@ -236,6 +251,7 @@
             if isinstance(message, missing.Missing):
                 self._env.log.change("news unreadable", why=message.reason)
                 continue
+            self._on_contact()
             self._handler_by_type[type(message)](message)
             # A socket that always has another message would starve the
             # other tasks.
@@ -295,6 +311,9 @@
             if peer is not None:
                 self._send_data(peer.address, data)
 
+    def _send_message(self, address: str, message: messages.Message) -> None:
+        self._send_data(address, self._codec.encode(message))
+
     def _send_data(self, address: str, data: bytes) -> None:
         if len(data) <= _MAX_MESSAGE_BYTES:
             self._sockets.send(f"tcp://{address}", data)
@@ -334,9 +353,6 @@
             }
         )
 
-    def _on_crash(self, message: messages.Crash) -> None:
-        self.on_crash(message.fingerprint, message.upstream)
-
     def _on_stall(self, message: messages.Stall) -> None:
         self.on_stall(message.upstream)
 
--- a/src/citronvalve/forward/attempt.py
+++ b/src/citronvalve/forward/attempt.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 import functools
 
+import eventlet
+
 from citronvalve.forward import attemptresult
 from citronvalve.forward import connector as connectors
 from citronvalve.forward import crashdetector
@@ -111,7 +113,7 @@
         if exchange is None or exchange.connection.is_idle():
             return False
         count = self._progress.event_count
-        result = self._read(exchange, exchanges.Exchange.read_arrived)
+        result = self._read(exchange, self._read_arrived)
         is_delivered = result.ending is _Ending.DELIVERED
         return is_delivered or count != self._progress.event_count
 
@@ -203,6 +205,20 @@
         is_silent = error.failure is _Failure.SILENT
         return is_silent and self._env.clock.now() < self._routed.deadline
 
+    def _read_arrived(
+        self, exchange: exchanges.Exchange
+    ) -> attemptresult.AttemptResult | None:
+        try:
+            return exchange.read_arrived()
+        except exchangeerror.ExchangeError as error:
+            if error.failure is _Failure.BROKEN:
+                # Another attempt is under way and must not wait for it.
+                eventlet.spawn_n(self._check_upstream)
+            raise
+
+    def _check_upstream(self) -> None:
+        self._deps.crash_detector.check_upstream(self._routed, self._run)
+
     def _send_and_read(
         self, exchange: exchanges.Exchange
     ) -> attemptresult.AttemptResult:
@@ -211,11 +227,8 @@
                 self._send(exchange)
             return exchange.read(self._reader)
         except exchangeerror.ExchangeError as error:
-            # There is no time for it while another attempt is under way.
             if error.failure is _Failure.BROKEN:
-                self._deps.crash_detector.check_upstream(
-                    self._routed, self._run
-                )
+                self._check_upstream()
             raise
 
     def _send(self, exchange: exchanges.Exchange) -> None:
@@ -268,9 +281,9 @@
             self._load.record_report(load.running, load.waiting, now)
 
     def _record_data(self) -> None:
-        if self._run.writing_since is None:
-            now = self._env.clock.now()
-            self._run = self._run._replace(writing_since=now)
+        self._run = self._deps.crash_detector.record_data(
+            self._routed, self._run
+        )
         self._record_activity()
 
     def _record_activity(self) -> None:
--- a/src/citronvalve/forward/crashdetector.py
+++ b/src/citronvalve/forward/crashdetector.py
@@ -13,44 +13,54 @@
 from citronvalve.forward import routedrequest
 from citronvalve.model import clock
 from citronvalve.model import refusal
-from citronvalve.policy import crashfence
+from citronvalve.policy import crashsuspects
 
-#: Upstreams lost with one request before it is refused.  A harmless request
-#: that runs beside a crashing one is lost with it once or twice by chance,
-#: hardly three times.
-_MAX_LOSSES = 3
+_Losses = list[crashsuspects.Loss]
+_Proofs = list[crashsuspects.Proof]
+
+#: Time for which an upstream has to write an answer until the parts of its
+#: prompt are cleared.
+_PROOF_TIME: clock.Ms = 250
+
+#: Time within which a trial of a fenced content has ended.
+_TRIAL_TIME: clock.Ms = 10_000
 
 #: Bytes of a part's id that are logged.
 _MAX_SHOWN = 32
 
-#: Time for which a loss counts against a request.
-_LOSS_WINDOW: clock.Ms = 60_000
-
 
 class Run(NamedTuple):
     """A request's run at an upstream.
 
     ``start_id`` is of the upstream's start.  ``answered_at`` is when the head
     of the response arrived, ``writing_since`` when the first data of its body
-    did; monotonic ms, None before.
+    did, ``proven_at`` when its parts were last cleared; monotonic ms, None
+    before.
     """
 
     target: connectors.Target
     start_id: int = 0
     answered_at: clock.Ms | None = None
     writing_since: clock.Ms | None = None
+    proven_at: clock.Ms | None = None
 
 
 class CrashDetector:
-    """Counts the upstreams that were lost while they ran a request.
+    """Accuses contents of requests that were lost with upstreams.
 
-    Callers retry such a request at any daemon: unless it is refused, it
-    crashes one upstream after the other.
+    Callers retry such a request at any daemon, and other requests may have a
+    part of its prompt: unless they are refused, they crash one upstream after
+    the other.  Contents are the whole request, and each part of the prompt
+    that requests share.
 
     :param env: the daemon's environment.
     :param pool: checks whether an upstream still accepts connections.
-    :ivar on_crash: called with the request's fingerprint and the upstream's
-        id, to inform other daemons.
+    :ivar suspects: the accused contents.
+    :ivar on_crash: called with new losses, to inform other daemons.
+    :ivar on_proof: called with proofs that clear losses.
+    :ivar may_try: returns whether this daemon alone may try fenced contents.
+    :ivar wait_known: waits for what other daemons know, until a time in
+        monotonic ms at most.
     """
 
     def __init__(
@@ -60,28 +70,38 @@
     ) -> None:
         self._env = env
         self._pool = pool
-        self._fence = crashfence.CrashFence()
-        self.on_crash: Callable[[str, str], None] = lambda *_: None
+        self._trial_until_by_content: dict[int, clock.Ms] = {}
+        self.suspects = crashsuspects.CrashSuspects()
+        self.on_crash: Callable[[_Losses], None] = lambda _: None
+        self.on_proof: Callable[[_Proofs], None] = lambda _: None
+        self.may_try: Callable[[], bool] = lambda: False
+        self.wait_known: Callable[[clock.Ms], None] = lambda _: None
 
-    def find_refusal(
+    def admit(
         self, routed: routedrequest.RoutedRequest
     ) -> refusal.Refusal | None:
         """Return the refusal of a request that crashes upstreams, or None.
 
+        One daemon lets a request with a fenced content pass from time to
+        time, to find out whether it still crashes upstreams.
+
         :param routed: the request.
         """
-        losses = self._fence.loss_count(
-            fingerprint(routed.request, self._env.header_names.api_key),
-            self._env.clock.now(),
-            _LOSS_WINDOW,
-        )
-        if losses < _MAX_LOSSES:
+        self.wait_known(routed.deadline)
+        verdict = self._find(routed)
+        if verdict is None or self._begin_trial(verdict, routed.id):
             return None
-        return refusal.Refusal(
-            refusal.RefusalKind.NO_UPSTREAM,
-            f"{losses} upstreams were lost while running this request",
-            "change the request before sending it again",
-        )
+        return self._refuse(routed, verdict)
+
+    def find_refusal(
+        self, routed: routedrequest.RoutedRequest
+    ) -> refusal.Refusal | None:
+        """Return the refusal of another attempt at a request, or None.
+
+        :param routed: the request.
+        """
+        verdict = self._find(routed)
+        return None if verdict is None else self._refuse(routed, verdict)
 
     def check_upstream(
         self, routed: routedrequest.RoutedRequest, run: Run
@@ -95,67 +115,174 @@
         :param run: its run.
         """
         broke_at = self._env.clock.now()
-        upstream = run.target.upstream
         try:
             self._pool.check_listening(run.target)
         except exchangeerror.ExchangeError as error:
             if error.failure is exchangeerror.ExchangeFailure.NO_LINK:
                 # The connection may have broken with the link.
                 return
-            request_fingerprint = fingerprint(
-                routed.request, self._env.header_names.api_key
-            )
-            self.record_loss(request_fingerprint, upstream)
-            self._env.log.change(
-                "upstream lost with a request",
-                upstream=upstream,
-                start_id=run.start_id,
-                fingerprint=request_fingerprint,
-                parts=_shown(routed.shared_parts),
-                answered_ms=_age(run.answered_at, broke_at),
-                writing_ms=_age(run.writing_since, broke_at),
-                why=str(error),
-            )
-            self.on_crash(request_fingerprint, upstream)
-
-    def clear(self, routed: routedrequest.RoutedRequest) -> None:
-        """Forget the losses of a request that was answered.
+            self._record_loss(routed, run, broke_at, str(error))
+
+    def record_data(
+        self, routed: routedrequest.RoutedRequest, run: Run
+    ) -> Run:
+        """Record that a run has sent data; return the run as it is now.
 
         :param routed: the request.
+        :param run: its run.
         """
-        self._fence.clear(
-            fingerprint(routed.request, self._env.header_names.api_key)
-        )
+        now = self._env.clock.now()
+        if run.writing_since is None:
+            return run._replace(writing_since=now)
+        last = run.writing_since if run.proven_at is None else run.proven_at
+        if not self.suspects or now - last < _PROOF_TIME:
+            return run
+        self._record_proof(routed, _parts(routed))
+        return run._replace(proven_at=now)
 
-    def record_loss(self, request_fingerprint: str, upstream: str) -> None:
-        """Record an upstream lost with a request, here or at another daemon.
+    def record_answer(self, routed: routedrequest.RoutedRequest) -> None:
+        """Clear all contents of a request that was answered whole.
 
-        :param request_fingerprint: the request's fingerprint.
-        :param upstream: the lost upstream's id.
+        :param routed: the request.
         """
-        self._fence.record_loss(
-            request_fingerprint, upstream, self._env.clock.now()
+        if self.suspects:
+            self._record_proof(routed, self._contents(routed).all())
+
+    def _find(
+        self, routed: routedrequest.RoutedRequest
+    ) -> crashsuspects.Verdict | None:
+        if not self.suspects:
+            return None
+        return self.suspects.find(self._contents(routed), _model(routed))
+
+    def _begin_trial(
+        self, verdict: crashsuspects.Verdict, request_id: str
+    ) -> bool:
+        """Return whether a request may run though its content is fenced."""
+        now = self._env.clock.now()
+        if now < verdict.trial_at or not self.may_try():
+            return False
+        until_by_content = self._trial_until_by_content
+        if now < until_by_content.get(verdict.content, 0):
+            return False
+        for content, until in list(until_by_content.items()):
+            if until <= now:
+                del until_by_content[content]
+        until_by_content[verdict.content] = now + _TRIAL_TIME
+        self._env.log.change(
+            "fenced content tried",
+            request=request_id,
+            content=f"{verdict.content:016x}",
+            losses=verdict.losses,
+        )
+        return True
+
+    def _refuse(
+        self,
+        routed: routedrequest.RoutedRequest,
+        verdict: crashsuspects.Verdict,
+    ) -> refusal.Refusal:
+        what = "this request"
+        for part in routed.shared_parts:
+            if _digest(routed, part) == verdict.content:
+                what = f"requests with the part {_shown(part)} of its prompt"
+        return refusal.Refusal(
+            refusal.RefusalKind.NO_UPSTREAM,
+            f"{verdict.losses} upstreams were lost while running {what}",
+            "change the request before sending it again",
         )
 
+    def _record_loss(
+        self,
+        routed: routedrequest.RoutedRequest,
+        run: Run,
+        broke_at: clock.Ms,
+        why: str,
+    ) -> None:
+        writing = run.writing_since
+        is_cleared = writing is not None and broke_at - writing >= _PROOF_TIME
+        contents = self._contents(routed)
+        accused = (contents.whole,) if is_cleared else contents.all()
+        start = _start_digest(run)
+        model, begun = _model(routed), run.answered_at is not None
+        losses = [
+            crashsuspects.Loss(content, start, model, broke_at, begun)
+            for content in accused
+        ]
+        self._env.log.change(
+            "upstream lost with a request",
+            request=routed.id,
+            upstream=run.target.upstream,
+            start_id=run.start_id,
+            contents=[f"{content:016x}" for content in accused],
+            parts=[_shown(part) for part in routed.shared_parts],
+            answered_ms=_age(run.answered_at, broke_at),
+            writing_ms=_age(writing, broke_at),
+            why=why,
+        )
+        new = [loss for loss in losses if self.suspects.record_loss(loss)]
+        if new:
+            self.on_crash(new)
+
+    def _record_proof(
+        self, routed: routedrequest.RoutedRequest, contents: tuple[int, ...]
+    ) -> None:
+        now, model = self._env.clock.now(), _model(routed)
+        proofs = [
+            crashsuspects.Proof(content, model, now) for content in contents
+        ]
+        clearing = [
+            proof for proof in proofs if self.suspects.record_proof(proof)
+        ]
+        if clearing:
+            self.on_proof(clearing)
+
+    def _contents(
+        self, routed: routedrequest.RoutedRequest
+    ) -> crashsuspects.Contents:
+        return crashsuspects.Contents(
+            fingerprint(routed.request, self._env.header_names.api_key),
+            _parts(routed),
+        )
+
+
+def _parts(routed: routedrequest.RoutedRequest) -> tuple[int, ...]:
+    return tuple(_digest(routed, part) for part in routed.shared_parts)
+
+
+def _digest(routed: routedrequest.RoutedRequest, part: bytes) -> int:
+    """Return a part's digest; parts of two services are different ones."""
+    service = routed.service.name.encode()
+    return xxhash.xxh3_64_intdigest(b"%d:%b%b" % (len(service), service, part))
+
+
+def _model(routed: routedrequest.RoutedRequest) -> int:
+    return xxhash.xxh3_64_intdigest(routed.model.encode())
+
+
+def _start_digest(run: Run) -> int:
+    start = f"{run.target.upstream}/{run.start_id}"
+    return xxhash.xxh3_64_intdigest(start.encode())
+
 
 def _age(at: clock.Ms | None, now: clock.Ms) -> clock.Ms | None:
     return None if at is None else now - at
 
 
-def _shown(parts: tuple[bytes, ...]) -> list[str]:
-    """Return parts as they are logged; ids from callers may be long."""
-    return [part[:_MAX_SHOWN].decode("latin-1") for part in parts]
+def _shown(part: bytes) -> str:
+    """Return a part as it is logged; ids from callers may be long."""
+    return part[:_MAX_SHOWN].decode("latin-1")
 
 
 def fingerprint(
     request: callerrequest.CallerRequest, key_header: bytes
-) -> str:
+) -> int:
     """Return a digest that is the same for each retry by a caller.
 
     :param request: the caller's.
     :param key_header: name of the header with the caller's key.
     """
-    digest = xxhash.xxh3_128()
+    digest = xxhash.xxh3_64()
     for part in (
         request.method,
         request.target,
@@ -164,4 +291,4 @@
     ):
         digest.update(b"%d:" % len(part))
         digest.update(part)
-    return digest.hexdigest()
+    return digest.intdigest()
--- a/src/citronvalve/forward/dispatch.py
+++ b/src/citronvalve/forward/dispatch.py
@@ -74,7 +74,7 @@
 
     def run(self) -> None:
         """Run attempts until the caller has a response."""
-        refused = self._deps.crash_detector.find_refusal(self._routed)
+        refused = self._deps.crash_detector.admit(self._routed)
         if refused is not None:
             self._refuse(refused)
             return
@@ -92,7 +92,7 @@
                     "whole",
                     str(result.response.status),
                 )
-                self._deps.crash_detector.clear(self._routed)
+                self._deps.crash_detector.record_answer(self._routed)
                 return
 
     def _next(
--- a/src/citronvalve/peers/messages.py
+++ b/src/citronvalve/peers/messages.py
@@ -93,12 +93,38 @@
 
 
 class Crash(msgspec.Struct, tag="crash", array_like=True, frozen=True):
-    """An upstream was lost while it ran a request."""
+    """An upstream was lost while it ran a request, as older releases say."""
 
     fingerprint: str
     upstream: str
 
 
+class CrashEvidence(
+    msgspec.Struct, tag="crash-evidence", array_like=True, frozen=True
+):
+    """Losses of upstreams with contents of requests, and proofs.
+
+    ``losses`` are (content, start of the upstream, model, age in ms, whether
+    the answer had begun), ``proofs`` (content, model, age in ms); contents,
+    starts and models are digests of 64 bits.
+    ``is_answer`` says that the sender was asked and this is all it knows.
+    """
+
+    name: str
+    losses: tuple[tuple[int, int, int, clock.Ms, bool], ...]
+    proofs: tuple[tuple[int, int, clock.Ms], ...]
+    is_answer: bool = False
+
+
+class CrashEvidenceRequest(
+    msgspec.Struct, tag="crash-evidence-request", array_like=True, frozen=True
+):
+    """The sender has started or was cut off, and asks for all evidence."""
+
+    name: str
+    address: str
+
+
 class Stall(msgspec.Struct, tag="standstill", array_like=True, frozen=True):
     """An upstream sends nothing on any connection."""
 
@@ -155,7 +181,7 @@
     DOWN = 2
 
 
-Broadcast = Hello | Heartbeat | TableChanges | Crash | Stall
+Broadcast = Hello | Heartbeat | TableChanges | Crash | CrashEvidence | Stall
 
 
 class Relayed(msgspec.Struct, tag="passed", array_like=True, frozen=True):
@@ -169,6 +195,7 @@
 Message = (
     Broadcast
     | Members
+    | CrashEvidenceRequest
     | FullTableRequest
     | TableRows
     | DaemonLoads
--- /dev/null
+++ b/tests/policy/crashes.feature
@@ -0,0 +1,65 @@
+Feature: Contents of requests that crash upstreams are found
+  A lost upstream takes down all requests that it ran. In the events, each of
+  which comes 100 ms after the one before, "x1:FPa+Gb" is the loss of start 1
+  with a request of the contents F, P and a that it had begun to answer, and
+  with one of G and b that waited; a small letter is the whole request; "=" before an event lets it come at once;
+  "p:F" is an answer on F; "/s" behind it names a model other than "l".
+
+  Scenario Outline: <case>
+    Guards against upstreams that crash one after the other, and against the
+    refusal of requests that only ran beside one that crashes them.
+    Given losses and proofs "<events>"
+    Then requests of "<refused>" are refused, and of "<served>" not
+
+    Examples:
+      | case                                      | events                                          | refused  | served      |
+      | four losses with a part                   | x1:FPa x2:FPb x3:FPc x4:FPd p:F                 | FPz Pz   | Fz Fa z     |
+      | three losses with a part                  | x1:FPa x2:FPb x3:FPc p:F                        |          | FPz         |
+      | the part was not cleared by an older one  | p:P x1:FPa x2:FPb x3:FPc x4:FPd p:F             | FPz      | Fz          |
+      | the part was answered                     | x1:FPa x2:FPb x3:FPc x4:FPd p:P                 |          | Pz          |
+      | the part was answered in between          | x1:Pa x2:Pb p:P x3:Pc x4:Pd x5:Pe               |          | Pz          |
+      | it crashes upstreams after an answer      | x1:Pa x2:Pb p:P x3:Pc x4:Pd x5:Pe x6:Pf         | Pz       | z           |
+      | one start is lost with many requests      | x1:Pa x1:Pb x1:Pc x1:Pd x1:Pe                   |          | Pz          |
+      | four upstreams are lost together          | x1:Pa =x2:Pb =x3:Pc =x4:Pd                      |          | Pz          |
+      | one request is sent again and again       | x1:w x2:w x3:w                                  | w        | z           |
+      | two parts are always lost together        | x1:FPa x2:FPb x3:FPc x4:FPd                     | FPz      | Fz Pz       |
+      | one of two parts is lost without the other | x1:FPa x2:FPb x3:FPc x4:FPd x5:Pe              | FPz      | Fz          |
+      | parts with the same first part            | x1:FPa x2:FQb x3:FPc x4:FQd x5:FPe x6:FQf x7:FPg x8:FQh | FPz FQz | Fz |
+      | sound requests wait beside the crashing one | x1:Pa+Gx x2:Pb+Gy x3:Pc+Gx x4:Pd+Gy           | Pz PGz   | Gz          |
+      | requests wait and none had begun          | x1:+Pa+Gb x2:+Pc+Gd x3:+Pe x4:+Pf               | Pz       | Gz          |
+      | a part of one model's upstreams           | x1:Pa x2:Pb x3:Pc x4:Pd p:P/s                   | Pz       | Pz/s        |
+      | a part of all models' upstreams           | x1:Pa x2:Pb/s x3:Pc x4:Pd/s                     | Pz Pz/s  | z z/s       |
+      | a sound part while one model is out       | x1:Pa x2:Pb p:P x3:Pc x4:Pd p:P x5:Pe           |          | Pz/s        |
+      | crashes by chance                         | x1:Fa x2:Gb p:F x3:Fc p:G x4:Fd p:F x5:Ge       |          | Fz Gz       |
+
+  Scenario Outline: a fenced content is tried <when>
+    Guards against a content that stays refused once its upstreams are mended.
+    Given a content with <losses> losses, the last at 10000 ms
+    Then it may be tried from <at> ms on
+
+    Examples:
+      | when                         | losses | at     |
+      | soon after it was found      | 4      | 11000  |
+      | later after a failed trial   | 5      | 40000  |
+      | later still after the second | 6      | 70000  |
+      | at most ten minutes later    | 12     | 610000 |
+
+  Scenario: many contents are lost once
+    Guards against memory that grows with the contents of callers' requests.
+    Given losses and proofs "x1:Pa x2:Pb x3:Pc x4:Pd"
+    When 50000 other contents are lost, 20 with each start
+    Then at most 4096 contents are kept
+    And requests of "Pz" are refused, and of "z" not
+
+  Scenario: evidence of two daemons is merged in both orders
+    Guards against an accusation that comes back, or is lost, with the order
+    in which evidence arrives.
+    Given losses and proofs "x1:FPa x2:FPb x3:FPc x4:FPd p:F"
+    When two others merge its snapshot, one after losses of its own "x1:FPa x5:FGb"
+    Then for both requests of "FPz" are refused, and of "Fz" not
+
+  Scenario: old evidence is dropped
+    Given losses and proofs "x1:FPa x2:FPb x3:FPc x4:FPd p:F x5:Ga"
+    When 301000 ms have passed
+    Then 1 contents are kept
+    And requests of "FPz" are refused, and of "Fz" not
--- /dev/null
+++ b/tests/policy/steps/crashes_steps.py
@@ -0,0 +1,141 @@
+"""Steps about contents of requests that crash upstreams."""
+
+import behave
+
+from citronvalve.policy import crashsuspects
+
+_STEP = 100
+_MODEL_BY_NAME = {"l": 1, "s": 2}
+
+
+def _content(letter):
+    return ord(letter)
+
+
+def _model(name):
+    return _MODEL_BY_NAME[name or "l"]
+
+
+class _Rig:
+    def __init__(self):
+        self.suspects = crashsuspects.CrashSuspects()
+        self.now = 1_000
+
+    def play(self, events):
+        for event in events.split():
+            if not event.startswith("="):
+                self.now += _STEP
+            kind, _, what = event.lstrip("=").partition(":")
+            what, _, model = what.partition("/")
+            if kind == "p":
+                self._prove(what, _model(model))
+            else:
+                self._lose(int(kind[1:]), what, _model(model))
+
+    def _prove(self, contents, model):
+        for letter in contents:
+            proof = crashsuspects.Proof(_content(letter), model, self.now)
+            self.suspects.record_proof(proof)
+
+    def _lose(self, start, requests, model):
+        begun, *waiting = requests.split("+")
+        for contents in (begun, *waiting):
+            for letter in contents:
+                loss = crashsuspects.Loss(
+                    _content(letter), start, model, self.now, contents is begun
+                )
+                self.suspects.record_loss(loss)
+
+    def is_refused(self, request):
+        contents, _, model = request.partition("/")
+        whole = [_content(letter) for letter in contents if letter.islower()]
+        parts = [_content(letter) for letter in contents if letter.isupper()]
+        found = self.suspects.find(
+            crashsuspects.Contents(*whole, tuple(parts)), _model(model)
+        )
+        return found is not None
+
+
+def _check(rig, refused, served):
+    wrong = [r for r in refused.split() if not rig.is_refused(r)]
+    wrong += [r for r in served.split() if rig.is_refused(r)]
+    assert not wrong, wrong
+
+
+@behave.given('losses and proofs "{events}"')
+def step_events(context, events):
+    context.crashes = _Rig()
+    context.crashes.play(events)
+
+
+@behave.given("a content with {losses:d} losses, the last at {last:d} ms")
+def step_losses(context, losses, last):
+    context.crashes = rig = _Rig()
+    for start in range(losses):
+        at = last - start * _STEP
+        rig.suspects.record_loss(crashsuspects.Loss(7, start, 1, at))
+
+
+@behave.then("it may be tried from {at:d} ms on")
+def step_trial(context, at):
+    found = context.crashes.suspects.find(crashsuspects.Contents(0, (7,)), 1)
+    assert found.trial_at == at, found
+
+
+@behave.when("{count:d} other contents are lost, {each:d} with each start")
+def step_flood(context, count, each):
+    rig = context.crashes
+    for number in range(count):
+        rig.now += number % each == 0
+        loss = crashsuspects.Loss(
+            1_000 + number, 1_000 + number // each, 1, rig.now, False
+        )
+        rig.suspects.record_loss(loss)
+
+
+@behave.then("at most {count:d} contents are kept")
+def step_bound(context, count):
+    assert len(context.crashes.suspects) <= count
+
+
+@behave.then("{count:d} contents are kept")
+def step_kept(context, count):
+    kept = len(context.crashes.suspects)
+    assert kept == count, kept
+
+
+@behave.when("{time:d} ms have passed")
+def step_pass(context, time):
+    context.crashes.now += time
+    context.crashes.suspects.prune(context.crashes.now)
+
+
+@behave.when(
+    'two others merge its snapshot, one after losses of its own "{events}"'
+)
+def step_merge(context, events):
+    evidence = context.crashes.suspects.snapshot()
+    late, early = _Rig(), _Rig()
+    late.play(events)
+    late.suspects.merge(evidence)
+    early.suspects.merge(evidence)
+    early.play(events)
+    context.merged = [late, early]
+
+
+@behave.then(
+    'for both requests of "{refused}" are refused, and of "{served}" not'
+)
+def step_both(context, refused, served):
+    for rig in context.merged:
+        _check(rig, refused, served)
+
+
+@behave.then('requests of "{refused}" are refused, and of "{served}" not')
+def step_refused(context, refused, served):
+    _check(context.crashes, refused, served)
+
+
+@behave.then('requests of "" are refused, and of "{served}" not')
+def step_served(context, served):
+    _check(context.crashes, "", served)
