--- a/tests/adapter/probefailures.feature
+++ b/tests/adapter/probefailures.feature
@@ -17,6 +17,8 @@
       | closes each connection at once                 | broken     |
       | answers as another runner                      | no report  |
       | answers with what is no report                 | no report  |
+      | sends a body without end                       | broken     |
+      | sends a body of a byte each 0.1 s              | silent     |
 
   Scenario: a runner that leaves a kept connection silent
     Guards against probes on a kept connection, which may have gone silent
--- a/tests/adapter/steps/probefailure_steps.py
+++ b/tests/adapter/steps/probefailure_steps.py
@@ -34,6 +34,14 @@
     eventlet.sleep(60)
 
 
+def _flood(sock, piece=b" " * 65_536, pause=0.0):
+    sock.recv(65_536)
+    sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 9999999999\r\n\r\n")
+    while True:
+        sock.sendall(piece)
+        eventlet.sleep(pause)
+
+
 def _reset(sock):
     sock.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_LINGER, _RESET)
     sock.close()
@@ -45,6 +53,8 @@
     "closes each connection at once": _reset,
     "answers as another runner": lambda s: _answer(s, b"421 No", b""),
     "answers with what is no report": lambda s: _answer(s, body=b"[1]"),
+    "sends a body without end": _flood,
+    "sends a body of a byte each 0.1 s": lambda s: _flood(s, b" ", 0.1),
 }
 
 
