--- a/src/citronvalve/forward/attempt.py
+++ b/src/citronvalve/forward/attempt.py
@@ -261,6 +261,8 @@
 
     def _leave(self) -> None:
         """End the accounting of its load."""
+        if self._exchange is not None:
+            self._exchange.release()
         self._exchange = None
         self._load.own -= 1
         self._record_start()
--- a/src/citronvalve/forward/environment.py
+++ b/src/citronvalve/forward/environment.py
@@ -2,6 +2,7 @@
 
 import random
 
+from citronvalve.forward import bodybuffer
 from citronvalve.forward import headernames
 from citronvalve.forward import metrics as metrics_
 from citronvalve.model import clock
@@ -17,6 +18,7 @@
     :param rng: the random number generator.
     :param log: the decision log.
     :param header_names: names of the headers that the daemon reads and sets.
+    :ivar body_space: space for the bodies of responses.
     :ivar stopping: set once the daemon has been asked to stop.
     :ivar daemon_count: how many daemons share the limits.
     """
@@ -37,5 +39,6 @@
         self.log = log
         self.header_names = header_names
         self.metrics = metrics_.Metrics()
+        self.body_space = bodybuffer.BodySpace()
         self.stopping = False
         self.daemon_count = 1
--- a/src/citronvalve/forward/exchange.py
+++ b/src/citronvalve/forward/exchange.py
@@ -6,6 +6,7 @@
 import h11
 
 from citronvalve.forward import attemptresult
+from citronvalve.forward import bodybuffer
 from citronvalve.forward import connector as connectors
 from citronvalve.forward import dependencies
 from citronvalve.forward import exchangeerror
@@ -21,8 +22,8 @@
 from citronvalve.policy import upstreamchoice
 from citronvalve.routes import kind as kinds
 
-#: Largest response body, in bytes, that is buffered until it is complete.
-_MAX_BODY = 8 * 1024 * 1024
+#: Late responses to earlier requests that may come before the own one.
+_MAX_OTHERS = 8
 
 #: An upstream that answers 421 has changed since its entry in the list was
 #: written; the list is updated within about this time.
@@ -77,7 +78,8 @@
         self._progress = progress
         self._target = target
         self.connection = connection
-        self._body = bytearray()
+        self._body = self._new_body(0)
+        self._others = 0
         self._on_body: Callable[[bytes], None] = self._read_next_response
         self._on_part: Callable[[h11.Event], None] = self._take_head
         self._stream: streamrelay.StreamRelay | None = None
@@ -142,6 +144,10 @@
             self._on_part(part)
         return self.result
 
+    def release(self) -> None:
+        """Give back the space that its body takes."""
+        self._body.release()
+
     def _take_head(self, part: h11.Event) -> None:
         if not isinstance(part, h11.Response):
             raise exchangeerror.ExchangeError(
@@ -156,7 +162,12 @@
         elif headers.value(response.headers, names.request_id):
             # A late duplicate response to an earlier request; the one to
             # this request follows.
-            self._read_body(self._read_next_response)
+            self._others += 1
+            if self._others > _MAX_OTHERS:
+                raise exchangeerror.ExchangeError(
+                    _Failure.GARBLED, "responses to other requests only"
+                )
+            self._read_unused_body(self._read_next_response)
         else:
             raise exchangeerror.ExchangeError(
                 _Failure.GARBLED, "response has no request id"
@@ -167,9 +178,14 @@
         self.on_head(response)
         names = self._env.header_names
         if not response.may_have_run(names):
-            self._read_body(functools.partial(self._end_rejected, response))
+            self._read_unused_body(
+                functools.partial(self._end_rejected, response)
+            )
         elif not response.is_success():
-            self._read_body(functools.partial(self._end_failed, response))
+            self._read_body(
+                functools.partial(self._end_failed, response),
+                bodybuffer.MAX_FAILURE,
+            )
         elif not response.is_authentic(names):
             raise exchangeerror.ExchangeError(
                 _Failure.GARBLED, "response has no seal or is encoded"
@@ -188,23 +204,33 @@
                 self._take_stream_part, stream, response
             )
         else:
-            self._read_body(functools.partial(self._deliver, response))
+            self._read_body(
+                functools.partial(self._deliver, response),
+                bodybuffer.MAX_ANSWER,
+            )
 
-    def _read_body(self, on_body: Callable[[bytes], None]) -> None:
-        self._body.clear()
+    def _read_body(
+        self, on_body: Callable[[bytes], None], most: int, is_kept: bool = True
+    ) -> None:
+        self._body.release()
+        self._body = self._new_body(most, is_kept)
         self._on_body = on_body
         self._on_part = self._take_body_part
 
+    def _read_unused_body(self, on_body: Callable[[bytes], None]) -> None:
+        self._read_body(on_body, bodybuffer.MAX_UNUSED, is_kept=False)
+
+    def _new_body(
+        self, most: int, is_kept: bool = True
+    ) -> bodybuffer.BodyBuffer:
+        return bodybuffer.BodyBuffer(self._env.body_space, most, is_kept)
+
     def _take_body_part(self, part: h11.Event) -> None:
         if isinstance(part, h11.Data):
-            self._body += part.data
-            if len(self._body) > _MAX_BODY:
-                raise exchangeerror.ExchangeError(
-                    _Failure.GARBLED, "response body is too large"
-                )
+            self._body.add(part.data)
         elif isinstance(part, h11.EndOfMessage):
             self._check_end()
-            self._on_body(bytes(self._body))
+            self._on_body(self._body.content())
         else:
             raise exchangeerror.ExchangeError(
                 _Failure.BROKEN, "response ended early"
--- a/src/citronvalve/forward/upstreamconnection.py
+++ b/src/citronvalve/forward/upstreamconnection.py
@@ -18,6 +18,12 @@
 #: respond before it has read them.
 _MAX_INLINE_SEND = 16_384
 
+#: Parts of responses that are read without a pause.
+_MAX_PARTS = 100
+
+#: Preliminary responses that may come before the final one.
+_MAX_PRELIMINARY = 16
+
 _Failure = exchangeerror.ExchangeFailure
 
 
@@ -38,6 +44,8 @@
         self._parser = h11.Connection(h11.CLIENT)
         self._method = b"GET"
         self._sender: eventlet.greenthread.GreenThread | None = None
+        self._parts = 0
+        self._preliminary = 0
         self.reusable_until: clock.Ms = 0
         self.used = False
 
@@ -94,6 +102,10 @@
             the connection breaks or the data is not HTTP.
         """
         while True:
+            self._parts += 1
+            if self._parts % _MAX_PARTS == 0:
+                # Small parts without end would let no other task run.
+                eventlet.sleep(0)
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
@@ -101,6 +113,11 @@
                     _failure_of(error), str(error)
                 ) from error
             if isinstance(event, h11.InformationalResponse):
+                self._preliminary += 1
+                if self._preliminary > _MAX_PRELIMINARY:
+                    raise exchangeerror.ExchangeError(
+                        _Failure.GARBLED, "preliminary responses only"
+                    )
                 continue
             if isinstance(event, h11.ConnectionClosed):
                 raise exchangeerror.ExchangeError(
@@ -159,6 +176,7 @@
         if not self.end_request():
             return False
         parser.start_next_cycle()
+        self._preliminary = 0
         self._sender = None
         self.used = True
         return True
--- a/standins/scriptedrunner.py
+++ b/standins/scriptedrunner.py
@@ -3,6 +3,8 @@
 It speaks HTTP by hand, since it has to break the protocol on order.
 """
 
+import time
+
 import eventlet
 from eventlet.green import socket
 
@@ -15,6 +17,9 @@
 #: Seconds of a pause after which its caller has given it up.
 _LONG_PAUSE = 1.2
 
+#: Bytes that are sent at once without end.
+_FLOOD = 65_536
+
 #: Makes a socket's close a reset.
 _RESET = b"\1\0\0\0\0\0\0\0"
 
@@ -335,6 +340,119 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
         return False
 
+    def _unframed_events(self, sock, fields, until=6) -> None:
+        self.runs += 1
+        extra = "Content-Type: text/event-stream\r\nConnection: close\r\n"
+        sock.sendall(self._head(fields, extra=extra))
+        first = int(fields.get("last-event-id", 0)) + 1
+        for number in range(first, until + 1):
+            sock.sendall(_event(number))
+            eventlet.sleep(0.005)
+
+    def _unframed_stream(self, sock, fields) -> bool:
+        self._unframed_events(sock, fields)
+        return False
+
+    def _unframed_cut_in_an_event(self, sock, fields) -> bool:
+        self._unframed_events(sock, fields, until=3)
+        sock.sendall(_event(4)[:7])
+        return False
+
+    def _unframed_cut_before_the_blank_line(self, sock, fields) -> bool:
+        self._unframed_events(sock, fields, until=5)
+        sock.sendall(_event(6)[:-1])
+        return False
+
+    def _unframed_pauses_and_is_cut(self, sock, fields) -> bool:
+        self._unframed_events(sock, fields, until=3)
+        eventlet.sleep(_PAUSE)
+        sock.sendall(_event(4)[:7])
+        return False
+
+    def _unframed_crashes(self, sock, fields) -> bool:
+        self._unframed_events(sock, fields, until=3)
+        self.close()
+        return False
+
+    def _unframed_pauses_and_crashes(self, sock, fields) -> bool:
+        self._unframed_events(sock, fields, until=3)
+        eventlet.sleep(_PAUSE)
+        self.close()
+        return False
+
+    def _unframed_resets(self, sock, fields) -> bool:
+        self._unframed_events(sock, fields, until=3)
+        eventlet.sleep(0.05)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        return False
+
+    def _flood(self, sock, piece: bytes, seconds: float = _SILENCE) -> bool:
+        """Send the same bytes until the caller closes."""
+        many = piece * (1 + _FLOOD // len(piece))
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            sock.sendall(many)
+        return False
+
+    def _endless_head(self, sock, fields) -> bool:
+        sock.sendall(self._head(fields)[:-2])
+        return self._flood(sock, b"X-More: and more\r\n")
+
+    def _endless_preliminary(self, sock, fields) -> bool:
+        return self._flood(sock, b"HTTP/1.1 103 Early Hints\r\n\r\n")
+
+    def _endless_others(self, sock, fields) -> bool:
+        extra = "Content-Length: 5\r\n"
+        other = self._head(fields, extra=extra, number="old") + b"other"
+        return self._flood(sock, other)
+
+    def _endless_body(self, sock, fields) -> bool:
+        extra = "Content-Length: 99999999999\r\n"
+        sock.sendall(self._head(fields, extra=extra))
+        return self._flood(sock, b"more")
+
+    def _endless_unframed(self, sock, fields) -> bool:
+        sock.sendall(self._head(fields, extra="Connection: close\r\n"))
+        return self._flood(sock, b"more")
+
+    def _endless_chunk_size(self, sock, fields) -> bool:
+        extra = "Transfer-Encoding: chunked\r\n"
+        sock.sendall(self._head(fields, extra=extra) + b"5;")
+        return self._flood(sock, b"more")
+
+    def _endless_trailers(self, sock, fields) -> bool:
+        extra = "Transfer-Encoding: chunked\r\n"
+        sock.sendall(self._head(fields, extra=extra) + b"0\r\n")
+        return self._flood(sock, b"X-More: and more\r\n")
+
+    def _endless_failure(self, sock, fields) -> bool:
+        extra = "Content-Length: 99999999999\r\n"
+        sock.sendall(self._head(fields, 500, extra))
+        return self._flood(sock, b"more")
+
+    def _endless_rejection(self, sock, fields) -> bool:
+        extra = "X-Not-Run: 1\r\nContent-Length: 99999999999\r\n"
+        sock.sendall(self._head(fields, 503, extra))
+        return self._flood(sock, b"more")
+
+    def _endless_event(self, sock, fields) -> bool:
+        sock.sendall(self._stream_head(fields))
+        return self._flood(sock, _chunk(b"data: more\n"))
+
+    def _three_then_endless(self, sock, fields) -> bool:
+        sock.sendall(self._stream_head(fields))
+        sock.sendall(b"".join(self._events(fields, until=3)))
+        return self._flood(sock, _chunk(b"more" * 1_000))
+
+    def _endless_returns(self, sock, fields) -> bool:
+        sock.sendall(self._stream_head(fields))
+        return self._flood(sock, _chunk(b"\r"))
+
+    def _endless_events_for_a_second(self, sock, fields) -> bool:
+        extra = "X-Not-Run: 1\r\nTransfer-Encoding: chunked\r\n"
+        sock.sendall(self._head(fields, 503, extra))
+        return self._flood(sock, _chunk(b"m"), seconds=1.0)
+
     def _crashes(self, sock, fields) -> bool:
         self.runs += 1
         self.close()
