--- a/tests/forward/answers.feature
+++ b/tests/forward/answers.feature
@@ -23,6 +23,40 @@
       | no_http            |
       | unsealed           |
 
+  Scenario Outline: a stream without a length whose first runner <way>
+    Guards against a part of a stream that looks complete, since its end is
+    that of its connection.
+
+    Given two heads, of which the first "<way>"
+    When a caller asks for a stream
+    Then it gets 6 events in order and a proper end
+
+    Examples:
+      | way                                |
+      | unframed_stream                    |
+      | unframed_cut_in_an_event           |
+      | unframed_cut_before_the_blank_line |
+      | unframed_pauses_and_is_cut         |
+      | unframed_crashes                   |
+      | unframed_pauses_and_crashes        |
+      | unframed_resets                    |
+
+  Scenario Outline: both runners of a stream without a length <way>
+    Guards against the same where no other runner can go on, also when the
+    one that breaks off had resumed the stream.
+
+    Given two heads, of which both "<way>"
+    When a caller asks for a stream
+    Then it gets <events> events and no proper end
+
+    Examples:
+      | way                                | events |
+      | unframed_cut_in_an_event           | 3      |
+      | unframed_cut_before_the_blank_line | 5      |
+      | unframed_pauses_and_is_cut         | 3      |
+      | unframed_crashes                   | 3      |
+      | unframed_resets                    | 3      |
+
   Scenario: a stream that no runner can finish does not look complete
     Both runners disconnect; the caller must not take the part that it has
     for the whole.
