--- a/src/citronvalve/forward/receiving.py
+++ b/src/citronvalve/forward/receiving.py
@@ -1,6 +1,5 @@
 """Reads from green sockets that report connection resets."""
 
-import eventlet
 from eventlet.green import socket
 from eventlet import hubs
 
@@ -24,19 +23,12 @@
     """
     seconds = None if timeout is None else timeout / clock.SECOND
     is_due = False
-    has_waited = False
     while True:
         try:
-            data = sock.fd.recv(max_bytes)
+            return sock.fd.recv(max_bytes)
         except BlockingIOError:
             if is_due:
                 raise TimeoutError from None
-        else:
-            if not has_waited:
-                # A peer that sends without end would let no other task run.
-                eventlet.sleep(0)
-            return data
-        has_waited = True
         try:
             hubs.trampoline(
                 sock.fd,
--- a/src/citronvalve/forward/relayserver.py
+++ b/src/citronvalve/forward/relayserver.py
@@ -263,6 +263,8 @@
                 self._moved_at = self._env.clock.now()
                 self._bytes_back += len(data)
                 self._write(_Kind.DATA, data)
+                # An upstream that sends without end would let no task run.
+                eventlet.sleep(0)
             self._write(_Kind.END)
         except OSError:
             with contextlib.suppress(OSError):
--- a/src/citronvalve/forward/upstreamconnection.py
+++ b/src/citronvalve/forward/upstreamconnection.py
@@ -18,8 +18,10 @@
 #: respond before it has read them.
 _MAX_INLINE_SEND = 16_384
 
-#: Parts of responses that are read without a pause.
+#: Parts of responses that are read before other tasks run, and the parts that
+#: a receive counts as.
 _MAX_PARTS = 100
+_RECEIVE_COST = 20
 
 #: Preliminary responses that may come before the final one.
 _MAX_PRELIMINARY = 16
@@ -103,8 +105,9 @@
         """
         while True:
             self._parts += 1
-            if self._parts % _MAX_PARTS == 0:
-                # Small parts without end would let no other task run.
+            if self._parts >= _MAX_PARTS:
+                # An upstream that sends without end would let none run.
+                self._parts = 0
                 eventlet.sleep(0)
             try:
                 event = self._parser.next_event()
@@ -126,6 +129,7 @@
             if event is not h11.NEED_DATA:
                 return event
             self._parser.receive_data(self._receive(deadline))
+            self._parts += _RECEIVE_COST
 
     def expect_next_response(self) -> None:
         """Read another response, after one to a different request.
