--- a/src/citronvalve/daemon/crashexchange.py
+++ b/src/citronvalve/daemon/crashexchange.py
@@ -50,6 +50,7 @@
     :param suspects: the evidence.
     :param broadcast: sends a message to all daemons.
     :param send: sends a message to an address.
+    :ivar record: called with the losses of fenced contents, to store them.
     """
 
     def __init__(
@@ -71,6 +72,9 @@
         self._proof_by_key: dict[tuple[int, int], crashsuspects.Proof] = {}
         self._heard_at = env.clock.now()
         self._known = False
+        self.record: Callable[[frozenset[crashsuspects.Loss]], None] = (
+            lambda _: None
+        )
 
     def start(self) -> None:
         """Start the tasks."""
@@ -173,6 +177,7 @@
         while True:
             eventlet.sleep(_REPEAT_INTERVAL / clock.SECOND)
             self._suspects.prune(self._env.clock.now())
+            self.record(self._suspects.fenced_losses())
             snapshot = self._suspects.snapshot()
             if not snapshot.losses:
                 continue
--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -32,9 +32,11 @@
 from citronvalve.model import clock
 from citronvalve.model import errors
 from citronvalve.policy import upstreamchoice
+from citronvalve.replicas import crashrecord
 from citronvalve.replicas import lease
 from citronvalve.replicas import leaverecord
 from citronvalve.routes import callerlimits
+from citronvalve.storage import rows
 from citronvalve.storage import tail
 
 _OPERATORS_TIMEOUT: clock.Ms = 5_000
@@ -184,6 +186,16 @@
         )
         detector.wait_known = exchange.wait_known
         self._crash_exchange = exchange
+        record = crashrecord.CrashRecord(
+            self._platform.open_table(), self._lease, self.env.clock
+        )
+        exchange.record = record.write
+        self._lease.on_row = self._read_crashes
+
+    def _read_crashes(self, row: rows.Row) -> None:
+        if row.key == crashrecord.KEY:
+            evidence = crashrecord.parse(row.value, self.env.clock.now())
+            self._crash_detector.suspects.merge(evidence)
 
     def _lead_rank(self) -> int:
         return self._links.lead_rank(self._messages.lead_rank())
--- a/src/citronvalve/policy/crashsuspects.py
+++ b/src/citronvalve/policy/crashsuspects.py
@@ -44,6 +44,9 @@
 _MAX_SNAPSHOT = 128
 _MIN_SNAPSHOT_LOSSES = 2
 
+#: Fenced contents that are stored.
+_MAX_RECORDED = 32
+
 
 _Counter = Callable[[list[clock.Ms]], int]
 
@@ -269,6 +272,21 @@
             ),
         )
 
+    def fenced_losses(self) -> frozenset[Loss]:
+        """Return the losses of contents that are held to crash upstreams."""
+        fenced = [
+            suspect
+            for suspect in self._suspect_by_content.values()
+            if len(suspect.loss_by_start) >= _MAX_PART_LOSSES
+            and suspect.most_losses() >= _MAX_PART_LOSSES
+        ]
+        fenced.sort(key=lambda suspect: -suspect.last_lost_at)
+        return frozenset(
+            loss
+            for suspect in fenced[:_MAX_RECORDED]
+            for loss in suspect.loss_by_start.values()
+        )
+
     def prune(self, now: clock.Ms) -> None:
         """Drop contents without recent losses.
 
--- a/src/citronvalve/replicas/lease.py
+++ b/src/citronvalve/replicas/lease.py
@@ -91,6 +91,7 @@
     :ivar is_store_away: returns whether this daemon's last reads of the store
         failed; only the first candidates then look for a free lease.
     :ivar has_majority: returns whether most daemons were heard recently.
+    :ivar on_row: called with each row of another kind that is read.
     :ivar renewed_at: ms of the last write of the lease, including
         suspensions, or None.
     :ivar own_peer: the same as the parameter.
@@ -125,6 +126,7 @@
         self.has_majority: Callable[[], bool] = lambda: False
         self.rank: Callable[[], int] = lambda: 0
         self.is_store_away: Callable[[], bool] = lambda: False
+        self.on_row: Callable[[rows.Row], None] = lambda _: None
         self.held = 0
         self.leader = ""
         self.newest = 0
@@ -314,6 +316,8 @@
         for key, row in row_by_key.items():
             if key.startswith(_DAEMON_PREFIX):
                 self._record_peer(key[len(_DAEMON_PREFIX) :], row)
+            elif key != _LEADER_KEY:
+                self.on_row(row)
         if not self._registered:
             own = row_by_key.get(f"{_DAEMON_PREFIX}{self._name}")
             # A restarted daemon mostly has the address that it had.
--- a/tests/daemon/crashes.feature
+++ b/tests/daemon/crashes.feature
@@ -55,3 +55,22 @@
     And daemon 0 loses 1 upstreams with the content 7
     When all daemons deliver an answer on the content 7
     Then at most 20 of them tell the others
+
+  Scenario Outline: all daemons start together, and the record is <state>
+    Guards against evidence that is gone once no daemon that had it is left.
+    Given a leader whose 4 upstreams were lost with the content 7
+    And the stored record is then <state>
+    When a daemon reads the rows of the daemons as it starts
+    Then it <does> the content 7
+
+    Examples:
+      | state                    | does           |
+      | as written               | refuses        |
+      | unreadable               | does not refuse |
+      | cleared by an answer     | does not refuse |
+
+  Scenario: the leader has nothing new
+    Guards against a call to the store at each interval.
+    Given a leader whose 4 upstreams were lost with the content 7
+    When it records what it knows 5 times
+    Then the record was written once
--- a/tests/daemon/steps/crashes_steps.py
+++ b/tests/daemon/steps/crashes_steps.py
@@ -11,7 +11,10 @@
 from citronvalve.model import clock
 from citronvalve.peers import messages
 from citronvalve.policy import crashsuspects
+from citronvalve.replicas import crashrecord
 from citronvalve.replicas import lease as leases
+from citronvalve.storage import rows
+from standins import memorytable
 from tests import quietlog
 
 _MODEL = 1
@@ -256,3 +259,106 @@
 def step_tell(context, most):
     told = sum(daemon.told for daemon in context.daemons)
     assert 0 < told <= most, told
+
+
+class _Recorded:
+    """A leader's record, and what a daemon makes of it as it starts."""
+
+    def __init__(self):
+        self.store = memorytable.MemoryTable()
+        self.clock = clock.SystemClock()
+        self.suspects = crashsuspects.CrashSuspects()
+        self._lease = self._make("leader")
+        self._lease.step()
+        self.record = crashrecord.CrashRecord(
+            self.store, self._lease, self.clock
+        )
+
+    def _make(self, name):
+        return leases.Lease(
+            self.store,
+            name,
+            leases.Peer(name, "zone-0"),
+            self.clock,
+            quietlog.QuietLog(),
+        )
+
+    def write(self):
+        self.record.write(self.suspects.fenced_losses())
+
+    def start(self):
+        started = crashsuspects.CrashSuspects()
+
+        def merge(row):
+            found = crashrecord.parse(row.value, self.clock.now())
+            started.merge(found)
+
+        lease = self._make("daemon")
+        lease.on_row = merge
+        lease.step()
+        return started
+
+
+@behave.given(
+    "a leader whose {count:d} upstreams were lost with the content {content:d}"
+)
+def step_leader(context, count, content):
+    context.recorded = made = _Recorded()
+    now = made.clock.now()
+    for start in range(count):
+        made.suspects.record_loss(
+            crashsuspects.Loss(content, start, _MODEL, now - 100 * start)
+        )
+    made.write()
+
+
+def _break(made):
+    made.store.commit(
+        rows.Transaction(
+            "break",
+            (),
+            (rows.Write(leases.TABLE, crashrecord.KEY, {"losses": [[1]]}),),
+        )
+    )
+
+
+def _clear(made):
+    now = made.clock.now()
+    made.suspects.record_proof(crashsuspects.Proof(7, _MODEL, now))
+    made.write()
+
+
+_DO_BY_STATE = {
+    "as written": lambda made: None,
+    "unreadable": _break,
+    "cleared by an answer": _clear,
+}
+
+
+@behave.given("the stored record is then {state}")
+def step_state(context, state):
+    _DO_BY_STATE[state](context.recorded)
+
+
+@behave.when("a daemon reads the rows of the daemons as it starts")
+def step_read(context):
+    context.started = context.recorded.start()
+
+
+@behave.then("it {does} the content {content:d}")
+def step_does(context, does, content):
+    contents = crashsuspects.Contents(0, (content,))
+    is_refused = context.started.find(contents, _MODEL) is not None
+    assert is_refused == (does == "refuses")
+
+
+@behave.when("it records what it knows {count:d} times")
+def step_repeat(context, count):
+    context.writes = context.recorded.store.writes
+    for _ in range(count):
+        context.recorded.write()
+
+
+@behave.then("the record was written once")
+def step_once(context):
+    assert context.recorded.store.writes == context.writes
--- a/tests/processes/processes.feature
+++ b/tests/processes/processes.feature
@@ -106,6 +106,7 @@
       | one part                | while daemons are killed and start again | 474  |
       | the first part          | all of one team                          | 475  |
       | two parts               | a team each                              | 476  |
+      | one part                | while all daemons are killed at once     | 479  |
 
   Scenario: heads of replicas crash by chance
     Guards against sound requests that are refused since they ran on runners
--- a/tests/processes/steps/crashing_steps.py
+++ b/tests/processes/steps/crashing_steps.py
@@ -53,8 +53,7 @@
         soak.book.trouble("crashing parts", True)
         for caller in context.crashing:
             eventlet.spawn(caller.run, 60)
-        if "killed" in more:
-            _kill_in_turn(fleet[:3])
+        _KILL_BY_MORE.get(more, lambda _: None)(fleet)
 
     soak.beside = send
 
@@ -68,6 +67,23 @@
         eventlet.sleep(_KILLS_APART)
 
 
+def _kill_all(fleet):
+    eventlet.sleep(_KILLS_AFTER)
+    for daemon in fleet:
+        daemon.kill()
+    eventlet.sleep(_START_AFTER)
+    for daemon in fleet:
+        daemon.start()
+
+
+_KILL_BY_MORE = {
+    "while daemons are killed and start again": lambda fleet: _kill_in_turn(
+        fleet[:3]
+    ),
+    "while all daemons are killed at once": _kill_all,
+}
+
+
 @behave.then(
     "at most {most:d} requests with a crashing part reach runners later than "
     "{seconds:d} s after its fifth crash"
