--- a/standins/soak/crashing.py
+++ b/standins/soak/crashing.py
@@ -54,17 +54,49 @@
         self._fleet, self._book, self._chance = fleet, book, chance
         self.plan = plan
         self.sent: list[float] = []
+        self._seen = 0
+        self._late = 0
 
-    def run(self, seconds: float) -> None:
-        """Send requests.
+    def run(self, seconds: float, fault: str = "") -> None:
+        """Send requests, and look where they have run.
 
         :param seconds: for how long.
+        :param fault: name of this fault; while others are felt, requests
+            that reach runners are not counted.
         """
         self._book.parts.crashing.add(self.plan.part)
         until = self._book.now + seconds
         while self._book.now < until:
             eventlet.spawn(self._send)
             eventlet.sleep(self.plan.interval)
+            self._count_late(fault)
+        self._look()
+
+    def _count_late(self, fault: str) -> None:
+        """Count the requests that have reached runners since the last time."""
+        arrivals = self._book.parts.arrivals
+        new, self._seen = arrivals[self._seen :], len(arrivals)
+        fifth = self._book.parts.counted_crash(self.plan.part, COUNTED)
+        if fifth is None or not self._book.is_calm_but_for(fault):
+            return
+        self._late += sum(
+            arrival.part == self.plan.part and arrival.at > fifth + GRACE
+            for arrival in new
+        )
+
+    def _look(self) -> None:
+        crashes = [
+            crash
+            for crash in self._book.parts.crashes
+            if crash.part == self.plan.part
+        ]
+        if len(crashes) >= COUNTED:
+            self._book.look(
+                "a part that crashes runners reaches three more at most, "
+                "unless faults hide it",
+                self._late <= MOST_LATE,
+                f"{self.plan}: {self._late} late, {len(crashes)} crashes",
+            )
 
     def _send(self) -> None:
         chance, plan = self._chance, self.plan
--- a/standins/soak/installation.py
+++ b/standins/soak/installation.py
@@ -8,6 +8,7 @@
 import eventlet
 
 from standins import rowstore
+from standins.soak import crashing
 from standins.soak import daemon as daemons
 from standins.soak import ledger as ledgers
 from standins.soak import links
@@ -102,6 +103,7 @@
             _Fault.ZONE_OUT: self._zone_out,
             _Fault.LINKS: self._cut_links,
             _Fault.RUNNERS_SILENT: self._silence,
+            _Fault.CRASHING_PART: self._crash_by_part,
         }
 
     @property
@@ -321,6 +323,20 @@
                 pool.spawn(runner.pause, chance.uniform(1.0, 1.3))
         pool.waitall()
 
+    def _crash_by_part(self, event: schedules.Event) -> None:
+        """Send requests with a part that crashes runners."""
+        book, chance = self._book, random.Random(event.target)
+        teams = chance.choice((list(operators.TEAMS), [operators.TEAM]))
+        plan = crashing.Plan(
+            f"c{len(book.parts.crashing)}",
+            tuple(teams),
+            chance.random() < 0.3,
+            chance.choice((0.2, 0.5, 1.0)),
+        )
+        crashing.CrashingCaller(self.daemons, book, chance, plan).run(
+            event.span, event.fault
+        )
+
     def _zone_out(self, event: schedules.Event) -> None:
         zone = ZONES[event.target % len(ZONES)]
         self.operator.set_out(zone, True)
--- a/standins/soak/operator.py
+++ b/standins/soak/operator.py
@@ -15,6 +15,7 @@
 DESK = "desk"
 SIZE_BY_MODEL = {"large": 3, "small": 2}
 TEAMS = {f"team-{n}": f"key-{n}" for n in range(4)}
+TEAM = "team-0"
 
 #: Seconds after which an accepted version must be in force.
 _IN_FORCE = 2.0
--- a/standins/soak/schedule.py
+++ b/standins/soak/schedule.py
@@ -30,6 +30,7 @@
     ZONE_OUT = "zone out of service"
     LINKS = "links of daemons to all runners"
     RUNNERS_SILENT = "some runners silent"
+    CRASHING_PART = "requests with a part that crashes runners"
 
 
 #: Work that operators plan; it excuses nothing.
@@ -60,7 +61,13 @@
 #: series themselves.
 _SILENT_SHARE = 0.8
 
-_DRAWN_APART = (Fault.LINKS, Fault.RUNNERS_SILENT)
+#: Part of the series in which requests crash runners, the shortest and longest
+#: time for which they come, and the part in which a daemon restarts meanwhile.
+_CRASHING_SHARE = 0.5
+_CRASHING = 6.0, 10.0
+_RESTART_SHARE = 0.7
+
+_DRAWN_APART = (Fault.LINKS, Fault.RUNNERS_SILENT, Fault.CRASHING_PART)
 _DRAWN = [fault for fault in Fault if fault not in _DRAWN_APART]
 
 _LINK_HARMS = tuple(h for h in relays.Harm if h is not relays.Harm.NONE)
@@ -89,6 +96,7 @@
     # Drawn apart, so that a seed's other events stay as they are.
     cuts = random.Random(f"{seed}/links")
     silences = random.Random(f"{seed}/silences")
+    crashes = random.Random(f"{seed}/crashing parts")
     events = []
     began = _FIRST
     while began + _SERIES + _CALM < seconds:
@@ -104,6 +112,14 @@
             if silences.random() < _SILENT_SHARE:
                 at = start + silences.uniform(0, 2.0)
                 events.append(_one(silences, at, [Fault.RUNNERS_SILENT]))
+        if crashes.random() < _CRASHING_SHARE:
+            at = began + crashes.uniform(0, 2.0)
+            event = _one(crashes, at, [Fault.CRASHING_PART])
+            span = crashes.uniform(*_CRASHING)
+            events.append(event._replace(span=span))
+            if crashes.random() < _RESTART_SHARE:
+                kill = at + crashes.uniform(1.0, span - 1.0)
+                events.append(_one(crashes, kill, [Fault.KILL, Fault.STOP]))
         began += _SERIES + _CALM
     return sorted(events)
 
