--- a/benchmarks/scenario.py
+++ b/benchmarks/scenario.py
@@ -64,6 +64,7 @@
     Scenario("lag 3 s at 0.9", 0.9, lag=3_000),
     Scenario("data centre leaves and returns", 0.6, 60_000, event="shift"),
     Scenario("killer sent ten times", 0.5, event="killer"),
+    Scenario("killers with one beginning", 0.5, event="killers"),
     Scenario("upstream falls back cold", 0.7, event="cold"),
 )
 
@@ -187,4 +188,30 @@
         made.at(5_000 + 3_000 * n, act)
 
 
-_EVENTS = {"slow": _slow, "cold": _cold, "shift": _shift, "killer": _killer}
+def _killers(made: world.World) -> None:
+    # No two are alike; their prompts begin with the same text.
+    for n in range(20):
+
+        def act(n: int = n) -> None:
+            item = work.Work(
+                f"killer{n}",
+                f"t{n % _TEAMS}",
+                "m",
+                made.now + 5_000,
+                300,
+                60,
+                (f"own{n}", "beginning"),
+                f"k{n}",
+            )
+            made.arrive(world.Call(made.now, item, 1_000, kills=True))
+
+        made.at(5_000 + 1_500 * n, act)
+
+
+_EVENTS = {
+    "slow": _slow,
+    "cold": _cold,
+    "shift": _shift,
+    "killer": _killer,
+    "killers": _killers,
+}
--- a/tests/policy/failures.feature
+++ b/tests/policy/failures.feature
@@ -34,6 +34,14 @@
     And its last 8 submissions were refused as "fenced-off"
     And no restarted upstream exceeded its capacity
 
+  Scenario: prompts with one beginning crash each upstream
+    Guards against upstreams that crash one after the other as requests have
+    the beginning of their prompts in common, and nothing else.
+
+    When callers send the load "killers with one beginning" to the dispatcher
+    Then the crashing request ran on at most 8 upstreams
+    And at least 0.95 of the other requests are answered completely and on time
+
   Scenario: an upstream restarts cold without a report
     All requests on it are lost, while its last report shows it as warm with
     free slots.  Guards against daemons that overload it: those that lost
