--- a/src/citronvalve/policy/crashsuspects.py
+++ b/src/citronvalve/policy/crashsuspects.py
@@ -243,7 +243,7 @@
             *((part, _MAX_PART_LOSSES, _count) for part in contents.parts),
         ]
         for content, most, count in rules:
-            times = self._own_losses(content, contents, model)
+            times = self._own_losses(content, contents, model, count)
             losses = count(times)
             if losses >= most:
                 trial_at = max(times) + _trial_interval(losses - most)
@@ -299,22 +299,25 @@
         )
 
     def _own_losses(
-        self, content: int, contents: Contents, model: int
+        self, content: int, contents: Contents, model: int, count: _Counter
     ) -> list[clock.Ms]:
         """Return the times of losses that nothing outside a request explains.
 
         :param content: of the request.
         :param contents: all contents of the request.
         :param model: digest of its model's name.
+        :param count: counts the losses of such a content.
         """
         suspect = self._suspect_by_content.get(content)
         if suspect is None or len(suspect.loss_by_start) < _MAX_REQUEST_LOSSES:
             return []
-        count, own = suspect.count(model), contents.all()
+        losses = suspect.losses(model)
+        number = count([loss.at for loss in losses])
+        own = contents.all()
         return [
             loss.at
-            for loss in suspect.losses(model)
-            if not self._is_explained(loss, count, model, own)
+            for loss in losses
+            if not self._is_explained(loss, number, model, own)
         ]
 
     def _is_explained(
--- a/tests/policy/crashes.feature
+++ b/tests/policy/crashes.feature
@@ -22,6 +22,7 @@
       | one start is lost with many requests      | x1:Pa x1:Pb x1:Pc x1:Pd x1:Pe                   |          | Pz          |
       | four upstreams are lost together          | x1:Pa =x2:Pb =x3:Pc =x4:Pd                      |          | Pz          |
       | one request is sent again and again       | x1:w x2:w x3:w                                  | w        | z           |
+      | one request is repeated at once           | x1:Pw+Fa =x2:Pw+Gb =x3:Pw+Fc                    | w        | z Fz        |
       | two parts are always lost together        | x1:FPa x2:FPb x3:FPc x4:FPd                     | FPz      | Fz Pz       |
       | one of two parts is lost without the other | x1:FPa x2:FPb x3:FPc x4:FPd x5:Pe              | FPz      | Fz          |
       | parts with the same first part            | x1:FPa x2:FQb x3:FPc x4:FQd x5:FPe x6:FQf x7:FPg x8:FQh | FPz FQz | Fz |
