--- a/src/citronvalve/forward/crashdetector.py
+++ b/src/citronvalve/forward/crashdetector.py
@@ -153,7 +153,9 @@
     ) -> crashsuspects.Verdict | None:
         if not self.suspects:
             return None
-        return self.suspects.find(self._contents(routed), _model(routed))
+        return self.suspects.find(
+            self._contents(routed), model_digest(routed.model)
+        )
 
     def _begin_trial(
         self, verdict: crashsuspects.Verdict, request_id: str
@@ -184,7 +186,7 @@
     ) -> refusal.Refusal:
         what = "this request"
         for part in routed.shared_parts:
-            if _digest(routed, part) == verdict.content:
+            if part_digest(routed.service.name, part) == verdict.content:
                 what = f"requests with the part {_shown(part)} of its prompt"
         return refusal.Refusal(
             refusal.RefusalKind.NO_UPSTREAM,
@@ -204,7 +206,8 @@
         contents = self._contents(routed)
         accused = (contents.whole,) if is_cleared else contents.all()
         start = _start_digest(run)
-        model, begun = _model(routed), run.answered_at is not None
+        model = model_digest(routed.model)
+        begun = run.answered_at is not None
         losses = [
             crashsuspects.Loss(content, start, model, broke_at, begun)
             for content in accused
@@ -227,7 +230,8 @@
     def _record_proof(
         self, routed: routedrequest.RoutedRequest, contents: tuple[int, ...]
     ) -> None:
-        now, model = self._env.clock.now(), _model(routed)
+        now = self._env.clock.now()
+        model = model_digest(routed.model)
         proofs = [
             crashsuspects.Proof(content, model, now) for content in contents
         ]
@@ -246,18 +250,27 @@
         )
 
 
-def _parts(routed: routedrequest.RoutedRequest) -> tuple[int, ...]:
-    return tuple(_digest(routed, part) for part in routed.shared_parts)
+def part_digest(service: str, part: bytes) -> int:
+    """Return the digest of a part; those of two services are different ones.
+
+    :param service: the service's name.
+    :param part: the part's id.
+    """
+    name = service.encode()
+    return xxhash.xxh3_64_intdigest(b"%d:%b%b" % (len(name), name, part))
+
 
+def model_digest(model: str) -> int:
+    """Return the digest of a model's name.
 
-def _digest(routed: routedrequest.RoutedRequest, part: bytes) -> int:
-    """Return a part's digest; parts of two services are different ones."""
-    service = routed.service.name.encode()
-    return xxhash.xxh3_64_intdigest(b"%d:%b%b" % (len(service), service, part))
+    :param model: the name.
+    """
+    return xxhash.xxh3_64_intdigest(model.encode())
 
 
-def _model(routed: routedrequest.RoutedRequest) -> int:
-    return xxhash.xxh3_64_intdigest(routed.model.encode())
+def _parts(routed: routedrequest.RoutedRequest) -> tuple[int, ...]:
+    service = routed.service.name
+    return tuple(part_digest(service, part) for part in routed.shared_parts)
 
 
 def _start_digest(run: Run) -> int:
--- a/standins/scriptedrunner.py
+++ b/standins/scriptedrunner.py
@@ -380,6 +380,23 @@
         self.close()
         return False
 
+    def _unframed_writes_on_and_crashes(self, sock, fields) -> bool:
+        self.runs += 1
+        extra = "Content-Type: text/event-stream\r\nConnection: close\r\n"
+        sock.sendall(self._head(fields, extra=extra))
+        first = int(fields.get("last-event-id", 0)) + 1
+        for number in range(first, first + 8):
+            sock.sendall(_event(number))
+            eventlet.sleep(0.1)
+        self.close()
+        return False
+
+    def _pauses_at_first_and_crashes(self, sock, fields) -> bool:
+        self.runs += 1
+        eventlet.sleep(_PAUSE)
+        self.close()
+        return False
+
     def _unframed_resets(self, sock, fields) -> bool:
         self._unframed_events(sock, fields, until=3)
         eventlet.sleep(0.05)
--- /dev/null
+++ b/tests/forward/crashes.feature
@@ -0,0 +1,54 @@
+Feature: The contents that a lost upstream ran are accused, and answers clear them
+  Each request has the shared parts F and P in its prompt, and one of its own.
+
+  Scenario Outline: <what>
+    Guards against a crash of which the next daemon learns nothing, and
+    against blame for requests that an upstream had survived.
+    Given two heads, of which both "<way>"
+    When a caller asks for a stream with the parts F, P and one of its own
+    Then <contents> contents are accused of the loss of <upstreams> upstreams
+
+    Examples:
+      | what                                                    | way                             | contents | upstreams |
+      | upstreams crash before they answer                      | crashes                         | 3        | 2         |
+      | they crash as they begin, the second one as it resumes  | unframed_crashes                | 3        | 2         |
+      | they crash after 0.8 s of writing                       | unframed_writes_on_and_crashes  | 1        | 2         |
+      | they are silent and crash while another one is tried    | pauses_at_first_and_crashes     | 3        | 2         |
+      | they break off and go on listening                      | closes                          | 0        | 0         |
+      | they refuse the request                                 | turns_away                      | 0        | 0         |
+      | they answer                                             | stream                          | 0        | 0         |
+
+  Scenario: an upstream crashes to which another daemon relays
+    Guards against a crash that counts as a lost link, so that nobody is
+    accused and the request goes on through relays.
+    Given a daemon without links to two upstreams that "crashes", and one with links
+    When a caller asks for a stream with the parts F, P and one of its own
+    Then 3 contents are accused of the loss of 2 upstreams
+
+  Scenario Outline: requests with <which> after 4 losses of the part P
+    Guards against the refusal of sound requests that share the other part.
+    Given two heads, of which both "stream"
+    And 4 upstreams were lost with the parts F and P, of which F was answered since
+    When a caller asks for a stream with <which>
+    Then it gets <status>, and <runs> runs were made
+
+    Examples:
+      | which                             | status | runs |
+      | the parts F, P and one of its own | 503    | 0    |
+      | the part P and one of its own     | 503    | 0    |
+      | the part F and one of its own     | 200    | 1    |
+      | P as its own part                 | 200    | 1    |
+      | no parts                          | 200    | 1    |
+
+  Scenario Outline: the daemon that may try a fenced part does so <when>
+    Guards against a part that stays refused once its upstreams are mended.
+    Given two heads, of which both "stream"
+    And 4 upstreams were lost with the parts F and P, of which F was answered since
+    When the daemon may try fenced contents and <when>, a caller asks for a stream with P
+    Then it gets <status>, and <runs> runs were made
+    And the next request with P gets <next>
+
+    Examples:
+      | when      | status | runs | next |
+      | at once   | 503    | 0    | 503  |
+      | 1 s later | 200    | 1    | 200  |
