--- a/src/citronvalve/daemon/crashexchange.py
+++ b/src/citronvalve/daemon/crashexchange.py
@@ -7,6 +7,7 @@
 from citronvalve.forward import environment as environments
 from citronvalve.model import clock
 from citronvalve.peers import messages
+from citronvalve.policy import crashevidence
 from citronvalve.policy import crashsuspects
 from citronvalve.replicas import lease as leases
 
@@ -68,11 +69,11 @@
         self._suspects = suspects
         self._broadcast = broadcast
         self._send = send
-        self._losses: list[crashsuspects.Loss] = []
-        self._proof_by_key: dict[tuple[int, int], crashsuspects.Proof] = {}
+        self._losses: list[crashevidence.Loss] = []
+        self._proof_by_key: dict[tuple[int, int], crashevidence.Proof] = {}
         self._heard_at = env.clock.now()
         self._known = False
-        self.record: Callable[[frozenset[crashsuspects.Loss]], None] = (
+        self.record: Callable[[frozenset[crashevidence.Loss]], None] = (
             lambda _: None
         )
 
@@ -81,7 +82,7 @@
         eventlet.spawn(self._learn)
         eventlet.spawn(self._repeat)
 
-    def send_losses(self, losses: list[crashsuspects.Loss]) -> None:
+    def send_losses(self, losses: list[crashevidence.Loss]) -> None:
         """Inform the other daemons of new losses.
 
         :param losses: seen here.
@@ -91,7 +92,7 @@
             eventlet.spawn_after(delay, self._flush_losses)
         self._losses += losses
 
-    def send_proofs(self, proofs: list[crashsuspects.Proof]) -> None:
+    def send_proofs(self, proofs: list[crashevidence.Proof]) -> None:
         """Inform the other daemons of proofs, unless one of them does first.
 
         :param proofs: seen here.
@@ -129,13 +130,13 @@
         :param message: as received.
         """
         now = self._env.clock.now()
-        evidence = crashsuspects.Evidence(
+        evidence = crashevidence.Evidence(
             tuple(
-                crashsuspects.Loss(content, start, model, now - age, begun)
+                crashevidence.Loss(content, start, model, now - age, begun)
                 for content, start, model, age, begun in message.losses
             ),
             tuple(
-                crashsuspects.Proof(content, model, now - age)
+                crashevidence.Proof(content, model, now - age)
                 for content, model, age in message.proofs
             ),
         )
@@ -197,17 +198,17 @@
 
     def _flush_losses(self) -> None:
         losses, self._losses = self._losses, []
-        self._broadcast(self._encode(crashsuspects.Evidence(tuple(losses))))
+        self._broadcast(self._encode(crashevidence.Evidence(tuple(losses))))
 
     def _flush_proofs(self) -> None:
         proofs = tuple(self._proof_by_key.values())
         self._proof_by_key.clear()
         if proofs:
-            evidence = crashsuspects.Evidence(proofs=proofs)
+            evidence = crashevidence.Evidence(proofs=proofs)
             self._broadcast(self._encode(evidence))
 
     def _encode(
-        self, evidence: crashsuspects.Evidence, is_answer: bool = False
+        self, evidence: crashevidence.Evidence, is_answer: bool = False
     ) -> messages.CrashEvidence:
         now = self._env.clock.now()
         return messages.CrashEvidence(
--- a/src/citronvalve/forward/crashdetector.py
+++ b/src/citronvalve/forward/crashdetector.py
@@ -13,10 +13,11 @@
 from citronvalve.forward import routedrequest
 from citronvalve.model import clock
 from citronvalve.model import refusal
+from citronvalve.policy import crashevidence
 from citronvalve.policy import crashsuspects
 
-_Losses = list[crashsuspects.Loss]
-_Proofs = list[crashsuspects.Proof]
+_Losses = list[crashevidence.Loss]
+_Proofs = list[crashevidence.Proof]
 
 #: Time for which an upstream has to write an answer until the parts of its
 #: prompt are cleared.
@@ -209,7 +210,7 @@
         model = model_digest(routed.model)
         begun = run.answered_at is not None
         losses = [
-            crashsuspects.Loss(content, start, model, broke_at, begun)
+            crashevidence.Loss(content, start, model, broke_at, begun)
             for content in accused
         ]
         self._env.log.change(
@@ -233,7 +234,7 @@
         now = self._env.clock.now()
         model = model_digest(routed.model)
         proofs = [
-            crashsuspects.Proof(content, model, now) for content in contents
+            crashevidence.Proof(content, model, now) for content in contents
         ]
         clearing = [
             proof for proof in proofs if self.suspects.record_proof(proof)
@@ -243,8 +244,8 @@
 
     def _contents(
         self, routed: routedrequest.RoutedRequest
-    ) -> crashsuspects.Contents:
-        return crashsuspects.Contents(
+    ) -> crashevidence.Contents:
+        return crashevidence.Contents(
             fingerprint(routed.request, self._env.header_names.api_key),
             _parts(routed),
         )
--- /dev/null
+++ b/src/citronvalve/policy/crashsuspect.py
@@ -0,0 +1,114 @@
+"""One content of requests that may crash the upstreams it runs on."""
+
+import bisect
+from collections.abc import Iterable
+
+from citronvalve.model import clock
+from citronvalve.policy import crashevidence
+
+#: Losses of a part within this time of each other count as one: upstreams that
+#: are lost together are lost by a common cause.
+_BURST: clock.Ms = 50
+
+
+class CrashSuspect:
+    """What is known of one content.
+
+    :ivar loss_by_start: its losses by the start of the upstream.
+    :ivar proven_at_by_model: monotonic ms of the last proof by model.
+    """
+
+    def __init__(self) -> None:
+        self.loss_by_start: dict[int, crashevidence.Loss] = {}
+        self.proven_at_by_model: dict[int, clock.Ms] = {}
+        self._count_by_model: dict[int, int] = {}
+
+    @property
+    def last_lost_at(self) -> clock.Ms:
+        """Return when the last upstream was lost, in monotonic ms."""
+        return max(loss.at for loss in self.loss_by_start.values())
+
+    def losses(self, model: int) -> list[crashevidence.Loss]:
+        """Return the losses that count against a request of a model.
+
+        A proof clears the losses of its own model for all, and those of all
+        models for its own: a content may crash upstreams of one model only.
+
+        :param model: digest of the model's name.
+        """
+        return [
+            loss
+            for loss in self.loss_by_start.values()
+            if not self._is_cleared(loss, model)
+            and not self._is_cleared(loss, loss.model)
+        ]
+
+    def count(self, model: int) -> int:
+        """Return the number of these losses that are apart in time.
+
+        :param model: digest of the model's name.
+        """
+        count = self._count_by_model.get(model)
+        if count is None:
+            count = count_apart(loss.at for loss in self.losses(model))
+            self._count_by_model[model] = count
+        return count
+
+    def add(self, loss: crashevidence.Loss) -> bool:
+        """Add a loss; return whether it is new.
+
+        :param loss: seen here or by another daemon.
+        """
+        known = self.loss_by_start.get(loss.start)
+        if known is not None:
+            # Another daemon's report may have taken longer than its age
+            # tells, and several requests may have had the content.
+            loss = loss._replace(
+                at=min(known.at, loss.at), begun=known.begun or loss.begun
+            )
+        self.loss_by_start[loss.start] = loss
+        self._count_by_model.clear()
+        return known is None or known.begun is not loss.begun
+
+    def drop_oldest(self) -> int:
+        """Drop the oldest loss and return its start."""
+        oldest = min(self.loss_by_start.values(), key=lambda loss: loss.at)
+        del self.loss_by_start[oldest.start]
+        self._count_by_model.clear()
+        return oldest.start
+
+    def clear(self, model: int, at: clock.Ms) -> int:
+        """Record a proof; return the number of losses that it clears.
+
+        :param model: digest of the name of the upstream's model.
+        :param at: monotonic ms.
+        """
+        known = self.proven_at_by_model.get(model)
+        if known is not None and known >= at:
+            return 0
+        before = self.count(model)
+        self.proven_at_by_model[model] = at
+        self._count_by_model.clear()
+        return before - self.count(model)
+
+    def most_losses(self) -> int:
+        """Return the losses since the last proof, for the worst model."""
+        models = {loss.model for loss in self.loss_by_start.values()}
+        return max(self.count(model) for model in models)
+
+    def _is_cleared(self, loss: crashevidence.Loss, model: int) -> bool:
+        proven_at = self.proven_at_by_model.get(model)
+        return proven_at is not None and proven_at >= loss.at
+
+
+def count_apart(times: Iterable[clock.Ms]) -> int:
+    """Return how many losses there are, those of a burst counted as one.
+
+    :param times: of the losses, in monotonic ms.
+    """
+    ordered = sorted(times)
+    count = index = 0
+    while index < len(ordered):
+        count += 1
+        index = bisect.bisect_left(ordered, ordered[index] + _BURST)
+    return count
--- a/src/citronvalve/policy/crashsuspects.py
+++ b/src/citronvalve/policy/crashsuspects.py
@@ -1,21 +1,18 @@
 """Contents of requests that may crash the upstreams they run on."""
 
-import bisect
 from collections.abc import Callable
 from collections.abc import Iterable
 from typing import NamedTuple
 
 from citronvalve.model import clock
+from citronvalve.policy import crashevidence
+from citronvalve.policy import crashsuspect
 
 #: Losses since its last proof from which a content is held to crash upstreams:
 #: a whole request, and a part, which sound requests may share.
 _MAX_REQUEST_LOSSES = 3
 _MAX_PART_LOSSES = 4
 
-#: Losses of a part within this time of each other count as one: upstreams that
-#: are lost together are lost by a common cause.
-_BURST: clock.Ms = 50
-
 #: Time after its last loss for which a content is kept, and for which one is
 #: that is held to crash upstreams.
 _RETENTION: clock.Ms = 300_000
@@ -47,54 +44,9 @@
 #: Fenced contents that are stored.
 _MAX_RECORDED = 32
 
-
 _Counter = Callable[[list[clock.Ms]], int]
 
 
-class Contents(NamedTuple):
-    """Digests of a whole request and of the shared parts of its prompt."""
-
-    whole: int
-    parts: tuple[int, ...] = ()
-
-    def all(self) -> tuple[int, ...]:
-        """Return all digests."""
-        return self.whole, *self.parts
-
-
-class Loss(NamedTuple):
-    """A start of an upstream that was lost while it ran a content.
-
-    ``content`` and ``model`` are digests, ``start`` identifies the upstream
-    and its start, ``at`` is monotonic ms.  ``begun`` tells whether the
-    upstream had begun to answer the request.
-    """
-
-    content: int
-    start: int
-    model: int
-    at: clock.Ms
-    begun: bool = True
-
-
-class Proof(NamedTuple):
-    """An answer on a content that an upstream of a model wrote and survived.
-
-    ``model`` is a digest of its name, ``at`` monotonic ms.
-    """
-
-    content: int
-    model: int
-    at: clock.Ms
-
-
-class Evidence(NamedTuple):
-    """Losses and proofs."""
-
-    losses: tuple[Loss, ...] = ()
-    proofs: tuple[Proof, ...] = ()
-
-
 class Verdict(NamedTuple):
     """A content that crashes upstreams; may be tried from ``trial_at`` on."""
 
@@ -103,79 +55,6 @@
     trial_at: clock.Ms
 
 
-class _Suspect:
-    """The losses and proofs of one content."""
-
-    def __init__(self) -> None:
-        self.loss_by_start: dict[int, Loss] = {}
-        self.proven_at_by_model: dict[int, clock.Ms] = {}
-        self._count_by_model: dict[int, int] = {}
-
-    @property
-    def last_lost_at(self) -> clock.Ms:
-        return max(loss.at for loss in self.loss_by_start.values())
-
-    def losses(self, model: int) -> list[Loss]:
-        """Return the losses that count against a request of a model.
-
-        A proof clears the losses of its own model for all, and those of all
-        models for its own: a content may crash upstreams of one model only.
-        """
-        return [
-            loss
-            for loss in self.loss_by_start.values()
-            if not self._is_cleared(loss, model)
-            and not self._is_cleared(loss, loss.model)
-        ]
-
-    def count(self, model: int) -> int:
-        """Return the number of these losses that are apart in time."""
-        count = self._count_by_model.get(model)
-        if count is None:
-            count = _count(loss.at for loss in self.losses(model))
-            self._count_by_model[model] = count
-        return count
-
-    def add(self, loss: Loss) -> bool:
-        """Add a loss; return whether it is new."""
-        known = self.loss_by_start.get(loss.start)
-        if known is not None:
-            # Another daemon's report may have taken longer than its age
-            # tells, and several requests may have had the content.
-            loss = loss._replace(
-                at=min(known.at, loss.at), begun=known.begun or loss.begun
-            )
-        self.loss_by_start[loss.start] = loss
-        self._count_by_model.clear()
-        return known is None or known.begun is not loss.begun
-
-    def drop_oldest(self) -> int:
-        """Drop the oldest loss and return its start."""
-        oldest = min(self.loss_by_start.values(), key=lambda loss: loss.at)
-        del self.loss_by_start[oldest.start]
-        self._count_by_model.clear()
-        return oldest.start
-
-    def clear(self, model: int, at: clock.Ms) -> int:
-        """Record a proof; return the number of losses that it clears."""
-        known = self.proven_at_by_model.get(model)
-        if known is not None and known >= at:
-            return 0
-        before = self.count(model)
-        self.proven_at_by_model[model] = at
-        self._count_by_model.clear()
-        return before - self.count(model)
-
-    def most_losses(self) -> int:
-        """Return the losses since the last proof, for the worst model."""
-        models = {loss.model for loss in self.loss_by_start.values()}
-        return max(self.count(model) for model in models)
-
-    def _is_cleared(self, loss: Loss, model: int) -> bool:
-        proven_at = self.proven_at_by_model.get(model)
-        return proven_at is not None and proven_at >= loss.at
-
-
 class CrashSuspects:
     """Finds out which contents crash upstreams, from losses and proofs.
 
@@ -189,13 +68,13 @@
     """
 
     def __init__(self) -> None:
-        self._suspect_by_content: dict[int, _Suspect] = {}
+        self._suspect_by_content: dict[int, crashsuspect.CrashSuspect] = {}
         self._contents_by_start: dict[int, set[int]] = {}
 
     def __len__(self) -> int:
         return len(self._suspect_by_content)
 
-    def record_loss(self, loss: Loss) -> bool:
+    def record_loss(self, loss: crashevidence.Loss) -> bool:
         """Record a loss; return whether it is new.
 
         :param loss: seen here or by another daemon.
@@ -204,7 +83,9 @@
         if suspect is None:
             if len(self._suspect_by_content) >= _MAX_SUSPECTS:
                 self._drop_weakest()
-            suspect = self._suspect_by_content[loss.content] = _Suspect()
+            suspect = self._suspect_by_content[loss.content] = (
+                crashsuspect.CrashSuspect()
+            )
         if not suspect.add(loss):
             return False
         self._contents_by_start.setdefault(loss.start, set()).add(loss.content)
@@ -214,7 +95,7 @@
             return dropped != loss.start
         return True
 
-    def record_proof(self, proof: Proof) -> int:
+    def record_proof(self, proof: crashevidence.Proof) -> int:
         """Record a proof; return the number of losses that it clears.
 
         :param proof: seen here or by another daemon.
@@ -222,7 +103,7 @@
         suspect = self._suspect_by_content.get(proof.content)
         return 0 if suspect is None else suspect.clear(proof.model, proof.at)
 
-    def merge(self, evidence: Evidence) -> None:
+    def merge(self, evidence: crashevidence.Evidence) -> None:
         """Record what another daemon knows.
 
         :param evidence: its losses and proofs.
@@ -232,7 +113,9 @@
         for proof in evidence.proofs:
             self.record_proof(proof)
 
-    def find(self, contents: Contents, model: int) -> Verdict | None:
+    def find(
+        self, contents: crashevidence.Contents, model: int
+    ) -> Verdict | None:
         """Return the verdict on a request that crashes upstreams, or None.
 
         :param contents: of the request.
@@ -240,7 +123,10 @@
         """
         rules: list[tuple[int, int, _Counter]] = [
             (contents.whole, _MAX_REQUEST_LOSSES, len),
-            *((part, _MAX_PART_LOSSES, _count) for part in contents.parts),
+            *(
+                (part, _MAX_PART_LOSSES, crashsuspect.count_apart)
+                for part in contents.parts
+            ),
         ]
         for content, most, count in rules:
             times = self._own_losses(content, contents, model, count)
@@ -250,7 +136,7 @@
                 return Verdict(content, losses, trial_at)
         return None
 
-    def snapshot(self) -> Evidence:
+    def snapshot(self) -> crashevidence.Evidence:
         """Return the evidence to give to other daemons."""
         chosen = [
             (content, suspect)
@@ -259,20 +145,20 @@
         ]
         chosen.sort(key=lambda item: (-item[1].most_losses(), item[0]))
         del chosen[_MAX_SNAPSHOT:]
-        return Evidence(
+        return crashevidence.Evidence(
             tuple(
                 loss
                 for _, suspect in chosen
                 for loss in suspect.loss_by_start.values()
             ),
             tuple(
-                Proof(content, model, at)
+                crashevidence.Proof(content, model, at)
                 for content, suspect in chosen
                 for model, at in suspect.proven_at_by_model.items()
             ),
         )
 
-    def fenced_losses(self) -> frozenset[Loss]:
+    def fenced_losses(self) -> frozenset[crashevidence.Loss]:
         """Return the losses of contents that are held to crash upstreams."""
         fenced = [
             suspect
@@ -299,7 +185,11 @@
         )
 
     def _own_losses(
-        self, content: int, contents: Contents, model: int, count: _Counter
+        self,
+        content: int,
+        contents: crashevidence.Contents,
+        model: int,
+        count: _Counter,
     ) -> list[clock.Ms]:
         """Return the times of losses that nothing outside a request explains.
 
@@ -321,7 +211,11 @@
         ]
 
     def _is_explained(
-        self, loss: Loss, count: int, model: int, own: tuple[int, ...]
+        self,
+        loss: crashevidence.Loss,
+        count: int,
+        model: int,
+        own: tuple[int, ...],
     ) -> bool:
         """Return whether a content outside a request explains a loss.
 
@@ -359,22 +253,12 @@
             del self._contents_by_start[start]
 
 
-def _count(times: Iterable[clock.Ms]) -> int:
-    """Return how many losses there are, those of a burst counted as one."""
-    ordered = sorted(times)
-    count = index = 0
-    while index < len(ordered):
-        count += 1
-        index = bisect.bisect_left(ordered, ordered[index] + _BURST)
-    return count
-
-
 def _trial_interval(failed_trials: int) -> clock.Ms:
     if not failed_trials:
         return _FIRST_TRIAL_AFTER
     return min(_TRIAL_INTERVAL << (failed_trials - 1), _MAX_TRIAL_INTERVAL)
 
 
-def _retention(suspect: _Suspect) -> clock.Ms:
+def _retention(suspect: crashsuspect.CrashSuspect) -> clock.Ms:
     is_fenced = suspect.most_losses() >= _MAX_REQUEST_LOSSES
     return _FENCE_RETENTION if is_fenced else _RETENTION
--- a/src/citronvalve/replicas/crashrecord.py
+++ b/src/citronvalve/replicas/crashrecord.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from citronvalve.model import clock
-from citronvalve.policy import crashsuspects
+from citronvalve.policy import crashevidence
 from citronvalve.replicas import lease as leases
 from citronvalve.storage import rows
 from citronvalve.storage import tableservice
@@ -36,9 +36,9 @@
         self._service = service
         self._lease = lease
         self._clock = time_source
-        self._written: frozenset[crashsuspects.Loss] = frozenset()
+        self._written: frozenset[crashevidence.Loss] = frozenset()
 
-    def write(self, losses: frozenset[crashsuspects.Loss]) -> None:
+    def write(self, losses: frozenset[crashevidence.Loss]) -> None:
         """Write losses that differ from the last ones, if this daemon leads.
 
         A write that fails is repeated with the next call.
@@ -65,7 +65,7 @@
             self._written = losses
 
 
-def parse(value: dict[str, Any], now: clock.Ms) -> crashsuspects.Evidence:
+def parse(value: dict[str, Any], now: clock.Ms) -> crashevidence.Evidence:
     """Return the losses of a row; none if it can't be read.
 
     Clocks of two starts can't be compared, so that their ages are those of
@@ -77,10 +77,10 @@
     try:
         found = msgspec.convert(value.get(_FIELD), _Losses)
     except msgspec.ValidationError:
-        return crashsuspects.Evidence()
-    return crashsuspects.Evidence(
+        return crashevidence.Evidence()
+    return crashevidence.Evidence(
         tuple(
-            crashsuspects.Loss(content, start, model, now - age, begun)
+            crashevidence.Loss(content, start, model, now - age, begun)
             for content, start, model, age, begun in found
         )
     )
--- a/tests/daemon/steps/crashes_steps.py
+++ b/tests/daemon/steps/crashes_steps.py
@@ -10,6 +10,7 @@
 from citronvalve.forward import headernames
 from citronvalve.model import clock
 from citronvalve.peers import messages
+from citronvalve.policy import crashevidence
 from citronvalve.policy import crashsuspects
 from citronvalve.replicas import crashrecord
 from citronvalve.replicas import lease as leases
@@ -90,7 +91,7 @@
     def lose(self, count, content):
         now = self.env.clock.now()
         losses = [
-            crashsuspects.Loss(content, start, _MODEL, now - 100 * start)
+            crashevidence.Loss(content, start, _MODEL, now - 100 * start)
             for start in range(count)
         ]
         for loss in losses:
@@ -98,13 +99,13 @@
         self.exchange.send_losses(losses)
 
     def answer(self, content):
-        proof = crashsuspects.Proof(content, _MODEL, self.env.clock.now())
+        proof = crashevidence.Proof(content, _MODEL, self.env.clock.now())
         if self.suspects.record_proof(proof):
             self.exchange.send_proofs([proof])
 
     def refuses(self, content):
         return (
-            self.suspects.find(crashsuspects.Contents(0, (content,)), _MODEL)
+            self.suspects.find(crashevidence.Contents(0, (content,)), _MODEL)
             is not None
         )
 
@@ -307,7 +308,7 @@
     now = made.clock.now()
     for start in range(count):
         made.suspects.record_loss(
-            crashsuspects.Loss(content, start, _MODEL, now - 100 * start)
+            crashevidence.Loss(content, start, _MODEL, now - 100 * start)
         )
     made.write()
 
@@ -324,7 +325,7 @@
 
 def _clear(made):
     now = made.clock.now()
-    made.suspects.record_proof(crashsuspects.Proof(7, _MODEL, now))
+    made.suspects.record_proof(crashevidence.Proof(7, _MODEL, now))
     made.write()
 
 
@@ -347,7 +348,7 @@
 
 @behave.then("it {does} the content {content:d}")
 def step_does(context, does, content):
-    contents = crashsuspects.Contents(0, (content,))
+    contents = crashevidence.Contents(0, (content,))
     is_refused = context.started.find(contents, _MODEL) is not None
     assert is_refused == (does == "refuses")
 
--- a/tests/forward/steps/crashes_steps.py
+++ b/tests/forward/steps/crashes_steps.py
@@ -4,7 +4,7 @@
 import eventlet
 
 from citronvalve.forward import crashdetector
-from citronvalve.policy import crashsuspects
+from citronvalve.policy import crashevidence
 
 _PARTS_BY_WHICH = {
     "the parts F, P and one of its own": "F:10,P:20,own:5",
@@ -58,9 +58,9 @@
     for start in range(count):
         for digest in digests:
             detector.suspects.record_loss(
-                crashsuspects.Loss(digest, start, model, now - 100 * start)
+                crashevidence.Loss(digest, start, model, now - 100 * start)
             )
-    detector.suspects.record_proof(crashsuspects.Proof(digests[0], model, now))
+    detector.suspects.record_proof(crashevidence.Proof(digests[0], model, now))
 
 
 @behave.when(
--- a/tests/policy/steps/crashes_steps.py
+++ b/tests/policy/steps/crashes_steps.py
@@ -2,6 +2,7 @@
 
 import behave
 
+from citronvalve.policy import crashevidence
 from citronvalve.policy import crashsuspects
 
 _STEP = 100
@@ -34,14 +35,14 @@
 
     def _prove(self, contents, model):
         for letter in contents:
-            proof = crashsuspects.Proof(_content(letter), model, self.now)
+            proof = crashevidence.Proof(_content(letter), model, self.now)
             self.suspects.record_proof(proof)
 
     def _lose(self, start, requests, model):
         begun, *waiting = requests.split("+")
         for contents in (begun, *waiting):
             for letter in contents:
-                loss = crashsuspects.Loss(
+                loss = crashevidence.Loss(
                     _content(letter), start, model, self.now, contents is begun
                 )
                 self.suspects.record_loss(loss)
@@ -51,7 +52,7 @@
         whole = [_content(letter) for letter in contents if letter.islower()]
         parts = [_content(letter) for letter in contents if letter.isupper()]
         found = self.suspects.find(
-            crashsuspects.Contents(*whole, tuple(parts)), _model(model)
+            crashevidence.Contents(*whole, tuple(parts)), _model(model)
         )
         return found is not None
 
@@ -73,12 +74,12 @@
     context.crashes = rig = _Rig()
     for start in range(losses):
         at = last - start * _STEP
-        rig.suspects.record_loss(crashsuspects.Loss(7, start, 1, at))
+        rig.suspects.record_loss(crashevidence.Loss(7, start, 1, at))
 
 
 @behave.then("it may be tried from {at:d} ms on")
 def step_trial(context, at):
-    found = context.crashes.suspects.find(crashsuspects.Contents(0, (7,)), 1)
+    found = context.crashes.suspects.find(crashevidence.Contents(0, (7,)), 1)
     assert found.trial_at == at, found
 
 
@@ -87,7 +88,7 @@
     rig = context.crashes
     for number in range(count):
         rig.now += number % each == 0
-        loss = crashsuspects.Loss(
+        loss = crashevidence.Loss(
             1_000 + number, 1_000 + number // each, 1, rig.now, False
         )
         rig.suspects.record_loss(loss)
