--- a/standins/scriptedrunner.py
+++ b/standins/scriptedrunner.py
@@ -3,28 +3,23 @@
 It speaks HTTP by hand, since it has to break the protocol on order.
 """
 
-import time
-
 import eventlet
 from eventlet.green import socket
 
+from standins import answerparts
+from standins import endlessanswers
+from standins import unframedstreams
+
 #: Seconds that a silent runner stays silent.
 _SILENCE = 30
 
-#: Seconds of a pause that a runner makes in the middle of a stream.
-_PAUSE = 0.8
-
 #: Seconds of a pause after which its caller has given it up.
 _LONG_PAUSE = 1.2
 
-#: Bytes that are sent at once without end.
-_FLOOD = 65_536
-
-#: Makes a socket's close a reset.
-_RESET = b"\1\0\0\0\0\0\0\0"
 
-
-class ScriptedRunner:
+class ScriptedRunner(
+    unframedstreams.UnframedStreams, endlessanswers.EndlessAnswers
+):
     """Serves on a port of its own until it is closed.
 
     :param name: its id, with which it seals its answers.
@@ -110,7 +105,10 @@
 
     def _events(self, fields, until=6):
         first = int(fields.get("last-event-id", 0)) + 1
-        return [_chunk(_event(n)) for n in range(first, until + 1)]
+        return [
+            answerparts.chunk(answerparts.event(n))
+            for n in range(first, until + 1)
+        ]
 
     def _stay_silent(self, sock) -> bool:
         sock.settimeout(_SILENCE)
@@ -144,7 +142,7 @@
         sock.sendall(self._stream_head(fields))
         for event in self._events(fields, until=3):
             sock.sendall(event)
-        sock.sendall(_chunk(_event(4)[:7]))
+        sock.sendall(answerparts.chunk(answerparts.event(4)[:7]))
         return False
 
     def _silent_after_three(self, sock, fields) -> bool:
@@ -160,21 +158,21 @@
         for turn, event in enumerate(self._events(fields), 1):
             sock.sendall(event)
             if turn == 3:
-                eventlet.sleep(_PAUSE)
+                eventlet.sleep(answerparts.PAUSE)
         sock.sendall(b"0\r\n\r\n")
         return True
 
     def _pauses_at_first(self, sock, fields) -> bool:
         self.runs += 1
         sock.sendall(self._stream_head(fields))
-        eventlet.sleep(_PAUSE)
+        eventlet.sleep(answerparts.PAUSE)
         for event in self._events(fields):
             sock.sendall(event)
         sock.sendall(b"0\r\n\r\n")
         return True
 
     def _pauses_before_its_head(self, sock, fields) -> bool:
-        eventlet.sleep(_PAUSE)
+        eventlet.sleep(answerparts.PAUSE)
         return self._stream(sock, fields)
 
     def _rests_after_three(self, sock, fields) -> bool:
@@ -223,15 +221,22 @@
     def _skips_an_event(self, sock, fields) -> bool:
         self.runs += 1
         sock.sendall(self._stream_head(fields))
-        for event in (_event(1), _event(2), _event(4)):
-            sock.sendall(_chunk(event))
+        for event in (
+            answerparts.event(1),
+            answerparts.event(2),
+            answerparts.event(4),
+        ):
+            sock.sendall(answerparts.chunk(event))
         sock.sendall(b"0\r\n\r\n")
         return True
 
     def _skips_in_a_chunk(self, sock, fields) -> bool:
         self.runs += 1
         sock.sendall(self._stream_head(fields))
-        sock.sendall(_chunk(_event(1)) + _chunk(_event(2) + _event(4)))
+        sock.sendall(
+            answerparts.chunk(answerparts.event(1))
+            + answerparts.chunk(answerparts.event(2) + answerparts.event(4))
+        )
         return self._stay_silent(sock)
 
     def _silent(self, sock, fields) -> bool:
@@ -252,11 +257,11 @@
         return True
 
     def _turns_away_late(self, sock, fields) -> bool:
-        eventlet.sleep(_PAUSE)
+        eventlet.sleep(answerparts.PAUSE)
         return self._turns_away(sock, fields)
 
     def _fails_late(self, sock, fields) -> bool:
-        eventlet.sleep(_PAUSE)
+        eventlet.sleep(answerparts.PAUSE)
         return self._fails(sock, fields)
 
     def _is_another(self, sock, fields) -> bool:
@@ -265,7 +270,7 @@
 
     def _resets(self, sock, fields) -> bool:
         self.runs += 1
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, answerparts.RESET)
         return False
 
     def _falsely_busy(self, sock, fields) -> bool:
@@ -309,20 +314,20 @@
 
     def _whole_then_resets(self, sock, fields) -> bool:
         self._whole(sock, fields)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, answerparts.RESET)
         return False
 
     def _pauses_unframed(self, sock, fields) -> bool:
         self.runs += 1
         head = self._head(fields, extra="Connection: close\r\n")
         sock.sendall(head + b"answer of")
-        eventlet.sleep(_PAUSE)
+        eventlet.sleep(answerparts.PAUSE)
         sock.sendall(b" " + self._name.encode())
         return False
 
     def _closes_late(self, sock, fields) -> bool:
         self.runs += 1
-        eventlet.sleep(_PAUSE)
+        eventlet.sleep(answerparts.PAUSE)
         return False
 
     def _crashes_unframed(self, sock, fields) -> bool:
@@ -337,139 +342,9 @@
         head = self._head(fields, extra="Connection: close\r\n")
         sock.sendall(head + b"answer")
         eventlet.sleep(0.05)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
-        return False
-
-    def _unframed_events(self, sock, fields, until=6) -> None:
-        self.runs += 1
-        extra = "Content-Type: text/event-stream\r\nConnection: close\r\n"
-        sock.sendall(self._head(fields, extra=extra))
-        first = int(fields.get("last-event-id", 0)) + 1
-        for number in range(first, until + 1):
-            sock.sendall(_event(number))
-            eventlet.sleep(0.005)
-
-    def _unframed_stream(self, sock, fields) -> bool:
-        self._unframed_events(sock, fields)
-        return False
-
-    def _unframed_cut_in_an_event(self, sock, fields) -> bool:
-        self._unframed_events(sock, fields, until=3)
-        sock.sendall(_event(4)[:7])
-        return False
-
-    def _unframed_cut_before_the_blank_line(self, sock, fields) -> bool:
-        self._unframed_events(sock, fields, until=5)
-        sock.sendall(_event(6)[:-1])
-        return False
-
-    def _unframed_pauses_and_is_cut(self, sock, fields) -> bool:
-        self._unframed_events(sock, fields, until=3)
-        eventlet.sleep(_PAUSE)
-        sock.sendall(_event(4)[:7])
-        return False
-
-    def _unframed_crashes(self, sock, fields) -> bool:
-        self._unframed_events(sock, fields, until=3)
-        self.close()
-        return False
-
-    def _unframed_pauses_and_crashes(self, sock, fields) -> bool:
-        self._unframed_events(sock, fields, until=3)
-        eventlet.sleep(_PAUSE)
-        self.close()
-        return False
-
-    def _unframed_writes_on_and_crashes(self, sock, fields) -> bool:
-        self.runs += 1
-        extra = "Content-Type: text/event-stream\r\nConnection: close\r\n"
-        sock.sendall(self._head(fields, extra=extra))
-        first = int(fields.get("last-event-id", 0)) + 1
-        for number in range(first, first + 8):
-            sock.sendall(_event(number))
-            eventlet.sleep(0.1)
-        self.close()
-        return False
-
-    def _pauses_at_first_and_crashes(self, sock, fields) -> bool:
-        self.runs += 1
-        eventlet.sleep(_PAUSE)
-        self.close()
-        return False
-
-    def _unframed_resets(self, sock, fields) -> bool:
-        self._unframed_events(sock, fields, until=3)
-        eventlet.sleep(0.05)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
-        return False
-
-    def _flood(self, sock, piece: bytes, seconds: float = _SILENCE) -> bool:
-        """Send the same bytes until the caller closes."""
-        many = piece * (1 + _FLOOD // len(piece))
-        until = time.monotonic() + seconds
-        while time.monotonic() < until:
-            sock.sendall(many)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, answerparts.RESET)
         return False
 
-    def _endless_head(self, sock, fields) -> bool:
-        sock.sendall(self._head(fields)[:-2])
-        return self._flood(sock, b"X-More: and more\r\n")
-
-    def _endless_preliminary(self, sock, fields) -> bool:
-        return self._flood(sock, b"HTTP/1.1 103 Early Hints\r\n\r\n")
-
-    def _endless_others(self, sock, fields) -> bool:
-        extra = "Content-Length: 5\r\n"
-        other = self._head(fields, extra=extra, number="old") + b"other"
-        return self._flood(sock, other)
-
-    def _endless_body(self, sock, fields) -> bool:
-        extra = "Content-Length: 99999999999\r\n"
-        sock.sendall(self._head(fields, extra=extra))
-        return self._flood(sock, b"more")
-
-    def _endless_unframed(self, sock, fields) -> bool:
-        sock.sendall(self._head(fields, extra="Connection: close\r\n"))
-        return self._flood(sock, b"more")
-
-    def _endless_chunk_size(self, sock, fields) -> bool:
-        extra = "Transfer-Encoding: chunked\r\n"
-        sock.sendall(self._head(fields, extra=extra) + b"5;")
-        return self._flood(sock, b"more")
-
-    def _endless_trailers(self, sock, fields) -> bool:
-        extra = "Transfer-Encoding: chunked\r\n"
-        sock.sendall(self._head(fields, extra=extra) + b"0\r\n")
-        return self._flood(sock, b"X-More: and more\r\n")
-
-    def _endless_failure(self, sock, fields) -> bool:
-        extra = "Content-Length: 99999999999\r\n"
-        sock.sendall(self._head(fields, 500, extra))
-        return self._flood(sock, b"more")
-
-    def _endless_rejection(self, sock, fields) -> bool:
-        extra = "X-Not-Run: 1\r\nContent-Length: 99999999999\r\n"
-        sock.sendall(self._head(fields, 503, extra))
-        return self._flood(sock, b"more")
-
-    def _endless_event(self, sock, fields) -> bool:
-        sock.sendall(self._stream_head(fields))
-        return self._flood(sock, _chunk(b"data: more\n"))
-
-    def _three_then_endless(self, sock, fields) -> bool:
-        sock.sendall(self._stream_head(fields))
-        sock.sendall(b"".join(self._events(fields, until=3)))
-        return self._flood(sock, _chunk(b"more" * 1_000))
-
-    def _endless_returns(self, sock, fields) -> bool:
-        sock.sendall(self._stream_head(fields))
-        return self._flood(sock, _chunk(b"\r"))
-
-    def _endless_events_for_a_second(self, sock, fields) -> bool:
-        extra = "X-Not-Run: 1\r\nTransfer-Encoding: chunked\r\n"
-        sock.sendall(self._head(fields, 503, extra))
-        return self._flood(sock, _chunk(b"m"), seconds=1.0)
-
     def _crashes(self, sock, fields) -> bool:
         self.runs += 1
         self.close()
@@ -481,14 +356,6 @@
         return False
 
 
-def _event(number: int) -> bytes:
-    return b"id: %d\ndata: piece %d\n\n" % (number, number)
-
-
-def _chunk(data: bytes) -> bytes:
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
 def _fields(text: bytes) -> dict[str, str]:
     lines = text.decode("latin-1").split("\r\n")[1:]
     pairs = (line.partition(":") for line in lines)
