--- a/src/citronvalve/daemon/messagetask.py
+++ b/src/citronvalve/daemon/messagetask.py
@@ -95,7 +95,7 @@
             messages.TableChanges: self.tables.on_changes,
             messages.FullTableRequest: self._on_table_request,
             messages.TableRows: self.tables.on_rows,
-            # A release before takes only repeats of a whole request for it.
+            # From an older release; it names no start, and is not counted.
             messages.Crash: lambda _: None,
             messages.Stall: self._on_stall,
             messages.DaemonLoads: self._on_daemon_loads,
