Let load reports carry details, and read what the VM has and asks for

Purpose: shares of teams and the memory of replicas need more of what other daemons have at a replica than its number of requests, without another message.

The settings hold the VM's memory, processors and link, and the features that a deployment asks for: memory of replicas and slow peers by the contract of that name, the others wherever the configuration calls for them (teams, daemons that report to coordinators). CITRONVALVE_WITHOUT switches features off. Nothing uses these yet.

tests/news (details reach 6 and 82 daemons), tests/adapter/decoding: passed.

--- a/src/citronvalve/daemon/entrysettings.py
+++ b/src/citronvalve/daemon/entrysettings.py
@@ -7,6 +7,37 @@
 from citronvalve.policy import retrybudget
 
 
+class Machine(NamedTuple):
+    """What the VM of a daemon has; 0 is unknown.
+
+    ``memory`` is the most bytes of the process, ``processors`` the cores'
+    time that it may take in a second, ``link`` bytes per ms.
+    """
+
+    memory: int = 0
+    processors: float = 0.0
+    link: float = 0.0
+
+
+class Features(NamedTuple):
+    """What a deployment asks for beyond the usual; names as in settings.
+
+    ``fair_shares``: replica pools are shared among teams, and excess is
+    refused by what callers get for a replica's time.
+    ``even_load``: daemons spread requests by the age of what they know.
+    ``local_rooms``: demand and replicas are weighed by data centre.
+    ``slow_peers``: callers and upstreams may read slowly, and what is held
+    for them counts.
+    ``memory_limits``: requests are bounded by the memory of replicas.
+    """
+
+    fair_shares: bool = False
+    even_load: bool = False
+    local_rooms: bool = False
+    slow_peers: bool = False
+    memory_limits: bool = False
+
+
 class EntrySettings(NamedTuple):
     """Startup settings; addresses are ``host:port``.
 
@@ -33,3 +64,5 @@
     relay: str = ""
     region: frozenset[str] = frozenset()
     connections: int = 0
+    machine: Machine = Machine()
+    features: Features = Features()
--- a/src/citronvalve/daemon/loadbroadcaster.py
+++ b/src/citronvalve/daemon/loadbroadcaster.py
@@ -9,6 +9,7 @@
 from citronvalve.model import clock
 from citronvalve.peers import distributor as distributors
 from citronvalve.peers import messages
+from citronvalve.policy import loaddetails
 from citronvalve.policy import upstreamchoice
 
 #: Interval between reports of this daemon's requests.  A replica near its
@@ -36,6 +37,7 @@
     :param distributor: chooses the recipients.
     :param send: sends messages.
     :ivar is_nearly_full: returns whether replicas are nearly full.
+    :ivar details: returns the details of this daemon's requests.
     """
 
     def __init__(
@@ -50,6 +52,9 @@
         self._distributor = distributor
         self._send = send
         self.is_nearly_full: Callable[[], bool] = lambda: False
+        self.details: Callable[[], loaddetails.LoadDetails] = lambda: (
+            loaddetails.NONE
+        )
 
     def start(self) -> None:
         """Start the tasks."""
@@ -67,6 +72,7 @@
     def _send_own(self) -> None:
         sent_at = -_REPEAT_INTERVAL
         last: messages.RequestCounts = {}
+        last_details = loaddetails.NONE
         while True:
             eventlet.sleep(self._interval() / clock.SECOND)
             now = self._env.clock.now()
@@ -75,9 +81,11 @@
                 for upstream, held in self._loads.load_by_upstream.items()
                 if held.own
             }
-            if own != last or now - sent_at >= _REPEAT_INTERVAL:
-                last, sent_at = own, now
-                self._send(self._distributor.report_loads(own, now))
+            details = self.details()
+            changed = own != last or details != last_details
+            if changed or now - sent_at >= _REPEAT_INTERVAL:
+                last, last_details, sent_at = own, details, now
+                self._send(self._distributor.report_loads(own, now, details))
 
     def _send_sums(self) -> None:
         while True:
--- a/src/citronvalve/peers/distributor.py
+++ b/src/citronvalve/peers/distributor.py
@@ -7,6 +7,7 @@
 from citronvalve.peers import messages
 from citronvalve.peers import ownreports
 from citronvalve.peers import topology as topologies
+from citronvalve.policy import loaddetails
 from citronvalve.policy import upstreamchoice
 
 #: The same message about an upstream is forwarded once in this time, since all
@@ -114,20 +115,24 @@
         )
 
     def report_loads(
-        self, counts: messages.RequestCounts, now: clock.Ms
+        self,
+        counts: messages.RequestCounts,
+        now: clock.Ms,
+        details: loaddetails.LoadDetails = loaddetails.NONE,
     ) -> list[Outgoing]:
         """Return the messages that report this daemon's own requests.
 
         :param counts: its requests.
         :param now: monotonic ms.
+        :param details: of the requests.
         """
-        self._own_reports.record(counts)
+        self._own_reports.record(counts, details)
         loads = messages.DaemonLoads(
-            self._name, counts, self._own_reports.sequence
+            self._name, counts, self._own_reports.sequence, details
         )
         if self.topology.is_direct:
             return [Outgoing(name, loads) for name in self._peer_names]
-        self._sums.record_daemon(self._name, counts, now)
+        self._sums.record_daemon(self._name, counts, now, details=details)
         return [
             Outgoing(name, loads) for name in self.topology.report_targets(now)
         ]
@@ -142,9 +147,8 @@
             return []
         out = self._sums_for_reporters(now)
         if topology.is_coordinator(now):
-            count, counts = self._sums.local(now)
             totals = messages.DatacentreLoads(
-                self._name, self._datacentre, count, counts
+                self._name, self._datacentre, *self._sums.local(now)
             )
             out += [
                 Outgoing(name, totals) for name in topology.remote_targets(now)
@@ -157,8 +161,13 @@
         if not reporters:
             return []
         sequences = self._sums.sequences(now)
+        everywhere = self._sums.everywhere(now)
         shared = messages.OtherLoads(
-            self._name, *self._sums.everywhere(now), sequences
+            self._name,
+            everywhere.daemons,
+            everywhere.counts,
+            sequences,
+            everywhere.details,
         )
         out = [Outgoing(name, shared) for name in reporters]
         for index, name in enumerate(reporters):
@@ -166,7 +175,8 @@
                 # A daemon of an older release can't subtract its own part.
                 own = self._sums.excluding(name, now)
                 out[index] = Outgoing(
-                    name, messages.OtherLoads(self._name, *own)
+                    name,
+                    messages.OtherLoads(self._name, own.daemons, own.counts),
                 )
         return out
 
@@ -182,12 +192,16 @@
         topology.record_contact(message.name, now)
         if topology.is_direct:
             self._loads.remote_loads.record(
-                message.name, message.by_upstream, now
+                message.name, message.by_upstream, now, message.details
             )
             return
         topology.record_report(message.name, now)
         self._sums.record_daemon(
-            message.name, message.by_upstream, now, message.sequence
+            message.name,
+            message.by_upstream,
+            now,
+            message.sequence,
+            message.details,
         )
 
     def apply_datacentre_loads(
@@ -224,15 +238,17 @@
         others = self._own_reports.without_own(message)
         if others is None:
             return
-        self._reported_daemons, counts = others
-        self._other_loads_at = now
-        self._loads.remote_loads.record(_OTHERS_KEY, counts, now)
+        self._apply_others(others, now)
 
     def _apply_own_sums(self, now: clock.Ms) -> None:
-        count, counts = self._sums.excluding(self._name, now)
-        self._reported_daemons = count
+        self._apply_others(self._sums.excluding(self._name, now), now)
+
+    def _apply_others(self, others: loadsums.LoadSum, now: clock.Ms) -> None:
+        self._reported_daemons = others.daemons
         self._other_loads_at = now
-        self._loads.remote_loads.record(_OTHERS_KEY, counts, now)
+        self._loads.remote_loads.record(
+            _OTHERS_KEY, others.counts, now, others.details
+        )
 
     def _forward(
         self,
--- a/src/citronvalve/peers/loadsums.py
+++ b/src/citronvalve/peers/loadsums.py
@@ -5,6 +5,7 @@
 
 from citronvalve.model import clock
 from citronvalve.peers import messages
+from citronvalve.policy import loaddetails
 
 #: Reported counts are valid this long; daemons report again within it.
 _VALIDITY: clock.Ms = 1_000
@@ -14,9 +15,18 @@
     counts: messages.RequestCounts
     daemons: int
     at: clock.Ms
+    details: loaddetails.LoadDetails
     sequence: int = 0
 
 
+class LoadSum(NamedTuple):
+    """The number of daemons, their requests and the details."""
+
+    daemons: int
+    counts: messages.RequestCounts
+    details: loaddetails.LoadDetails
+
+
 class LoadSums:
     """The counts reported by daemons and by other data centres."""
 
@@ -30,6 +40,7 @@
         counts: messages.RequestCounts,
         now: clock.Ms,
         sequence: int = 0,
+        details: loaddetails.LoadDetails = loaddetails.NONE,
     ) -> None:
         """Record a daemon's own requests.
 
@@ -37,8 +48,11 @@
         :param counts: its requests.
         :param now: monotonic ms.
         :param sequence: number of the report, 0 from an older release.
+        :param details: of the requests.
         """
-        self._reported_by_daemon[name] = _Reported(counts, 1, now, sequence)
+        self._reported_by_daemon[name] = _Reported(
+            counts, 1, now, details, sequence
+        )
 
     def sequences(self, now: clock.Ms) -> dict[str, int]:
         """Return the numbers of the valid reports, by daemon.
@@ -52,7 +66,7 @@
             if report.sequence
         }
 
-    def everywhere(self, now: clock.Ms) -> tuple[int, messages.RequestCounts]:
+    def everywhere(self, now: clock.Ms) -> LoadSum:
         """Return the number and the requests of all daemons.
 
         :param now: monotonic ms.
@@ -69,19 +83,19 @@
         :param loads: the sums of its coordinator.
         :param now: monotonic ms.
         """
-        reported = _Reported(loads.by_upstream, loads.daemons, now)
+        reported = _Reported(
+            loads.by_upstream, loads.daemons, now, loads.details
+        )
         self._reported_by_datacentre[loads.datacentre] = reported
 
-    def local(self, now: clock.Ms) -> tuple[int, messages.RequestCounts]:
+    def local(self, now: clock.Ms) -> LoadSum:
         """Return the number of reporting daemons here, and their requests.
 
         :param now: monotonic ms.
         """
         return _sum(self._recent(self._reported_by_daemon, now).values())
 
-    def excluding(
-        self, name: str, now: clock.Ms
-    ) -> tuple[int, messages.RequestCounts]:
+    def excluding(self, name: str, now: clock.Ms) -> LoadSum:
         """Return the number and the requests of all daemons except one.
 
         :param name: the daemon whose requests are excluded.
@@ -104,9 +118,7 @@
         return dict(reported)
 
 
-def _sum(
-    reported: collections.abc.Iterable[_Reported],
-) -> tuple[int, messages.RequestCounts]:
+def _sum(reported: collections.abc.Collection[_Reported]) -> LoadSum:
     daemons = 0
     counts: messages.RequestCounts = {}
     for report in reported:
@@ -114,4 +126,5 @@
         for upstream, (count, late) in report.counts.items():
             total = counts.get(upstream, (0, 0))
             counts[upstream] = total[0] + count, total[1] + late
-    return daemons, counts
+    details = loaddetails.total(report.details for report in reported)
+    return LoadSum(daemons, counts, details)
--- a/src/citronvalve/peers/messages.py
+++ b/src/citronvalve/peers/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from citronvalve.model import clock
+from citronvalve.policy import loaddetails
 from citronvalve.storage import rows
 from citronvalve.storage import tablestate
 
@@ -140,6 +141,7 @@
     name: str
     by_upstream: RequestCounts
     sequence: int = 0
+    details: loaddetails.LoadDetails = loaddetails.NONE
 
 
 class DatacentreLoads(
@@ -154,6 +156,7 @@
     datacentre: str
     daemons: int
     by_upstream: RequestCounts
+    details: loaddetails.LoadDetails = loaddetails.NONE
 
 
 class OtherLoads(msgspec.Struct, tag="digest", array_like=True, frozen=True):
@@ -168,6 +171,7 @@
     daemons: int
     by_upstream: RequestCounts
     sequence_by_daemon: dict[str, int] | None = None
+    details: loaddetails.LoadDetails = loaddetails.NONE
 
 
 class Stage(enum.IntEnum):
--- a/src/citronvalve/policy/remoteloads.py
+++ b/src/citronvalve/policy/remoteloads.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from citronvalve.model import clock
+from citronvalve.policy import loaddetails
 
 #: How long another daemon's report is valid.  It is repeated several times
 #: within this time.
@@ -17,6 +18,7 @@
 class _Report(NamedTuple):
     by_upstream: CountByUpstream
     at: clock.Ms
+    details: loaddetails.LoadDetails
 
 
 class RemoteLoads:
@@ -30,15 +32,20 @@
         self._report_by_daemon: dict[str, _Report] = {}
 
     def record(
-        self, daemon: str, by_upstream: CountByUpstream, now: clock.Ms
+        self,
+        daemon: str,
+        by_upstream: CountByUpstream,
+        now: clock.Ms,
+        details: loaddetails.LoadDetails = loaddetails.NONE,
     ) -> None:
         """Record a report; an upstream that it lacks has no requests.
 
         :param daemon: who reports.
         :param by_upstream: its requests.
         :param now: monotonic ms.
+        :param details: of these requests.
         """
-        self._report_by_daemon[daemon] = _Report(by_upstream, now)
+        self._report_by_daemon[daemon] = _Report(by_upstream, now, details)
 
     def requests(self, upstream: str, now: clock.Ms) -> tuple[int, int] | None:
         """Return the requests at an upstream and how many of them are late.
@@ -49,7 +56,7 @@
         """
         known = False
         count = late = 0
-        for by_upstream, at in self._report_by_daemon.values():
+        for by_upstream, at, _ in self._report_by_daemon.values():
             if now - at > _TTL:
                 continue
             known = True
@@ -57,3 +64,32 @@
             count += reported[0]
             late += reported[1]
         return (count, late) if known else None
+
+    def tokens(self, upstream: str, now: clock.Ms) -> int:
+        """Return the size in tokens of the requests at an upstream.
+
+        :param upstream: its id.
+        :param now: monotonic ms.
+        """
+        return sum(
+            report.details.tokens_by_upstream.get(upstream, 0)
+            for report in self._valid(now)
+        )
+
+    def use_by_team(self, pool: str, now: clock.Ms) -> dict[str, int]:
+        """Return the requests in a replica pool by team.
+
+        :param pool: its name.
+        :param now: monotonic ms.
+        """
+        valid = loaddetails.total(
+            report.details for report in self._valid(now)
+        )
+        return valid.use_by_pool.get(pool, {})
+
+    def _valid(self, now: clock.Ms) -> list[_Report]:
+        return [
+            report
+            for report in self._report_by_daemon.values()
+            if now - report.at <= _TTL
+        ]
--- a/tests/adapter/decoding.feature
+++ b/tests/adapter/decoding.feature
@@ -36,3 +36,24 @@
   Scenario: the platform's settings file
     When a settings file of the platform is read
     Then the daemon's settings hold its addresses and bounds
+
+  Scenario Outline: features with the contracts <contracts>, without <without>
+    Guards against a feature in force where nothing asks for it, or that an
+    operator can't switch off.
+
+    When a settings file with the contracts "<contracts>" is read, without "<without>"
+    Then its features are "<features>"
+
+    Examples:
+      | contracts      | without                | features                                                          |
+      | none           | none                   | fair_shares, even_load, local_rooms                               |
+      | base, pressure | none                   | fair_shares, even_load, local_rooms, slow_peers, memory_limits    |
+      | base, pressure | even_load, local_rooms | fair_shares, slow_peers, memory_limits                            |
+
+  Scenario: an unknown feature is to be switched off
+    When a settings file with the contracts "none" is read, without "evenload"
+    Then it is refused, and the features to choose from are named
+
+  Scenario: limits of the VM
+    When a settings file of a VM with limits is read
+    Then the daemon knows its memory, processors and link
--- a/tests/adapter/steps/adapter_steps.py
+++ b/tests/adapter/steps/adapter_steps.py
@@ -2,13 +2,16 @@
 
 import copy
 import json
+import os
 import pathlib
 import tempfile
+from unittest import mock
 
 import behave
 import eventlet
 
 from citronvalve.model import clock
+from citronvalve.model import errors
 from citronvalve.model import missing
 from citronvalve.routes import kind
 from citronvalve.storage import client
@@ -329,26 +332,71 @@
     assert check[read](), catalogue
 
 
-@behave.when("a settings file of the platform is read")
-def step_settings(context):
+#: What a settings file of the platform must have.
+_SETTINGS_FILE = {
+    "NodeName": "front-a-1",
+    "Zone": "a",
+    "Ip": "10.1.0.40",
+    "Listen": {"Front": "10.1.0.40:8227", "Ready": "10.1.0.40:8220"},
+    "InternalPorts": [7340, 7355],
+    "Platform": {"Address": "10.200.1.7:8223", "form": "table"},
+}
+
+
+def _settings(**fields):
     from adapter import settingsfile
 
-    value = {
-        "NodeName": "front-a-1",
-        "Zone": "a",
-        "Ip": "10.1.0.40",
-        "Listen": {"Front": "10.1.0.40:8227", "Ready": "10.1.0.40:8220"},
-        "InternalPorts": [7340, 7355],
-        "Bootstrap": True,
-        "Bounds": {"RetryBudgetSlack": 130, "GraceS": 8, "ColdSlack": 5},
-        "Platform": {"Address": "10.200.1.7:8223", "form": "table"},
-        "NewField": [1],
-    }
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder) / "local.json"
-        path.write_text(json.dumps(value))
+        path.write_text(json.dumps(_SETTINGS_FILE | fields))
         file = settingsfile.read(str(path))
-    context.settings = settingsfile.translate(file)
+    return settingsfile.translate(file)
+
+
+@behave.when("a settings file of the platform is read")
+def step_settings(context):
+    context.settings = _settings(
+        Bootstrap=True,
+        Bounds={"RetryBudgetSlack": 130, "GraceS": 8, "ColdSlack": 5},
+        NewField=[1],
+    )
+
+
+@behave.when(
+    'a settings file with the contracts "{contracts}" is read, '
+    'without "{without}"'
+)
+def step_contracts(context, contracts, without):
+    names = [name for name in contracts.split(", ") if name != "none"]
+    excluded = "" if without == "none" else without
+    with mock.patch.dict(os.environ, {"CITRONVALVE_WITHOUT": excluded}):
+        try:
+            context.settings = _settings(Contracts=names)
+        except errors.SettingsError as error:
+            context.error = error
+
+
+@behave.then('its features are "{features}"')
+def step_features(context, features):
+    switched = context.settings.features._asdict()
+    on = [name for name, is_on in switched.items() if is_on]
+    assert on == features.split(", "), on
+
+
+@behave.then("it is refused, and the features to choose from are named")
+def step_unknown_feature(context):
+    assert "even_load" in str(context.error), context.error
+
+
+@behave.when("a settings file of a VM with limits is read")
+def step_limits(context):
+    limits = {"CpuShare": 0.5, "Cores": 2, "MemoryMb": 200, "LinkMbps": 10.0}
+    context.settings = _settings(Limits=limits)
+
+
+@behave.then("the daemon knows its memory, processors and link")
+def step_machine(context):
+    assert context.settings.machine == (200_000_000, 1.0, 1_250.0)
 
 
 @behave.then("the daemon's settings hold its addresses and bounds")
--- a/tests/news/news.feature
+++ b/tests/news/news.feature
@@ -17,6 +17,20 @@
       | 82    | 3      | 15    | 300  |
       | 100   | 5      | 15    | 300  |
 
+  Scenario Outline: details of requests reach all of <count> daemons
+    Guards against daemons that know only their own part of what teams use,
+    or count it twice.
+
+    Given <count> daemons in <places> data centres, each with requests
+    And each daemon states 2 requests of team-a and 300 tokens at r-1
+    When 3000 ms pass
+    Then each daemon counts those of all other daemons
+
+    Examples:
+      | count | places |
+      | 6     | 3      |
+      | 82    | 3      |
+
   Scenario: the coordinator of a data centre is killed
     The other daemons there get no counts until each of them reports to the
     next in rank, within a second. Until then they use the last known counts.
--- a/tests/news/simulation.py
+++ b/tests/news/simulation.py
@@ -5,6 +5,7 @@
 
 from citronvalve.peers import distributor
 from citronvalve.peers import messages
+from citronvalve.policy import loaddetails
 from citronvalve.policy import upstreamchoice
 
 #: Times in ms.
@@ -24,6 +25,7 @@
             name, datacentre, self.loads
         )
         self.request_counts = {}
+        self.details = loaddetails.NONE
         self.received_by_payload = collections.Counter()
         self.sent_count = 0
         self.received_count = 0
@@ -74,7 +76,7 @@
                 ) % REPORT_INTERVAL:
                     continue
                 out = daemon.distributor.report_loads(
-                    daemon.request_counts, self.now
+                    daemon.request_counts, self.now, daemon.details
                 )
                 out += daemon.distributor.load_sums(self.now)
                 self._send(daemon, out)
--- a/tests/news/steps/news_steps.py
+++ b/tests/news/steps/news_steps.py
@@ -6,6 +6,7 @@
 
 from citronvalve.peers import messages
 from citronvalve.peers import rendezvous
+from citronvalve.policy import loaddetails
 from tests.news import simulation as simulations
 
 _REPLICAS = ("r-1", "r-2", "r-3")
@@ -22,6 +23,32 @@
         daemon.request_counts = {upstream: (1 + number % 4, number % 2)}
 
 
+@behave.given(
+    "each daemon states {use:d} requests of {team} and {tokens:d} tokens "
+    "at {upstream}"
+)
+def step_details(context, use, team, tokens, upstream):
+    context.details = loaddetails.LoadDetails(
+        {upstream: tokens}, {"pool": {team: use}}
+    )
+    for daemon in context.simulation.alive:
+        daemon.details = context.details
+
+
+@behave.then("each daemon counts those of all other daemons")
+def step_all_details(context):
+    daemons = context.simulation.alive
+    others = len(daemons) - 1
+    now = context.simulation.now
+    for daemon in daemons:
+        remote = daemon.loads.remote_loads
+        for upstream, tokens in context.details.tokens_by_upstream.items():
+            assert remote.tokens(upstream, now) == others * tokens
+        for pool, expected in context.details.use_by_pool.items():
+            use = remote.use_by_team(pool, now)
+            assert use == {t: others * n for t, n in expected.items()}, use
+
+
 @behave.when("{span:d} ms pass")
 def step_pass(context, span):
     context.simulation.run(span)
