Let callers read slowly without holding up their upstreams

A caller that read slowly stopped the reading from its upstream: responses were written with sendall, 10 s at most, in the task that reads. With the feature slow_peers a write is one call that never waits; what the caller does not take is buffered and written by a task that exists only meanwhile. All buffers of a daemon share a budget from the VM's memory; used up, whoever holds most for longest is ended. The account of the memory is in the metrics.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -15,6 +15,7 @@
 from citronvalve.daemon import health
 from citronvalve.daemon import linktask
 from citronvalve.daemon import listener
+from citronvalve.daemon import memorytask
 from citronvalve.daemon import messagetask
 from citronvalve.daemon import plannertask
 from citronvalve.daemon import platforminterface as ports_
@@ -87,6 +88,7 @@
             self._log,
             platform.header_names,
         )
+        self._memory = memorytask.MemoryTask(self.env, settings)
         self.directory = directories.Directory(settings.datacentre)
         self._loads = upstreamchoice.LoadTable()
         self._stop = eventlet.event.Event()
@@ -299,6 +301,7 @@
         set_gauge("in_progress", "Requests now.", self._forwarder.in_progress)
         set_gauge("connections", "Callers' connections.", self._acceptor.count)
         self._links.set_gauges(set_gauge)
+        self._memory.set_gauges(set_gauge)
         set_gauge("log_lines_dropped", "Lines dropped.", self._log.dropped)
         set_gauge(
             "leading", "Whether it leads.", float(bool(self._lease.held))
--- /dev/null
+++ b/src/citronvalve/daemon/memorytask.py
@@ -0,0 +1,65 @@
+"""The limits, gauges and log lines of a daemon's memory."""
+
+from collections.abc import Callable
+import resource
+
+from citronvalve.daemon import entrysettings
+from citronvalve.forward import bodybuffer
+from citronvalve.forward import environment as environments
+from citronvalve.policy import memoryaccount
+from citronvalve.policy import memorylimits
+from citronvalve.policy import unsentbudget
+
+_KIBIBYTE = 1_024
+
+
+class MemoryTask:
+    """Sets what a daemon may hold, where its deployment asks for limits.
+
+    :param env: the daemon's environment.
+    :param settings: checked settings.
+    """
+
+    def __init__(
+        self,
+        env: environments.Environment,
+        settings: entrysettings.EntrySettings,
+    ) -> None:
+        self._env = env
+        if not settings.features.slow_peers:
+            return
+        limits = memorylimits.divide(settings.machine.memory, peak_bytes())
+        account = env.memory
+        account.limit = limits.total
+        account.on_change = self._log_change
+        env.unsent = unsentbudget.UnsentBudget(limits.unsent, account)
+        env.body_space = bodybuffer.BodySpace(limits.answers, account)
+
+    def set_gauges(self, set_gauge: Callable[[str, str, float], None]) -> None:
+        """Show the account.
+
+        :param set_gauge: sets a gauge by name, documentation and value.
+        """
+        account = self._env.memory
+        for part in memoryaccount.Part:
+            held, peak = account.bytes_of(part), account.peak_of(part)
+            set_gauge(f"memory_{part}_bytes", "Held now.", held)
+            set_gauge(f"memory_{part}_peak_bytes", "Most held.", peak)
+        set_gauge("memory_bytes", "Counted of all parts.", account.total)
+        set_gauge("memory_peak_bytes", "Most of all parts.", account.peak)
+        set_gauge("memory_limit_bytes", "0 is none.", account.limit)
+        set_gauge("process_peak_bytes", "Most resident.", peak_bytes())
+
+    def _log_change(self, is_full: bool) -> None:
+        account = self._env.memory
+        self._env.log.change(
+            "memory full" if is_full else "memory free",
+            limit=account.limit,
+            **{part: account.bytes_of(part) for part in memoryaccount.Part},
+        )
+
+
+def peak_bytes() -> int:
+    """Return the most bytes that the process has had resident."""
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_maxrss * _KIBIBYTE
--- a/src/citronvalve/forward/acceptor.py
+++ b/src/citronvalve/forward/acceptor.py
@@ -15,10 +15,6 @@
 #: only after a second.
 _BACKLOG = 1_024
 
-#: Bytes of a response that the kernel buffers for a slow caller.
-_SEND_BUFFER = 65_536
-
-
 #: Part of the connections, 1 / n, that are closed as idle at once when there
 #: is no room for another one.
 _CLOSED_PART = 16
--- a/src/citronvalve/forward/bodybuffer.py
+++ b/src/citronvalve/forward/bodybuffer.py
@@ -1,6 +1,7 @@
 """Bodies of responses that are buffered until they are complete."""
 
 from citronvalve.forward import exchangeerror
+from citronvalve.policy import memoryaccount
 
 #: Largest body in bytes: of an answer, and of a failure that is relayed.
 MAX_ANSWER = 8 * 1024 * 1024
@@ -22,11 +23,25 @@
     """Bytes that bodies may still take, for all requests of a daemon.
 
     :param free: at the start.
+    :param account: counts them, too.
     :ivar free: the bytes that are left.
     """
 
-    def __init__(self, free: int = MAX_TOTAL) -> None:
+    def __init__(
+        self,
+        free: int = MAX_TOTAL,
+        account: memoryaccount.MemoryAccount | None = None,
+    ) -> None:
         self.free = free
+        self._account = account or memoryaccount.MemoryAccount()
+
+    def take(self, size: int) -> None:
+        """Take bytes; a negative size gives them back.
+
+        :param size: bytes.
+        """
+        self.free -= size
+        self._account.add(memoryaccount.Part.ANSWERS, size)
 
 
 class BodyBuffer:
@@ -58,7 +73,7 @@
             return
         if len(data) > self._space.free:
             raise _too_large("bodies of responses take too much memory")
-        self._space.free -= len(data)
+        self._space.take(len(data))
         self._data += data
 
     def content(self) -> bytes:
@@ -67,7 +82,7 @@
 
     def release(self) -> None:
         """Give back the space that it takes."""
-        self._space.free += len(self._data)
+        self._space.take(-len(self._data))
         self._data = bytearray()
 
 
--- a/src/citronvalve/forward/callerconnection.py
+++ b/src/citronvalve/forward/callerconnection.py
@@ -13,6 +13,7 @@
 from citronvalve.forward import environment as environments
 from citronvalve.forward import headers
 from citronvalve.forward import notread
+from citronvalve.forward import output
 from citronvalve.forward import problem
 from citronvalve.forward import receiving
 from citronvalve.forward import reply
@@ -27,9 +28,6 @@
 #: Bytes that a caller may pipeline while its request is answered.
 _MAX_PIPELINED_BYTES = 65_536
 
-#: A caller that reads nothing for this long is disconnected.
-_WRITE_TIMEOUT: clock.Ms = 10_000
-
 #: Time to drain unread bytes after a refusal: closing at once would reset the
 #: connection and discard the response in flight.
 _LINGER: clock.Ms = 1_000
@@ -71,6 +69,8 @@
         self._env = env
         self._limits = limits
         self._handler = handler
+        self._output = output.open_output(sock, env, self._interrupt)
+        self._task: eventlet.greenlet.greenlet | None = None
         self._parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits().max_header_bytes
         )
@@ -87,10 +87,16 @@
             while self._serve_one():
                 pass
             self._close_gracefully()
-        except (OSError, h11.LocalProtocolError):
+        except (
+            OSError,
+            h11.LocalProtocolError,
+            callergone.CallerGoneError,
+        ):
             # The caller has disconnected or the response was aborted; the
             # log line of the request says which.
             self._reset()
+        finally:
+            self._output.close()
 
     def close_if_idle(self) -> bool:
         """Close the connection if it waits for a request.
@@ -138,6 +144,10 @@
     def finish(self) -> None:
         self._write(self._parser.send(h11.EndOfMessage()))
 
+    def wait_written(self) -> None:
+        if not self._aborted:
+            self._output.wait_written()
+
     def abort(self) -> None:
         self._aborted = True
 
@@ -154,8 +164,7 @@
         )
 
     def _write(self, data: bytes) -> None:
-        self._sock.settimeout(_WRITE_TIMEOUT / clock.SECOND)
-        self._sock.sendall(data)
+        self._output.write(data)
 
     def _serve_one(self) -> bool:
         try:
@@ -180,22 +189,35 @@
         return True
 
     def _answer(self, request: callerrequest.CallerRequest) -> None:
-        watch = eventlet.spawn(self._watch_caller, eventlet.getcurrent())
+        self._task = eventlet.getcurrent()
+        watch = eventlet.spawn(self._watch_caller)
         try:
             self._handler(request, self)
+            self.wait_written()
         finally:
+            self._task = None
             watch.kill()
 
-    def _watch_caller(self, handler: eventlet.greenlet.greenlet) -> None:
+    def _watch_caller(self) -> None:
         try:
             while self._pipelined_bytes < _MAX_PIPELINED_BYTES:
                 self._receive_pipelined(
                     receiving.receive(self._sock, _READ_SIZE, None)
                 )
         except (OSError, h11.RemoteProtocolError) as error:
-            eventlet.hubs.get_hub().schedule_call_global(
-                0, _throw_into, handler, _caller_gone(error)
-            )
+            self._interrupt(_caller_gone(error))
+
+    def _interrupt(self, error: Exception) -> None:
+        """Raise an error in the handler, if it is still at work then."""
+        eventlet.hubs.get_hub().schedule_call_global(
+            0, self._throw, self._task, error
+        )
+
+    def _throw(
+        self, task: eventlet.greenlet.greenlet | None, error: Exception
+    ) -> None:
+        if task is not None and task is self._task:
+            task.throw(error)
 
     def _receive_pipelined(self, data: bytes) -> None:
         """Buffer what a caller sends while its request is answered.
@@ -309,6 +331,7 @@
             self.send_whole(rendered.status, head, rendered.body)
 
     def _close_gracefully(self) -> None:
+        self._output.wait_written()
         self._sock.shutdown(socket.SHUT_WR)
         deadline = self._env.clock.now() + _LINGER
         while (remaining := deadline - self._env.clock.now()) > 0:
@@ -317,6 +340,7 @@
         self._sock.close()
 
     def _reset(self) -> None:
+        self._output.close()
         with contextlib.suppress(OSError):
             # Without a reset, an aborted response of unknown length would look
             # like a complete one.
@@ -327,13 +351,6 @@
             self._sock.close()
 
 
-def _throw_into(
-    handler: eventlet.greenlet.greenlet, error: BaseException
-) -> None:
-    if not handler.dead:
-        handler.throw(error)
-
-
 def _caller_gone(error: Exception) -> callergone.CallerGoneError:
     return callergone.CallerGoneError(f"the caller has disconnected: {error}")
 
--- a/src/citronvalve/forward/environment.py
+++ b/src/citronvalve/forward/environment.py
@@ -7,6 +7,8 @@
 from citronvalve.forward import metrics as metrics_
 from citronvalve.model import clock
 from citronvalve.model import decisionlog
+from citronvalve.policy import memoryaccount
+from citronvalve.policy import unsentbudget
 
 
 class Environment:
@@ -19,6 +21,9 @@
     :param log: the decision log.
     :param header_names: names of the headers that the daemon reads and sets.
     :ivar body_space: space for the bodies of responses.
+    :ivar memory: the account of the memory.
+    :ivar unsent: budget for what callers have not read, None if writes wait
+        for them.
     :ivar stopping: set once the daemon has been asked to stop.
     :ivar daemon_count: how many daemons share the limits.
     """
@@ -39,6 +44,8 @@
         self.log = log
         self.header_names = header_names
         self.metrics = metrics_.Metrics()
-        self.body_space = bodybuffer.BodySpace()
+        self.memory = memoryaccount.MemoryAccount()
+        self.body_space = bodybuffer.BodySpace(account=self.memory)
+        self.unsent: unsentbudget.UnsentBudget | None = None
         self.stopping = False
         self.daemon_count = 1
--- a/src/citronvalve/forward/forwarder.py
+++ b/src/citronvalve/forward/forwarder.py
@@ -81,6 +81,7 @@
         self._routed_by_dispatch[dispatch] = routed
         try:
             dispatch.run()
+            reply.wait_written()
         except callergone.CallerGoneError:
             dispatch.outcome, dispatch.reason = "left", "caller closed"
             reply.abort()
--- a/src/citronvalve/forward/reply.py
+++ b/src/citronvalve/forward/reply.py
@@ -52,6 +52,13 @@
     def finish(self) -> None:
         """End a started response as complete."""
 
+    def wait_written(self) -> None:
+        """Wait until the caller has taken the response.
+
+        :raises callergone.CallerGoneError: when the caller does not.
+        :raises OSError: when the connection is closed.
+        """
+
     @abc.abstractmethod
     def abort(self) -> None:
         """Close the connection so that the response is seen as incomplete."""
--- /dev/null
+++ b/src/citronvalve/policy/unsentbudget.py
@@ -0,0 +1,121 @@
+"""The budget for what callers have not read yet."""
+
+from collections.abc import Hashable
+import itertools
+from typing import NamedTuple
+
+from citronvalve.model import clock
+from citronvalve.policy import memoryaccount
+
+_PART = memoryaccount.Part.UNSENT
+
+#: Callers that are compared, those that hold any for longest.
+_MAX_COMPARED = 128
+
+
+class Held(NamedTuple):
+    """What one caller holds: bytes, and since when any, in monotonic ms."""
+
+    size: int
+    since: clock.Ms
+
+
+class Ended(NamedTuple):
+    """A caller that is to be ended, and what it held."""
+
+    caller: Hashable
+    held: Held
+
+
+class UnsentBudget:
+    """Bytes that all callers of a daemon share; they never exceed it.
+
+    Once it is used up, the caller that holds most for longest, by the product
+    of both, is to be ended first.
+
+    :param most: bytes.
+    :param account: counts them, too.
+    """
+
+    def __init__(
+        self, most: int, account: memoryaccount.MemoryAccount
+    ) -> None:
+        self.most = most
+        self._account = account
+        # Ordered by the time since when they hold any.
+        self._held_by_caller: dict[Hashable, Held] = {}
+
+    @property
+    def used(self) -> int:
+        """Return the bytes that are held."""
+        return self._account.bytes_of(_PART)
+
+    @property
+    def holders(self) -> int:
+        """Return how many callers hold any."""
+        return len(self._held_by_caller)
+
+    def held(self, caller: Hashable) -> Held | None:
+        """Return what a caller holds, None if that is nothing.
+
+        :param caller: its connection.
+        """
+        return self._held_by_caller.get(caller)
+
+    def take(self, caller: Hashable, size: int, now: clock.Ms) -> list[Ended]:
+        """Take bytes for a caller.
+
+        :param caller: its connection.
+        :param size: bytes.
+        :param now: monotonic ms.
+        :returns: the callers to be ended, whose bytes have been given back;
+            the same caller may be one of them.
+        """
+        held = self._held_by_caller.get(caller, Held(0, now))
+        mine = Held(held.size + size, held.since)
+        ended: list[Ended] = []
+        while self.used + size > self.most:
+            worst = self._find_worst(Ended(caller, mine), now)
+            self.drop(worst.caller)
+            ended.append(worst)
+            if worst.caller is caller:
+                return ended
+        self._held_by_caller[caller] = mine
+        self._account.add(_PART, size)
+        return ended
+
+    def give(self, caller: Hashable, size: int) -> None:
+        """Give back what a caller has read.
+
+        :param caller: its connection.
+        :param size: bytes, at most those that it holds.
+        """
+        held = self._held_by_caller[caller]
+        if held.size == size:
+            del self._held_by_caller[caller]
+        else:
+            left = held._replace(size=held.size - size)
+            self._held_by_caller[caller] = left
+        self._account.add(_PART, -size)
+
+    def drop(self, caller: Hashable) -> None:
+        """Give back all that a caller holds.
+
+        :param caller: its connection.
+        """
+        held = self._held_by_caller.pop(caller, None)
+        if held is not None:
+            self._account.add(_PART, -held.size)
+
+    def _find_worst(self, taker: Ended, now: clock.Ms) -> Ended:
+        worst, weight = taker, _weight(taker.held, now)
+        oldest = itertools.islice(self._held_by_caller.items(), _MAX_COMPARED)
+        for caller, held in oldest:
+            if caller is not taker.caller and _weight(held, now) > weight:
+                worst, weight = Ended(caller, held), _weight(held, now)
+        return worst
+
+
+def _weight(held: Held, now: clock.Ms) -> int:
+    # Callers that have just begun to hold differ by their bytes.
+    return held.size * (now - held.since + 1)
--- a/standins/answerparts.py
+++ b/standins/answerparts.py
@@ -7,12 +7,14 @@
 PAUSE = 0.8
 
 
-def event(number: int) -> bytes:
+def event(number: int, size: int = 0) -> bytes:
     """Return an event of a stream.
 
     :param number: its id.
+    :param size: bytes that it has at least.
     """
-    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+    piece = b"id: %d\ndata: piece %d" % (number, number)
+    return piece.ljust(size - 2, b".") + b"\n\n"
 
 
 def chunk(data: bytes) -> bytes:
--- a/standins/scriptedrunner.py
+++ b/standins/scriptedrunner.py
@@ -8,6 +8,7 @@
 
 from standins import answerparts
 from standins import endlessanswers
+from standins import longanswers
 from standins import unframedstreams
 
 #: Seconds that a silent runner stays silent.
@@ -18,7 +19,9 @@
 
 
 class ScriptedRunner(
-    unframedstreams.UnframedStreams, endlessanswers.EndlessAnswers
+    unframedstreams.UnframedStreams,
+    endlessanswers.EndlessAnswers,
+    longanswers.LongAnswers,
 ):
     """Serves on a port of its own until it is closed.
 
--- a/tests/forward/rig.py
+++ b/tests/forward/rig.py
@@ -1,6 +1,7 @@
 """The forwarding path of one daemon in front of scripted runners."""
 
 import random
+import socket
 
 from citronvalve.forward import acceptor
 from citronvalve.forward import admission
@@ -51,11 +52,19 @@
 
 
 class CuttableConnector(connector.Connector):
-    """Opens no connection while ``refuses`` is set."""
+    """Opens no connection while ``refuses`` is set.
+
+    ``receive_buffer`` is how many bytes the kernel holds unread, if set.
+    """
 
     refuses = False
+    receive_buffer = 0
 
     def _connect(self, sock, target, timeout):
+        if self.receive_buffer:
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer
+            )
         if self.refuses:
             raise ConnectionRefusedError("the links are cut")
         super()._connect(sock, target, timeout)
