Give up upstreams that do not read a request in time

An upstream that read slowly held its callers for 2.5 objectives or until the deadline, and got the next requests all the same; a short request that did not fit was sent without a time. A request not sent in time goes to another upstream where it may be repeated, or where its head was not sent; otherwise it is waited for, since an upstream may begin before it has read the body. The slow one gets no new requests for 2.5 s.

--- a/src/citronvalve/forward/attempt.py
+++ b/src/citronvalve/forward/attempt.py
@@ -308,6 +308,9 @@
                 if self.result is None:
                     self._record_silence()
                 return _Result(_Ending.STALLED, why)
+            case _Failure.UNSENT:
+                self._record_failure()
+                return _Result(_Ending.NOT_RUN, why)
         self._record_failure()
         return _Result(_Ending.BROKEN, why)
 
--- a/src/citronvalve/forward/connector.py
+++ b/src/citronvalve/forward/connector.py
@@ -35,6 +35,10 @@
 #: No further daemon is asked after this time.
 _MAX_ASK_TIME: clock.Ms = 600
 
+#: Bytes of a request that the kernel holds where slow reading is to be seen:
+#: by its own choice it takes in megabytes.
+_SEND_BUFFER = 65_536
+
 _Failure = exchangeerror.ExchangeFailure
 _Reason = relayframe.Reason
 
@@ -303,7 +307,8 @@
         self.links.record_opened(target.upstream, self._env.clock.now())
         if was_cut and not self.links.is_cut:
             self._env.log.change("links back", upstream=target.upstream)
-        return transport.prepare(sock)
+        is_bounded = self._env.unsent is not None
+        return transport.prepare(sock, _SEND_BUFFER if is_bounded else 0)
 
     def _failed(self, error: OSError) -> exchangeerror.ExchangeError:
         refused = isinstance(error, ConnectionRefusedError)
--- a/src/citronvalve/forward/environment.py
+++ b/src/citronvalve/forward/environment.py
@@ -24,6 +24,7 @@
     :ivar memory: the account of the memory.
     :ivar unsent: budget for what callers have not read, None if writes wait
         for them.
+    :ivar link: bytes per ms of the VM's link, 0 if that is not known.
     :ivar stopping: set once the daemon has been asked to stop.
     :ivar daemon_count: how many daemons share the limits.
     """
@@ -47,5 +48,6 @@
         self.memory = memoryaccount.MemoryAccount()
         self.body_space = bodybuffer.BodySpace(account=self.memory)
         self.unsent: unsentbudget.UnsentBudget | None = None
+        self.link = 0.0
         self.stopping = False
         self.daemon_count = 1
--- a/src/citronvalve/forward/exchangeerror.py
+++ b/src/citronvalve/forward/exchangeerror.py
@@ -12,6 +12,10 @@
     REFUSED = "refused"
     #: Neither this VM nor another daemon that relays has a link.
     NO_LINK = "no link"
+    #: Its head was not read in time, so nothing can have run.
+    UNSENT = "unsent"
+    #: The request was not read whole in time; it may have run.
+    SLOW = "slow"
     #: Closed or reset; a request that was sent may have run.
     BROKEN = "broken"
     SILENT = "silent"
--- a/src/citronvalve/forward/responsereader.py
+++ b/src/citronvalve/forward/responsereader.py
@@ -9,6 +9,7 @@
 from citronvalve.forward import routedrequest
 from citronvalve.forward import upstreamconnection
 from citronvalve.model import clock
+from citronvalve.policy import sending
 from citronvalve.policy import upstreamchoice
 
 #: An upstream may answer at the deadline itself; its response still has to
@@ -47,6 +48,10 @@
 #: A plain upstream that is silent for this long may be behind a lost link.
 _PLAIN_DOUBT_TIME: clock.Ms = 450
 
+#: An upstream that has not read a request in time gets no new ones for this
+#: time.
+_SLOW_AVOID_TIME: clock.Ms = 2_500
+
 _Failure = exchangeerror.ExchangeFailure
 
 
@@ -70,6 +75,7 @@
         chosen: upstreamchoice.Chosen,
         can_switch: Callable[[], bool],
     ) -> None:
+        self._env = deps.env
         self._clock = deps.env.clock
         self._stall_detector = deps.stall_detector
         self._routed = routed
@@ -137,6 +143,7 @@
                     raise
                 waited += self._count_silence(self._clock.now() - started_at)
                 self.check_others()
+                self._check_sent(connection)
                 # Checked at each poll: a replica may open in between.
                 # Checked for each request: also one that can't switch shows
                 # that a link is lost.
@@ -145,6 +152,35 @@
                 if is_given_up and self._can_switch():
                     raise
 
+    def _check_sent(
+        self, connection: upstreamconnection.UpstreamConnection
+    ) -> None:
+        """Give up an upstream that does not read its request in time.
+
+        One that may run a request that no other upstream may have is waited
+        for until the deadline.
+
+        :raises exchangeerror.ExchangeError: when it is given up.
+        """
+        if self._env.unsent is None or not connection.is_unread:
+            return
+        began_at = connection.sending_since
+        allowed = sending.time_allowed(
+            len(self._routed.request.body),
+            self._routed.route.latency_objective,
+            self._routed.deadline - began_at,
+            self._env.link,
+        )
+        elapsed = self._clock.now() - began_at
+        if elapsed < allowed:
+            return
+        self._stall_detector.avoid(self._chosen.upstream, _SLOW_AVOID_TIME)
+        why = f"the request was not read in {elapsed} ms"
+        if not connection.may_run:
+            raise exchangeerror.ExchangeError(_Failure.UNSENT, why)
+        if self._can_switch():
+            raise exchangeerror.ExchangeError(_Failure.SLOW, why)
+
     def _count_silence(self, elapsed: clock.Ms) -> clock.Ms:
         """Return how much of a poll counts as silence of the upstream."""
         if elapsed > _MAX_POLL_TIME:
--- a/src/citronvalve/forward/transport.py
+++ b/src/citronvalve/forward/transport.py
@@ -5,6 +5,7 @@
 import socket
 
 from eventlet.green import socket as green_socket
+from eventlet import hubs
 
 from citronvalve.forward import receiving
 from citronvalve.model import clock
@@ -41,6 +42,21 @@
         :raises OSError: when the transport is closed.
         """
 
+    def send_some(self, data: bytes | memoryview) -> int:
+        """Send bytes as far as they fit; return how many were sent.
+
+        :param data: the bytes.
+        :raises OSError: when the transport is closed.
+        """
+        self.send(bytes(data))
+        return len(data)
+
+    def wait_writable(self) -> None:
+        """Wait until more bytes fit.
+
+        :raises OSError: when the transport is closed.
+        """
+
     @abc.abstractmethod
     def receive(self, max_bytes: int, timeout: clock.Ms | None) -> bytes:
         """Return the next bytes, or none when the upstream has closed.
@@ -73,6 +89,15 @@
         self._sock.settimeout(None)
         self._sock.sendall(data)
 
+    def send_some(self, data: bytes | memoryview) -> int:
+        try:
+            return self._sock.fd.send(data)
+        except BlockingIOError:
+            return 0
+
+    def wait_writable(self) -> None:
+        hubs.trampoline(self._sock.fd, write=True)
+
     def receive(self, max_bytes: int, timeout: clock.Ms | None) -> bytes:
         return receiving.receive(self._sock, max_bytes, timeout)
 
@@ -84,10 +109,13 @@
             self._sock.close()
 
 
-def prepare(sock: green_socket.socket) -> SocketTransport:
+def prepare(
+    sock: green_socket.socket, send_buffer: int = 0
+) -> SocketTransport:
     """Return the transport of a connected socket.
 
     :param sock: a green socket.
+    :param send_buffer: bytes that the kernel holds unread, 0 for its choice.
     """
     # A peer that has closed already may refuse options; reading shows it.
     with contextlib.suppress(OSError):
@@ -95,6 +123,8 @@
         sock.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT
         )
+        if send_buffer:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer)
     return SocketTransport(sock)
 
 
--- a/src/citronvalve/forward/upstreamconnection.py
+++ b/src/citronvalve/forward/upstreamconnection.py
@@ -10,6 +10,7 @@
 from citronvalve.forward import relaytransport
 from citronvalve.forward import transport as transports
 from citronvalve.model import clock
+from citronvalve.policy import sending
 
 _READ_SIZE = 65_536
 
@@ -35,6 +36,7 @@
     :param transport: connected to the upstream.
     :param time_source: the clock.
     :ivar reusable_until: monotonic ms until which it may be reused.
+    :ivar sending_since: monotonic ms at which the sending began.
     :ivar used: whether an exchange on it has completed.
     """
 
@@ -46,11 +48,28 @@
         self._parser = h11.Connection(h11.CLIENT)
         self._method = b"GET"
         self._sender: eventlet.greenthread.GreenThread | None = None
+        self._handed = 0
+        self._head_size = 0
         self._parts = 0
         self._preliminary = 0
         self.reusable_until: clock.Ms = 0
+        self.sending_since: clock.Ms = 0
         self.used = False
 
+    @property
+    def is_unread(self) -> bool:
+        """Return whether a part is not sent yet, and no response has begun."""
+        return (
+            self._sender is not None
+            and not self._sender.dead
+            and self._parser.their_state is h11.SEND_RESPONSE
+        )
+
+    @property
+    def may_run(self) -> bool:
+        """Return whether the upstream may run what it was sent."""
+        return sending.may_run(self._handed, self._head_size)
+
     @property
     def relay(self) -> str:
         """Return the name of the daemon that relays, empty if direct."""
@@ -88,13 +107,16 @@
         data = self._parser.send(
             h11.Request(method=method, target=target, headers=head)
         )
+        self._handed, self._head_size = 0, len(data)
+        self.sending_since = self._clock.now()
         if body:
             data += self._parser.send(h11.Data(body))
         data += self._parser.send(h11.EndOfMessage())
+        rest = memoryview(data)
         if len(data) <= _MAX_INLINE_SEND:
-            self._send(data)
-        else:
-            self._sender = eventlet.spawn(self._send_in_background, data)
+            rest = rest[self._send_some(rest) :]
+        if rest:
+            self._sender = eventlet.spawn(self._send_in_background, rest)
 
     def next_event(self, deadline: clock.Ms) -> h11.Event:
         """Return the next part of the response.
@@ -198,18 +220,26 @@
             self._sender.kill()
         self._transport.close()
 
-    def _send(self, data: bytes) -> None:
+    def _send_some(self, data: memoryview) -> int:
+        # Counted before, since a relay's transport waits until all is sent.
+        self._handed += len(data)
         try:
-            self._transport.send(data)
+            sent = self._transport.send_some(data)
         except OSError as error:
             raise exchangeerror.ExchangeError(
                 _Failure.BROKEN, str(error)
             ) from error
+        self._handed -= len(data) - sent
+        return sent
 
-    def _send_in_background(self, data: bytes) -> None:
+    def _send_in_background(self, data: memoryview) -> None:
         # The reader sees an error here as a broken response.
-        with contextlib.suppress(exchangeerror.ExchangeError):
-            self._send(data)
+        with contextlib.suppress(exchangeerror.ExchangeError, OSError):
+            while data:
+                sent = self._send_some(data)
+                data = data[sent:]
+                if data:
+                    self._transport.wait_writable()
 
     def _receive(self, deadline: clock.Ms) -> bytes:
         remaining = deadline - self._clock.now()
--- a/standins/scriptedrunner.py
+++ b/standins/scriptedrunner.py
@@ -9,6 +9,7 @@
 from standins import answerparts
 from standins import endlessanswers
 from standins import longanswers
+from standins import slowreading
 from standins import unframedstreams
 
 #: Seconds that a silent runner stays silent.
@@ -22,6 +23,7 @@
     unframedstreams.UnframedStreams,
     endlessanswers.EndlessAnswers,
     longanswers.LongAnswers,
+    slowreading.SlowReading,
 ):
     """Serves on a port of its own until it is closed.
 
@@ -77,15 +79,14 @@
     def _one(self, sock) -> bool:
         head = b""
         while b"\r\n\r\n" not in head:
-            data = sock.recv(65_536)
+            data = self._receive(sock)
             if not data:
                 return False
             head += data
         text, _, rest = head.partition(b"\r\n\r\n")
         fields = _fields(text)
         length = int(fields.get("content-length", 0))
-        while len(rest) < length:
-            rest += sock.recv(65_536)
+        rest = self._receive_body(sock, rest, length, fields)
         self.requests.append(text.decode())
         self.bodies.append(rest)
         turn = min(len(self.requests), len(self._script)) - 1
