Want replicas by model and data centre where local_rooms is on

Callers of a model with large replicas saw late answers while small replicas stood idle: a large replica that lost a member and had no spare became small ones at once, as by use of slots over the whole service nobody seemed to wait. Spares were staged with the small model.

The planner now derives wants by model and data centre from the load there, its peaks and the losses of the last 20 s. A lacking replica is formed first, or begins an exchange at once with small ones above what is wanted; what is left of a large replica is completed rather than split; spares are staged for the largest model of their domain. With the feature off, or with models of one size, plans are as before.

The works gain optional fields: shares and phases of data centres, loads a second, losses of any members, and a dark domain.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -163,6 +163,7 @@
             lambda: self._lease.held if self._lease.may_act() else 0,
             leaverecord.LeaveRecord(self._platform.open_table(), self._lease),
             self._is_before_traffic,
+            self._settings.features.local_rooms,
         )
         self._messages.on_stall = self._on_stall
         self._lease.has_majority = self._messages.hears_majority
--- a/src/citronvalve/daemon/plannertask.py
+++ b/src/citronvalve/daemon/plannertask.py
@@ -1,5 +1,6 @@
 """Task that plans the replica groups while this daemon leads."""
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 
@@ -16,6 +17,7 @@
 from citronvalve.replicas import planner as planners
 from citronvalve.replicas import runner as runners
 from citronvalve.replicas import runnerclient as givers
+from citronvalve.replicas import wants
 from citronvalve.routes import service as services
 
 #: Pause between two plans.
@@ -40,6 +42,7 @@
     :param leave_record: stored record of the runners that were ordered to
         leave their groups.
     :param is_before_traffic: returns whether no request has arrived yet.
+    :param local_rooms: whether replicas are wanted by data centre.
     :ivar read_list: reads the list of runners up to a revision of the store,
         if it is not yet known so far; returns whether it is.
     """
@@ -54,6 +57,7 @@
         lease_version: Callable[[], int],
         leave_record: leaverecord.LeaveRecord,
         is_before_traffic: Callable[[], bool],
+        local_rooms: bool = False,
     ) -> None:
         self._env = env
         self._directory = directory
@@ -66,6 +70,7 @@
         self._being_recorded: set[str] = set()
         self._record_due_at_by_service: dict[str, clock.Ms] = {}
         self._is_before_traffic = is_before_traffic
+        self._local_rooms = local_rooms
         self.read_list: Callable[[int], bool] = lambda _: False
         self._planned_lease = 0
         self._stalled_at_by_head: dict[str, clock.Ms] = {}
@@ -160,15 +165,29 @@
             planner = self._planner_by_service.get(name)
             if planner is None or planner.spec != service.engine:
                 planner = planners.Planner(
-                    service.engine, self._stall, self._epochs
+                    service.engine,
+                    self._stall,
+                    self._epochs,
+                    self._local_rooms,
                 )
                 planner.inherit_left(self._left_at_by_id(name))
                 self._planner_by_service[name] = planner
             self._drop_ended_stalls(planner)
             planner.before_traffic = self._is_before_traffic()
+            load_by_place = self._load_by_place(name, service, now)
             planner.demand.observe(
-                self._load_by_model(name, service, now), now
+                {
+                    model: sum(
+                        load
+                        for place, load in load_by_place.items()
+                        if place.model == model
+                    )
+                    for model in service.engine.model_by_name
+                },
+                now,
             )
+            if planner.wants is not None:
+                planner.wants.observe(load_by_place, now)
             self._carry_out(name, planner, self._runners(name), now)
         # A planner knows the groups only after its first step.
         for head in self._inherited_stalls:
@@ -184,16 +203,19 @@
             if runner in left_at_by_id
         }
 
-    def _load_by_model(
+    def _load_by_place(
         self, name: str, service: services.Service, now: clock.Ms
-    ) -> dict[str, float]:
-        return {
-            model: sum(
-                self._loads.of(head.upstream).total(now)
-                for head in self._directory.open_heads(name, model)
-            )
-            for model in service.engine.model_by_name
-        }
+    ) -> dict[wants.Place, float]:
+        """Return the requests at replicas by model and data centre."""
+        load_by_place: collections.Counter[wants.Place] = collections.Counter()
+        for model in service.engine.model_by_name:
+            for head in self._directory.open_heads(name, model):
+                runner = self._directory.runner_by_id[head.upstream]
+                place = wants.Place(model, runner.datacentre)
+                load_by_place[place] += self._loads.of(head.upstream).total(
+                    now
+                )
+        return load_by_place
 
     def _runners(self, service: str) -> dict[str, runners.Runner]:
         return {
--- a/src/citronvalve/replicas/builder.py
+++ b/src/citronvalve/replicas/builder.py
@@ -7,12 +7,14 @@
 
 from citronvalve.model import clock
 from citronvalve.replicas import demand as demands
+from citronvalve.replicas import layout as layouts
 from citronvalve.replicas import liveness as liveness_
 from citronvalve.replicas import membership
 from citronvalve.replicas import order as orders
 from citronvalve.replicas import outbox as outboxes
 from citronvalve.replicas import pending as pendings
 from citronvalve.replicas import phase
+from citronvalve.replicas import placechoice
 from citronvalve.replicas import replica as replicas
 from citronvalve.replicas import reservations as reservations_
 from citronvalve.replicas import runner as runners
@@ -78,6 +80,7 @@
         self.demand = demands.Demand(spec)
         self._largest_by_domain: Mapping[str, modelspec.ModelSpec] = {}
         self._held_for_by_domain: Mapping[str, str] = {}
+        self._layout: layouts.Layout | None = None
 
     def is_inherited(self, key: membership.GroupKey) -> bool:
         """Return whether an earlier leader formed a group.
@@ -147,6 +150,7 @@
         held_for_by_domain: Mapping[str, str],
         list_growing: bool,
         now: clock.Ms,
+        layout: layouts.Layout | None = None,
     ) -> list[Formed]:
         """Form as many replicas as possible from the free runners.
 
@@ -161,11 +165,14 @@
             are held until others join them.
         :param list_growing: whether more runners are expected shortly.
         :param now: monotonic ms.
+        :param layout: what each data centre wants, None if only the whole
+            service is looked at.
         :returns: the replicas that are being formed now.
         """
         formed = []
         self._largest_by_domain = largest_by_domain
         self._held_for_by_domain = held_for_by_domain
+        self._layout = layout
         for staged_only in (True, False):
             while one := self._form_one(
                 free_by_domain, count_by_model, list_growing, staged_only, now
@@ -182,14 +189,9 @@
         staged_only: bool,
         now: clock.Ms,
     ) -> Formed | None:
-        oversupplied = self._oversupplied(count_by_model)
-        for model in self._by_demand(count_by_model):
-            if model.name in oversupplied:
-                # Another replica of it would stay idle, and take runners
-                # that the other model can use once one more is free.
-                continue
+        for model, usable in self._choices(free_by_domain, count_by_model):
             domain = self._best_domain(
-                free_by_domain, model, count_by_model, staged_only
+                usable, model, count_by_model, staged_only
             )
             if domain is None and list_growing:
                 # Replicas of a smaller model would take the runners of the
@@ -207,11 +209,41 @@
             if started:
                 self._start(members, model, now)
             count_by_model[model.name] += 1
+            self._record_in_layout(model, members[0])
             for runner in members:
                 free.remove(runner)
             return Formed(model.name, domain, started)
         return None
 
+    def _record_in_layout(
+        self, model: modelspec.ModelSpec, head: runners.Runner
+    ) -> None:
+        # What an exchange gains is counted already.
+        held_for = self._held_for_by_domain.get(head.domain)
+        if self._layout is not None and held_for != model.name:
+            self._layout.add(model.name, head.datacentre)
+
+    def _choices(
+        self, free_by_domain: _FreeByDomain, count_by_model: _Counts
+    ) -> Iterator[tuple[modelspec.ModelSpec, _FreeByDomain]]:
+        """Yield models, the most urgent first, and domains to look at."""
+        if self._layout is not None:
+            yield from placechoice.lacking(
+                self._spec,
+                self._layout,
+                free_by_domain,
+                self._held_for_by_domain,
+            )
+            yield from placechoice.surplus(self._layout, free_by_domain)
+            return
+        oversupplied = self._oversupplied(count_by_model)
+        for model in self._by_demand(count_by_model):
+            if model.name in oversupplied:
+                # Another replica of it would stay idle, and take runners
+                # that the other model can use once one more is free.
+                continue
+            yield model, free_by_domain
+
     def _by_demand(self, count_by_model: _Counts) -> list[modelspec.ModelSpec]:
         """Return the models by their demand once there is one more replica."""
         models = self._spec.model_by_name
@@ -292,10 +324,11 @@
         if (
             largest is None
             or largest.size <= model.size
-            or largest.name in oversupplied
             or self._weights.before_traffic
         ):
             return 0
+        if largest.name in oversupplied and self._layout is None:
+            return 0
         return _SPARES_FOR_REPAIR
 
     def _choose_members(
--- a/src/citronvalve/replicas/exchanger.py
+++ b/src/citronvalve/replicas/exchanger.py
@@ -8,6 +8,8 @@
 
 from citronvalve.model import clock
 from citronvalve.replicas import demand as demands
+from citronvalve.replicas import layout as layouts
+from citronvalve.replicas import localexchange
 from citronvalve.replicas import membership
 from citronvalve.replicas import replica as replicas
 from citronvalve.replicas import runner as runners
@@ -52,6 +54,7 @@
     keys: tuple[membership.GroupKey, ...]
     pressure_by_model: dict[str, float]
     until: clock.Ms
+    datacentre: str
 
 
 class _Option(NamedTuple):
@@ -61,6 +64,7 @@
     pressure: float
     domain: str
     keys: tuple[membership.GroupKey, ...]
+    datacentre: str
 
 
 class Exchanger:
@@ -114,6 +118,7 @@
         free_by_domain: Mapping[str, list[runners.Runner]],
         count_by_model: Mapping[str, int],
         now: clock.Ms,
+        layout: layouts.Layout | None = None,
     ) -> None:
         """Begin exchanges, and abandon those that take too long.
 
@@ -121,6 +126,8 @@
         :param free_by_domain: free runners.
         :param count_by_model: replicas that exist or are being formed.
         :param now: monotonic ms.
+        :param layout: what each data centre wants, None if only the whole
+            service is looked at.
         """
         for domain, exchange in list(self.exchange_by_domain.items()):
             if now >= exchange.until:
@@ -129,9 +136,73 @@
         if len(models) < 2 or not self._demand.has_load:
             return
         planned = self._planned_counts(count_by_model)
+        if layout is not None:
+            self._begin_local(closable, free_by_domain, planned, now, layout)
+            return
         while self._begin_one(closable, free_by_domain, planned, now):
             pass
 
+    def _begin_local(
+        self,
+        closable: Iterable[replicas.Replica],
+        free_by_domain: Mapping[str, list[runners.Runner]],
+        planned: collections.Counter[str],
+        now: clock.Ms,
+        layout: layouts.Layout,
+    ) -> None:
+        """Begin an exchange for each replica that a data centre lacks."""
+        there_by_domain = _by_domain(closable)
+        for model, datacentre in (*layout.short(), *layout.by_use()):
+            formable = self._formable(model, datacentre, free_by_domain)
+            if 0 < layout.missing(model.name, datacentre) <= formable:
+                continue
+            candidates = (
+                localexchange.Candidate(
+                    domain,
+                    donor,
+                    self._keys_to_close(
+                        model, donor, there, free_by_domain.get(domain, ())
+                    ),
+                    len(free_by_domain.get(domain, ())),
+                )
+                for domain, there in there_by_domain.items()
+                if _datacentre(there) == datacentre
+                and self._may_begin(domain, now)
+                and len(free_by_domain.get(domain, ())) < model.size
+                for donor in self._spec.model_by_name.values()
+                if donor is not model
+            )
+            chosen = localexchange.best(layout, model, datacentre, candidates)
+            if chosen is not None:
+                pressure_by_model = self._demand.pressures(planned)
+                self._begin(
+                    chosen.domain,
+                    datacentre,
+                    model,
+                    chosen.keys,
+                    pressure_by_model,
+                    planned,
+                    now,
+                )
+                begun = self.exchange_by_domain[chosen.domain]
+                layout.add(chosen.donor.name, datacentre, -len(chosen.keys))
+                layout.add(model.name, datacentre, begun.gained)
+
+    def _formable(
+        self,
+        model: modelspec.ModelSpec,
+        datacentre: str,
+        free_by_domain: Mapping[str, list[runners.Runner]],
+    ) -> int:
+        """Return how many replicas free runners form without an exchange."""
+        return sum(
+            len(free) // model.size
+            for domain, free in free_by_domain.items()
+            if free
+            and free[0].datacentre == datacentre
+            and domain not in self.exchange_by_domain
+        )
+
     def _begin_one(
         self,
         closable: Iterable[replicas.Replica],
@@ -156,21 +227,42 @@
         if not options:
             return False
         best = min(options)
-        other = models[best.keys[0].model]
-        gained = max(1, best.closed * other.size // model.size)
-        begun = Exchange(
+        self._begin(
             best.domain,
+            best.datacentre,
+            model,
+            best.keys,
+            pressure_by_model,
+            planned,
+            now,
+        )
+        return True
+
+    def _begin(
+        self,
+        domain: str,
+        datacentre: str,
+        model: modelspec.ModelSpec,
+        keys: tuple[membership.GroupKey, ...],
+        pressure_by_model: dict[str, float],
+        planned: collections.Counter[str],
+        now: clock.Ms,
+    ) -> None:
+        donor = self._spec.model_by_name[keys[0].model]
+        gained = max(1, len(keys) * donor.size // model.size)
+        begun = Exchange(
+            domain,
             model.name,
             gained,
-            best.keys,
+            keys,
             pressure_by_model,
             now + _MAX_DURATION,
+            datacentre,
         )
-        self.exchange_by_domain[best.domain] = begun
+        self.exchange_by_domain[domain] = begun
         self._begun.append(begun)
-        planned[other.name] -= best.closed
+        planned[donor.name] -= len(keys)
         planned[model.name] += gained
-        return True
 
     def take_begun(self) -> list[Exchange]:
         """Return the exchanges begun since the last call."""
@@ -231,7 +323,9 @@
                 if used > _MAX_DONOR_UTILIZATION:
                     continue
                 pressure = self._demand.pressures(after)[other.name]
-                yield _Option(len(keys), pressure, domain, keys)
+                yield _Option(
+                    len(keys), pressure, domain, keys, _datacentre(there)
+                )
 
     def _may_begin(self, domain: str, now: clock.Ms) -> bool:
         paused_until = self._paused_until_by_domain.get(domain, 0)
@@ -284,6 +378,10 @@
         )
 
 
+def _datacentre(there: list[replicas.Replica]) -> str:
+    return there[0].member_by_rank[0].datacentre
+
+
 def _by_domain(
     closable: Iterable[replicas.Replica],
 ) -> dict[str, list[replicas.Replica]]:
--- a/src/citronvalve/replicas/planner.py
+++ b/src/citronvalve/replicas/planner.py
@@ -7,6 +7,7 @@
 from citronvalve.replicas import builder
 from citronvalve.replicas import demand
 from citronvalve.replicas import exchanger
+from citronvalve.replicas import layout as layouts
 from citronvalve.replicas import liveness as liveness_
 from citronvalve.replicas import membership
 from citronvalve.replicas import order as orders
@@ -15,6 +16,7 @@
 from citronvalve.replicas import replica as replicas
 from citronvalve.replicas import reservations
 from citronvalve.replicas import runner as runners
+from citronvalve.replicas import wants as wants_
 from citronvalve.replicas import weights
 from citronvalve.routes import enginespec
 from citronvalve.routes import modelspec
@@ -48,7 +50,10 @@
     :param spec: engine settings of the service.
     :param stall_timeout: ms after which a stalled head breaks.
     :param epochs: rising epochs, one for each formation.
+    :param local_rooms: whether replicas are wanted by data centre, if the
+        models are of unlike size.
     :ivar liveness: which runners are alive.
+    :ivar wants: the wanted replicas by data centre, None if they are not.
     """
 
     def __init__(
@@ -56,8 +61,16 @@
         spec: enginespec.EngineSpec,
         stall_timeout: clock.Ms,
         epochs: Iterator[int],
+        local_rooms: bool = False,
     ) -> None:
         self.spec = spec
+        is_local = local_rooms and layouts.has_unlike_sizes(
+            spec.model_by_name.values()
+        )
+        self.wants = wants_.Wants(spec) if is_local else None
+        self._count_by_place: collections.Counter[wants_.Place] = (
+            collections.Counter()
+        )
         self.liveness = liveness_.Liveness(pause_limit=stall_timeout)
         self._outbox = outbox.Outbox()
         self._reservations = reservations.Reservations(
@@ -166,6 +179,7 @@
             self._late_orders_until = now + reservations.MAX_ORDER_DELAY
         replica_by_key = self._observe(runner_by_id, now)
         count_by_model: collections.Counter[str] = collections.Counter()
+        self._count_by_place.clear()
         reserved = self._review_all(replica_by_key, count_by_model, now)
         reserved |= self._reservations.reserved_runners(now)
         reserved |= self._advance_all(replica_by_key, count_by_model, now)
@@ -177,31 +191,56 @@
         list_growing = (
             self.before_traffic and now - self._grown_at < _GROWTH_PAUSE
         )
+        layout = self._layout(now)
         if not self.before_traffic:
             self._exchanger.step(
                 self._closable(replica_by_key),
                 free_by_domain,
                 count_by_model,
                 now,
+                layout,
             )
+        largest_by_domain = self._largest_by_domain(replica_by_key)
         for formed in self._builder.form(
             free_by_domain,
             count_by_model,
-            self._largest_by_domain(replica_by_key),
+            largest_by_domain,
             self._exchanger.held_for_by_domain,
             list_growing,
             now,
+            layout,
         ):
             self._exchanger.record_formed(formed.model, formed.domain, now)
         if not list_growing:
             spares = free_by_domain.values()
-            self._weights.stage_spares(spares, count_by_model, now)
+            repaired_by_domain = largest_by_domain if layout else None
+            self._weights.stage_spares(
+                spares, count_by_model, now, repaired_by_domain
+            )
             self._weights.stage_members(replica_by_key.values(), now)
         for runner in self.liveness.due_probes(now):
             if self.liveness.find(runner) is not None:
                 self._outbox.add_probe(runner)
         return self._outbox.drain(now)
 
+    def _layout(self, now: clock.Ms) -> layouts.Layout | None:
+        """Return what each data centre wants, if that is looked at."""
+        if self.wants is None or self.before_traffic:
+            return None
+        if not self.wants.has_load:
+            return None
+        needed_by_place = self.wants.needed(self._count_by_place)
+        layout = layouts.Layout(
+            self.spec,
+            self.wants,
+            self._count_by_place,
+            needed_by_place,
+            self.wants.wanted(needed_by_place, now),
+        )
+        for exchange in self._exchanger.exchange_by_domain.values():
+            layout.add(exchange.model, exchange.datacentre, exchange.gained)
+        return layout
+
     def _observe(
         self, runner_by_id: dict[str, runners.Runner], now: clock.Ms
     ) -> _ReplicaByKey:
@@ -322,6 +361,9 @@
                 reserved.update(r.id for r in replica.member_by_rank.values())
                 if key not in self._dissolved_at_by_key:
                     count_by_model[key.model] += 1
+                    datacentre = _datacentre(replica)
+                    place = wants_.Place(key.model, datacentre)
+                    self._count_by_place[place] += 1
         return reserved
 
     def _advance_all(
@@ -336,6 +378,10 @@
                 reserved.update(pending.members)
                 if key not in replica_by_key:
                     count_by_model[key.model] += 1
+                    head = self.liveness.find(pending.members[0])
+                    datacentre = head.datacentre if head else ""
+                    place = wants_.Place(key.model, datacentre)
+                    self._count_by_place[place] += 1
             else:
                 self._dissolved_at_by_key[key] = now
         # A replica abandoned in this step has no pending entry that reserves
@@ -353,10 +399,10 @@
         if key in self._builder.pending_by_key:
             return True
         head = replica.head
-        datacentre = next(iter(replica.member_by_rank.values())).datacentre
-        if datacentre in self._unsettled:
+        if _datacentre(replica) in self._unsettled:
             return True
         if head is None:
+            self._record_loss(key, now)
             self._dissolved_at_by_key.setdefault(key, now)
             if self._may_drain(replica, now):
                 return True
@@ -367,6 +413,8 @@
             if why is None:
                 self._dissolved_at_by_key.pop(key, None)
             else:
+                if why is orders.Reason.MEMBER_GONE:
+                    self._record_loss(key, now)
                 self._close(replica, why, now)
             return True
         if replica.is_ready() and key not in self._dissolved_at_by_key:
@@ -377,6 +425,10 @@
             return True
         return False
 
+    def _record_loss(self, key: membership.GroupKey, now: clock.Ms) -> None:
+        if self.wants is not None and key not in self._dissolved_at_by_key:
+            self.wants.record_loss(now)
+
     def _may_open_late(self, key: membership.GroupKey, now: clock.Ms) -> bool:
         """Return whether an earlier leader's order may still open a group."""
         return (
@@ -437,3 +489,7 @@
         }
         present = replica.member_by_rank.keys() | departed
         return len(present | self._unknown_ranks(replica)) == replica.size
+
+
+def _datacentre(replica: replicas.Replica) -> str:
+    return next(iter(replica.member_by_rank.values())).datacentre
--- a/src/citronvalve/replicas/weights.py
+++ b/src/citronvalve/replicas/weights.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 from citronvalve.model import clock
 from citronvalve.policy import slidingcount
@@ -111,20 +112,26 @@
         spare_lists: Iterable[list[runners.Runner]],
         count_by_model: collections.Counter[str],
         now: clock.Ms,
+        repaired_by_domain: Mapping[str, modelspec.ModelSpec] | None = None,
     ) -> None:
         """Stage on spares without weights the model most likely to need them.
 
         :param spare_lists: the spares of each domain.
         :param count_by_model: replicas that exist or are being formed.
         :param now: monotonic ms.
+        :param repaired_by_domain: the model that spares of a domain are kept
+            for, if any.
         """
+        repaired_by_domain = repaired_by_domain or {}
         for spares in spare_lists:
             staged_count = collections.Counter(
                 name for runner in spares for name in runner.staged[:1]
             )
             for runner in spares:
                 if not runner.staged:
-                    model = self._model_to_stage(staged_count, count_by_model)
+                    model = repaired_by_domain.get(
+                        runner.domain
+                    ) or self._model_to_stage(staged_count, count_by_model)
                     staged_count[model.name] += 1
                     self._stage(runner, model, now)
 
--- a/tests/replicas/world.py
+++ b/tests/replicas/world.py
@@ -53,6 +53,7 @@
     def __init__(self, domains, size, staged=True, models=None, **figures):
         self.now = 1_000_000
         self.models = models or MODELS
+        self.local_rooms = figures.pop("local_rooms", False)
         self.figures = figures
         self.runner_by_id = {}
         self.unreachable = set()
@@ -102,6 +103,7 @@
             spec(self.models)._replace(**self.figures),
             STALL,
             leases.epochs(lease),
+            self.local_rooms,
         )
 
     def run(self, span):
--- a/tests/work/site.py
+++ b/tests/work/site.py
@@ -14,6 +14,7 @@
 
 from citronvalve.model import manualclock
 from citronvalve.model import refusal
+from citronvalve.replicas import wants
 from citronvalve.routes import modelspec
 from tests.replicas import world as worlds
 from tests.work import daemons
@@ -33,6 +34,7 @@
 
     :param work: the work.
     :param seed: decides all chance.
+    :param local_rooms: whether replicas are wanted by data centre.
     :ivar calls: all calls, in the order of their arrival.
     :ivar free: runners without a group at each plan.
     :ivar counts: open replicas by model at each plan.
@@ -40,7 +42,7 @@
         data centre.
     """
 
-    def __init__(self, work, seed):
+    def __init__(self, work, seed, local_rooms=False):
         self.work = work
         self.rng = random.Random(seed)
         self.clock = manualclock.ManualClock()
@@ -71,8 +73,9 @@
             slots=work.slots,
             step_time=work.step_time,
             prefill_tokens_per_ms=work.prefill_tokens_per_ms,
-            weight_loads_per_second=14.0,
+            weight_loads_per_second=work.loads_per_second,
             max_concurrent_loads=20,
+            local_rooms=local_rooms,
             typical_prompt_tokens=sum(tokens) // len(tokens),
         )
         for domain in range(work.domains):
@@ -115,6 +118,9 @@
             self._schedule(
                 self.begin + self.work.out_end, lambda: self._set_out(None)
             )
+        if self.work.dark_domain >= 0:
+            self._schedule(self.begin + self.work.dark_begin, self._darken)
+            self._schedule(self.begin + self.work.dark_end, self._return)
         while self._due:
             at, _, function = heapq.heappop(self._due)
             if at > self.end + 8_000:
@@ -138,11 +144,16 @@
 
     def _rate(self, kind, number):
         elapsed = self.clock.now() - self.begin
-        phase = number / self.work.datacentres
+        phase = number / self.work.datacentres * self.work.swing_spread
         turn = 2 * math.pi * (elapsed / self.work.swing_period + phase)
-        rate = kind.rate / self.work.datacentres
+        shares = self.work.datacentre_shares or [1 / self.work.datacentres]
+        rate = kind.rate * shares[number % len(shares)]
         for burst in self.work.bursts:
-            if burst.kind == kind.name and burst.begin <= elapsed < burst.end:
+            if (
+                burst.kind == kind.name
+                and burst.begin <= elapsed < burst.end
+                and burst.datacentre in (-1, number)
+            ):
                 rate *= burst.factor
         return rate * (1 + self.work.swing * math.sin(turn))
 
@@ -263,10 +274,16 @@
     def _tick_planner(self):
         world, now = self.world, self.clock.now()
         load = {name: 0.0 for name in world.models}
+        load_by_place = collections.Counter()
         for head, engine in self.engine_by_head.items():
             if not engine.stalled:
-                load[self._key_by_head[head].model] += len(engine.jobs)
+                model = self._key_by_head[head].model
+                load[model] += len(engine.jobs)
+                place = wants.Place(model, world.runner_by_id[head].datacentre)
+                load_by_place[place] += len(engine.jobs)
         world.planner.demand.observe(load, now)
+        if world.planner.wants is not None:
+            world.planner.wants.observe(load_by_place, now)
         world.busy = {
             head for head, e in self.engine_by_head.items() if e.jobs
         }
@@ -329,7 +346,9 @@
 
     def _lose(self):
         datacentre = f"zone-{self._losses % self.work.datacentres}"
-        for model in self.work.models:
+        if self.work.lost_members:
+            self._lose_any(datacentre)
+        for model in self.work.models if not self.work.lost_members else ():
             heads = [
                 head
                 for head in self.world.open_heads(model)
@@ -347,20 +366,66 @@
         if at < self.end:
             self._schedule(at, self._lose)
 
+    def _lose_any(self, datacentre):
+        """Lose members of any replicas, each runner with equal chance."""
+        heads_and_members = [
+            (head.id, member)
+            for head in self.world.open_heads()
+            if head.datacentre == datacentre
+            for member in self.world.members(head.id)
+            if self.work.heads_too or member != head.id
+        ]
+        count = min(self.work.lost_members, len(heads_and_members))
+        for head, victim in self.rng.sample(heads_and_members, count):
+            self._crash(head, victim)
+
     def _crash_member(self, head):
         members = self.world.members(head)
         if not self.work.heads_too and len(members) > 1:
             members.remove(head)
-        victim = self.rng.choice(members)
+        self._crash(head, self.rng.choice(members))
+
+    def _crash(self, head, victim):
         self.world.crash(victim)
         self.world.unlisted.add(victim)
         engine = self.engine_by_head.get(head)
-        if engine is None:
+        if engine is None or engine.stalled:
             return
         engine.stalled = True
         for job in engine.jobs:
             self._fail_later(job)
 
+    def _darken(self):
+        """Let all runners of a domain crash; their entries stay."""
+        for runner in self._in_dark_domain():
+            held = runner.membership
+            self.world.crash(runner.id)
+            head = held and next(
+                (
+                    r.id
+                    for r in self.world.runner_by_id.values()
+                    if r.is_open_head and r.membership.key == held.key
+                ),
+                None,
+            )
+            if head:
+                self._crash(head, runner.id)
+                self.world.unlisted.discard(runner.id)
+
+    def _return(self):
+        """Let the runners of the domain come back, without a group."""
+        for runner in self._in_dark_domain():
+            if runner.id not in self.world.unlisted:
+                self.world.restart(runner.id)
+
+    def _in_dark_domain(self):
+        name = f"d{self.work.dark_domain}"
+        return [
+            runner
+            for runner in self.world.runner_by_id.values()
+            if runner.domain.rpartition("/")[2] == name
+        ]
+
     def _set_out(self, datacentre):
         self._out = datacentre
 
--- a/tests/work/workfile.py
+++ b/tests/work/workfile.py
@@ -1,5 +1,6 @@
 """Callers, replicas and troubles of a site, in JSON with comments."""
 
+import math
 import pathlib
 
 import json5
@@ -41,13 +42,15 @@
 class Burst(msgspec.Struct, forbid_unknown_fields=True):
     """A kind of request comes ``factor`` times as often.
 
-    ``begin`` and ``end`` are ms after the start.
+    ``begin`` and ``end`` are ms after the start.  It is confined to one data
+    centre unless that is -1.
     """
 
     kind: str
     factor: float
     begin: int
     end: int
+    datacentre: int = -1
 
 
 class Work(msgspec.Struct, forbid_unknown_fields=True):
@@ -58,6 +61,12 @@
     member of a replica of each model is lost, and from the fourth time on
     ``added`` empty runners are added.  ``datacentre_out`` leaves from
     ``out_begin`` to ``out_end``.
+
+    ``datacentre_shares`` are the data centres' parts of the rates, equal if
+    empty.  Their swings are ``swing_spread`` periods apart in all.  If
+    ``lost_members`` is not 0, so many members of any replicas of a data
+    centre are lost each time instead.  The runners of ``dark_domain`` do not
+    answer from ``dark_begin`` to ``dark_end`` and come back empty.
     """
 
     domains: int
@@ -80,6 +89,13 @@
     out_begin: int = 0
     out_end: int = 0
     bursts: list[Burst] = []
+    datacentre_shares: list[float] = []
+    swing_spread: float = 1.0
+    loads_per_second: float = 14.0
+    lost_members: int = 0
+    dark_domain: int = -1
+    dark_begin: int = 0
+    dark_end: int = 0
 
 
 def read(path: pathlib.Path) -> Work:
@@ -117,6 +133,14 @@
                 f"{place}.objective: {kind.objective} must be above 0 and "
                 f"below the timeout, {kind.timeout}"
             )
+    if work.datacentre_shares and (
+        len(work.datacentre_shares) != work.datacentres
+        or not math.isclose(sum(work.datacentre_shares), 1.0, abs_tol=0.001)
+    ):
+        yield (
+            f"datacentre_shares: {work.datacentre_shares} are not one for "
+            "each data centre with a sum of 1"
+        )
     known = {kind.name for kind in work.requests}
     for burst in work.bursts:
         if burst.kind not in known:
