Compare the planner with fixed layouts while one domain is dark

Nothing showed whether the planner follows a shift of demand as well as a layout chosen for it. Demand for one kind doubles in one data centre for 10 s while one of its domains is dark, on wideslow.

--- a/tests/work/site.py
+++ b/tests/work/site.py
@@ -19,6 +19,7 @@
 from tests.replicas import world as worlds
 from tests.work import daemons
 from tests.work import engine as engines
+from tests.work import fixedlayout
 from tests.work import results
 
 #: Times in ms.
@@ -35,6 +36,8 @@
     :param work: the work.
     :param seed: decides all chance.
     :param local_rooms: whether replicas are wanted by data centre.
+    :param fixed: large replicas of each domain by data centre, if the layout
+        is kept instead of planned.
     :ivar calls: all calls, in the order of their arrival.
     :ivar free: runners without a group at each plan.
     :ivar counts: open replicas by model at each plan.
@@ -42,7 +45,7 @@
         data centre.
     """
 
-    def __init__(self, work, seed, local_rooms=False):
+    def __init__(self, work, seed, local_rooms=False, fixed=None):
         self.work = work
         self.rng = random.Random(seed)
         self.clock = manualclock.ManualClock()
@@ -82,6 +85,8 @@
             for number in range(work.domain_size):
                 self._add_runner(f"r{domain}-{number}", domain, True, number)
         self.spec = worlds.spec(models)._replace(**self.world.figures)
+        if fixed is not None:
+            self.world.planner = fixedlayout.FixedLayout(self.spec, fixed)
         self._service = types.SimpleNamespace(
             name="svc", engine=self.spec, cold_rate=0
         )
