Refuse prompts whose beginning crashes upstreams at the own interface

Beginnings are accused as parts are, by losses of four different upstreams that no other one explains. Peers exchange no answers: a daemon tells of a beginning, as one more fingerprint of a crash report, only once it has lost two upstreams with it here and got no answer between; it clears one by its own answers, and tries one itself 30 s after its last loss. Without crashes nothing more is sent.

--- a/src/citronvalve/policy/crashsuspect.py
+++ b/src/citronvalve/policy/crashsuspect.py
@@ -9,7 +9,7 @@
 
 #: Losses of a part within this time of each other count as one: upstreams that
 #: are lost together are lost by a common cause.
-_BURST: clock.Ms = 50
+BURST: clock.Ms = 50
 
 #: Weight of the losses of a content whose answer had begun, when it is
 #: compared with another one that has more: two that crash upstreams may share
@@ -38,11 +38,14 @@
 class CrashSuspect:
     """What is known of one content.
 
+    :param unproven_burst: ms within which losses count as one as long as no
+        upstream has survived the content.
     :ivar loss_by_start: its losses by the start of the upstream.
     :ivar proven_at_by_model: monotonic ms of the last proof by model.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, unproven_burst: clock.Ms = BURST) -> None:
+        self._unproven_burst = unproven_burst
         self.loss_by_start: dict[int, crashevidence.Loss] = {}
         self.proven_at_by_model: dict[int, clock.Ms] = {}
         self._count_by_model: dict[int, int] = {}
@@ -79,10 +82,25 @@
         """
         count = self._count_by_model.get(model)
         if count is None:
-            count = count_apart(loss.at for loss in self.losses(model))
+            count = self.count_apart(loss.at for loss in self.losses(model))
             self._count_by_model[model] = count
         return count
 
+    def count_apart(self, times: Iterable[clock.Ms]) -> int:
+        """Return how many losses there are, those of a burst counted as one.
+
+        :param times: of the losses, in monotonic ms.
+        """
+        burst = BURST if self.has_survived else self._unproven_burst
+        ordered = sorted(times)
+        count = index = 0
+        while index < len(ordered):
+            count += 1
+            index = max(
+                index + 1, bisect.bisect_left(ordered, ordered[index] + burst)
+            )
+        return count
+
     def explains(
         self, loss: crashevidence.Loss, accusation: Accusation, model: int
     ) -> bool:
@@ -159,16 +177,3 @@
     def _is_cleared(self, loss: crashevidence.Loss, model: int) -> bool:
         proven_at = self.proven_at_by_model.get(model)
         return proven_at is not None and proven_at >= loss.at
-
-
-def count_apart(times: Iterable[clock.Ms]) -> int:
-    """Return how many losses there are, those of a burst counted as one.
-
-    :param times: of the losses, in monotonic ms.
-    """
-    ordered = sorted(times)
-    count = index = 0
-    while index < len(ordered):
-        count += 1
-        index = bisect.bisect_left(ordered, ordered[index] + _BURST)
-    return count
--- a/src/citronvalve/policy/crashsuspects.py
+++ b/src/citronvalve/policy/crashsuspects.py
@@ -63,9 +63,20 @@
     lost about as often, do not count against a request without that one.
     Requests with either of two contents that were always lost together are
     let through, and show which one it is.
+
+    :param first_trial_after: ms from the loss that fences a content until it
+        may be tried.
+    :param unproven_burst: ms within which losses of a part count as one as
+        long as no upstream has survived it.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        first_trial_after: clock.Ms = _FIRST_TRIAL_AFTER,
+        unproven_burst: clock.Ms = crashsuspect.BURST,
+    ) -> None:
+        self._first_trial_after = first_trial_after
+        self._unproven_burst = unproven_burst
         self._suspect_by_content: dict[int, crashsuspect.CrashSuspect] = {}
         self._contents_by_start: dict[int, set[int]] = {}
 
@@ -82,7 +93,7 @@
             if len(self._suspect_by_content) >= _MAX_SUSPECTS:
                 self._drop_weakest()
             suspect = self._suspect_by_content[loss.content] = (
-                crashsuspect.CrashSuspect()
+                crashsuspect.CrashSuspect(self._unproven_burst)
             )
         if not suspect.add(loss):
             return False
@@ -181,7 +192,9 @@
         losses = suspect.losses(model)
         accusation = crashsuspect.Accusation(len(losses), None)
         own = self._unexplained(losses, accusation, contents, model)
-        return _verdict(contents.whole, own, len(own), _MAX_REQUEST_LOSSES)
+        return self._verdict(
+            contents.whole, own, len(own), _MAX_REQUEST_LOSSES
+        )
 
     def _find_part(
         self, part: int, contents: crashevidence.Contents, model: int
@@ -192,13 +205,24 @@
         count, losses = suspect.count(model), suspect.losses(model)
         accusation = crashsuspect.Accusation(count, suspect.has_survived)
         own = self._unexplained(losses, accusation, contents, model)
-        own_count = crashsuspect.count_apart(own)
+        own_count = suspect.count_apart(own)
         if own_count >= _MAX_PART_LOSSES:
-            return _verdict(part, own, own_count, _MAX_PART_LOSSES)
+            return self._verdict(part, own, own_count, _MAX_PART_LOSSES)
         if suspect.has_survived or own_count < _MIN_UNEXPLAINED_LOSSES:
             return None
         times = [loss.at for loss in losses]
-        return _verdict(part, times, count, _MAX_UNPROVEN_LOSSES)
+        return self._verdict(part, times, count, _MAX_UNPROVEN_LOSSES)
+
+    def _verdict(
+        self, content: int, times: list[clock.Ms], losses: int, most: int
+    ) -> Verdict | None:
+        """Return the verdict on a content, None with too few losses."""
+        if losses < most:
+            return None
+        wait = self._first_trial_after
+        if losses > most:
+            wait = _trial_interval(losses - most)
+        return Verdict(content, losses, max(times) + wait)
 
     def _accused(self, content: int) -> crashsuspect.CrashSuspect | None:
         """Return a content that may have enough losses to be refused."""
@@ -257,20 +281,7 @@
             del self._contents_by_start[start]
 
 
-def _verdict(
-    content: int, times: list[clock.Ms], losses: int, most: int
-) -> Verdict | None:
-    """Return the verdict on a content, None with too few losses."""
-    if losses < most:
-        return None
-    return Verdict(
-        content, losses, max(times) + _trial_interval(losses - most)
-    )
-
-
 def _trial_interval(failed_trials: int) -> clock.Ms:
-    if not failed_trials:
-        return _FIRST_TRIAL_AFTER
     return min(_TRIAL_INTERVAL << (failed_trials - 1), _MAX_TRIAL_INTERVAL)
 
 
--- a/src/citronvalve/policy/dispatcher.py
+++ b/src/citronvalve/policy/dispatcher.py
@@ -187,8 +187,10 @@
 
         :param now: monotonic ms.
         """
-        return self.monitor.fence.recent_losses(
-            now, self.monitor.switches.fence_for
+        span = self.monitor.switches.fence_for
+        return (
+            *self.monitor.fence.recent_losses(now, span),
+            *self.monitor.beginnings.recent_losses(now, span),
         )
 
     def record_remote_loss(self, loss: crashfence.Loss, now: clock.Ms) -> None:
--- a/src/citronvalve/policy/health.py
+++ b/src/citronvalve/policy/health.py
@@ -6,11 +6,13 @@
 from citronvalve.policy import attempt
 from citronvalve.policy import candidate
 from citronvalve.policy import circuit
+from citronvalve.policy import crashbeginnings
 from citronvalve.policy import crashfence
 from citronvalve.policy import estimate
 from citronvalve.policy import fleet
 from citronvalve.policy import outcome
 from citronvalve.policy import outlier
+from citronvalve.policy import work
 
 #: An answer within this many times its expected time shows that a returning
 #: data centre can handle its current load.
@@ -31,6 +33,7 @@
         self.estimator = estimate.Estimator()
         self.affinity = affinity.Affinity()
         self.fence = crashfence.CrashFence()
+        self.beginnings = crashbeginnings.CrashBeginnings()
         self.switches = declared.Switches()
         self._fleet = upstreams
 
@@ -75,9 +78,11 @@
         if target.restart_pending:
             target.restart_pending = False
             self.fence.confirm_loss(upstream, now)
+            self.beginnings.confirm_loss(upstream, now)
             self.affinity.drop_upstream(upstream)
         elif target.report.measured_at > target.connection_broke_at:
             self.fence.clear_suspicions(upstream)
+            self.beginnings.clear_suspicions(upstream)
 
     def record_remote_loss(self, loss: crashfence.Loss, now: clock.Ms) -> None:
         """Record a loss that a peer reported.
@@ -90,6 +95,7 @@
         :param now: monotonic ms.
         """
         self.fence.record_remote_loss(loss, now)
+        self.beginnings.record_remote_loss(loss, now)
         target = self._fleet.candidate_by_name.get(loss.upstream)
         lost_at = now - loss.age
         if target is not None and target.lost_at + _SAME_LOSS_WINDOW < lost_at:
@@ -101,6 +107,7 @@
         elapsed = now - ended.started
         target.circuit.record_success()
         self.fence.clear(item.fingerprint)
+        self.beginnings.clear(item.prefixes, now)
         if elapsed <= _ON_TIME_RATIO * ended.entry.expected.mean:
             target.datacentre.record_on_time()
         self._update_latency(ended, now)
@@ -119,13 +126,15 @@
         self, ended: attempt.Attempt, how: outcome.Outcome, now: clock.Ms
     ) -> None:
         target = ended.candidate
-        fingerprint = ended.entry.work.fingerprint
+        item = ended.entry.work
         if how is outcome.Outcome.CRASHED:
-            self.fence.record_loss(fingerprint, target.name, now)
+            self.fence.record_loss(item.fingerprint, target.name, now)
+            self.beginnings.record_loss(item.prefixes, target.name, now)
             self._record_loss(target, now)
         elif how is outcome.Outcome.BROKEN:
             target.connection_broke_at = now
-            self.fence.suspect(fingerprint, target.name, now)
+            self.fence.suspect(item.fingerprint, target.name, now)
+            self.beginnings.suspect(item.prefixes, target.name)
         elif how is outcome.Outcome.NOT_RUN:
             self._confirm_loss(target, now)
         is_fatal = outcome.TRAITS_BY_OUTCOME[how].is_fatal
@@ -140,17 +149,33 @@
         for name in self.fence.overdue(now):
             target = self._fleet.candidate_by_name.get(name)
             self.fence.confirm_loss(name, now)
+            self.beginnings.confirm_loss(name, now)
             if target is not None:
                 self._record_loss(target, now)
 
-    def is_fenced(self, fingerprint: str, now: clock.Ms) -> bool:
+    def admits(self, item: work.Work, now: clock.Ms) -> bool:
+        """Return whether a new request may run, perhaps as a trial.
+
+        :param item: the request.
+        :param now: monotonic ms.
+        """
+        return not self._is_whole_fenced(
+            item.fingerprint, now
+        ) and self.beginnings.admits(item.prefixes, now)
+
+    def is_fenced(self, entry: attempt.Entry, now: clock.Ms) -> bool:
         """Return whether a request has crashed too many upstreams.
 
-        :param fingerprint: the request's.
+        Its prompt's beginning counts only after an attempt: the first one may
+        be a trial.
+
+        :param entry: the request.
         :param now: monotonic ms.
         """
-        lost = self.fence.loss_count(fingerprint, now, self.switches.fence_for)
-        return lost >= self.switches.crashes_to_fence
+        item = entry.work
+        return self._is_whole_fenced(item.fingerprint, now) or (
+            entry.attempts > 0 and self.beginnings.is_fenced(item.prefixes)
+        )
 
     def is_suspect(self, fingerprint: str, now: clock.Ms) -> bool:
         """Return whether a request may have crashed an upstream.
@@ -174,9 +199,14 @@
         lost = self.fence.loss_count(fingerprint, now, self.switches.fence_for)
         return lost + suspicions >= self.switches.crashes_to_fence
 
+    def _is_whole_fenced(self, fingerprint: str, now: clock.Ms) -> bool:
+        lost = self.fence.loss_count(fingerprint, now, self.switches.fence_for)
+        return lost >= self.switches.crashes_to_fence
+
     def _confirm_loss(
         self, target: candidate.Candidate, now: clock.Ms
     ) -> None:
+        self.beginnings.confirm_loss(target.name, now)
         if self.fence.confirm_loss(target.name, now):
             self._record_loss(target, now)
 
--- a/src/citronvalve/policy/requests.py
+++ b/src/citronvalve/policy/requests.py
@@ -66,7 +66,7 @@
         :param item: the request.
         :param now: monotonic ms.
         """
-        if self._monitor.is_fenced(item.fingerprint, now):
+        if not self._monitor.admits(item, now):
             return self._refusals.fenced()
         expected = self._monitor.estimator.predict(item, now)
         suspect = self._monitor.is_suspect(item.fingerprint, now)
@@ -264,7 +264,7 @@
         if entry.would_be_late(now):
             self._refuse(entry, self._refusals.late(entry, now), now)
             return True
-        if self._monitor.is_fenced(entry.work.fingerprint, now):
+        if self._monitor.is_fenced(entry, now):
             self._give_up(entry, outcome.Outcome.CRASHED, now)
             return True
         started = self._start(entry, now)
@@ -281,7 +281,7 @@
             return False
         fingerprint = entry.work.fingerprint
         entry.suspect = self._monitor.is_suspect(fingerprint, now)
-        if self._monitor.is_fenced(fingerprint, now):
+        if self._monitor.is_fenced(entry, now):
             return False
         if self._fleet.slots(entry.work.model) <= 0:
             # No upstream is left, and the wait can't be predicted.
@@ -295,7 +295,7 @@
     def _give_up(
         self, entry: attempt.Entry, how: outcome.Outcome, now: clock.Ms
     ) -> None:
-        fenced = self._monitor.is_fenced(entry.work.fingerprint, now)
+        fenced = self._monitor.is_fenced(entry, now)
         why = self._refusals.failed(entry, how, fenced, now)
         self._refuse(entry, why, now)
 
