--- a/tests/work/workfile.py
+++ b/tests/work/workfile.py
@@ -67,6 +67,10 @@
     ``lost_members`` is not 0, so many members of any replicas of a data
     centre are lost each time instead.  The runners of ``dark_domain`` do not
     answer from ``dark_begin`` to ``dark_end`` and come back empty.
+
+    With ``report_steps``, daemons report in turns, in that many parts of the
+    usual interval.  With ``own_chance``, each daemon draws from a source of
+    its own, so that the same calls come whatever the daemons choose.
     """
 
     domains: int
@@ -96,6 +100,8 @@
     dark_domain: int = -1
     dark_begin: int = 0
     dark_end: int = 0
+    report_steps: int = 1
+    own_chance: bool = False
 
 
 def read(path: pathlib.Path) -> Work:
