Share full replica pools among teams, and refuse late requests in an excess

Callers saw: while a pool of replicas is asked for more than it does, requests of all teams are late, also of those within their share, and the callers of the seconds after a crest wait behind late requests.

Cause: the path to the upstreams knows no team, and forecasts by replica take slots for free that late requests hold, at all daemons at once.

Change: Features.fair_shares. Daemons state the use of nearly full pools by team in their load reports. A team above its max-min share is held to each daemon's part of it, new requests start while the pool's queue leaves them in time, kinds that are served more often leave the last room, and Retry-After follows the expected end of the excess. Refusals log the team's use and share, the pool's excess and the age of the reports.

Tests of the areas forward, layout, adapter, policy/teams and work were run; no existing check was changed.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -27,6 +27,7 @@
 from citronvalve.forward import environment as environments
 from citronvalve.forward import forwarder
 from citronvalve.forward import placement
+from citronvalve.forward import poolrooms
 from citronvalve.forward import retrybudgets
 from citronvalve.forward import stalldetector
 from citronvalve.model import clock
@@ -122,6 +123,11 @@
         self._links.attach(self._stall_detector)
         pool = self._links.pool
         self._crash_detector = crashdetector.CrashDetector(env, pool)
+        self._rooms = (
+            poolrooms.PoolRooms(env, self.directory, self._loads)
+            if settings.features.fair_shares
+            else None
+        )
         self._dependencies = dependencies.Dependencies(
             env,
             self.directory,
@@ -129,7 +135,7 @@
             self._links.connector,
             pool,
             placement.Placement(
-                env, self.directory, self._loads, settings.cold
+                env, self.directory, self._loads, settings.cold, self._rooms
             ),
             retrybudgets.RetryBudgets(env, settings.repeats),
             self._stall_detector,
@@ -171,6 +177,8 @@
         self._messages.load_broadcaster.is_nearly_full = (
             self._dependencies.placement.is_pressed
         )
+        if self._rooms is not None:
+            self._messages.load_broadcaster.details = self._rooms.details
         self._dependencies.placement.set_report_age(
             self._messages.load_broadcaster.report_age
         )
--- a/src/citronvalve/forward/dispatch.py
+++ b/src/citronvalve/forward/dispatch.py
@@ -81,6 +81,8 @@
         try:
             self._run_attempts()
         finally:
+            if self._tried:
+                self._deps.placement.record_end(self._routed)
             self._parked.close()
 
     def _run_attempts(self) -> None:
@@ -135,6 +137,8 @@
     ) -> attempts.Attempt:
         if last is not None and last.ending is not _Ending.UNLINKED:
             self._deps.retry_budgets.spend(self._routed.service.name)
+        if not self._tried:
+            self._deps.placement.record_start(self._routed)
         self._tried.append(chosen.upstream)
         return attempts.Attempt(
             self._deps,
@@ -293,6 +297,7 @@
             why=refused.detail,
             ran=refused.ran,
             retry_after_ms=refused.retry_after,
+            **dict(refused.facts),
         )
         self._reply.send_refusal(refused, self._routed.id)
 
--- a/src/citronvalve/forward/metrics.py
+++ b/src/citronvalve/forward/metrics.py
@@ -12,6 +12,11 @@
 )
 
 
+#: Teams with a label value of their own; the refusals of others are summed.
+_MAX_TEAMS = 64
+_OTHER_TEAMS = "other"
+
+
 class Metrics(gauges.Gauges):
     """Counters and histograms; callers can't add label values."""
 
@@ -29,6 +34,10 @@
         self._relayings = self._counter(
             "relayings_total", "Other daemons asked to relay, by result."
         )
+        self._team_refusals = self._counter(
+            "team_refusals_total", "Refused by full replica pools, by team."
+        )
+        self._teams: set[str] = set()
         self._malformed = self._counter(
             "malformed_total", "Bytes that were no request, by status."
         )
@@ -81,6 +90,18 @@
         """
         self._relayings.inc({"result": result})
 
+    def record_team_refusal(self, team: str) -> None:
+        """Count a request that a replica pool had no room for.
+
+        :param team: its team.
+        """
+        if team not in self._teams:
+            if len(self._teams) >= _MAX_TEAMS:
+                team = _OTHER_TEAMS
+            else:
+                self._teams.add(team)
+        self._team_refusals.inc({"team": team})
+
     def record_malformed(self, status: int) -> None:
         """Count malformed input.
 
--- a/src/citronvalve/forward/placement.py
+++ b/src/citronvalve/forward/placement.py
@@ -9,6 +9,7 @@
 from citronvalve.forward import attemptresult
 from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
+from citronvalve.forward import poolrooms
 from citronvalve.forward import routedrequest
 from citronvalve.model import clock
 from citronvalve.model import refusal
@@ -76,6 +77,7 @@
     :param directory: the upstreams.
     :param loads: the upstreams' loads.
     :param cold_limits: the limits for cold upstreams.
+    :param rooms: shares replica pools among teams; None to share none.
     :ivar cold_limits: the same; replaced when the settings change.
     """
 
@@ -85,10 +87,12 @@
         directory: directories.Directory,
         loads: upstreamchoice.LoadTable,
         cold_limits: ColdLimits,
+        rooms: poolrooms.PoolRooms | None = None,
     ) -> None:
         self._env = env
         self._directory = directory
         self.cold_limits = cold_limits
+        self._rooms = rooms
         self._pressed_at: clock.Ms | None = None
         self._pace_by_model: dict[
             tuple[str, str],
@@ -107,8 +111,10 @@
         """
         now = self._env.clock.now()
         found = self._choose(routed, tried, now)
-        if found is not _NO_UPSTREAM:
-            self._update_pressure(found, routed, now)
+        is_pressed = self._update_pressure(found, routed, now)
+        refused = self._check_room(routed, tried, found, is_pressed)
+        if refused is not None:
+            return refused
         if isinstance(found, upstreamchoice.Chosen):
             self._record_sent(found.upstream, routed, now)
             return found
@@ -123,6 +129,22 @@
             routed, why or _no_upstream_reason(routed), _REPAIR_TIME
         )
 
+    def record_start(self, routed: routedrequest.RoutedRequest) -> None:
+        """Count a request that is sent to its first upstream.
+
+        :param routed: the request.
+        """
+        if self._rooms is not None and routed.service.engine is not None:
+            self._rooms.begin(routed)
+
+    def record_end(self, routed: routedrequest.RoutedRequest) -> None:
+        """Count the end of a request whose start was counted.
+
+        :param routed: the request.
+        """
+        if self._rooms is not None and routed.service.engine is not None:
+            self._rooms.end(routed)
+
     def can_place(
         self, routed: routedrequest.RoutedRequest, tried: list[str]
     ) -> bool:
@@ -140,6 +162,8 @@
         :param report_age: returns the ms.
         """
         self._choice.report_age = report_age
+        if self._rooms is not None:
+            self._rooms.report_age = report_age
 
     def is_pressed(self) -> bool:
         """Return whether a recent request found its replicas nearly full."""
@@ -227,11 +251,39 @@
         chosen: upstreamchoice.Chosen | upstreamchoice.Full,
         routed: routedrequest.RoutedRequest,
         now: clock.Ms,
-    ) -> None:
+    ) -> bool:
+        """Return whether the request found its replicas nearly full."""
+        if chosen is _NO_UPSTREAM:
+            return False
         room = _PRESSURE_SHARE * routed.route.latency_objective
         full = isinstance(chosen, upstreamchoice.Full)
         if full or chosen.late or chosen.forecast.first > room:
             self._pressed_at = now
+            return True
+        return False
+
+    def _check_room(
+        self,
+        routed: routedrequest.RoutedRequest,
+        tried: list[str],
+        found: upstreamchoice.Chosen | upstreamchoice.Full,
+        is_pressed: bool,
+    ) -> refusal.Refusal | None:
+        """Return why the request may not start, None if it may."""
+        engine = routed.service.engine
+        if self._rooms is None or engine is None or tried:
+            return None
+        model = engine.model_by_name.get(routed.model)
+        if model is None or _is_unusable(found):
+            return None
+        candidates = self._candidates(routed)
+        sizing = poolrooms.Sizing(
+            candidates,
+            self._pace(routed.service, model),
+            _OBJECTIVE_SHARE * routed.route.latency_objective,
+            self._has_returned(routed),
+        )
+        return self._rooms.check(routed, found, sizing, is_pressed)
 
     def _job(
         self,
@@ -250,9 +302,13 @@
         )
 
     def _max_wait(self, routed: routedrequest.RoutedRequest) -> float:
+        if self._has_returned(routed):
+            return _MAX_LATE_WAIT_RETRIED
+        return _MAX_LATE_WAIT
+
+    def _has_returned(self, routed: routedrequest.RoutedRequest) -> bool:
         caller_timeout = routed.deadline - routed.request.arrived_at
-        is_shortened = caller_timeout < _SHORTENED_SHARE * routed.route.timeout
-        return _MAX_LATE_WAIT_RETRIED if is_shortened else _MAX_LATE_WAIT
+        return caller_timeout < _SHORTENED_SHARE * routed.route.timeout
 
     def _eligible(
         self,
@@ -305,6 +361,13 @@
         )
 
 
+def _is_unusable(
+    found: upstreamchoice.Chosen | upstreamchoice.Full,
+) -> bool:
+    """Return whether no upstream may be used, full or not."""
+    return isinstance(found, upstreamchoice.Full) and not found.candidates
+
+
 def _no_upstream_reason(routed: routedrequest.RoutedRequest) -> str:
     engine = routed.service.engine
     if engine is None:
--- a/src/citronvalve/model/refusal.py
+++ b/src/citronvalve/model/refusal.py
@@ -57,6 +57,7 @@
     """One refusal with its explanation.
 
     ``retry_after`` is ms from the response, or 0 if a retry won't help.
+    ``facts`` are names and values for the log that it is based on.
     """
 
     kind: RefusalKind
@@ -64,6 +65,7 @@
     remedy: str
     ran: _Ran = _Ran.NO
     retry_after: clock.Ms = 0
+    facts: tuple[tuple[str, str | float | None], ...] = ()
 
     @property
     def status(self) -> int:
--- a/src/citronvalve/policy/remoteloads.py
+++ b/src/citronvalve/policy/remoteloads.py
@@ -82,10 +82,20 @@
         :param pool: its name.
         :param now: monotonic ms.
         """
-        valid = loaddetails.total(
-            report.details for report in self._valid(now)
-        )
-        return valid.use_by_pool.get(pool, {})
+        use_by_team: dict[str, int] = {}
+        for report in self._valid(now):
+            reported = report.details.use_by_pool.get(pool)
+            for team, use in (reported or {}).items():
+                use_by_team[team] = use_by_team.get(team, 0) + use
+        return use_by_team
+
+    def age(self, now: clock.Ms) -> clock.Ms | None:
+        """Return the age of the oldest valid report, None without any.
+
+        :param now: monotonic ms.
+        """
+        valid = self._valid(now)
+        return max(now - report.at for report in valid) if valid else None
 
     def _valid(self, now: clock.Ms) -> list[_Report]:
         return [
--- a/src/citronvalve/routes/keyholder.py
+++ b/src/citronvalve/routes/keyholder.py
@@ -4,7 +4,11 @@
 
 
 class KeyHolder(NamedTuple):
-    """Name and priority of a team; None if no priority is declared."""
+    """Name and priority of a team; None if no priority is declared.
+
+    ``weight``, above 0, is that of its share of a full replica pool.
+    """
 
     name: str
     priority: int | None = None
+    weight: float = 1.0
--- a/tests/work/daemons.py
+++ b/tests/work/daemons.py
@@ -4,7 +4,10 @@
 import types
 
 from citronvalve.forward import directory as directories
+from citronvalve.forward import metrics
 from citronvalve.forward import placement
+from citronvalve.forward import poolrooms
+from citronvalve.policy import loaddetails
 from citronvalve.policy import upstreamchoice
 
 #: Time in ms between two reports of a daemon.
@@ -25,16 +28,33 @@
 
     def __init__(self, work, number, clock, rng):
         self.datacentre = f"zone-{number % work.datacentres}"
+        self._work = work
+        self._env = types.SimpleNamespace(
+            clock=clock,
+            rng=rng,
+            daemon_count=work.daemons,
+            metrics=metrics.Metrics(),
+        )
+        self.restart()
+
+    def restart(self):
+        """Start with nothing known of others; its requests are lost."""
         self.loads = upstreamchoice.LoadTable()
         self._directory = directories.Directory(self.datacentre)
         self._version_by_id = {}
-        env = types.SimpleNamespace(
-            clock=clock, rng=rng, daemon_count=work.daemons
-        )
+        self.rooms = None
+        if self._work.fair_shares:
+            self.rooms = poolrooms.PoolRooms(
+                self._env, self._directory, self.loads
+            )
         self.placement = placement.Placement(
-            env, self._directory, self.loads, placement.ColdLimits()
+            self._env,
+            self._directory,
+            self.loads,
+            placement.ColdLimits(),
+            self.rooms,
         )
-        steps = 1 if work.daemons <= _MAX_DIRECT_DAEMONS else 2
+        steps = 1 if self._work.daemons <= _MAX_DIRECT_DAEMONS else 2
         self.placement.set_report_age(lambda: steps * REPORT_INTERVAL)
 
     def update_directory(self, world, out):
@@ -52,6 +72,10 @@
             self._directory.remove(gone)
         self._directory.set_datacentres_out(frozenset({out} if out else ()))
 
+    def details(self):
+        """Return the details of its reports."""
+        return self.rooms.details() if self.rooms else loaddetails.NONE
+
     def counts(self):
         """Return its requests and how many are late, by upstream."""
         return {
@@ -68,32 +92,50 @@
     two reports before.  Until the next report all of them age.
 
     :param all_daemons: the daemons.
+    :param trouble: what befalls the reports, or None.
+    :param rng: random source.
     """
 
-    def __init__(self, all_daemons):
+    def __init__(self, all_daemons, trouble, rng):
         self._daemons = all_daemons
+        self._trouble = trouble
+        self._rng = rng
         self._snapshots = collections.deque(maxlen=3)
 
-    def send(self, now):
+    def send(self, now, elapsed):
         """Send the reports of all daemons.
 
         :param now: ms.
+        :param elapsed: ms since the work began.
         """
-        self._snapshots.append([daemon.counts() for daemon in self._daemons])
+        self._snapshots.append(
+            [(daemon.counts(), daemon.details()) for daemon in self._daemons]
+        )
+        trouble = self._trouble
+        is_harmed = trouble and trouble.begin <= elapsed < trouble.end
         for daemon in self._daemons:
-            daemon.loads.remote_loads.record(
-                "others", self._counts_of_others(daemon), now
-            )
+            if is_harmed and (
+                (trouble.cut and daemon is self._daemons[0])
+                or (trouble.lost and self._rng.random() < trouble.lost)
+            ):
+                continue
+            counts, details = self._of_others(daemon, is_harmed)
+            daemon.loads.remote_loads.record("others", counts, now, details)
 
-    def _counts_of_others(self, daemon):
+    def _of_others(self, daemon, is_harmed):
         local, older = self._snapshots[-1], self._snapshots[0]
         total = collections.defaultdict(lambda: [0, 0])
+        all_details = []
         for number, other in enumerate(self._daemons):
-            if other is daemon:
+            if other is daemon or (
+                is_harmed and self._trouble.cut and not number
+            ):
                 continue
             is_local = other.datacentre == daemon.datacentre
-            counts = (local if is_local else older)[number]
+            counts, details = (local if is_local else older)[number]
+            all_details.append(details)
             for upstream, (count, late) in counts.items():
                 total[upstream][0] += count
                 total[upstream][1] += late
-        return {upstream: tuple(both) for upstream, both in total.items()}
+        counts = {upstream: tuple(both) for upstream, both in total.items()}
+        return counts, loaddetails.total(all_details)
--- a/tests/work/results.py
+++ b/tests/work/results.py
@@ -12,13 +12,17 @@
         "datacentre",
         "events",
         "kind",
+        "first_after",
         "prompt",
+        "refusals",
         "result",
         "retried",
+        "returned_at",
+        "team",
         "tried",
     )
 
-    def __init__(self, kind, datacentre, prompt, events, now):
+    def __init__(self, kind, datacentre, prompt, events, now, team=0):
         self.kind = kind
         self.datacentre = datacentre
         self.prompt = prompt
@@ -27,6 +31,11 @@
         self.tried = []
         self.retried = False
         self.result = None
+        self.team = team
+        self.returned_at = None
+        self.first_after = None
+        #: For each refusal, the free slots of its model at that time.
+        self.refusals = []
 
 
 class Outcome(NamedTuple):
--- a/tests/work/site.py
+++ b/tests/work/site.py
@@ -14,6 +14,7 @@
 
 from citronvalve.model import manualclock
 from citronvalve.model import refusal
+from citronvalve.routes import keyholder
 from citronvalve.routes import modelspec
 from tests.replicas import world as worlds
 from tests.work import daemons
@@ -36,6 +37,7 @@
     :ivar calls: all calls, in the order of their arrival.
     :ivar free: runners without a group at each plan.
     :ivar counts: open replicas by model at each plan.
+    :ivar most_in_progress: requests at replicas, at the plan with most.
     :ivar sent_locally: requests by whether their replica was in the daemon's
         data centre.
     """
@@ -49,6 +51,7 @@
         self.calls = []
         self.free = []
         self.counts = []
+        self.most_in_progress = 0
         self.sent_locally = collections.Counter()
         self.engine_by_head = {}
         self._key_by_head = {}
@@ -86,7 +89,7 @@
             daemons.Daemon(work, number, self.clock, self.rng)
             for number in range(work.daemons)
         ]
-        self._reports = daemons.Reports(self._daemons)
+        self._reports = daemons.Reports(self._daemons, work.trouble, self.rng)
         self._out = None
         self._losses = 0
         self._added = 0
@@ -115,6 +118,10 @@
             self._schedule(
                 self.begin + self.work.out_end, lambda: self._set_out(None)
             )
+        if self.work.trouble and self.work.trouble.restart:
+            self._schedule(
+                self.begin + self.work.trouble.restart, self._restart
+            )
         while self._due:
             at, _, function = heapq.heappop(self._due)
             if at > self.end + 8_000:
@@ -144,7 +151,33 @@
         for burst in self.work.bursts:
             if burst.kind == kind.name and burst.begin <= elapsed < burst.end:
                 rate *= burst.factor
-        return rate * (1 + self.work.swing * math.sin(turn))
+        return (
+            rate
+            * (1 + self.work.swing * math.sin(turn))
+            * self._crest_factor(elapsed)
+            * self._team_factor(elapsed)
+        )
+
+    def _crest_factor(self, elapsed):
+        crest = self.work.crest
+        is_high = crest and elapsed % crest.interval < crest.length
+        return crest.factor if is_high else 1.0
+
+    def _team_extra(self, elapsed):
+        """Return what team 0 sends beyond its usual, as a part of that."""
+        burst = self.work.team_burst
+        is_high = burst and burst.begin <= elapsed < burst.end
+        return burst.factor - 1 if is_high else 0.0
+
+    def _team_factor(self, elapsed):
+        return 1 + self._team_extra(elapsed) / self.work.teams
+
+    def _team(self):
+        if self.work.teams == 1:
+            return 0
+        extra = self._team_extra(self.clock.now() - self.begin)
+        drawn = self.rng.random() * (self.work.teams + extra)
+        return max(0, int(drawn - extra))
 
     def _arrive_later(self, kind, number):
         rate = self._rate(kind, number)
@@ -163,6 +196,7 @@
             max(40, int(kind.prompt_tokens * factor)),
             max(1, int(kind.events * self.rng.lognormvariate(-0.2, 0.6))),
             self.clock.now(),
+            self._team(),
         )
         self.calls.append(call)
         self._place(call)
@@ -182,9 +216,13 @@
             response_tokens=call.events * self.spec.steps_per_pass,
             deadline=call.arrived_at + kind.timeout,
             route=types.SimpleNamespace(
-                latency_objective=kind.objective, timeout=kind.timeout
+                name=kind.name,
+                latency_objective=kind.objective,
+                timeout=kind.timeout,
             ),
             request=types.SimpleNamespace(arrived_at=now),
+            key_holder=keyholder.KeyHolder(f"team-{call.team}"),
+            priority=kind.priority,
         )
         if now >= routed.deadline:
             call.result = "lost"
@@ -193,27 +231,40 @@
         if isinstance(chosen, refusal.Refusal):
             self._refuse(call, chosen)
             return
-        self._send(daemon, call, chosen)
+        self._send(daemon, call, chosen, routed)
+
+    def _free_slots(self, model):
+        return sum(
+            max(0, self.work.slots - len(engine.jobs))
+            for head, engine in self.engine_by_head.items()
+            if self._key_by_head[head].model == model and not engine.stalled
+        )
 
     def _refuse(self, call, refused):
+        call.refusals.append(self._free_slots(call.kind.model))
         if call.retried:
             call.result = "refused"
             return
         call.retried = True
         call.tried = []
         at = self.clock.now() + refused.retry_after + 2 * _CALLER_LATENCY
+        call.returned_at = at
         self._schedule(at, lambda: self._place(call))
 
-    def _send(self, daemon, call, chosen):
+    def _send(self, daemon, call, chosen, routed):
         head = self.world.runner_by_id[chosen.upstream]
         self.sent_locally[head.datacentre == daemon.datacentre] += 1
         load = daemon.loads.of(chosen.upstream)
         load.own += 1
         load.late += chosen.late
+        daemon.placement.record_start(routed)
         call.tried.append(chosen.upstream)
         engine = self.engine_by_head.get(chosen.upstream)
         job = engines.Job(
-            (call, daemon, chosen), call.prompt, call.events, chosen.late
+            (call, daemon, chosen, routed, daemon.placement, load),
+            call.prompt,
+            call.events,
+            chosen.late,
         )
         if engine is None:
             self._fail_later(job)
@@ -227,7 +278,7 @@
         self._schedule(at, lambda: self._fail(job))
 
     def _fail(self, job):
-        call, daemon, chosen = job.call
+        call, _, chosen, *_ = job.call
         self._release(job)
         until = self.clock.now() + _AVOID_TIME
         for other in self._daemons:
@@ -240,18 +291,21 @@
             call.result = "lost"
 
     def _release(self, job):
-        _, daemon, chosen = job.call
-        load = daemon.loads.of(chosen.upstream)
+        _, _, chosen, routed, placement, load = job.call
         load.own -= 1
         load.late -= chosen.late
+        placement.record_end(routed)
 
     def _end(self, job):
-        call, daemon, chosen = job.call
+        call, daemon, chosen, *_ = job.call
         self._release(job)
         head = self.world.runner_by_id[chosen.upstream]
         remote = head.datacentre != daemon.datacentre
         latency = _CALLER_LATENCY + (self.work.remote_latency if remote else 0)
         first = job.first_at - call.arrived_at + 2 * latency
+        call.first_after = (
+            job.first_at + 2 * latency - (call.returned_at or call.arrived_at)
+        )
         in_time = (
             first <= call.kind.objective
             and job.largest_gap <= call.kind.gap_objective
@@ -263,6 +317,8 @@
     def _tick_planner(self):
         world, now = self.world, self.clock.now()
         load = {name: 0.0 for name in world.models}
+        in_progress = sum(len(e.jobs) for e in self.engine_by_head.values())
+        self.most_in_progress = max(self.most_in_progress, in_progress)
         for head, engine in self.engine_by_head.items():
             if not engine.stalled:
                 load[self._key_by_head[head].model] += len(engine.jobs)
@@ -364,8 +420,12 @@
     def _set_out(self, datacentre):
         self._out = datacentre
 
+    def _restart(self):
+        for daemon in self._daemons[::2]:
+            daemon.restart()
+
     def _tick_reports(self):
         now = self.clock.now()
-        self._reports.send(now)
+        self._reports.send(now, now - self.begin)
         if now < self.end:
             self._schedule(now + daemons.REPORT_INTERVAL, self._tick_reports)
--- a/tests/work/steps/work_steps.py
+++ b/tests/work/steps/work_steps.py
@@ -45,6 +45,7 @@
     played = site.Site(context.work, seed)
     played.run()
     assert not played.world.violations, played.world.violations
+    context.site = played
     context.outcomes = played.results.outcomes()
 
 
--- a/tests/work/workfile.py
+++ b/tests/work/workfile.py
@@ -27,6 +27,7 @@
     timeout: int
     worth: float
     late_worth: float
+    priority: int = 0
 
 
 class ModelMix(msgspec.Struct, forbid_unknown_fields=True):
@@ -50,6 +51,36 @@
     end: int
 
 
+class TeamBurst(msgspec.Struct, forbid_unknown_fields=True):
+    """Team 0 sends ``factor`` times as much; times as in :class:`Burst`."""
+
+    factor: float
+    begin: int
+    end: int
+
+
+class Crest(msgspec.Struct, forbid_unknown_fields=True):
+    """Every ``interval``, ``factor`` times the rate for ``length``."""
+
+    factor: float
+    length: int
+    interval: int
+
+
+class Trouble(msgspec.Struct, forbid_unknown_fields=True):
+    """What befalls the daemons' reports; times as in :class:`Burst`.
+
+    ``lost`` is the part of reports that is lost.  Daemon 0 is ``cut`` off
+    from the others.  At ``restart`` every second daemon loses its state.
+    """
+
+    begin: int
+    end: int
+    lost: float = 0.0
+    cut: bool = False
+    restart: int = 0
+
+
 class Work(msgspec.Struct, forbid_unknown_fields=True):
     """A site and its work; times in ms.
 
@@ -57,7 +88,9 @@
     in opposite phases, every ``swing_period``.  Every ``loss_interval`` one
     member of a replica of each model is lost, and from the fourth time on
     ``added`` empty runners are added.  ``datacentre_out`` leaves from
-    ``out_begin`` to ``out_end``.
+    ``out_begin`` to ``out_end``.  Requests come from ``teams`` teams, all
+    alike but for a ``team_burst``, and ``fair_shares`` switches on that
+    feature.
     """
 
     domains: int
@@ -80,6 +113,11 @@
     out_begin: int = 0
     out_end: int = 0
     bursts: list[Burst] = []
+    teams: int = 1
+    team_burst: TeamBurst | None = None
+    crest: Crest | None = None
+    trouble: Trouble | None = None
+    fair_shares: bool = False
 
 
 def read(path: pathlib.Path) -> Work:
