--- a/tests/work/results.py
+++ b/tests/work/results.py
@@ -13,13 +13,17 @@
         "events",
         "first",
         "kind",
+        "first_after",
         "prompt",
+        "refusals",
         "result",
         "retried",
+        "returned_at",
+        "team",
         "tried",
     )
 
-    def __init__(self, kind, datacentre, prompt, events, now):
+    def __init__(self, kind, datacentre, prompt, events, now, team=0):
         self.kind = kind
         self.datacentre = datacentre
         self.prompt = prompt
@@ -29,6 +33,11 @@
         self.retried = False
         self.first = None
         self.result = None
+        self.team = team
+        self.returned_at = None
+        self.first_after = None
+        #: For each refusal, the free slots of its model at that time.
+        self.refusals = []
 
 
 class Outcome(NamedTuple):
--- a/tests/work/workfile.py
+++ b/tests/work/workfile.py
@@ -28,6 +28,7 @@
     timeout: int
     worth: float
     late_worth: float
+    priority: int = 0
 
 
 class ModelMix(msgspec.Struct, forbid_unknown_fields=True):
@@ -53,6 +54,36 @@
     datacentre: int = -1
 
 
+class TeamBurst(msgspec.Struct, forbid_unknown_fields=True):
+    """Team 0 sends ``factor`` times as much; times as in :class:`Burst`."""
+
+    factor: float
+    begin: int
+    end: int
+
+
+class Crest(msgspec.Struct, forbid_unknown_fields=True):
+    """Every ``interval``, ``factor`` times the rate for ``length``."""
+
+    factor: float
+    length: int
+    interval: int
+
+
+class Trouble(msgspec.Struct, forbid_unknown_fields=True):
+    """What befalls the daemons' reports; times as in :class:`Burst`.
+
+    ``lost`` is the part of reports that is lost.  Daemon 0 is ``cut`` off
+    from the others.  At ``restart`` every second daemon loses its state.
+    """
+
+    begin: int
+    end: int
+    lost: float = 0.0
+    cut: bool = False
+    restart: int = 0
+
+
 class Work(msgspec.Struct, forbid_unknown_fields=True):
     """A site and its work; times in ms.
 
@@ -71,6 +102,9 @@
     With ``report_steps``, daemons report in turns, in that many parts of the
     usual interval.  With ``own_chance``, each daemon draws from a source of
     its own, so that the same calls come whatever the daemons choose.
+
+    Requests come from ``teams`` teams, all alike but for a ``team_burst``,
+    and ``fair_shares`` switches on that feature.
     """
 
     domains: int
@@ -102,6 +136,11 @@
     dark_end: int = 0
     report_steps: int = 1
     own_chance: bool = False
+    teams: int = 1
+    team_burst: TeamBurst | None = None
+    crest: Crest | None = None
+    trouble: Trouble | None = None
+    fair_shares: bool = False
 
 
 def read(path: pathlib.Path) -> Work:
