Count a daemon's memory, and refuse new work where there is none

A full account refuses new requests at once as not run (503 no-memory, Retry-After), also while their bodies come, and closes idle connections as new ones come; what runs goes on.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -289,6 +289,7 @@
         while True:
             listed = set(self.directory.runner_by_id)
             self._loads.retain(listed)
+            self._memory.count_upstreams(len(listed))
             self._update_gauges()
             eventlet.sleep(_CLEANUP_INTERVAL / clock.SECOND)
 
--- a/src/citronvalve/daemon/memorytask.py
+++ b/src/citronvalve/daemon/memorytask.py
@@ -12,6 +12,9 @@
 
 _KIBIBYTE = 1_024
 
+#: Bytes that an upstream takes: its entry, its load and its row.
+_UPSTREAM_BYTES = 2 * _KIBIBYTE
+
 
 class MemoryTask:
     """Sets what a daemon may hold, where its deployment asks for limits.
@@ -32,9 +35,18 @@
         account = env.memory
         account.limit = limits.total
         account.on_change = self._log_change
+        env.link = settings.machine.link
         env.unsent = unsentbudget.UnsentBudget(limits.unsent, account)
         env.body_space = bodybuffer.BodySpace(limits.answers, account)
 
+    def count_upstreams(self, count: int) -> None:
+        """Count what is known of upstreams.
+
+        :param count: how many there are.
+        """
+        size = count * _UPSTREAM_BYTES
+        self._env.memory.set(memoryaccount.Part.TABLES, size)
+
     def set_gauges(self, set_gauge: Callable[[str, str, float], None]) -> None:
         """Show the account.
 
--- a/src/citronvalve/forward/acceptor.py
+++ b/src/citronvalve/forward/acceptor.py
@@ -8,6 +8,7 @@
 from citronvalve.forward import callerconnection
 from citronvalve.forward import environment as environments
 from citronvalve.forward import portlistener
+from citronvalve.policy import memoryaccount
 from citronvalve.routes import callerlimits
 
 #: Connections that the kernel queues until they are accepted.  A burst of
@@ -20,6 +21,12 @@
 _CLOSED_PART = 16
 
 
+#: Bytes that a connection takes beside bodies: its task, parser and sockets.
+_CONNECTION_BYTES = 13 * 1024
+
+_PART = memoryaccount.Part.CONNECTIONS
+
+
 class Acceptor:
     """Serves each connection on a green thread of its own.
 
@@ -81,15 +88,20 @@
         The files that a process may have open also serve upstreams and other
         daemons.  A caller whose new connection is closed tries another daemon.
         """
-        if not self._most or len(self._connections) < self._most:
+        is_within = not self._most or len(self._connections) < self._most
+        if is_within and not self._env.memory.is_full:
             return True
-        left = max(1, self._most // _CLOSED_PART)
+        most = min(
+            self._most or len(self._connections), len(self._connections)
+        )
+        left = max(1, most // _CLOSED_PART)
         for connection in list(self._connections):
             if left and connection.close_if_idle():
                 left -= 1
         # Their tasks end now.
         eventlet.sleep(0)
-        return len(self._connections) < self._most
+        # Without memory a request is refused, which tells its caller more.
+        return not self._most or len(self._connections) < self._most
 
     def _serve(self, sock: socket.socket) -> None:
         if not self._has_room():
@@ -103,7 +115,9 @@
             sock, self._env, self._limits, self._handler
         )
         self._connections[connection] = None
+        self._env.memory.add(_PART, _CONNECTION_BYTES)
         try:
             connection.run()
         finally:
             del self._connections[connection]
+            self._env.memory.add(_PART, -_CONNECTION_BYTES)
--- a/src/citronvalve/forward/admission.py
+++ b/src/citronvalve/forward/admission.py
@@ -13,6 +13,9 @@
 #: Time in which a daemon that has just started learns its upstreams.
 _NOT_READY_RETRY: clock.Ms = 500
 
+#: A caller that comes back within this time finds room, or another daemon.
+_FULL_RETRY: clock.Ms = 300
+
 #: While the store is reachable, the catalogue is confirmed at least every
 #: 2.5 s (a long poll of 1 s that times out 1.5 s later).  A much older one may
 #: lack a route or a key that is in force elsewhere, so a final "not found"
@@ -44,6 +47,8 @@
 
         :param request: the caller's.
         """
+        if self._env.memory.is_full:
+            return memory_refusal()
         catalogue = self._directory.catalogue
         if catalogue is None or not self._directory.ready:
             return _refused(
@@ -112,6 +117,16 @@
         )._replace(retry_after=_NOT_READY_RETRY)
 
 
+def memory_refusal() -> refusal.Refusal:
+    """Return the refusal of a request for which there is no memory."""
+    return refusal.Refusal(
+        _Kind.NO_MEMORY,
+        "this daemon holds as many bytes as it may",
+        "send the request again, to another daemon if there is one",
+        retry_after=_FULL_RETRY,
+    )
+
+
 def _refused(kind: refusal.RefusalKind, why: str) -> refusal.Refusal:
     return refusal.Refusal(
         kind, why, "correct the request or send it again later"
--- a/src/citronvalve/forward/callerconnection.py
+++ b/src/citronvalve/forward/callerconnection.py
@@ -8,6 +8,7 @@
 import eventlet
 import h11
 
+from citronvalve.forward import admission
 from citronvalve.forward import callergone
 from citronvalve.forward import callerrequest
 from citronvalve.forward import environment as environments
@@ -20,6 +21,7 @@
 from citronvalve.forward import transport
 from citronvalve.model import clock
 from citronvalve.model import refusal
+from citronvalve.policy import memoryaccount
 from citronvalve.routes import callerlimits
 
 #: Bytes per read; a usual request fits into one.
@@ -76,6 +78,7 @@
         )
         self._aborted = False
         self._pipelined_bytes = 0
+        self._body_bytes = 0
         self._omit_body = False
         self._first_request_until = env.clock.now() + _FIRST_REQUEST_TIME
         self.idle = True
@@ -97,6 +100,7 @@
             self._reset()
         finally:
             self._output.close()
+            self._count_body(-self._body_bytes)
 
     def close_if_idle(self) -> bool:
         """Close the connection if it waits for a request.
@@ -179,6 +183,7 @@
         self._aborted = False
         self._omit_body = request.method == b"HEAD"
         self._answer(request)
+        self._count_body(-self._body_bytes)
         if self._aborted:
             raise BrokenPipeError("the response was aborted")
         if self._parser.our_state is not h11.DONE:
@@ -256,6 +261,10 @@
             if not isinstance(event, h11.Data):
                 return None
             body += event.data
+            self._count_body(len(event.data))
+            if self._env.memory.is_full and len(body) > _READ_SIZE:
+                self._refuse_unread(head)
+                return None
             if len(body) > limits.max_body_bytes:
                 raise h11.RemoteProtocolError(
                     f"the body is larger than {limits.max_body_bytes} bytes",
@@ -270,6 +279,24 @@
             arrived_at,
         )
 
+    def _count_body(self, size: int) -> None:
+        self._body_bytes += size
+        self._env.memory.add(memoryaccount.Part.REQUESTS, size)
+
+    def _refuse_unread(self, head: h11.Request) -> None:
+        """Refuse a request for whose body there is no memory."""
+        request_id = headers.value(
+            list(head.headers), self._env.header_names.request_id
+        ).decode("latin-1")
+        refused = admission.memory_refusal()
+        self._env.metrics.record_request("unknown", "refused", refused.kind)
+        self._env.log.note(
+            "turned away", request_id, kind=refused.kind, why=refused.detail
+        )
+        rendered = problem.render(refused, request_id)
+        closing = [*rendered.headers, (b"connection", b"close")]
+        self.send_whole(rendered.status, closing, rendered.body)
+
     def _read_head(self):
         if not self._parser.trailing_data[0]:
             self.idle = True
--- a/src/citronvalve/model/refusal.py
+++ b/src/citronvalve/model/refusal.py
@@ -19,6 +19,7 @@
     OVER_LIMIT = "over-limit"
     NO_TIME = "no-time"
     NO_UPSTREAM = "no-upstream"
+    NO_MEMORY = "no-memory"
     FENCED_OFF = "fenced-off"
     STOPPING = "stopping"
     RECORD_UNAVAILABLE = "record-unavailable"
@@ -39,6 +40,7 @@
     RefusalKind.OVER_LIMIT: 429,
     RefusalKind.NO_TIME: 503,
     RefusalKind.NO_UPSTREAM: 503,
+    RefusalKind.NO_MEMORY: 503,
     RefusalKind.FENCED_OFF: 422,
     RefusalKind.STOPPING: 503,
     RefusalKind.RECORD_UNAVAILABLE: 503,
--- a/src/citronvalve/policy/memoryaccount.py
+++ b/src/citronvalve/policy/memoryaccount.py
@@ -19,6 +19,8 @@
     UNSENT = "unsent"
     #: Callers' connections.
     CONNECTIONS = "connections"
+    #: What is known of upstreams.
+    TABLES = "tables"
 
 
 class MemoryAccount:
@@ -83,6 +85,14 @@
         if self.limit:
             self._update()
 
+    def set(self, part: Part, size: int) -> None:
+        """State the bytes of a part that is not counted by each change.
+
+        :param part: the part.
+        :param size: bytes.
+        """
+        self.add(part, size - self._bytes_by_part[part])
+
     def _update(self) -> None:
         least = self.limit * _OPEN_BELOW if self._is_full else self.limit
         is_full = self._total >= least
