--- a/standins/soak/caller.py
+++ b/standins/soak/caller.py
@@ -12,6 +12,7 @@
 from standins.soak import daemon as daemons
 from standins.soak import ledger as ledgers
 from standins.soak import operator as operators
+from standins.soak import runner as runners
 
 _PATIENCE = 8.0
 
@@ -19,6 +20,10 @@
 #: no use to it, and may be ended.
 _DEADLINE = 6.0
 
+#: Bytes that a caller that reads slowly asks for in each event, that its
+#: kernel holds unread, and the seconds between two reads.
+_EVENT_SIZE, _BUFFER, _READ_PAUSE = 8_000, 8_192, 0.1
+
 #: Statuses that say that a request has not run.
 _NOT_RUN = frozenset({408, 421, 429, 503})
 
@@ -33,6 +38,7 @@
     :param book: the accounts.
     :param chance: source of chance.
     :param longest: most events of a stream.
+    :ivar is_slow: whether it reads slowly.
     """
 
     def __init__(
@@ -44,6 +50,7 @@
     ) -> None:
         self._fleet, self._book, self._chance = fleet, book, chance
         self._longest = longest
+        self.is_slow = False
         self._left_at_by_id: dict[str, float] = {}
 
     def run(self) -> None:
@@ -54,6 +61,11 @@
                 daemon.front, timeout=_PATIENCE
             )
             try:
+                if self.is_slow:
+                    connection.connect()
+                    connection.sock.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_RCVBUF, _BUFFER
+                    )
                 while self._one(connection, daemon):
                     eventlet.sleep(self._chance.uniform(0.02, 0.2))
             except (OSError, http.client.HTTPException):
@@ -84,7 +96,7 @@
             if self._chance.random() < 0.03:
                 return self._leave(connection, asked)
             got = connection.getresponse()
-            data = got.read()
+            data = self._read(got)
         except (OSError, http.client.HTTPException) as error:
             self._book.first(
                 daemon.name, began, False, f"{asked.id}: {error!r}", asked
@@ -101,6 +113,15 @@
             eventlet.sleep(min(wait, 2.0))
         return not got.will_close
 
+    def _read(self, got: http.client.HTTPResponse) -> bytes:
+        if not self.is_slow:
+            return got.read()
+        data = b""
+        while piece := got.read1(_EVENT_SIZE):
+            data += piece
+            eventlet.sleep(_READ_PAUSE)
+        return data
+
     def _make(self) -> tuple[ledgers.Asked, str, dict[str, str]]:
         number = uuid.UUID(int=self._chance.getrandbits(128)).hex
         team, key = self._chance.choice(list(operators.TEAMS.items()))
@@ -119,7 +140,8 @@
             head |= {"X-Model": model, "X-Token-Usage": "100,60"}
             head["X-Prompt-Prefix"] = parts
             path = f"/stream/{self._chance.randint(3, self._longest)}"
-            made = ledgers.Asked(number, True, path, b"ask", team, key, parts)
+            ask = b"ask %d" % (_EVENT_SIZE if self.is_slow else 0)
+            made = ledgers.Asked(number, True, path, ask, team, key, parts)
             return made, "POST", head
         if turn < 0.85:
             body = self._chance.randbytes(self._chance.choice((0, 40, 30_000)))
@@ -180,8 +202,7 @@
     if asked.path.startswith("/stream/"):
         count = int(asked.path.rpartition("/")[2])
         return b"".join(
-            b"id: %d\ndata: %s-%d\n\n" % (n, asked.id.encode(), n)
-            for n in range(1, count + 1)
+            runners.event(asked.id, n, asked.body) for n in range(1, count + 1)
         )
     try:
         return data if json.loads(data)["number"] == asked.id else b""
--- a/standins/soak/daemon.py
+++ b/standins/soak/daemon.py
@@ -28,6 +28,7 @@
     :ivar peers: host:port for other daemons.
     :ivar link: harms its connections to the store.
     :ivar descriptors: most that it may have open, 0 for any number.
+    :ivar contracts: parts of the platform's protocol that are in force.
     :ivar up: whether it should be serving.
     """
 
@@ -55,6 +56,7 @@
         self.up = False
         self.slack = 130
         self.descriptors = 0
+        self.contracts: list[str] = []
 
     def start(self) -> None:
         """Start the process."""
@@ -80,6 +82,7 @@
             int(address.rpartition(":")[2])
             for address in (self.peers, self._relay)
         ]
+        memory = 200 if self.contracts else 0
         value = {
             "NodeName": self.name,
             "Zone": self.zone,
@@ -95,7 +98,8 @@
                 "StallMs": 4_000,
             },
             "Platform": {"Address": self.link.address},
-            "Limits": {"MaxFds": self.descriptors},
+            "Limits": {"MaxFds": self.descriptors, "MemoryMb": memory},
+            "Contracts": self.contracts,
         }
         self._settings.write_text(json.dumps(value))
 
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -20,6 +20,9 @@
 
 _UP_SECONDS = 20.0
 
+#: Peers read slowly in each third seed.
+_SLOW_EVERY = 3
+
 #: Most events of a stream; one takes a second then.
 _LONGEST = 25
 
@@ -65,10 +68,21 @@
             )
             for n in range(calling)
         ]
+        if seed % _SLOW_EVERY == 0:
+            self._slow_down()
         self.injected: collections.Counter[str] = collections.Counter()
         self.pulse = pulses.Pulse(self.book)
         self.beside: Callable[[Soak], None] = lambda _: None
 
+    def _slow_down(self) -> None:
+        """Let every third caller and every second runner read slowly."""
+        for caller in self._callers[::3]:
+            caller.is_slow = True
+        for runner in self.installation.all_runners[::2]:
+            runner.is_slow = True
+        for daemon in self.installation.daemons:
+            daemon.contracts = ["pressure"]
+
     def run(self) -> list[ledgers.Broken]:
         """Play it; return the promises that were broken."""
         self.installation.start()
--- a/standins/soak/runner.py
+++ b/standins/soak/runner.py
@@ -26,6 +26,10 @@
 #: from then until the entry lapses, and until the runner is back.
 _CRASH_AFTER, _LAPSE, _BACK = (0.03, 0.12), 1.5, 3.0
 
+#: Bytes that a runner that reads slowly takes at once, and the seconds
+#: between.
+_READ_SIZE, _READ_PAUSE = 4_000, 0.05
+
 #: Seconds between two looks of a stream that stands still.
 _LOOK = 0.05
 
@@ -46,6 +50,7 @@
     :ivar place: where it stands in groups.
     :ivar listed: whether it reaches the store.
     :ivar late: whether orders are answered by nobody and carried out late.
+    :ivar is_slow: whether it reads requests slowly.
     :ivar loses: whether answers of what it ran are lost.
     """
 
@@ -68,7 +73,7 @@
         self.place = places.Place(name, fleet, book, self.tell)
         self.listed = True
         self.draining_at: float | None = None
-        self.late = self.loses = False
+        self.late = self.loses = self.is_slow = False
         self._life = 0
         self._born = round(time.time() * 1_000)
         self._socket = eventlet.listen(("127.0.0.1", 0), backlog=256)
@@ -176,7 +181,7 @@
     ) -> Iterable[bytes]:
         path = environ["PATH_INFO"]
         expected = environ.get("HTTP_X_EXPECT_RUNNER")
-        body = environ["wsgi.input"].read()
+        body = self._read(environ["wsgi.input"])
         number = environ.get("HTTP_X_ATTEMPT_ID", "")
         if self.place.silent:
             self.place.wait_awake()
@@ -196,6 +201,15 @@
             return _json(start_response, status, {})
         return self._serve(environ, start_response, body)
 
+    def _read(self, source: Any) -> bytes:
+        if not self.is_slow:
+            return source.read()
+        body = b""
+        while piece := source.read(_READ_SIZE):
+            body += piece
+            eventlet.sleep(_READ_PAUSE)
+        return body
+
     def _ordered(self, order: dict[str, Any]) -> int | None:
         if self.late and self._chance.random() < 0.5:
             delay = self._chance.uniform(1.0, 5.0)
@@ -243,7 +257,7 @@
             delay = self._chance.uniform(*_CRASH_AFTER)
             eventlet.spawn_after(delay, self._crash_by, part, self._life)
         if self._sizes:
-            return self._stream(environ, start_response, number)
+            return self._stream(environ, start_response, number, body)
         eventlet.sleep(_WORK)
         self.place.wait_awake()
         if not self.alive or (self.loses and self._chance.random() < 0.3):
@@ -261,19 +275,23 @@
             )
             self.end_process()
 
-    def _stream(self, environ, start_response, number) -> Iterable[bytes]:
+    def _stream(
+        self, environ, start_response, number, body
+    ) -> Iterable[bytes]:
         first = int(environ.get("HTTP_LAST_EVENT_ID") or 0) + 1
         count = int(environ["PATH_INFO"].rstrip("/").rpartition("/")[2])
         head = [("Content-Type", "text/event-stream")]
         head += _head(number, f"{self.name}.{number}")
         start_response("200 OK", head)
-        return self._events(number, first, count)
+        return self._events(number, first, count, body)
 
-    def _events(self, number: str, first: int, last: int) -> Iterable[bytes]:
+    def _events(
+        self, number: str, first: int, last: int, body: bytes
+    ) -> Iterable[bytes]:
         place, held, life = self.place, self.place.group, self._life
         place.running += 1
         try:
-            for event in range(first, last + 1):
+            for turn in range(first, last + 1):
                 eventlet.sleep(_GAP)
                 place.wait_awake()
                 while place.group is held and place.stands_still():
@@ -283,11 +301,7 @@
                 gone = life != self._life or place.group is not held
                 if gone or held.is_preempted or place.is_broken():
                     raise ConnectionResetError("the runner is gone")
-                yield b"id: %d\ndata: %s-%d\n\n" % (
-                    event,
-                    number.encode(),
-                    event,
-                )
+                yield event(number, turn, body)
         finally:
             place.running -= 1
 
@@ -324,6 +338,18 @@
         return [b""]
 
 
+def event(request: str, number: int, body: bytes) -> bytes:
+    """Return an event of a stream.
+
+    :param request: the id of the request.
+    :param number: the id of the event.
+    :param body: of the request; may say how many bytes an event has at least.
+    """
+    _, _, size = body.partition(b" ")
+    piece = b"id: %d\ndata: %s-%d" % (number, request.encode(), number)
+    return piece.ljust(int(size or 0)) + b"\n\n"
+
+
 def _is_left(environ: dict[str, Any]) -> bool:
     """Tell whether nobody waits for the answer any more."""
     plain = environ["eventlet.input"].get_socket().fd
