Prefer a share of the replicas by daemon, so that many daemons fill them evenly

Callers saw first events late while other replicas of the model had free slots: daemons choose at the same time, by counts of each other's requests that are 50 to 300 ms old, and a random part of the forecast is either too narrow (all choose the same replicas) or ignores the load.

With features.even_load a daemon uses a share of the replicas that no other daemon prefers, whose load it counts itself, and draws by free slots when its share is full. Where hardly any slot is free, the choice is by forecast as before.

tests/work gets optional fields (reports in turns, a source of chance for each daemon); without them its runs are as before.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -31,6 +31,7 @@
 from citronvalve.forward import stalldetector
 from citronvalve.model import clock
 from citronvalve.model import errors
+from citronvalve.policy import evenchoice
 from citronvalve.policy import upstreamchoice
 from citronvalve.replicas import crashrecord
 from citronvalve.replicas import lease
@@ -171,11 +172,22 @@
         self._messages.load_broadcaster.is_nearly_full = (
             self._dependencies.placement.is_pressed
         )
+        if self._settings.features.even_load:
+            self._spread_evenly()
         self._dependencies.placement.set_report_age(
             self._messages.load_broadcaster.report_age
         )
         self._stall_detector.on_stall = self._messages.broadcast_stall
 
+    def _spread_evenly(self) -> None:
+        self._dependencies.placement.set_choice(
+            evenchoice.EvenChoice(
+                self._loads,
+                self.env.rng,
+                self._messages.load_broadcaster.turn,
+            )
+        )
+
     def _exchange_crashes(self) -> None:
         detector = self._crash_detector
         exchange = self._messages.exchange_crashes(detector.suspects)
--- a/src/citronvalve/daemon/loadbroadcaster.py
+++ b/src/citronvalve/daemon/loadbroadcaster.py
@@ -10,6 +10,7 @@
 from citronvalve.peers import distributor as distributors
 from citronvalve.peers import messages
 from citronvalve.policy import loaddetails
+from citronvalve.policy import roomshare
 from citronvalve.policy import upstreamchoice
 
 #: Interval between reports of this daemon's requests.  A replica near its
@@ -69,6 +70,10 @@
         steps = 1 if self._distributor.topology.is_direct else 2
         return steps * self._interval()
 
+    def turn(self) -> roomshare.Turn:
+        """Return the daemon's place in its data centre."""
+        return self._distributor.topology.turn
+
     def _send_own(self) -> None:
         sent_at = -_REPEAT_INTERVAL
         last: messages.RequestCounts = {}
--- a/src/citronvalve/forward/placement.py
+++ b/src/citronvalve/forward/placement.py
@@ -141,6 +141,14 @@
         """
         self._choice.report_age = report_age
 
+    def set_choice(self, choice: upstreamchoice.UpstreamChoice) -> None:
+        """Set how upstreams are chosen.
+
+        :param choice: by the loads that the placement was made with.
+        """
+        choice.report_age = self._choice.report_age
+        self._choice = choice
+
     def is_pressed(self) -> bool:
         """Return whether a recent request found its replicas nearly full."""
         if self._pressed_at is None:
--- a/src/citronvalve/peers/topology.py
+++ b/src/citronvalve/peers/topology.py
@@ -4,6 +4,7 @@
 
 from citronvalve.model import clock
 from citronvalve.peers import rendezvous
+from citronvalve.policy import roomshare
 
 #: Up to this many daemons send to each other directly.  That takes 132
 #: messages a period, instead of 24 by coordinators, but avoids the delay of a
@@ -68,6 +69,14 @@
         """Return the number of daemons in this data centre."""
         return len(self._ranked_by_datacentre[self._datacentre])
 
+    @property
+    def turn(self) -> roomshare.Turn:
+        """Return this daemon's place in its data centre."""
+        ranked = self._ranked_by_datacentre[self._datacentre]
+        if self._name not in ranked:
+            return roomshare.ALONE
+        return roomshare.Turn(ranked.index(self._name), len(ranked))
+
     @property
     def fan_out(self) -> int:
         """Return to how many daemons one sends the same message at most."""
--- a/src/citronvalve/policy/enginepace.py
+++ b/src/citronvalve/policy/enginepace.py
@@ -32,6 +32,11 @@
         self._last_prompt = 0
         self._last_prefill_time = 0.0
 
+    @property
+    def slots(self) -> int:
+        """Return how many requests a replica runs at once."""
+        return self._spec.slots
+
     def step_time(self, decoding: int) -> float:
         """Return the duration of one step in ms.
 
@@ -74,6 +79,16 @@
             spec.typical_prompt_tokens
         )
 
+    def typical_forecast(self, load: float) -> Forecast:
+        """Predict the latency of a typical request that is sent now.
+
+        :param load: requests at the replica before it, running or queued.
+        """
+        spec = self._spec
+        return self.forecast(
+            load, spec.typical_prompt_tokens, spec.typical_response_tokens
+        )
+
     def forecast(self, load: float, prompt: int, answer: int) -> Forecast:
         """Predict the latency of a request that is sent now.
 
--- a/src/citronvalve/policy/upstreamchoice.py
+++ b/src/citronvalve/policy/upstreamchoice.py
@@ -157,7 +157,7 @@
         :param now: monotonic ms.
         """
         load = self._loads.of(upstream)
-        if _is_available(load, now):
+        if is_available(load, now):
             return ""
         return "avoided" if load.avoid_until > now else "after failures"
 
@@ -172,7 +172,7 @@
         best: tuple[float, str] | None = None
         for candidate in candidates:
             load = self._loads.of(candidate.upstream)
-            if not _is_available(load, now):
+            if not is_available(load, now):
                 continue
             rank = (load.total(now) + 1) / max(1, candidate.slots)
             rank += self._rng.uniform(0, 0.05)
@@ -214,7 +214,7 @@
     def consider(self, candidate: Candidate) -> None:
         """Rank a candidate, if it is available."""
         load = self._loads.of(candidate.upstream)
-        if not _is_available(load, self._now):
+        if not is_available(load, self._now):
             return
         self._count += 1
         key = *load.totals(self._now), candidate.latency
@@ -265,7 +265,12 @@
         return Full(round(excess), self._count)
 
 
-def _is_available(load: upstreamload.UpstreamLoad, now: clock.Ms) -> bool:
+def is_available(load: upstreamload.UpstreamLoad, now: clock.Ms) -> bool:
+    """Return whether an upstream may get a new request.
+
+    :param load: its load.
+    :param now: monotonic ms.
+    """
     if load.avoid_until > now:
         return False
     if load.circuit.state is circuit.State.CLOSED:
--- a/tests/work/daemons.py
+++ b/tests/work/daemons.py
@@ -25,6 +25,7 @@
 
     def __init__(self, work, number, clock, rng):
         self.datacentre = f"zone-{number % work.datacentres}"
+        self.rng = rng
         self.loads = upstreamchoice.LoadTable()
         self._directory = directories.Directory(self.datacentre)
         self._version_by_id = {}
@@ -67,12 +68,21 @@
     Those of its own data centre are as of now, those of others as of up to
     two reports before.  Until the next report all of them age.
 
+    With more than one step, daemons count their requests in turns, a step
+    apart, and the sums of all are sent once in an interval: with three steps
+    counts are 50 to 300 ms old.
+
     :param all_daemons: the daemons.
+    :param steps: parts of the interval.
+    :ivar interval: ms between two calls of :meth:`send`.
     """
 
-    def __init__(self, all_daemons):
+    def __init__(self, all_daemons, steps=1):
         self._daemons = all_daemons
-        self._snapshots = collections.deque(maxlen=3)
+        self._steps = steps
+        self._sent = 0
+        self._snapshots = collections.deque(maxlen=max(3, steps + 1))
+        self.interval = REPORT_INTERVAL // steps
 
     def send(self, now):
         """Send the reports of all daemons.
@@ -80,6 +90,9 @@
         :param now: ms.
         """
         self._snapshots.append([daemon.counts() for daemon in self._daemons])
+        self._sent += 1
+        if self._sent % self._steps:
+            return
         for daemon in self._daemons:
             daemon.loads.remote_loads.record(
                 "others", self._counts_of_others(daemon), now
@@ -93,7 +106,14 @@
                 continue
             is_local = other.datacentre == daemon.datacentre
             counts = (local if is_local else older)[number]
+            if self._steps > 1:
+                counts = self._counted_in_turn(number)
             for upstream, (count, late) in counts.items():
                 total[upstream][0] += count
                 total[upstream][1] += late
         return {upstream: tuple(both) for upstream, both in total.items()}
+
+    def _counted_in_turn(self, number):
+        steps_before = 1 + number % self._steps
+        index = max(0, len(self._snapshots) - 1 - steps_before)
+        return self._snapshots[index][number]
--- a/tests/work/engine.py
+++ b/tests/work/engine.py
@@ -56,6 +56,11 @@
         """Return how many requests have no slot."""
         return len(self._waiting) + len(self._late)
 
+    @property
+    def late_count(self):
+        """Return how many late requests wait."""
+        return len(self._late)
+
     def add(self, job, now):
         """Take a request."""
         (self._late if job.late else self._waiting).append(job)
--- a/tests/work/results.py
+++ b/tests/work/results.py
@@ -5,12 +5,13 @@
 
 
 class Call:
-    """A caller's request and how it went."""
+    """A caller's request and how it went; ``first`` is ms to an event."""
 
     __slots__ = (
         "arrived_at",
         "datacentre",
         "events",
+        "first",
         "kind",
         "prompt",
         "result",
@@ -26,6 +27,7 @@
         self.arrived_at = now
         self.tried = []
         self.retried = False
+        self.first = None
         self.result = None
 
 
--- a/tests/work/site.py
+++ b/tests/work/site.py
@@ -38,6 +38,9 @@
     :ivar counts: open replicas by model at each plan.
     :ivar sent_locally: requests by whether their replica was in the daemon's
         data centre.
+    :ivar daemons: the daemons.
+    :ivar on_send: called with the head and the engine that a request is sent
+        to.
     """
 
     def __init__(self, work, seed):
@@ -82,11 +85,19 @@
         self._service = types.SimpleNamespace(
             name="svc", engine=self.spec, cold_rate=0
         )
-        self._daemons = [
-            daemons.Daemon(work, number, self.clock, self.rng)
+        self.daemons = [
+            daemons.Daemon(
+                work,
+                number,
+                self.clock,
+                random.Random(f"{seed}/{number}")
+                if work.own_chance
+                else self.rng,
+            )
             for number in range(work.daemons)
         ]
-        self._reports = daemons.Reports(self._daemons)
+        self._reports = daemons.Reports(self.daemons, work.report_steps)
+        self.on_send = lambda head, engine: None
         self._out = None
         self._losses = 0
         self._added = 0
@@ -169,9 +180,9 @@
 
     def _place(self, call):
         now = self.clock.now()
-        here = [d for d in self._daemons if d.datacentre == call.datacentre]
+        here = [d for d in self.daemons if d.datacentre == call.datacentre]
         if self._out == call.datacentre:
-            here = [d for d in self._daemons if d.datacentre != self._out]
+            here = [d for d in self.daemons if d.datacentre != self._out]
         daemon = self.rng.choice(here)
         daemon.update_directory(self.world, self._out)
         kind = call.kind
@@ -218,6 +229,7 @@
         if engine is None:
             self._fail_later(job)
             return
+        self.on_send(head, engine)
         engine.add(job, self.clock.now())
         if engine.stalled:
             self._fail_later(job)
@@ -230,7 +242,7 @@
         call, daemon, chosen = job.call
         self._release(job)
         until = self.clock.now() + _AVOID_TIME
-        for other in self._daemons:
+        for other in self.daemons:
             other.loads.of(chosen.upstream).avoid_until = until
         if self.world.runner_by_id.get(chosen.upstream):
             self.world.planner.suspect_group(chosen.upstream)
@@ -251,9 +263,9 @@
         head = self.world.runner_by_id[chosen.upstream]
         remote = head.datacentre != daemon.datacentre
         latency = _CALLER_LATENCY + (self.work.remote_latency if remote else 0)
-        first = job.first_at - call.arrived_at + 2 * latency
+        call.first = job.first_at - call.arrived_at + 2 * latency
         in_time = (
-            first <= call.kind.objective
+            call.first <= call.kind.objective
             and job.largest_gap <= call.kind.gap_objective
         )
         call.result = "in_time" if in_time else "late"
@@ -368,4 +380,4 @@
         now = self.clock.now()
         self._reports.send(now)
         if now < self.end:
-            self._schedule(now + daemons.REPORT_INTERVAL, self._tick_reports)
+            self._schedule(now + self._reports.interval, self._tick_reports)
--- a/tests/work/workfile.py
+++ b/tests/work/workfile.py
@@ -57,7 +57,10 @@
     in opposite phases, every ``swing_period``.  Every ``loss_interval`` one
     member of a replica of each model is lost, and from the fourth time on
     ``added`` empty runners are added.  ``datacentre_out`` leaves from
-    ``out_begin`` to ``out_end``.
+    ``out_begin`` to ``out_end``.  With ``report_steps``, daemons report in
+    turns, in that many parts of the usual interval.  With ``own_chance``,
+    each daemon draws from a source of its own, so that the same calls come
+    whatever the daemons choose.
     """
 
     domains: int
@@ -80,6 +83,8 @@
     out_begin: int = 0
     out_end: int = 0
     bursts: list[Burst] = []
+    report_steps: int = 1
+    own_chance: bool = False
 
 
 def read(path: pathlib.Path) -> Work:
