Let two daemons of each data centre read the tables at once after a restart

The two daemons that give the tables to the others of their data centre ask the leader and each other twice, 60 ms apart, and then read the store; the others ask them each 60 ms instead of each 120 ms. The first start of all is as before, and so is a single restart, which is answered at the first request.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -106,7 +106,9 @@
         self.env.log.change("started", callers=self._settings.callers)
         eventlet.spawn(self._log.run)
         self._follow_tables()
-        self._messages.start(self._peers_wait())
+        self._messages.start(
+            self._peers_wait(), not self._settings.first_start
+        )
         self._crash_exchange.start()
         eventlet.spawn(self._renew_lease)
         eventlet.spawn(self._planner_task.run)
--- a/src/citronvalve/daemon/messagetask.py
+++ b/src/citronvalve/daemon/messagetask.py
@@ -116,13 +116,15 @@
         self._hellos_due = 0
         self.on_stall: Callable[[str], None] = lambda _: None
 
-    def start(self, tables_wait: clock.Ms) -> None:
+    def start(self, tables_wait: clock.Ms, is_restart: bool) -> None:
         """Open the sockets and start the tasks.
 
         :param tables_wait: ms for which other daemons may send the first
             rows of the followed tables.
+        :param is_restart: whether the system has run before.
         """
         self._sockets.bind()
+        self._newcomers.is_restart = is_restart
         self._newcomers.expect_tables(tables_wait)
         eventlet.spawn(self._receive)
         eventlet.spawn(self._send_heartbeats)
--- a/src/citronvalve/daemon/newcomers.py
+++ b/src/citronvalve/daemon/newcomers.py
@@ -15,7 +15,11 @@
 from citronvalve.replicas import lease as leases
 
 #: Time between two requests, each to another daemon.
-_REQUEST_INTERVAL: clock.Ms = 120
+_REQUEST_INTERVAL: clock.Ms = 60
+
+#: Requests without an answer after which a daemon that gives the tables to
+#: others reads them from the store.
+_REQUESTS = 2
 
 #: Daemons of a data centre that give the tables to the others there.
 _SOURCES = 2
@@ -43,6 +47,7 @@
     :param tables: the followed tables.
     :param codec: encodes messages.
     :param send: sends encoded bytes to an address.
+    :ivar is_restart: whether the system has run before.
     """
 
     def __init__(
@@ -61,6 +66,7 @@
         self._codec = codec
         self._send = send
         self._until: clock.Ms = 0
+        self.is_restart = False
         self._encoded_by_table: dict[str, _Encoded] = {}
 
     def expect_tables(self, wait: clock.Ms) -> None:
@@ -76,14 +82,35 @@
         """Ask for the tables that are unknown or miss a change."""
         for attempt in itertools.count():
             eventlet.sleep(_REQUEST_INTERVAL / clock.SECOND)
-            if self._env.clock.now() >= self._until:
+            if not self.request_once(attempt):
                 return
-            sources = self.sources()
-            if sources:
-                self._request_unknown(sources[attempt % len(sources)])
-            elif self._lease.has_scanned:
-                # It starts alone, or gives the tables to the others.
-                self.expect_tables(0)
+
+    def request_once(self, attempt: int) -> bool:
+        """Ask one daemon for the tables; return whether to go on.
+
+        :param attempt: number of the requests so far.
+        """
+        if self._env.clock.now() >= self._until:
+            return False
+        sources = self.sources()
+        if not sources and not self._lease.has_scanned:
+            return True
+        if not sources or self._must_read(attempt):
+            # It starts alone, or gives the tables to the others.
+            self.expect_tables(0)
+            return False
+        self._request_unknown(sources[attempt % len(sources)])
+        return True
+
+    def _must_read(self, attempt: int) -> bool:
+        """Return whether this daemon reads the tables for the others.
+
+        When all daemons restart at once none has the tables, and callers
+        wait for the first that does.
+
+        :param attempt: number of the requests so far.
+        """
+        return self.is_restart and attempt >= _REQUESTS and self._is_source()
 
     def _request_unknown(self, source: leases.Peer) -> None:
         for table, tail in self._tables.tail_by_table.items():
@@ -94,12 +121,8 @@
     def sources(self) -> list[leases.Peer]:
         """Return the daemons to ask for tables."""
         peers = self._lease.peer_by_name
-        here = self._env.datacentre
-        ranked = rendezvous.rank(
-            here, [n for n, peer in peers.items() if peer.datacentre == here]
-        )
-        names = ranked[:_SOURCES]
-        if self._env.name in names:
+        names = self._source_names()
+        if self._is_source():
             names = [self._lease.leader, *names]
         return [
             peers[name]
@@ -107,6 +130,18 @@
             if name in peers and name != self._env.name
         ]
 
+    def _is_source(self) -> bool:
+        return self._env.name in self._source_names()
+
+    def _source_names(self) -> list[str]:
+        """Return the daemons that give tables to the others here."""
+        peers = self._lease.peer_by_name
+        here = self._env.datacentre
+        ranked = rendezvous.rank(
+            here, [n for n, peer in peers.items() if peer.datacentre == here]
+        )
+        return ranked[:_SOURCES]
+
     def make_request(self, table: str) -> messages.FullTableRequest:
         """Return a request for a table that is answered directly.
 
