--- a/src/citronvalve/policy/crashsuspect.py
+++ b/src/citronvalve/policy/crashsuspect.py
@@ -34,6 +34,11 @@
     count: int
     has_survived: bool | None
 
+    @property
+    def fewest_explaining(self) -> int:
+        """Return the fewest losses of a content that explains its losses."""
+        return min(self.count, _MIN_EXPLAINING_SURVIVED)
+
 
 class CrashSuspect:
     """What is known of one content.
@@ -117,8 +122,7 @@
         count = self.count(model)
         survived = accusation.has_survived
         if survived is not None and survived is not self.has_survived:
-            enough = min(accusation.count, _MIN_EXPLAINING_SURVIVED)
-            return survived and count >= enough
+            return survived and count >= accusation.fewest_explaining
         if count > accusation.count:
             return True
         begun = self.loss_by_start[loss.start].begun
--- a/src/citronvalve/policy/crashsuspects.py
+++ b/src/citronvalve/policy/crashsuspects.py
@@ -240,25 +240,35 @@
     ) -> list[clock.Ms]:
         """Return the times of losses that nothing outside a request explains.
 
-        :param losses: of one of the request's contents.
-        :param accusation: of that content.
-        :param contents: all contents of the request.
-        :param model: digest of its model's name.
+        ``losses`` and ``accusation`` are those of one of its contents.
         """
         own = contents.all()
         return [
             loss.at
             for loss in losses
-            if not any(
-                self._suspect_by_content[other].explains(
-                    loss, accusation, model
-                )
-                for other in self._contents_by_start[loss.start].difference(
-                    own
-                )
-            )
+            if not self._is_explained(loss, accusation, own, model)
         ]
 
+    def _is_explained(
+        self,
+        loss: crashevidence.Loss,
+        accusation: crashsuspect.Accusation,
+        own: tuple[int, ...],
+        model: int,
+    ) -> bool:
+        """Return whether a content outside a request explains a loss."""
+        enough = accusation.fewest_explaining
+        for other in self._contents_by_start[loss.start]:
+            suspect = self._suspect_by_content[other]
+            # Most of what runs on a lost upstream is not lost again.
+            if (
+                len(suspect.loss_by_start) >= enough
+                and other not in own
+                and suspect.explains(loss, accusation, model)
+            ):
+                return True
+        return False
+
     def _drop_weakest(self) -> None:
         """Make room; what is held to crash upstreams is dropped last."""
         ranked = sorted(
