--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -18,6 +18,7 @@
 from citronvalve.daemon import messagetask
 from citronvalve.daemon import plannertask
 from citronvalve.daemon import platforminterface as ports_
+from citronvalve.daemon import roomreport
 from citronvalve.daemon import runnerlistener
 from citronvalve.forward import acceptor
 from citronvalve.forward import admission
@@ -90,6 +91,9 @@
         )
         self.directory = directories.Directory(settings.datacentre)
         self._loads = upstreamchoice.LoadTable()
+        self._room_report = roomreport.RoomReport(
+            self.env, self.directory, self._loads
+        )
         self._stop = eventlet.event.Event()
         self._make_forwarding()
         self._make_leadership()
@@ -300,6 +304,8 @@
             listed = set(self.directory.runner_by_id)
             self._loads.retain(listed)
             self._update_gauges()
+            if self._settings.features.even_load:
+                self._room_report.update()
             eventlet.sleep(_CLEANUP_INTERVAL / clock.SECOND)
 
     def _update_gauges(self) -> None:
--- a/src/citronvalve/forward/directory.py
+++ b/src/citronvalve/forward/directory.py
@@ -127,6 +127,35 @@
         """
         return self._heads_by_model.get((service, model), {}).values()
 
+    def heads_by_model(
+        self,
+    ) -> list[
+        tuple[
+            tuple[str, str],
+            collections.abc.Collection[upstreamchoice.Candidate],
+        ]
+    ]:
+        """Return the open replicas of each service and model."""
+        return [
+            (key, candidate_by_id.values())
+            for key, candidate_by_id in self._heads_by_model.items()
+        ]
+
+    def slots(self, service: str, runner: runners.Runner) -> int:
+        """Return how many requests a replica runs at once.
+
+        :param service: its service.
+        :param runner: its head.
+        """
+        declared = (
+            self.catalogue.service_by_name.get(service)
+            if self.catalogue
+            else None
+        )
+        if declared is None or declared.engine is None:
+            return runner.slots
+        return declared.engine.slots
+
     def plain_upstreams(
         self, service: str
     ) -> collections.abc.Collection[upstreamchoice.Candidate]:
--- a/src/citronvalve/policy/remoteloads.py
+++ b/src/citronvalve/policy/remoteloads.py
@@ -65,6 +65,17 @@
             late += reported[1]
         return (count, late) if known else None
 
+    def age(self, now: clock.Ms) -> clock.Ms:
+        """Return the ms since the newest report, 0 before the first.
+
+        :param now: monotonic ms.
+        """
+        newest = max(
+            (report.at for report in self._report_by_daemon.values()),
+            default=now,
+        )
+        return now - newest
+
     def tokens(self, upstream: str, now: clock.Ms) -> int:
         """Return the size in tokens of the requests at an upstream.
 
