--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -19,6 +19,7 @@
 from citronvalve.daemon import messagetask
 from citronvalve.daemon import plannertask
 from citronvalve.daemon import platforminterface as ports_
+from citronvalve.daemon import roomreport
 from citronvalve.daemon import runnerlistener
 from citronvalve.forward import acceptor
 from citronvalve.forward import admission
@@ -93,6 +94,9 @@
         self._memory = memorytask.MemoryTask(self.env, settings)
         self.directory = directories.Directory(settings.datacentre)
         self._loads = upstreamchoice.LoadTable()
+        self._room_report = roomreport.RoomReport(
+            self.env, self.directory, self._loads
+        )
         self._stop = eventlet.event.Event()
         self._make_forwarding()
         self._make_leadership()
@@ -314,6 +318,8 @@
             self._loads.retain(listed)
             self._memory.count_upstreams(len(listed))
             self._update_gauges()
+            if self._settings.features.even_load:
+                self._room_report.update()
             eventlet.sleep(_CLEANUP_INTERVAL / clock.SECOND)
 
     def _update_gauges(self) -> None:
