--- a/src/citronvalve/daemon/roomreport.py
+++ b/src/citronvalve/daemon/roomreport.py
@@ -59,7 +59,7 @@
     def update(self) -> None:
         """Set the gauges, and log what has changed."""
         now = self._env.clock.now()
-        age = self._loads.remote_loads.age(now)
+        age = self._loads.remote_loads.since_newest(now)
         self._env.metrics.set_gauge(
             "load_reports_age_seconds",
             "Since other daemons' requests were last reported.",
--- a/src/citronvalve/policy/remoteloads.py
+++ b/src/citronvalve/policy/remoteloads.py
@@ -65,7 +65,7 @@
             late += reported[1]
         return (count, late) if known else None
 
-    def age(self, now: clock.Ms) -> clock.Ms:
+    def since_newest(self, now: clock.Ms) -> clock.Ms:
         """Return the ms since the newest report, 0 before the first.
 
         :param now: monotonic ms.
