--- a/src/citronvalve/forward/exchange.py
+++ b/src/citronvalve/forward/exchange.py
@@ -278,8 +278,6 @@
     def _deliver(
         self, response: responsehead.ResponseHead, body: bytes
     ) -> None:
-        # What the caller does not take is counted as unsent instead.
-        self._body.release()
         self._reply.send_whole(
             response.status, headers.end_to_end(response.headers), body
         )
