Refuse a request that is larger than a replica's memory at once

Its caller waited for replicas that all reject it, and was told that they are full. The refusal (503, not run) names both sizes. The limit of memory over all requests of a replica is not begun, so the count of tokens in load reports and its switch, of which nothing came yet, are taken out again.

tests/placing: the row of one token too many fails without the check; 11 of 11 now. tests/news 22, tests/adapter/decoding 22, tests/policy/teams 15: passed.

--- a/src/citronvalve/daemon/entrysettings.py
+++ b/src/citronvalve/daemon/entrysettings.py
@@ -28,14 +28,12 @@
     ``local_rooms``: demand and replicas are weighed by data centre.
     ``slow_peers``: callers and upstreams may read slowly, and what is held
     for them counts.
-    ``memory_limits``: requests are bounded by the memory of replicas.
     """
 
     fair_shares: bool = False
     even_load: bool = False
     local_rooms: bool = False
     slow_peers: bool = False
-    memory_limits: bool = False
 
 
 class EntrySettings(NamedTuple):
--- a/src/citronvalve/forward/placement.py
+++ b/src/citronvalve/forward/placement.py
@@ -109,6 +109,9 @@
         :param routed: the request.
         :param tried: ids of the upstreams of earlier attempts.
         """
+        too_large = _too_large_reason(routed)
+        if too_large:
+            return self._refuse(routed, too_large, _REPAIR_TIME)
         now = self._env.clock.now()
         found = self._choose(routed, tried, now)
         is_pressed = self._update_pressure(found, routed, now)
@@ -376,6 +379,18 @@
     return isinstance(found, upstreamchoice.Full) and not found.candidates
 
 
+def _too_large_reason(routed: routedrequest.RoutedRequest) -> str:
+    """Return why no replica can hold a request, or nothing."""
+    engine = routed.service.engine
+    size = routed.prompt_tokens + routed.response_tokens
+    if engine is None or size <= engine.kv_cache_tokens:
+        return ""
+    return (
+        f"the request has {size} tokens, the memory of a replica "
+        f"{engine.kv_cache_tokens}"
+    )
+
+
 def _no_upstream_reason(routed: routedrequest.RoutedRequest) -> str:
     engine = routed.service.engine
     if engine is None:
--- a/src/citronvalve/forward/poolrooms.py
+++ b/src/citronvalve/forward/poolrooms.py
@@ -81,7 +81,7 @@
     def details(self) -> loaddetails.LoadDetails:
         """Return what load reports tell of the pools that are nearly full."""
         use_by_pool = self._use.report(self._env.clock.now())
-        return loaddetails.LoadDetails({}, use_by_pool)
+        return loaddetails.LoadDetails(use_by_pool)
 
     def check(
         self,
--- a/src/citronvalve/policy/loaddetails.py
+++ b/src/citronvalve/policy/loaddetails.py
@@ -7,18 +7,15 @@
 class LoadDetails(NamedTuple):
     """Details of requests at upstreams.
 
-    ``tokens_by_upstream`` is the size of the requests at each upstream, in
-    tokens of prompts and expected answers.  ``use_by_pool`` counts requests
-    by team in each replica pool.  A feature that is switched off leaves its
-    part empty.
+    ``use_by_pool`` counts requests by team in each replica pool; it is empty
+    while that is switched off.
     """
 
-    tokens_by_upstream: dict[str, int]
     use_by_pool: dict[str, dict[str, int]]
 
 
 #: Without details, as from an older release.
-NONE = LoadDetails({}, {})
+NONE = LoadDetails({})
 
 
 def total(details: Iterable[LoadDetails]) -> LoadDetails:
@@ -26,12 +23,10 @@
 
     :param details: of several daemons.
     """
-    tokens_by_upstream: dict[str, int] = {}
     use_by_pool: dict[str, dict[str, int]] = {}
     for one in details:
-        _add(tokens_by_upstream, one.tokens_by_upstream, 1)
         _add_use(use_by_pool, one.use_by_pool, 1)
-    return LoadDetails(tokens_by_upstream, use_by_pool)
+    return LoadDetails(use_by_pool)
 
 
 def difference(whole: LoadDetails, part: LoadDetails) -> LoadDetails:
@@ -41,7 +36,6 @@
     :param part: details that it includes.
     """
     remaining = total([whole])
-    _add(remaining.tokens_by_upstream, part.tokens_by_upstream, -1)
     _add_use(remaining.use_by_pool, part.use_by_pool, -1)
     return remaining
 
--- a/src/citronvalve/policy/remoteloads.py
+++ b/src/citronvalve/policy/remoteloads.py
@@ -76,17 +76,6 @@
         )
         return now - newest
 
-    def tokens(self, upstream: str, now: clock.Ms) -> int:
-        """Return the size in tokens of the requests at an upstream.
-
-        :param upstream: its id.
-        :param now: monotonic ms.
-        """
-        return sum(
-            report.details.tokens_by_upstream.get(upstream, 0)
-            for report in self._valid(now)
-        )
-
     def use_by_team(self, pool: str, now: clock.Ms) -> dict[str, int]:
         """Return the requests in a replica pool by team.
 
--- a/tests/placing/placing.feature
+++ b/tests/placing/placing.feature
@@ -52,3 +52,14 @@
     When callers send "44 a second, one replica 4x slow"
     And callers send it to daemons that place at random
     Then placement by load has at least 0.10 more in time
+
+  Scenario Outline: a request of <size> tokens, where a replica holds 1235000
+    Guards against a caller that waits for a replica which none can be.
+
+    When a request of <size> tokens is placed on idle replicas
+    Then it <ends>
+
+    Examples:
+      | size    | ends                                            |
+      | 1235000 | is sent to a replica                            |
+      | 1235001 | is refused at once, with both numbers as reason |
--- a/tests/placing/steps/placing_steps.py
+++ b/tests/placing/steps/placing_steps.py
@@ -1,8 +1,17 @@
 """Steps that send load to daemons that place requests."""
 
+import random
+import types
+
 import behave
 
+from citronvalve.forward import directory
+from citronvalve.forward import placement
+from citronvalve.model import manualclock
+from citronvalve.model import refusal
+from citronvalve.policy import upstreamchoice
 from tests.placing import world as worlds
+from tests.replicas import world as engines
 
 
 def _steady(rate):
@@ -106,3 +115,60 @@
     this = context.frequent.share_on_time()
     other = context.world.share_on_time()
     assert this - other >= more, f"{this:.3f} against {other:.3f}"
+
+
+def _idle_replicas():
+    """Return the directory and the model of one open replica."""
+    world = engines.World(0, 0, staged=True)
+    for number in range(engines.MODELS["small"].size):
+        world.add(f"r{number}", "zone-0", "d0", True, number)
+    world.planner.before_traffic = True
+    world.run(16_000)
+    known = directory.Directory("zone-0")
+    for runner in world.runner_by_id.values():
+        known.update_runner(runner)
+    return known
+
+
+@behave.when("a request of {size:d} tokens is placed on idle replicas")
+def step_place(context, size):
+    env = types.SimpleNamespace(
+        clock=manualclock.ManualClock(), rng=random.Random(1), daemon_count=1
+    )
+    service = types.SimpleNamespace(
+        name="svc", engine=engines.spec(), cold_rate=0
+    )
+    placing = placement.Placement(
+        env,
+        _idle_replicas(),
+        upstreamchoice.LoadTable(),
+        placement.ColdLimits(),
+    )
+    now = env.clock.now()
+    context.placed = placing.place(
+        types.SimpleNamespace(
+            service=service,
+            model="small",
+            prompt_tokens=100,
+            response_tokens=size - 100,
+            deadline=now + 60_000,
+            route=types.SimpleNamespace(
+                latency_objective=50_000, timeout=60_000
+            ),
+            request=types.SimpleNamespace(arrived_at=now),
+        ),
+        [],
+    )
+
+
+@behave.then("it is sent to a replica")
+def step_sent(context):
+    assert isinstance(context.placed, upstreamchoice.Chosen), context.placed
+
+
+@behave.then("it is refused at once, with both numbers as reason")
+def step_too_large(context):
+    refused = context.placed
+    assert isinstance(refused, refusal.Refusal), refused
+    assert "1235001" in refused.detail, refused.detail
+    assert "1235000" in refused.detail, refused.detail
