Let the last large replica of a data centre give way to waiting callers

With a domain dark and the small model's demand doubled, callers of one data centre waited at 5 small replicas for 80 requests, while the large replica beside them, which had 4, was kept as its data centre's only one; large replicas of other data centres were closed for what came from there.

A large replica may now give way if its model's replicas suffice over all data centres and callers of the small model wait.

--- a/src/citronvalve/replicas/layout.py
+++ b/src/citronvalve/replicas/layout.py
@@ -139,6 +139,18 @@
         left = self._count_by_place[place] - count
         return left >= least_by_place.get(place, 0)
 
+    def may_lose_anywhere(self, model: str, count: int) -> bool:
+        """Return whether enough replicas are left in all data centres.
+
+        :param model: their model.
+        :param count: how many are lost.
+        """
+        left = -count
+        for place, needed in self._needed_by_place.items():
+            if place.model == model:
+                left += self._count_by_place[place] - needed
+        return left >= 0
+
     def use(self, model: str, datacentre: str, closed: int = 0) -> float:
         """Return the use of the slots of a model in a data centre.
 
--- a/src/citronvalve/replicas/localexchange.py
+++ b/src/citronvalve/replicas/localexchange.py
@@ -7,8 +7,9 @@
 from citronvalve.replicas import membership
 from citronvalve.routes import modelspec
 
-#: The larger replicas that cover a repair give way once callers of the
-#: smaller ones wait: a larger one takes longer to form again.
+#: Larger replicas that only cover a repair, or spare callers the way to
+#: another data centre, give way once callers of the smaller ones wait: a
+#: larger one takes longer to form again.
 _MIN_USE_TO_TAKE_COVER = 1.0
 
 #: A model below its need takes replicas that another one needs only if that
@@ -62,7 +63,8 @@
     use = layout.use(model.name, datacentre)
     lacks = layout.missing(model.name, datacentre) > 0
     if candidate.donor.size > model.size:
-        is_cover = layout.may_lose(donor, datacentre, closed)
+        # Few requests of the larger model are served well elsewhere, too.
+        is_cover = layout.may_lose_anywhere(donor, closed)
         is_beyond = layout.may_lose(donor, datacentre, closed, wanted=True)
         waits = use >= _MIN_USE_TO_TAKE_COVER
         return lacks and (is_beyond or (is_cover and waits))
