Hold each daemon to its part of the slots while a pool is full

Callers saw: in a crest the replicas are overrun and idle by turns, as all daemons see the same free slots and fill them within the age of a report.

--- a/src/citronvalve/policy/poolgate.py
+++ b/src/citronvalve/policy/poolgate.py
@@ -19,10 +19,15 @@
 _WAIT_SHARE = 0.5
 
 
+#: How far a daemon's requests may exceed its part of the slots by chance.
+_CHANCE_FACTOR = 1.1
+
+
 class Reason(enum.StrEnum):
     """Why a request is refused."""
 
     SHARE = "the team is above its share of the pool"
+    PART = "this daemon uses its part of the full pool"
     LATE = "it would be late and delay others"
     KIND = "the last room is for kinds of request that are served less"
 
@@ -83,9 +88,10 @@
     """Decides who starts while a pool is nearly full, and who comes back.
 
     An excess begins when no slot is free, and ends when more than the margin
-    is.  Meanwhile a request starts if it can still be in time, and teams
-    above their share leave the margin to the others.  Callers that come back
-    start while a slot is free, before new ones that would be late.
+    is.  Meanwhile each daemon keeps to its part of the slots, a request starts
+    if it can still be in time, and teams above their share leave the margin
+    to the others.  Callers that come back start while a slot is free, before
+    new ones that would be late.
 
     :param rng: random source.
     """
@@ -143,8 +149,14 @@
             reason = Reason.SHARE
         elif pool.is_in_excess:
             is_uneven = bool(pool.limits.limited(now))
-            must_yield = not is_uneven and pool.balance.must_yield(ask.kind)
-            reason = _excess_reason(ask, view, room, must_yield)
+            # Else those within their share would pay for the others.
+            if not is_uneven and self._is_above_part(view, room):
+                reason = Reason.PART
+            else:
+                must_yield = pool.balance.must_yield(ask.kind)
+                reason = _excess_reason(
+                    ask, view, room, must_yield and not is_uneven
+                )
         return Verdict(reason, use, view.excess, view.age)
 
     def retry_after(
@@ -167,6 +179,18 @@
             free_rate, earliest, latest, self._rng.random(), now
         )
 
+    def _is_above_part(
+        self, view: poolview.PoolView, room: poolview.Room
+    ) -> bool:
+        """Return whether the daemon has its part of a nearly full pool.
+
+        All daemons see the same free slots, and each of them would fill them.
+        """
+        if view.is_alone or view.free > room.margin * view.slots:
+            return False
+        part = _CHANCE_FACTOR * view.all_teams.own_part(room.daemon_count)
+        return view.own + self._rng.random() >= part
+
     def _pool(self, name: str) -> _Pool:
         pool = self._pool_by_name.get(name)
         if pool is None:
--- a/src/citronvalve/policy/poolview.py
+++ b/src/citronvalve/policy/poolview.py
@@ -16,6 +16,10 @@
 _VALID_TIME: clock.Ms = 50
 
 
+#: Part of a share that is divided among daemons by their use of it; the rest
+#: is divided evenly.
+_BY_USE_PART = 0.5
+
 #: Bounds of the margin.
 _MIN_MARGIN = 0.02
 _MAX_MARGIN = 0.2
@@ -45,11 +49,21 @@
     total: float
     share: float
 
+    def own_part(self, daemon_count: int) -> float:
+        """Return how much of the share this daemon may use.
+
+        :param daemon_count: how many daemons use the pool.
+        """
+        evenly = (1 - _BY_USE_PART) / max(1, daemon_count)
+        by_use = _BY_USE_PART * self.own / max(1.0, self.total)
+        return self.share * (evenly + by_use)
+
 
 class PoolView(NamedTuple):
     """A view of a pool.
 
-    ``slots`` serve ``in_use`` requests, of which some may wait.  Without
+    ``slots`` serve ``in_use`` requests, of which some may wait, and ``own``
+    are this daemon's.  Without
     fresh reports (``is_alone``) both are the daemon's own part.  ``level`` is
     the share of a team of weight 1, infinite if there is room for all.
     ``others_by_team`` is the use that other daemons report.  ``age`` is that
@@ -58,6 +72,7 @@
 
     slots: float
     in_use: float
+    own: int
     level: float
     others_by_team: dict[str, int]
     is_alone: bool
@@ -68,6 +83,11 @@
         """Return the free slots."""
         return self.slots - self.in_use
 
+    @property
+    def all_teams(self) -> TeamUse:
+        """Return the use of all teams together, whose share is the pool."""
+        return TeamUse(self.own, self.in_use, self.slots)
+
     @property
     def excess(self) -> float:
         """Return the requests beyond the slots, as a part of them."""
@@ -124,7 +144,7 @@
         own = self._use.total(pool)
         if held is not None and now - held.at < _VALID_TIME:
             in_use = held.view.in_use + own - held.own
-            return held.view._replace(in_use=in_use)
+            return held.view._replace(in_use=in_use, own=own)
         view = self._make(pool, candidates, slots, room, greedy, now)
         self._held_by_pool[pool] = _Held(view, own, now)
         return view
@@ -172,7 +192,13 @@
             greedy,
         )
         return PoolView(
-            slots, in_use, level, others_by_team, age is None, age or 0
+            slots,
+            in_use,
+            self._use.total(pool),
+            level,
+            others_by_team,
+            age is None,
+            age or 0,
         )
 
     def _in_use(
--- a/src/citronvalve/policy/teamlimits.py
+++ b/src/citronvalve/policy/teamlimits.py
@@ -16,10 +16,6 @@
 #: exceed it by chance.
 _CHANCE = 3.0
 
-#: Part of a team's share that is divided among daemons by their use of it;
-#: the rest is divided evenly.
-_BY_USE_PART = 0.5
-
 
 class TeamLimits:
     """The limited teams of one pool.
@@ -71,7 +67,7 @@
             self._limit(team, now)
         elif team not in limited:
             return False
-        part = _own_part(use, view.is_alone, room.daemon_count)
+        part = use.share if view.is_alone else use.own_part(room.daemon_count)
         # The fraction of a request counts by chance.
         if use.own + self._rng.random() < part:
             return False
@@ -81,14 +77,3 @@
     def _limit(self, team: str, now: clock.Ms) -> None:
         self._until_by_team.pop(team, None)
         self._until_by_team[team] = now + _LIMITED_TIME
-
-
-def _own_part(
-    use: poolview.TeamUse, is_alone: bool, daemon_count: int
-) -> float:
-    """Return how much of a team's share this daemon may use."""
-    if is_alone:
-        return use.share
-    evenly = (1 - _BY_USE_PART) / max(1, daemon_count)
-    by_use = _BY_USE_PART * use.own / max(1.0, use.total)
-    return use.share * (evenly + by_use)
--- a/tests/policy/steps/teams_steps.py
+++ b/tests/policy/steps/teams_steps.py
@@ -52,7 +52,7 @@
     limits = teamlimits.TeamLimits(random.Random(1))
     use = {**context.others, "flood": 120}
     level = teamshares.level(use, {}, (1 - _ROOM.margin) * 240, ("flood",))
-    view = poolview.PoolView(240, 304, level, use, False, 100)
+    view = poolview.PoolView(240, 304, 0, level, use, False, 100)
     context.started = 0
     for _ in range(count):
         total = 120 + context.started
--- a/tests/work/teams.feature
+++ b/tests/work/teams.feature
@@ -25,6 +25,7 @@
       | seed |
       | 1    |
       | 2    |
+      | 5    |
 
   Scenario Outline: crests of 1.5 times the room, seed <seed>
     Pattern: two kinds of request of unlike size; 1.5 times the room for 3 s
