--- a/src/citronvalve/forward/relayserver.py
+++ b/src/citronvalve/forward/relayserver.py
@@ -28,12 +28,8 @@
 #: A connection on which nothing moves for this long is closed.
 _IDLE_TIMEOUT: clock.Ms = 30_000
 
-#: Upstreams of a data centre that are tried for one that can't be connected
-#: to.  One that refuses answers at once; one that is silent ends the search.
-_MAX_WITNESSES = 3
-
-#: Upstreams of a data centre that can't be connected to answer for the others
-#: there for this time.
+#: Two upstreams of a data centre that can't be connected to answer for the
+#: others there for this time.
 _CUT_VALID: clock.Ms = 200
 
 _Kind = relayframe.FrameKind
@@ -126,35 +122,24 @@
     def _find_cause(self, failed: runners.Runner) -> relayframe.Reason:
         """Return whether an upstream or this VM's link to it is lost.
 
-        Others of its data centre show it; some of them may be down as well.
-
-        :param failed: the upstream.
+        :param failed: the upstream; another one of its data centre shows it.
         """
-        tried = {failed.id}
-        while len(tried) <= _MAX_WITNESSES:
-            other = self._directory.sample(
-                self._env.rng,
-                lambda runner: (
-                    runner.id not in tried
-                    and runner.datacentre == failed.datacentre
-                ),
-            )
-            if other is None:
-                break
-            tried.add(other.id)
-            try:
-                self._connector.open_direct(
-                    connectors.target_of(other)
-                ).close()
-            except exchangeerror.ExchangeError as error:
-                if error.failure is not exchangeerror.ExchangeFailure.REFUSED:
-                    break
-            else:
-                return _Reason.UPSTREAM_DOWN
-        if len(tried) > 1:
+        other = self._directory.sample(
+            self._env.rng,
+            lambda runner: (
+                runner.id != failed.id
+                and runner.datacentre == failed.datacentre
+            ),
+        )
+        if other is None:
+            return _Reason.NO_LINK
+        try:
+            self._connector.open_direct(connectors.target_of(other)).close()
+        except exchangeerror.ExchangeError:
             until = self._env.clock.now() + _CUT_VALID
             self._cut_until_by_datacentre[failed.datacentre] = until
-        return _Reason.NO_LINK
+            return _Reason.NO_LINK
+        return _Reason.UPSTREAM_DOWN
 
     def _serve(self, sock: green_socket.socket) -> None:
         connection = _Connection(self, self._env, transport.prepare(sock))
