--- a/tests/policy/steps/even_steps.py
+++ b/tests/work/steps/shares_steps.py
@@ -72,7 +72,6 @@
     context.choice.report_age = lambda: 0
 
 
-@behave.given("nothing else happens")
 @behave.given("its share is full")
 @behave.given("one replica is free")
 @behave.given("all replicas are full")
