--- a/src/citronvalve/daemon/plannertask.py
+++ b/src/citronvalve/daemon/plannertask.py
@@ -207,7 +207,9 @@
         self, name: str, service: services.Service, now: clock.Ms
     ) -> dict[wants.Place, float]:
         """Return the requests at replicas by model and data centre."""
-        load_by_place: collections.Counter[wants.Place] = collections.Counter()
+        load_by_place: dict[wants.Place, float] = collections.defaultdict(
+            float
+        )
         for model in service.engine.model_by_name:
             for head in self._directory.open_heads(name, model):
                 runner = self._directory.runner_by_id[head.upstream]
--- a/src/citronvalve/daemon/unused.py
+++ b/src/citronvalve/daemon/unused.py
@@ -13,5 +13,6 @@
     Called before anything else is imported; a module that is imported already
     stays.
     """
+    modules: dict = sys.modules
     for name in _WITHOUT:
-        sys.modules.setdefault(name, None)
+        modules.setdefault(name, None)
--- a/src/citronvalve/forward/callerconnection.py
+++ b/src/citronvalve/forward/callerconnection.py
@@ -221,7 +221,7 @@
     def _throw(
         self, task: eventlet.greenlet.greenlet | None, error: Exception
     ) -> None:
-        if task is not None and task is self._task:
+        if task is self._task and task is not None:
             task.throw(error)
 
     def _receive_pipelined(self, data: bytes) -> None:
--- a/src/citronvalve/forward/output.py
+++ b/src/citronvalve/forward/output.py
@@ -9,6 +9,7 @@
 
 import eventlet
 import eventlet.event
+from eventlet.green import socket as green_socket
 from eventlet import hubs
 
 from citronvalve.forward import callergone
@@ -60,7 +61,7 @@
     :param sock: a green socket.
     """
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: green_socket.socket) -> None:
         self._sock = sock
 
     def write(self, data: bytes) -> None:
@@ -83,7 +84,7 @@
 
     def __init__(
         self,
-        sock: socket.socket,
+        sock: green_socket.socket,
         env: environments.Environment,
         budget: unsentbudget.UnsentBudget,
         on_ended: Callable[[Exception], None],
@@ -232,7 +233,7 @@
 
 
 def open_output(
-    sock: socket.socket,
+    sock: green_socket.socket,
     env: environments.Environment,
     on_ended: Callable[[Exception], None],
 ) -> Output:
--- a/src/citronvalve/forward/poolrooms.py
+++ b/src/citronvalve/forward/poolrooms.py
@@ -121,7 +121,7 @@
         now: clock.Ms,
     ) -> poolgate.Verdict:
         self._update_weights()
-        duration = _duration(routed, sizing)
+        duration = _duration(sizing)
         room = poolview.Room(
             duration,
             poolview.margin(self.report_age(), duration),
@@ -130,7 +130,7 @@
         view = self._views.view(
             ask.pool,
             sizing.candidates,
-            _slots(routed, sizing),
+            _slots(sizing),
             room,
             self._gate.limited(ask.pool, now),
             now,
@@ -148,10 +148,8 @@
         why: str,
         now: clock.Ms,
     ) -> refusal.Refusal:
-        duration = _duration(routed, sizing)
-        free_rate = (
-            _slots(routed, sizing) / duration / max(1, self._env.daemon_count)
-        )
+        duration = _duration(sizing)
+        free_rate = _slots(sizing) / duration / max(1, self._env.daemon_count)
         latest = max(0, routed.deadline - now) / _RETRY_AFTER_DIVISOR
         wait = self._gate.retry_after(
             _pool(routed), free_rate, _MIN_RETRY_AFTER, latest, now
@@ -185,8 +183,8 @@
         )
 
 
-def _slots(routed: routedrequest.RoutedRequest, sizing: Sizing) -> int:
-    return routed.service.engine.slots * len(sizing.candidates)
+def _slots(sizing: Sizing) -> int:
+    return sizing.pace.slots * len(sizing.candidates)
 
 
 def _pool(routed: routedrequest.RoutedRequest) -> str:
@@ -205,9 +203,8 @@
 def _ask(
     routed: routedrequest.RoutedRequest, found: _Found, sizing: Sizing
 ) -> poolgate.Ask:
-    engine = routed.service.engine
     forecast = sizing.pace.forecast(
-        engine.slots - 1, routed.prompt_tokens, routed.response_tokens
+        sizing.pace.slots - 1, routed.prompt_tokens, routed.response_tokens
     )
     return poolgate.Ask(
         _pool(routed),
@@ -220,11 +217,6 @@
     )
 
 
-def _duration(routed: routedrequest.RoutedRequest, sizing: Sizing) -> float:
+def _duration(sizing: Sizing) -> float:
     """Return the ms that a typical request takes a slot."""
-    engine = routed.service.engine
-    return sizing.pace.forecast(
-        engine.slots - 1,
-        engine.typical_prompt_tokens,
-        engine.typical_response_tokens,
-    ).whole
+    return sizing.pace.typical_forecast(sizing.pace.slots - 1).whole
--- a/src/citronvalve/policy/crashsuspect.py
+++ b/src/citronvalve/policy/crashsuspect.py
@@ -27,12 +27,12 @@
 class Accusation(NamedTuple):
     """What accuses a content.
 
-    ``count`` is the number of its losses.  ``has_survived`` tells whether an
+    ``losses`` is the number of its losses.  ``has_survived`` tells whether an
     upstream is known to have survived it; None for a whole request, since one
     that runs beside those that crash upstreams has not been answered either.
     """
 
-    count: int
+    losses: int
     has_survived: bool | None
 
     @property
@@ -40,7 +40,7 @@
         """Return the fewest losses of a content that explains its losses."""
         if self.has_survived is None:
             return _MIN_EXPLAINING_REQUEST
-        return min(self.count, _MIN_EXPLAINING_SURVIVED)
+        return min(self.losses, _MIN_EXPLAINING_SURVIVED)
 
 
 class CrashSuspect:
@@ -126,12 +126,12 @@
         survived = accusation.has_survived
         if survived is not None and survived is not self.has_survived:
             return survived and count >= accusation.fewest_explaining
-        if count > accusation.count:
+        if count > accusation.losses:
             return True
         begun = self.loss_by_start[loss.start].begun
         if loss.begun and not begun:
             return False
-        if count == accusation.count:
+        if count == accusation.losses:
             return True
         enough = _MIN_EXPLAINING_LOSSES
         if survived is None:
@@ -139,7 +139,7 @@
         return (
             begun
             and count >= enough
-            and _BEGUN_WEIGHT * count >= accusation.count
+            and _BEGUN_WEIGHT * count >= accusation.losses
         )
 
     def add(self, loss: crashevidence.Loss) -> bool:
--- a/src/citronvalve/policy/roomshare.py
+++ b/src/citronvalve/policy/roomshare.py
@@ -6,10 +6,10 @@
 
 
 class Turn(NamedTuple):
-    """The place of a daemon among the ``count`` of its data centre."""
+    """The place of a daemon among the ``daemons`` of its data centre."""
 
     position: int
-    count: int
+    daemons: int
 
 
 #: A daemon that knows of no other.
@@ -28,7 +28,7 @@
     :returns: parts of 1 by id, without those that it has no part of.
     """
     ordered = sorted(upstreams)
-    width = len(ordered) / turn.count
+    width = len(ordered) / turn.daemons
     begin = turn.position * width
     end = begin + width
     if width >= _WHOLE_FROM:
--- a/src/citronvalve/policy/unsentbudget.py
+++ b/src/citronvalve/policy/unsentbudget.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Hashable
 import itertools
+from typing import Any
 from typing import NamedTuple
 
 from citronvalve.model import clock
@@ -23,7 +24,7 @@
 class Ended(NamedTuple):
     """A caller that is to be ended, and what it held."""
 
-    caller: Hashable
+    caller: Any
     held: Held
 
 
