--- a/src/citronvalve/policy/crashbeginnings.py
+++ b/src/citronvalve/policy/crashbeginnings.py
@@ -7,10 +7,10 @@
 from citronvalve.policy import crashfence
 from citronvalve.policy import crashsuspects
 
-#: Begins the fingerprint of a beginning in what peers are told.
+#: Begins the fingerprint of a beginning in crash reports to peers.
 _MARK = "beginning:"
 
-#: Losses here from which peers are told of a beginning: most of what runs on
+#: Losses here from which a beginning is reported to peers: most of what runs on
 #: a lost upstream is not lost again.
 _MIN_TOLD_LOSSES = 2
 
@@ -24,7 +24,7 @@
 #: each daemon tries it.
 _TRIAL_INTERVAL: clock.Ms = 30_000
 
-#: Beginnings are not told apart by model.
+#: Beginnings are the same for all models.
 _MODEL = 0
 
 
