--- a/src/citronvalve/policy/crashbeginnings.py
+++ b/src/citronvalve/policy/crashbeginnings.py
@@ -10,8 +10,8 @@
 #: Begins the fingerprint of a beginning in crash reports to peers.
 _MARK = "beginning:"
 
-#: Losses here from which a beginning is reported to peers: most of what runs on
-#: a lost upstream is not lost again.
+#: Losses here from which a beginning is reported to peers: most of what runs
+#: on a lost upstream is not lost again.
 _MIN_TOLD_LOSSES = 2
 
 #: Beginnings kept for peers.
