--- a/src/citronvalve/forward/placement.py
+++ b/src/citronvalve/forward/placement.py
@@ -383,7 +383,8 @@
     """Return why no replica can hold a request, or nothing."""
     engine = routed.service.engine
     size = routed.prompt_tokens + routed.response_tokens
-    if engine is None or size <= engine.kv_cache_tokens:
+    if engine is None or not 0 < engine.kv_cache_tokens < size:
+        # Without a declared memory there is no limit.
         return ""
     return (
         f"the request has {size} tokens, the memory of a replica "
--- a/tests/placing/placing.feature
+++ b/tests/placing/placing.feature
@@ -53,13 +53,15 @@
     And callers send it to daemons that place at random
     Then placement by load has at least 0.10 more in time
 
-  Scenario Outline: a request of <size> tokens, where a replica holds 1235000
-    Guards against a caller that waits for a replica which none can be.
+  Scenario Outline: a request of <size> tokens, where a replica holds <memory>
+    Guards against a caller that waits for a replica which none can be, and
+    against refusals where no memory is declared.
 
-    When a request of <size> tokens is placed on idle replicas
+    When a request of <size> tokens is placed on idle replicas that hold <memory>
     Then it <ends>
 
     Examples:
-      | size    | ends                                            |
-      | 1235000 | is sent to a replica                            |
-      | 1235001 | is refused at once, with both numbers as reason |
+      | size    | memory  | ends                                            |
+      | 1235000 | 1235000 | is sent to a replica                            |
+      | 1235001 | 1235000 | is refused at once, with both numbers as reason |
+      | 1235001 | 0       | is sent to a replica                            |
--- a/tests/placing/steps/placing_steps.py
+++ b/tests/placing/steps/placing_steps.py
@@ -130,13 +130,18 @@
     return known
 
 
-@behave.when("a request of {size:d} tokens is placed on idle replicas")
-def step_place(context, size):
+@behave.when(
+    "a request of {size:d} tokens is placed on idle replicas that hold "
+    "{memory:d}"
+)
+def step_place(context, size, memory):
     env = types.SimpleNamespace(
         clock=manualclock.ManualClock(), rng=random.Random(1), daemon_count=1
     )
     service = types.SimpleNamespace(
-        name="svc", engine=engines.spec(), cold_rate=0
+        name="svc",
+        engine=engines.spec()._replace(kv_cache_tokens=memory),
+        cold_rate=0,
     )
     placing = placement.Placement(
         env,
