Spread evenly and place by data centre only where the deployment calls for it

With few daemons reports go directly and are fresh, so that the forecast alone chooses better; where a replica is at most three times as large as another, wants by data centre of two domains only move replicas about.

Even load now acts only while daemons report to coordinators (more than 12), placing by data centre only from a ratio of sizes of 4.

tests/replicas 122, policy 140, daemon 35, size 15, placing 12, adapter 52, layout 2: passed.

--- a/src/citronvalve/daemon/loadbroadcaster.py
+++ b/src/citronvalve/daemon/loadbroadcaster.py
@@ -70,9 +70,14 @@
         steps = 1 if self._distributor.topology.is_direct else 2
         return steps * self._interval()
 
-    def turn(self) -> roomshare.Turn:
-        """Return the daemon's place in its data centre."""
-        return self._distributor.topology.turn
+    def turn(self) -> roomshare.Turn | None:
+        """Return the daemon's place in its data centre.
+
+        :returns: None while daemons report to each other directly, so that
+            reports are fresh.
+        """
+        topology = self._distributor.topology
+        return None if topology.is_direct else topology.turn
 
     def _send_own(self) -> None:
         sent_at = -_REPEAT_INTERVAL
--- a/src/citronvalve/policy/evenchoice.py
+++ b/src/citronvalve/policy/evenchoice.py
@@ -47,14 +47,15 @@
 
     :param loads: the loads.
     :param rng: random source.
-    :param turn: returns the daemon's place in its data centre.
+    :param turn: returns the daemon's place in its data centre; None while
+        reports are fresh, and the choice is by forecast alone.
     """
 
     def __init__(
         self,
         loads: upstreamchoice.LoadTable,
         rng: random.Random,
-        turn: Callable[[], roomshare.Turn],
+        turn: Callable[[], roomshare.Turn | None],
     ) -> None:
         super().__init__(loads, rng)
         self._turn = turn
@@ -77,10 +78,13 @@
         :param pace: predicts the model's latency.
         :param now: monotonic ms.
         """
+        turn = self._turn()
+        if turn is None:
+            return super().choose(job, candidates, pace, now)
         candidates = list(candidates)
         local = [c for c in candidates if c.is_local]
         if not self._is_scarce(local, pace, now):
-            found = self._from_share(local, pace, now) or self._drawn(
+            found = self._from_share(turn, local, pace, now) or self._drawn(
                 local, pace, now
             )
             chosen = found and self._with_forecast(job, *found, pace)
@@ -135,6 +139,7 @@
 
     def _from_share(
         self,
+        turn: roomshare.Turn,
         local: Sequence[upstreamchoice.Candidate],
         pace: enginepace.EnginePace,
         now: clock.Ms,
@@ -142,7 +147,7 @@
         """Return the least used replica of the share that has room."""
         best = None
         least = 0.0
-        for index, part in self._share(local, pace):
+        for index, part in self._share(turn, local, pace):
             candidate = local[index]
             load = self._room_load(candidate, part, pace, now)
             if load is None:
@@ -199,10 +204,10 @@
 
     def _share(
         self,
+        turn: roomshare.Turn,
         local: Sequence[upstreamchoice.Candidate],
         pace: enginepace.EnginePace,
     ) -> list[tuple[int, float]]:
-        turn = self._turn()
         upstreams = [candidate.upstream for candidate in local]
         known = self._share_by_pace.get(pace)
         if known is None or known[:2] != (turn, upstreams):
--- a/src/citronvalve/replicas/layout.py
+++ b/src/citronvalve/replicas/layout.py
@@ -13,6 +13,10 @@
 _MIN_USE_RATIO = 0.5
 
 
+#: Replicas of a model are far larger than others from this ratio on.
+_MIN_SIZE_RATIO = 4
+
+
 class Layout:
     """The replicas of one plan, beside those that are wanted.
 
@@ -163,8 +167,12 @@
 
 
 def has_unlike_sizes(models: Iterable[modelspec.ModelSpec]) -> bool:
-    """Return whether replicas of some models are larger than of others.
+    """Return whether replicas of some models are far larger than of others.
+
+    A replica of up to three times the size is formed of few others, which the
+    use of slots over the whole service decides.
 
     :param models: the models of a service.
     """
-    return len({model.size for model in models}) > 1
+    sizes = [model.size for model in models]
+    return bool(sizes) and max(sizes) >= _MIN_SIZE_RATIO * min(sizes)
