--- a/src/citronvalve/replicas/planner.py
+++ b/src/citronvalve/replicas/planner.py
@@ -16,6 +16,7 @@
 from citronvalve.replicas import replica as replicas
 from citronvalve.replicas import reservations
 from citronvalve.replicas import runner as runners
+from citronvalve.replicas import sightings
 from citronvalve.replicas import wants as wants_
 from citronvalve.replicas import weights
 from citronvalve.routes import enginespec
@@ -43,10 +44,6 @@
     A replica that lost a member is closed, and a new one is formed from free
     runners.  So a repair works in the same way as the first start.
 
-    A new leader finds replicas without a member that it has never seen.  The
-    member may be dead, be leaving, or its entry may have lapsed.  Only a dead
-    one makes the head stall, which the daemons report.
-
     :param spec: engine settings of the service.
     :param stall_timeout: ms after which a stalled head breaks.
     :param epochs: rising epochs, one for each formation.
@@ -86,9 +83,7 @@
             self._outbox,
         )
         self._dissolved_at_by_key: dict[membership.GroupKey, clock.Ms] = {}
-        self._found_at_by_key: dict[membership.GroupKey, clock.Ms] = {}
-        self._seen_ranks_by_key: dict[membership.GroupKey, set[int]] = {}
-        self._stalled_keys: set[membership.GroupKey] = set()
+        self._sightings = sightings.Sightings(self.liveness)
         self._exchanger = exchanger.Exchanger(
             spec, self._builder.demand, self._weights
         )
@@ -122,7 +117,7 @@
         self.liveness.suspect(head_id)
         if held is None or held.membership is None:
             return
-        self._stalled_keys.add(held.membership.key)
+        self._sightings.record_stall(held.membership.key)
         for runner in self.liveness.alive():
             other = runner.membership
             if other is not None and other.key == held.membership.key:
@@ -135,7 +130,7 @@
         """
         held = self.liveness.find(head_id)
         if held is not None and held.membership is not None:
-            self._stalled_keys.discard(held.membership.key)
+            self._sightings.record_activity(held.membership.key)
 
     def record_result(
         self, order: orders.Order, result: orders.OrderResult, now: clock.Ms
@@ -270,48 +265,9 @@
             for k, at in self._dissolved_at_by_key.items()
             if k in replica_by_key
         }
-        self._record_ranks(replica_by_key, now)
+        self._sightings.update(replica_by_key, now)
         return replica_by_key
 
-    def _record_ranks(
-        self, replica_by_key: _ReplicaByKey, now: clock.Ms
-    ) -> None:
-        # A head that pauses stands still whatever its members do.
-        paused = self.liveness.take_paused()
-        self._stalled_keys = {
-            key
-            for key in self._stalled_keys & replica_by_key.keys()
-            if (head := replica_by_key[key].head) is None
-            or head.id not in paused
-        }
-        self._found_at_by_key = {
-            key: self._found_at_by_key.get(key, now) for key in replica_by_key
-        }
-        self._seen_ranks_by_key = {
-            key: self._seen_ranks_by_key.get(key, set())
-            | replica.member_by_rank.keys()
-            for key, replica in replica_by_key.items()
-        }
-
-    def _unknown_ranks(self, replica: replicas.Replica) -> set[int]:
-        """Return the ranks of members that were never seen and may live.
-
-        :param replica: has none if it has no head, or one that answers while
-            its requests stall.
-        """
-        head = replica.head
-        if head is None or self._is_stalled(replica.key, head):
-            return set()
-        seen = self._seen_ranks_by_key[replica.key]
-        return set(range(replica.size)) - seen
-
-    def _is_stalled(
-        self, key: membership.GroupKey, head: runners.Runner
-    ) -> bool:
-        """Return whether a replica stalls while its head answers probes."""
-        is_reported = key in self._stalled_keys
-        return is_reported and not self.liveness.is_suspected(head.id)
-
     def _closable(
         self, replica_by_key: _ReplicaByKey
     ) -> list[replicas.Replica]:
@@ -450,9 +406,9 @@
             return orders.Reason.CLOSING
         if not replica.is_complete():
             # The entry of a missing member may be about to come back.
-            found_at = self._found_at_by_key[replica.key]
+            found_at = self._sightings.found_at(replica.key)
             known = replica.member_by_rank.keys()
-            complete = len(known | self._unknown_ranks(replica))
+            complete = len(known | self._sightings.unknown_ranks(replica))
             if complete == replica.size and now - found_at < _RELIST_TIME:
                 return None
             return orders.Reason.MEMBER_GONE
@@ -488,7 +444,10 @@
             and runner.membership.key == replica.key
         }
         present = replica.member_by_rank.keys() | departed
-        return len(present | self._unknown_ranks(replica)) == replica.size
+        return (
+            len(present | self._sightings.unknown_ranks(replica))
+            == replica.size
+        )
 
 
 def _datacentre(replica: replicas.Replica) -> str:
