Import the program without collecting garbage

After a loss of all power callers wait until the processes have imported the program; small entry VMs have an eighth of a core for it. The collector looks at the new objects again and again meanwhile.

What callers get was not measured alone.

--- a/src/citronvalve/daemon/main.py
+++ b/src/citronvalve/daemon/main.py
@@ -4,6 +4,7 @@
 
 import defopt
 
+from citronvalve.daemon import collector
 from citronvalve.daemon import green
 from citronvalve.model import errors
 
@@ -22,6 +23,7 @@
     from citronvalve.daemon import logs
     from citronvalve.daemon import settings as settings_
 
+    collector.resume()
     try:
         loaded = settings_.load(settings)
         handler = logs.JsonHandler(
@@ -37,6 +39,7 @@
 
 def main() -> None:
     """Run the program; the exit code is 0 after SIGTERM."""
+    collector.pause()
     green.patch()
     defopt.run(serve)
 
