Run the operators' tool in tests by a module that areas share

Callers: none; tests only. The steps of tests/cli ran commands by a function of their own, which the checks of other areas need too.

--- a/tests/cli/steps/tool_steps.py
+++ b/tests/cli/steps/tool_steps.py
@@ -1,37 +1,26 @@
 """Steps that run the operators' tool against a platform process."""
 
 import concurrent.futures
-import contextlib
-import io
 import json
 import pathlib
 import subprocess
 import sys
 import time
-from typing import NamedTuple
 
 import behave
 import msgspec
 import urllib3
 
-from citronvalve.cli import main
 from citronvalve.cli import reference
 from citronvalve.storage import client
 from citronvalve.storage import httptable
 from citronvalve.table import kinds
 from citronvalve.table import reader
+from tests import commandrun
 
 _WRITE_TIMEOUT_SECONDS = 10
 
 
-class CommandResult(NamedTuple):
-    """Exit code and output of a command."""
-
-    returncode: int
-    stdout: str
-    stderr: str
-
-
 @behave.given("a platform without a table")
 def step_platform(context):
     assert _post(context, "/reset").status == 200
@@ -44,13 +33,7 @@
 
 def _run(context, *words):
     """Run a command in this process."""
-    out, err = io.StringIO(), io.StringIO()
-    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
-        try:
-            main.main([*words, *_platform_option(context, words)])
-        except SystemExit as end:
-            code = end.code
-    return CommandResult(code, out.getvalue(), err.getvalue())
+    return commandrun.run(*words, *_platform_option(context, words))
 
 
 def _spawn(context, *words):
