Check a configuration before it is sent

Callers saw routes that never match, keys of two teams or timeouts below the objective only once such a configuration was in force: the platform and daemons accept each of them. `citronvalve check FILE [--against FILE]` reports them offline: errors with place and remedy, entries that no request can match, limits that contradict each other, and what differs from another version by name. Errors are those of the present parsers. The checks are functions on a draft (routes) or on the declared table (table), without I/O.

--- a/src/citronvalve/cli/exitcode.py
+++ b/src/citronvalve/cli/exitcode.py
@@ -10,6 +10,8 @@
     OK = 0
     #: The command was valid but was not carried out; nothing was changed.
     REFUSED = 1
+    #: A check has findings.
+    FINDINGS = 1
     #: The command line, a file or a row is invalid; nothing was changed.
     BAD_INPUT = 2
     #: The table was edited concurrently; nothing was changed.
--- a/src/citronvalve/cli/main.py
+++ b/src/citronvalve/cli/main.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from citronvalve.cli import checking
+from citronvalve.cli import configurations
 from citronvalve.cli import editing
 from citronvalve.cli import explaining
 from citronvalve.cli import grouping
@@ -60,6 +61,7 @@
 
 
 _COMMANDS = {
+    "check": _command(configurations.check),
     "plan": _command(editing.plan),
     "apply": _command(editing.apply),
     "table": {
--- a/src/citronvalve/table/planning.py
+++ b/src/citronvalve/table/planning.py
@@ -93,7 +93,7 @@
     checked = builder.build_full(after, stored.version + 1)
     if checked.mistakes:
         return edit.Plan(stored.version, (), checked.mistakes)
-    changes = _find_changes(before, _with_defaults(checked, after))
+    changes = find_changes(before, with_defaults(checked, after))
     if len(changes) > MAX_CHANGES:
         wrong = mistake.Mistake(
             "table",
@@ -110,7 +110,12 @@
     return key.split(layout.SEPARATOR)[0]
 
 
-def _with_defaults(checked: builder.BuildResult, after: Values) -> Values:
+def with_defaults(checked: builder.BuildResult, after: Values) -> Values:
+    """Return the values of a table with every column.
+
+    :param checked: the table that was built from them, without mistakes.
+    :param after: the values as given.
+    """
     # Defaults are stored too; otherwise a release with another default would
     # change behaviour without an edit.
     complete: dict[str, Any] = {}
@@ -125,7 +130,12 @@
     return msgspec.json.decode(msgspec.json.encode(complete))
 
 
-def _find_changes(before: Values, after: Values) -> tuple[edit.Change, ...]:
+def find_changes(before: Values, after: Values) -> tuple[edit.Change, ...]:
+    """Return the rows that differ, in the order of their keys.
+
+    :param before: columns by key.
+    :param after: the same of the other version.
+    """
     return tuple(
         edit.Change(key, before.get(key), after.get(key))
         for key in sorted(before.keys() | after.keys())
