Send a data centre's excess to others by what callers lose

With demand of 1.3 : 1 : 1 between data centres at 0.85 of all room, callers of the busiest one were late while others had room: requests left only if the forecast was 40 ms better elsewhere, by counts that are 50 to 300 ms old.

The check of metrics lists _excess_total among those that are served only after their first observation, as it is a counter by data centre.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -12,6 +12,7 @@
 from citronvalve.daemon import configurationlistener
 from citronvalve.daemon import decisionwriter
 from citronvalve.daemon import entrysettings
+from citronvalve.daemon import excessreport
 from citronvalve.daemon import health
 from citronvalve.daemon import linktask
 from citronvalve.daemon import listener
@@ -34,6 +35,7 @@
 from citronvalve.forward import stalldetector
 from citronvalve.model import clock
 from citronvalve.model import errors
+from citronvalve.policy import datacentrechoice
 from citronvalve.policy import evenchoice
 from citronvalve.policy import upstreamchoice
 from citronvalve.replicas import crashrecord
@@ -97,6 +99,7 @@
         self._room_report = roomreport.RoomReport(
             self.env, self.directory, self._loads
         )
+        self._excess_report = excessreport.ExcessReport(self.env)
         self._stop = eventlet.event.Event()
         self._make_forwarding()
         self._make_leadership()
@@ -197,13 +200,13 @@
         self._stall_detector.on_stall = self._messages.broadcast_stall
 
     def _spread_evenly(self) -> None:
-        self._dependencies.placement.set_choice(
-            evenchoice.EvenChoice(
-                self._loads,
-                self.env.rng,
-                self._messages.load_broadcaster.turn,
-            )
-        )
+        settings = self._loads, self.env.rng
+        turn = self._messages.load_broadcaster.turn
+        choice = evenchoice.EvenChoice(*settings, turn)
+        if self._settings.features.local_rooms:
+            choice = datacentrechoice.DatacentreChoice(*settings, turn)
+            choice.on_excess = self._excess_report.record
+        self._dependencies.placement.set_choice(choice)
 
     def _exchange_crashes(self) -> None:
         detector = self._crash_detector
@@ -320,6 +323,7 @@
             self._update_gauges()
             if self._settings.features.even_load:
                 self._room_report.update()
+                self._excess_report.update()
             eventlet.sleep(_CLEANUP_INTERVAL / clock.SECOND)
 
     def _update_gauges(self) -> None:
--- a/src/citronvalve/forward/directory.py
+++ b/src/citronvalve/forward/directory.py
@@ -206,6 +206,7 @@
             0.0 if is_local else _REMOTE_LATENCY,
             is_local,
             runner.cold_until,
+            runner.datacentre,
         )
 
     def _replace_candidate(
--- a/src/citronvalve/forward/metrics.py
+++ b/src/citronvalve/forward/metrics.py
@@ -37,6 +37,9 @@
         self._team_refusals = self._counter(
             "team_refusals_total", "Refused by full replica pools, by team."
         )
+        self._excess = self._counter(
+            "excess_total", "Sent elsewhere for lack of room, by data centre."
+        )
         self._teams: set[str] = set()
         self._malformed = self._counter(
             "malformed_total", "Bytes that were no request, by status."
@@ -102,6 +105,13 @@
                 self._teams.add(team)
         self._team_refusals.inc({"team": team})
 
+    def record_excess(self, datacentre: str) -> None:
+        """Count a request that another data centre has more room for.
+
+        :param datacentre: the other one.
+        """
+        self._excess.inc({"datacentre": datacentre})
+
     def record_malformed(self, status: int) -> None:
         """Count malformed input.
 
--- a/src/citronvalve/policy/evenchoice.py
+++ b/src/citronvalve/policy/evenchoice.py
@@ -17,8 +17,8 @@
 
 #: Most replicas of which one with a free slot is drawn, and that are ranked
 #: by their forecasts; they bound the time of a choice in a large data centre.
-_MAX_DRAWN = 32
-_MAX_RANKED = 96
+MAX_DRAWN = 32
+MAX_RANKED = 96
 
 
 #: Part of a report's age within which free slots are taken unseen.
@@ -83,15 +83,28 @@
             return super().choose(job, candidates, pace, now)
         candidates = list(candidates)
         local = [c for c in candidates if c.is_local]
-        if not self._is_scarce(local, pace, now):
-            found = self._from_share(turn, local, pace, now) or self._drawn(
-                local, pace, now
-            )
-            chosen = found and self._with_forecast(job, *found, pace)
-            if chosen and not chosen.late:
-                return chosen
+        found = self._with_room(turn, job, candidates, local, pace, now)
+        chosen = found and self._with_forecast(job, *found, pace)
+        if chosen and not chosen.late:
+            return chosen
         return self._by_forecast(job, candidates, pace, now)
 
+    def _with_room(
+        self,
+        turn: roomshare.Turn,
+        job: upstreamchoice.Job,
+        candidates: Sequence[upstreamchoice.Candidate],
+        local: Sequence[upstreamchoice.Candidate],
+        pace: enginepace.EnginePace,
+        now: clock.Ms,
+    ) -> tuple[upstreamchoice.Candidate, float] | None:
+        """Return a replica with a free slot and its load, if one is found."""
+        if self._is_scarce(local, pace, now):
+            return None
+        return self._from_share(turn, local, pace, now) or self._drawn(
+            local, pace, now
+        )
+
     def _by_forecast(
         self,
         job: upstreamchoice.Job,
@@ -99,7 +112,7 @@
         pace: enginepace.EnginePace,
         now: clock.Ms,
     ) -> upstreamchoice.Chosen | upstreamchoice.Full:
-        sample = self._sample(candidates, _MAX_RANKED)
+        sample = self._sample(candidates, MAX_RANKED)
         found = super().choose(job, sample, pace, now)
         if isinstance(found, upstreamchoice.Full) and sample is not candidates:
             # A request is refused only if no replica has room.
@@ -107,15 +120,15 @@
         return found
 
     def _sample(
-        self, candidates: list[upstreamchoice.Candidate], most: int
-    ) -> list[upstreamchoice.Candidate]:
+        self, candidates: Sequence[upstreamchoice.Candidate], most: int
+    ) -> Sequence[upstreamchoice.Candidate]:
         if len(candidates) <= most:
             return candidates
         return self._rng.sample(candidates, most)
 
     def _is_scarce(
         self,
-        local: list[upstreamchoice.Candidate],
+        local: Sequence[upstreamchoice.Candidate],
         pace: enginepace.EnginePace,
         now: clock.Ms,
     ) -> bool:
@@ -127,16 +140,19 @@
         if now - at < _SCARCE_VALIDITY:
             return scarce
         taken = free = 0.0
-        for candidate in self._sample(local, _MAX_DRAWN):
+        for candidate in self._sample(local, MAX_DRAWN):
             load = self._loads.of(candidate.upstream).total(now)
             taken += min(load, pace.slots)
             free += max(0.0, pace.slots - load)
-        whole = pace.typical_forecast(pace.slots).whole
-        sent = taken * _UNSEEN_PART * self.report_age() / whole
-        scarce = free < sent
+        scarce = free < taken * self._renewed_unseen(pace)
         self._scarce_by_pace[pace] = now, scarce
         return scarce
 
+    def _renewed_unseen(self, pace: enginepace.EnginePace) -> float:
+        """Return the part of taken slots that others renew unseen."""
+        whole = pace.typical_forecast(pace.slots).whole
+        return _UNSEEN_PART * self.report_age() / whole
+
     def _from_share(
         self,
         turn: roomshare.Turn,
@@ -161,14 +177,14 @@
 
     def _drawn(
         self,
-        local: list[upstreamchoice.Candidate],
+        local: Sequence[upstreamchoice.Candidate],
         pace: enginepace.EnginePace,
         now: clock.Ms,
     ) -> tuple[upstreamchoice.Candidate, float] | None:
         """Return a replica with room, drawn by its free slots."""
         found = [
             (candidate, load)
-            for candidate in self._sample(local, _MAX_DRAWN)
+            for candidate in self._sample(local, MAX_DRAWN)
             if (load := self._room_load(candidate, 0.0, pace, now)) is not None
         ]
         if not found:
--- a/src/citronvalve/policy/upstreamchoice.py
+++ b/src/citronvalve/policy/upstreamchoice.py
@@ -22,13 +22,14 @@
 
 #: Penalty in ms for an upstream of another data centre: traffic between data
 #: centres costs money, and a network partition cuts the upstream off.
-_REMOTE_PENALTY = 40.0
+REMOTE_PENALTY = 40.0
 
 
 class Candidate(NamedTuple):
     """A possible upstream; ``latency`` is the one-way time in ms.
 
-    It is cold until ``cold_until``, in monotonic ms.
+    It is cold until ``cold_until``, in monotonic ms, and belongs to
+    ``datacentre``.
     """
 
     upstream: str
@@ -36,6 +37,7 @@
     latency: float
     is_local: bool
     cold_until: clock.Ms = 0
+    datacentre: str = ""
 
 
 class Chosen(NamedTuple):
@@ -224,7 +226,7 @@
         forecast, first, late = expected
         if first > self._job.patience:
             return
-        penalty = 0.0 if candidate.is_local else _REMOTE_PENALTY
+        penalty = 0.0 if candidate.is_local else REMOTE_PENALTY
         rank = late, first + penalty + self._rng.random() * self._spread
         if rank < self._best_rank:
             self._best_rank = rank
@@ -253,7 +255,7 @@
         """
         late, rank = self._best_rank
         idle = self._pace.forecast(0.0, self._job.prompt, self._job.answer)
-        return not late and rank <= idle.first + 2 * latency + _REMOTE_PENALTY
+        return not late and rank <= idle.first + 2 * latency + REMOTE_PENALTY
 
     def result(self) -> Chosen | Full:
         """Return the choice, or when a slot may be free."""
--- a/tests/adapter/steps/program_steps.py
+++ b/tests/adapter/steps/program_steps.py
@@ -295,6 +295,7 @@
 #: Counters and histograms that are served only after their first observation.
 _EXPOSED_ON_USE = {
     "citronvalve_forward_openings_total",
+    "citronvalve_forward_excess_total",
     "citronvalve_forward_relayings_total",
     "citronvalve_forward_malformed_total",
     "citronvalve_forward_orders_total",
--- a/tests/work/evenness.py
+++ b/tests/work/evenness.py
@@ -90,7 +90,7 @@
         played.domain_size // played.models["model"].size
     )
     rate = use * replicas * room(site.spec, played)
-    played.requests[0].rate = _as_drawn(rate, played.datacentres)
+    played.requests[0].rate = as_drawn(rate, played.datacentres)
     counts = collections.Counter()
     site.on_send = lambda head, engine: counts.update(
         misplaced=_is_misplaced(site, head, engine)
@@ -143,10 +143,13 @@
     return 1_000 * len(ended) / now
 
 
-def _as_drawn(rate, datacentres):
+def as_drawn(rate, datacentres):
     """Return the rate to state for a rate of calls a second.
 
     Calls come at whole ms, which shortens their intervals by half of one.
+
+    :param rate: calls a second.
+    :param datacentres: their number.
     """
     interval = 1_000 * datacentres / rate + 0.5
     return 1_000 * datacentres / interval
@@ -165,6 +168,15 @@
 
 def switch_on(site):
     """Let all daemons spread requests evenly."""
+    spread(site, evenchoice.EvenChoice)
+
+
+def spread(site, choice):
+    """Let all daemons choose in a way that depends on their place.
+
+    :param site: the site.
+    :param choice: the class of the choice.
+    """
     names = collections.defaultdict(list)
     for daemon in site.daemons:
         names[daemon.datacentre].append(daemon)
@@ -172,9 +184,7 @@
         for position, daemon in enumerate(daemons):
             turn = roomshare.Turn(position, len(daemons))
             daemon.placement.set_choice(
-                evenchoice.EvenChoice(
-                    daemon.loads, daemon.rng, lambda turn=turn: turn
-                )
+                choice(daemon.loads, daemon.rng, lambda turn=turn: turn)
             )
 
 
--- a/tests/work/results.py
+++ b/tests/work/results.py
@@ -39,6 +39,20 @@
         #: For each refusal, the free slots of its model at that time.
         self.refusals = []
 
+    @property
+    def size(self):
+        """Return tokens of the prompt and the events, for bytes."""
+        return self.prompt + self.events
+
+
+class Sent(NamedTuple):
+    """A try ``at`` ms after the beginning, between data centres."""
+
+    at: int
+    origin: str
+    target: str
+    size: int
+
 
 class Outcome(NamedTuple):
     """How the calls of one kind went.
--- a/tests/work/site.py
+++ b/tests/work/site.py
@@ -45,6 +45,7 @@
     :ivar most_in_progress: requests at replicas, at the plan with most.
     :ivar sent_locally: requests by whether their replica was in the daemon's
         data centre.
+    :ivar sent: each try, as a :class:`results.Sent`.
     :ivar daemons: the daemons.
     :ivar on_send: called with the head and the engine that a request is sent
         to.
@@ -61,6 +62,7 @@
         self.counts = []
         self.most_in_progress = 0
         self.sent_locally = collections.Counter()
+        self.sent = []
         self.engine_by_head = {}
         self._key_by_head = {}
         models = {
@@ -283,6 +285,14 @@
     def _send(self, daemon, call, chosen, routed):
         head = self.world.runner_by_id[chosen.upstream]
         self.sent_locally[head.datacentre == daemon.datacentre] += 1
+        self.sent.append(
+            results.Sent(
+                self.clock.now() - self.begin,
+                daemon.datacentre,
+                head.datacentre,
+                call.size,
+            )
+        )
         load = daemon.loads.of(chosen.upstream)
         load.own += 1
         load.late += chosen.late
