Place by data centre only where replicas have 12 runners or more

A replica of 8 loses a member half as often as one of 16, so that the small model pays for little.

It acts from 12 runners on now, besides the ratio of four.

--- a/src/citronvalve/replicas/layout.py
+++ b/src/citronvalve/replicas/layout.py
@@ -16,6 +16,9 @@
 #: Replicas of a model are far larger than others from this ratio on.
 _MIN_SIZE_RATIO = 4
 
+#: Replicas of fewer runners are lost seldom.
+_MIN_LARGE_SIZE = 12
+
 
 class Layout:
     """The replicas of one plan, beside those that are wanted.
@@ -170,9 +173,12 @@
     """Return whether replicas of some models are far larger than of others.
 
     A replica of up to three times the size is formed of few others, which the
-    use of slots over the whole service decides.
+    use of slots over the whole service decides.  One of few runners seldom
+    loses one, so that small replicas need not make room for its repair.
 
     :param models: the models of a service.
     """
     sizes = [model.size for model in models]
-    return bool(sizes) and max(sizes) >= _MIN_SIZE_RATIO * min(sizes)
+    if not sizes or max(sizes) < _MIN_LARGE_SIZE:
+        return False
+    return max(sizes) >= _MIN_SIZE_RATIO * min(sizes)
--- a/tests/replicas/steps/widesite_steps.py
+++ b/tests/replicas/steps/widesite_steps.py
@@ -4,6 +4,7 @@
 
 import behave
 
+from citronvalve.replicas import layout
 from citronvalve.replicas import order as orders
 from citronvalve.replicas import planner
 from tests.replicas import widesite
@@ -110,3 +111,18 @@
 @behave.then("nothing is wanted by data centre")
 def step_nothing(context):
     assert context.planner.wants is None
+
+
+@behave.given("a service with models of {large:d} and {small:d} runners")
+def step_models(context, large, small):
+    sizes = large, small
+    context.models = [
+        widesite.MODELS[name]._replace(size=size)
+        for name, size in zip(widesite.MODELS, sizes, strict=True)
+    ]
+
+
+@behave.then("its replicas are wanted {how}")
+def step_wanted(context, how):
+    is_local = layout.has_unlike_sizes(context.models)
+    assert is_local is (how == "by data centre"), context.models
--- a/tests/replicas/widesite.feature
+++ b/tests/replicas/widesite.feature
@@ -52,3 +52,16 @@
 
     Given 6 domains of 11 runners with one model, by data centre
     Then nothing is wanted by data centre
+
+  Scenario Outline: models of <large> and <small> runners
+    Guards against small replicas that make room for the repair of replicas
+    that are seldom lost.
+
+    Given a service with models of <large> and <small> runners
+    Then its replicas are wanted <how>
+
+    Examples:
+      | large | small | how             |
+      | 16    | 4     | by data centre  |
+      | 16    | 8     | for the service |
+      | 8     | 2     | for the service |
