Let refused callers come back as late as their answer permits

Cause, by a trace: Retry-After was at most a third of the caller's 6 s, so that returns fell into the crest of 3 s that had refused them, or took slots of callers who could be in time right after it, who then came back themselves. Returns were paced by the number of typical requests, not by what each costs. A caller that came back was ranked at the replica as one that can be in time. And the requests in progress swung between 200 and 310 at 240 slots, since the bound on late ones used the pool's use of up to 300 ms ago.

Now Retry-After may be as long as the answer and 0.8 s fit into the caller's time, returns take a fifth of the room by their cost, those for whom there is none come at the end of their time, and wait behind all that can be in time. In an excess a daemon bounds what it starts by its own requests in its part of the slots, which it knows without delay, while no team is limited.

--- a/src/citronvalve/forward/placement.py
+++ b/src/citronvalve/forward/placement.py
@@ -32,9 +32,6 @@
 #: was refused before or is in a hurry, and does not retry again.
 _MAX_LATE_WAIT_RETRIED = 1_500.0
 
-#: Part of the route's timeout below which a request has less time.
-_SHORTENED_SHARE = 0.95
-
 #: A replica whose first event is forecast past this part of the objective is
 #: nearly full, and the loads of other daemons matter for this long.
 _PRESSURE_SHARE = 0.5
@@ -292,7 +289,7 @@
             candidates,
             self._pace(routed.service, model),
             _OBJECTIVE_SHARE * routed.route.latency_objective,
-            self._has_returned(routed),
+            poolrooms.has_returned(routed),
         )
         return self._rooms.check(routed, found, sizing, is_pressed)
 
@@ -305,6 +302,9 @@
         remaining = float(routed.deadline - now)
         # A retry is not queued behind on-time requests again.
         objective = remaining if tried else routed.route.latency_objective
+        if self._rooms and not tried and poolrooms.has_returned(routed):
+            # Its first event was due before it came back.
+            objective -= routed.route.timeout - remaining
         return upstreamchoice.Job(
             routed.prompt_tokens,
             routed.response_tokens,
@@ -313,14 +313,10 @@
         )
 
     def _max_wait(self, routed: routedrequest.RoutedRequest) -> float:
-        if self._has_returned(routed):
+        if poolrooms.has_returned(routed):
             return _MAX_LATE_WAIT_RETRIED
         return _MAX_LATE_WAIT
 
-    def _has_returned(self, routed: routedrequest.RoutedRequest) -> bool:
-        caller_timeout = routed.deadline - routed.request.arrived_at
-        return caller_timeout < _SHORTENED_SHARE * routed.route.timeout
-
     def _eligible(
         self,
         candidates: Iterable[upstreamchoice.Candidate],
--- a/src/citronvalve/forward/poolrooms.py
+++ b/src/citronvalve/forward/poolrooms.py
@@ -20,8 +20,16 @@
 #: Shortest ``Retry-After``: sooner the load is unchanged.
 _MIN_RETRY_AFTER: clock.Ms = 250
 
-#: ``Retry-After`` is at most the caller's remaining time divided by this.
-_RETRY_AFTER_DIVISOR = 3
+#: Part of the route's timeout below which a request has less time.
+_SHORTENED_SHARE = 0.95
+
+#: The remaining time of a caller that comes back covers its answer and this.
+_RETURN_MARGIN: clock.Ms = 800
+
+#: ``Retry-After`` is at most this part of the caller's remaining time, and at
+#: least the other one, however long the answer.
+_MAX_RETRY_PART = 0.75
+_MIN_RETRY_PART = 1 / 3
 
 _Found = upstreamchoice.Chosen | upstreamchoice.Full
 
@@ -148,9 +156,9 @@
         why: str,
         now: clock.Ms,
     ) -> refusal.Refusal:
-        duration = _duration(sizing)
-        free_rate = _slots(sizing) / duration / max(1, self._env.daemon_count)
-        latest = max(0, routed.deadline - now) / _RETRY_AFTER_DIVISOR
+        cost = _forecast(routed, sizing).whole
+        free_rate = _slots(sizing) / cost / max(1, self._env.daemon_count)
+        latest = _latest_return(routed.deadline - now, cost)
         wait = self._gate.retry_after(
             _pool(routed), free_rate, _MIN_RETRY_AFTER, latest, now
         )
@@ -183,6 +191,15 @@
         )
 
 
+def has_returned(routed: routedrequest.RoutedRequest) -> bool:
+    """Return whether the caller was refused before, or is in a hurry.
+
+    :param routed: its request.
+    """
+    caller_timeout = routed.deadline - routed.request.arrived_at
+    return caller_timeout < _SHORTENED_SHARE * routed.route.timeout
+
+
 def _slots(sizing: Sizing) -> int:
     return sizing.pace.slots * len(sizing.candidates)
 
@@ -203,9 +220,7 @@
 def _ask(
     routed: routedrequest.RoutedRequest, found: _Found, sizing: Sizing
 ) -> poolgate.Ask:
-    forecast = sizing.pace.forecast(
-        sizing.pace.slots - 1, routed.prompt_tokens, routed.response_tokens
-    )
+    forecast = _forecast(routed, sizing)
     return poolgate.Ask(
         _pool(routed),
         _team(routed),
@@ -217,6 +232,24 @@
     )
 
 
+def _forecast(
+    routed: routedrequest.RoutedRequest, sizing: Sizing
+) -> enginepace.Forecast:
+    return sizing.pace.forecast(
+        sizing.pace.slots - 1, routed.prompt_tokens, routed.response_tokens
+    )
+
+
+def _latest_return(left: float, cost: float) -> float:
+    """Return the ms after which a caller may come back and be answered.
+
+    :param left: ms that its request has left.
+    :param cost: ms that its answer takes.
+    """
+    latest = max(_MIN_RETRY_PART * left, left - cost - _RETURN_MARGIN)
+    return max(0.0, min(_MAX_RETRY_PART * left, latest))
+
+
 def _duration(sizing: Sizing) -> float:
     """Return the ms that a typical request takes a slot."""
     return sizing.pace.typical_forecast(sizing.pace.slots - 1).whole
--- a/src/citronvalve/policy/poolgate.py
+++ b/src/citronvalve/policy/poolgate.py
@@ -19,15 +19,10 @@
 _WAIT_SHARE = 0.5
 
 
-#: How far a daemon's requests may exceed its part of the slots by chance.
-_CHANCE_FACTOR = 1.1
-
-
 class Reason(enum.StrEnum):
     """Why a request is refused."""
 
     SHARE = "the team is above its share of the pool"
-    PART = "this daemon uses its part of the full pool"
     LATE = "it would be late and delay others"
     KIND = "the last room is for kinds of request that are served less"
 
@@ -88,10 +83,10 @@
     """Decides who starts while a pool is nearly full, and who comes back.
 
     An excess begins when no slot is free, and ends when more than the margin
-    is.  Meanwhile each daemon keeps to its part of the slots, a request starts
-    if it can still be in time, and teams above their share leave the margin
-    to the others.  Callers that come back start while a slot is free, before
-    new ones that would be late.
+    is.  Meanwhile a request starts if it can still be in time behind those
+    that its daemon has in its part of the slots, and teams above their share
+    leave the margin to the others.  Callers that come back start while a slot
+    is free, before new ones that would be late.
 
     :param rng: random source.
     """
@@ -148,15 +143,7 @@
         if pool.limits.refuses(ask.team, use, view, room, now):
             reason = Reason.SHARE
         elif pool.is_in_excess:
-            is_uneven = bool(pool.limits.limited(now))
-            # Else those within their share would pay for the others.
-            if not is_uneven and self._is_above_part(view, room):
-                reason = Reason.PART
-            else:
-                must_yield = pool.balance.must_yield(ask.kind)
-                reason = _excess_reason(
-                    ask, view, room, must_yield and not is_uneven
-                )
+            reason = self._excess_reason(pool, ask, view, room, now)
         return Verdict(reason, use, view.excess, view.age)
 
     def retry_after(
@@ -179,36 +166,46 @@
             free_rate, earliest, latest, self._rng.random(), now
         )
 
-    def _is_above_part(
+    def _excess_reason(
+        self,
+        pool: _Pool,
+        ask: Ask,
+        view: poolview.PoolView,
+        room: poolview.Room,
+        now: clock.Ms,
+    ) -> Reason | None:
+        """Return why a request may not start in an excess, None if it may."""
+        if ask.has_returned:
+            return Reason.LATE if view.free <= 0 else None
+        queue = _WAIT_SHARE * max(0.0, ask.slack) / room.duration
+        if pool.limits.limited(now):
+            # By its part, those within their share would pay for the others.
+            is_late = ask.is_late or view.free <= -queue * view.slots
+            return Reason.LATE if is_late else None
+        free = self._free_part(view, room)
+        if ask.is_late or free <= -queue:
+            return Reason.LATE
+        if free <= _KIND_PART * room.margin and pool.balance.must_yield(
+            ask.kind
+        ):
+            return Reason.KIND
+        return None
+
+    def _free_part(
         self, view: poolview.PoolView, room: poolview.Room
-    ) -> bool:
-        """Return whether the daemon has its part of a nearly full pool.
+    ) -> float:
+        """Return how much of its part of the pool a daemon has free.
 
         All daemons see the same free slots, and each of them would fill them.
+        What it has itself, it knows without delay.
         """
         if view.is_alone or view.free > room.margin * view.slots:
-            return False
-        part = _CHANCE_FACTOR * view.all_teams.own_part(room.daemon_count)
-        return view.own + self._rng.random() >= part
+            return view.free / max(1.0, view.slots)
+        part = max(1.0, view.all_teams.own_part(room.daemon_count))
+        return 1 - (view.own + self._rng.random()) / part
 
     def _pool(self, name: str) -> _Pool:
         pool = self._pool_by_name.get(name)
         if pool is None:
             pool = self._pool_by_name[name] = _Pool(self._rng)
         return pool
-
-
-def _excess_reason(
-    ask: Ask,
-    view: poolview.PoolView,
-    room: poolview.Room,
-    must_yield: bool,
-) -> Reason | None:
-    """Return why a request may not start in an excess, None if it may."""
-    if ask.has_returned:
-        return Reason.LATE if view.free <= 0 else None
-    queue = _WAIT_SHARE * max(0.0, ask.slack) / room.duration
-    if ask.is_late or view.free <= -queue * view.slots:
-        return Reason.LATE
-    kept = _KIND_PART * room.margin * view.slots
-    return Reason.KIND if must_yield and view.free <= kept else None
--- a/src/citronvalve/policy/returnschedule.py
+++ b/src/citronvalve/policy/returnschedule.py
@@ -9,7 +9,11 @@
 _FIRST_DURATION: clock.Ms = 1_000
 
 #: Part of the room that becomes free which callers that come back may take.
-_RETURNS_PART = 0.5
+_RETURNS_PART = 0.2
+
+#: Callers for whom there is no room in time come back after this part of the
+#: most that they may wait: earlier they would take the place of others.
+_OVERFLOW_PART = 0.85
 
 
 class ReturnSchedule:
@@ -60,7 +64,7 @@
         :param free_rate: slots that become free for this daemon, a ms.
         :param earliest: least ms.
         :param latest: most ms; those who would have to wait longer are spread
-            over the second half of this time.
+            over the end of this time.
         :param chance: a number from 0 to 1.
         :param now: monotonic ms.
         """
@@ -69,7 +73,8 @@
         interval = 1 / max(1e-6, _RETURNS_PART * free_rate)
         wait = at - now + chance * interval
         if wait > latest:
-            wait = latest * (1 + chance) / 2
+            least = max(min(begin - now, latest), _OVERFLOW_PART * latest)
+            wait = least + (latest - least) * chance
         else:
             self._next_at = at + interval
         return wait
