--- a/src/citronvalve/policy/datacentrechoice.py
+++ b/src/citronvalve/policy/datacentrechoice.py
@@ -13,7 +13,6 @@
 from citronvalve.policy import roomshare
 from citronvalve.policy import upstreamchoice
 
-
 #: Replicas of all data centres that are looked at in a large site, for one of
 #: a data centre.
 _LOOKED_AT = 48
--- a/src/citronvalve/policy/evenchoice.py
+++ b/src/citronvalve/policy/evenchoice.py
@@ -20,7 +20,6 @@
 MAX_DRAWN = 32
 MAX_RANKED = 96
 
-
 #: Part of a report's age within which free slots are taken unseen.
 _UNSEEN_PART = 0.25
 
--- a/src/citronvalve/policy/roomloss.py
+++ b/src/citronvalve/policy/roomloss.py
@@ -3,6 +3,13 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+#: Free slots that a data centre keeps for its own daemons, in what they renew
+#: unseen.
+_KEPT = 2.5
+
+#: Growth of the part with what is gained.
+_GAIN = 3.0
+
 
 class Room(NamedTuple):
     """Slots of a model's replicas, as known from reports.
@@ -63,11 +70,3 @@
     :param cost: what the way there costs a request, as a loss.
     """
     return min(1.0, max(0.0, _GAIN * (here - there - cost)))
-
-
-#: Free slots that a data centre keeps for its own daemons, in what they renew
-#: unseen.
-_KEPT = 2.5
-
-#: Growth of the part with what is gained.
-_GAIN = 3.0
--- a/src/citronvalve/policy/roomshare.py
+++ b/src/citronvalve/policy/roomshare.py
@@ -4,6 +4,12 @@
 import math
 from typing import NamedTuple
 
+#: Replicas for each daemon from which on none is cut.
+_WHOLE_FROM = 2.0
+
+#: Parts below this come from rounding.
+_LEAST_PART = 1e-6
+
 
 class Turn(NamedTuple):
     """The place of a daemon among the ``daemons`` of its data centre."""
@@ -43,10 +49,3 @@
         for upstream, part in part_by_upstream.items()
         if part > _LEAST_PART
     }
-
-
-#: Replicas for each daemon from which on none is cut.
-_WHOLE_FROM = 2.0
-
-#: Parts below this come from rounding.
-_LEAST_PART = 1e-6
--- a/src/citronvalve/replicas/layout.py
+++ b/src/citronvalve/replicas/layout.py
@@ -12,7 +12,6 @@
 #: no more.
 _MIN_USE_RATIO = 0.5
 
-
 #: Replicas of a model are far larger than others from this ratio on.
 _MIN_SIZE_RATIO = 4
 
--- a/tests/work/site.py
+++ b/tests/work/site.py
@@ -8,7 +8,6 @@
 import collections
 import heapq
 import itertools
-import math
 import random
 import types
 
@@ -18,6 +17,7 @@
 from citronvalve.routes import keyholder
 from citronvalve.routes import modelspec
 from tests.replicas import world as worlds
+from tests.work import arrivals
 from tests.work import daemons
 from tests.work import engine as engines
 from tests.work import fixedlayout
@@ -54,6 +54,7 @@
     def __init__(self, work, seed, local_rooms=False, fixed=None):
         self.work = work
         self.rng = random.Random(seed)
+        self._arrivals = arrivals.Arrivals(work)
         self.clock = manualclock.ManualClock()
         self._serial = itertools.count()
         self._due = []
@@ -169,49 +170,9 @@
 
     # Callers.
 
-    def _rate(self, kind, number):
-        elapsed = self.clock.now() - self.begin
-        phase = number / self.work.datacentres * self.work.swing_spread
-        turn = 2 * math.pi * (elapsed / self.work.swing_period + phase)
-        shares = self.work.datacentre_shares or [1 / self.work.datacentres]
-        rate = kind.rate * shares[number % len(shares)]
-        for burst in self.work.bursts:
-            if (
-                burst.kind == kind.name
-                and burst.begin <= elapsed < burst.end
-                and burst.datacentre in (-1, number)
-            ):
-                rate *= burst.factor
-        return (
-            rate
-            * (1 + self.work.swing * math.sin(turn))
-            * self._crest_factor(elapsed)
-            * self._team_factor(elapsed)
-        )
-
-    def _crest_factor(self, elapsed):
-        crest = self.work.crest
-        is_high = crest and elapsed % crest.interval < crest.length
-        return crest.factor if is_high else 1.0
-
-    def _team_extra(self, elapsed):
-        """Return what team 0 sends beyond its usual, as a part of that."""
-        burst = self.work.team_burst
-        is_high = burst and burst.begin <= elapsed < burst.end
-        return burst.factor - 1 if is_high else 0.0
-
-    def _team_factor(self, elapsed):
-        return 1 + self._team_extra(elapsed) / self.work.teams
-
-    def _team(self):
-        if self.work.teams == 1:
-            return 0
-        extra = self._team_extra(self.clock.now() - self.begin)
-        drawn = self.rng.random() * (self.work.teams + extra)
-        return max(0, int(drawn - extra))
-
     def _arrive_later(self, kind, number):
-        rate = self._rate(kind, number)
+        elapsed = self.clock.now() - self.begin
+        rate = self._arrivals.rate(kind, number, elapsed)
         if rate <= 0:
             return
         at = self.clock.now() + self.rng.expovariate(rate / 1_000)
@@ -227,7 +188,7 @@
             max(40, int(kind.prompt_tokens * factor)),
             max(1, int(kind.events * self.rng.lognormvariate(-0.2, 0.6))),
             self.clock.now(),
-            self._team(),
+            self._arrivals.team(self.clock.now() - self.begin, self.rng),
         )
         self.calls.append(call)
         self._place(call)
