Compile the sources before the tests, so that processes start with bytecode

Where PYTHONDONTWRITEBYTECODE is set, each process of a test compiled all its modules when it started, 0.12 s of 0.32 s in a profile of the imports. Users' machines have the bytecode.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,10 @@
 demo: $(VENV)/ready
 	$(BIN)/python -m standins.demo
 
+# Processes that tests start would compile the sources at each start where
+# PYTHONDONTWRITEBYTECODE is set.
 test: $(VENV)/ready
+	$(BIN)/python -m compileall -q src platform standins tests
 	$(BIN)/python -m tests.verdict
 
 check: $(VENV)/ready
