--- a/tests/forward/rig.py
+++ b/tests/forward/rig.py
@@ -15,6 +15,7 @@
 from citronvalve.forward import headernames
 from citronvalve.forward import linkchecker
 from citronvalve.forward import placement
+from citronvalve.forward import poolrooms
 from citronvalve.forward import retrybudgets
 from citronvalve.forward import stalldetector
 from citronvalve.model import clock
@@ -74,7 +75,13 @@
     """A daemon with routes /once/, /any/ and /stream/ of host h.example."""
 
     def __init__(
-        self, scripts, timeout=2_000, attempts=2, name="daemon-1", most=0
+        self,
+        scripts,
+        timeout=2_000,
+        attempts=2,
+        name="daemon-1",
+        most=0,
+        fair_shares=False,
     ):
         self.log = RecordingLog()
         self.limits = LIMITS
@@ -112,7 +119,11 @@
             self.connector,
             pool,
             placement.Placement(
-                self.env, self.directory, loads, placement.ColdLimits()
+                self.env,
+                self.directory,
+                loads,
+                placement.ColdLimits(),
+                self._rooms() if fair_shares else None,
             ),
             self.retry_budgets,
             self.stall_detector,
@@ -153,6 +164,9 @@
     def runs(self):
         return sum(one.runs for one in self.runners.values())
 
+    def _rooms(self):
+        return poolrooms.PoolRooms(self.env, self.directory, self.loads)
+
     def _add_runner(self, name, script):
         runner = scriptedrunner.ScriptedRunner(name, script)
         self.runners[name] = runner
--- a/tests/logs/logs.feature
+++ b/tests/logs/logs.feature
@@ -66,3 +66,20 @@
       | refused    | no upstream of the service   |
       | late       | upstream stands still        |
       | broken off | ending=BROKEN                |
+
+  Scenario Outline: <field> of a request that a full replica pool refuses
+    Guards against a refusal of which nobody can tell whether the team was
+    above its share, how full the pool was, and how old that knowledge.
+
+    Given a daemon with scripted runners, whose log is recorded
+    When a full replica pool refuses a request
+    And the tool explains its id from the log
+    Then the tool shows "<field>"
+
+    Examples: fields
+      | field         |
+      | team=team-1   |
+      | team_use=     |
+      | team_share=   |
+      | pool_excess=  |
+      | known_age_ms= |
--- a/tests/logs/steps/log_steps.py
+++ b/tests/logs/steps/log_steps.py
@@ -15,6 +15,9 @@
 from citronvalve.model import manualclock
 from tests.forward import rig as rigs
 
+#: Requests at a replica, far more than it has slots.
+_MORE_THAN_SLOTS = 500
+
 _os = patcher.original("os")
 _threading = patcher.original("threading")
 
@@ -214,6 +217,13 @@
     context.rig.send(path, "X-Model: large\r\nX-Tokens: 100,60\r\n")
 
 
+@behave.when("a full replica pool refuses a request")
+def step_full(context):
+    context.rig = rigs.Rig({"head-1": ["stream"]}, fair_shares=True)
+    context.rig.loads.of("head-1").own = _MORE_THAN_SLOTS
+    context.rig.send("/stream/a", "X-Model: large\r\nX-Tokens: 100,60\r\n")
+
+
 @behave.when("the tool explains its id from the log")
 def step_tool(context):
     now = clock.SystemClock().wall()
