Let the soak's runners and relays listen at ports that the kernel gives to nobody

Likely cause, not shown: the runners listened at ports of the kernel's, which it gives again to others; clients of another suite that had lost its server went on calling. Ports come from the range that no outgoing connection gets now, and the promise tells the path of the run, which it did not.

--- a/standins/process.py
+++ b/standins/process.py
@@ -34,6 +34,24 @@
     process gets it from here while this one runs, also while the program
     that is to listen there has not started, or starts again.
     """
+    return f"{_HOST}:{_free_port()}"
+
+
+def listen(backlog: int) -> socket.socket:
+    """Return a socket that listens at such a port.
+
+    Clients of an earlier test may still call a port that the kernel gave to
+    it, and would be taken for those of the next one to get it.
+
+    :param backlog: connections that may wait.
+    """
+    port = _free_port()
+    listener = socket.create_server((_HOST, port), backlog=backlog)
+    os.close(_LOCK_BY_PORT.pop(port))
+    return listener
+
+
+def _free_port() -> int:
     while True:
         port = _CHANCE.randrange(_LOWEST_PORT, _HIGHEST_PORT)
         if not _reserve(port):
@@ -41,7 +59,7 @@
         with contextlib.closing(socket.socket()) as probe:
             with contextlib.suppress(OSError):
                 probe.bind((_HOST, port))
-                return f"{_HOST}:{port}"
+                return port
 
 
 def _reserve(port: int) -> bool:
--- a/standins/soak/ledger.py
+++ b/standins/soak/ledger.py
@@ -268,7 +268,11 @@
         runs = self._runs_by_id.setdefault(got.id, [])
         runs.append(Run(got.id, upstream, self.now))
         asked = self._asked_by_id.get(got.id)
-        self.look("what runs was asked for", asked is not None, got.id)
+        self.look(
+            "what runs was asked for",
+            asked is not None,
+            f"{got.id or 'no id'}, {got.path}",
+        )
         if asked is None:
             return
         same = (got.path, got.body, got.team) == (
--- a/standins/soak/relay.py
+++ b/standins/soak/relay.py
@@ -8,10 +8,13 @@
 from eventlet.green import socket
 from eventlet import hubs
 
+from standins import process
+
 _PIECE = 65_536
 
 #: Seconds between two looks whether what is held back may pass.
 _HELD_LOOK = 0.02
+_BACKLOG = 50
 _RESET = b"\1\0\0\0\0\0\0\0"
 
 
@@ -51,7 +54,7 @@
         self._held_sources: set[str] = set()
         self._harm = Harm.NONE
         self.delay = 0.2
-        self._listener = eventlet.listen(("127.0.0.1", 0))
+        self._listener = process.listen(_BACKLOG)
         self._port = self._listener.getsockname()
         self.address = "127.0.0.1:%d" % self._port[1]
         self._task = eventlet.spawn(self._accept)
@@ -87,7 +90,7 @@
         """Accept connections again."""
         if self._reserved is None:
             return
-        self._reserved.listen(50)
+        self._reserved.listen(_BACKLOG)
         self._listener, self._reserved = self._reserved, None
         self._task = eventlet.spawn(self._accept)
 
--- a/standins/soak/runner.py
+++ b/standins/soak/runner.py
@@ -13,6 +13,7 @@
 import eventlet.wsgi
 import msgspec
 
+from standins import process
 from standins import rowstore
 from standins.soak import ledger as ledgers
 from standins.soak import place as places
@@ -76,7 +77,7 @@
         self.late = self.loses = self.is_slow = False
         self._life = 0
         self._born = round(time.time() * 1_000)
-        self._socket = eventlet.listen(("127.0.0.1", 0), backlog=256)
+        self._socket = process.listen(256)
         self._task = eventlet.spawn(
             eventlet.wsgi.server,
             self._socket,
