Close a connection whose caller reads late without a reset

Cause: after the last answer of a connection the daemon waits for the caller's end for a second at most. When that time ran out, the exception of the read was taken for a lost caller, and the connection was reset, which discards what the kernel still holds for the caller. It is closed now, and the kernel sends the rest.

tests/forward/slowcallers, the last bytes of an answer are read late: failed before (a part of 40,000 bytes came), passes now.

--- a/src/citronvalve/forward/callerconnection.py
+++ b/src/citronvalve/forward/callerconnection.py
@@ -361,9 +361,9 @@
         self._output.wait_written()
         self._sock.shutdown(socket.SHUT_WR)
         deadline = self._env.clock.now() + _LINGER
-        while (remaining := deadline - self._env.clock.now()) > 0:
-            if not receiving.receive(self._sock, _READ_SIZE, remaining):
-                break
+        while self._receive_in(deadline - self._env.clock.now()):
+            pass
+        # What the caller has not read yet is still sent.
         self._sock.close()
 
     def _reset(self) -> None:
--- a/tests/forward/slowcallers.feature
+++ b/tests/forward/slowcallers.feature
@@ -92,3 +92,12 @@
     And a plain runner with answers of 1000 KB
     When 4 callers ask for them and read on 0.5 s after the daemon was stopped
     Then each has a whole answer, and no connection is open
+
+  Scenario: the last bytes of an answer are read late
+    Guards against a reset that discards what the kernel still holds for a
+    caller, once its connection has been at its end for a second.
+
+    Given a daemon with 16000 KB for what callers have not read
+    And a plain runner with answers of 40 KB
+    When a caller asks for a last answer, and reads it 2 s later
+    Then each has a whole answer, and no connection is open
--- a/tests/forward/steps/slowcallers_steps.py
+++ b/tests/forward/steps/slowcallers_steps.py
@@ -353,6 +353,16 @@
     context.got = _read_all(sock)
 
 
+@behave.when(
+    "a caller asks for a last answer, and reads it {seconds:g} s later"
+)
+def step_last(context, seconds):
+    sock = connect(context.rig)
+    sock.sendall(request("/any/a", "close"))
+    eventlet.sleep(seconds)
+    context.answers = [_read_all(sock)]
+
+
 def _read_all(sock):
     got = b""
     with eventlet.Timeout(_TIME):
