Log the request rates that upstreams name, and when they are over

A daemon now logs 'upstream limited' and 'upstream limit over', and has gauges of how many limits are in force and of the oldest. A value that is no decimal number is ignored, with one line for each upstream. Nothing else heeds the limits yet.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -29,6 +29,7 @@
 from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
 from citronvalve.forward import forwarder
+from citronvalve.forward import limiter
 from citronvalve.forward import placement
 from citronvalve.forward import poolrooms
 from citronvalve.forward import retrybudgets
@@ -135,6 +136,7 @@
         self._links.attach(self._stall_detector)
         pool = self._links.pool
         self._crash_detector = crashdetector.CrashDetector(env, pool)
+        self._limiter = limiter.Limiter(env)
         self._rooms = (
             poolrooms.PoolRooms(env, self.directory, self._loads)
             if settings.features.fair_shares
@@ -152,6 +154,7 @@
             retrybudgets.RetryBudgets(env, settings.repeats),
             self._stall_detector,
             self._crash_detector,
+            self._limiter,
         )
         self._forwarder = forwarder.Forwarder(
             self._dependencies, admission.Admission(env, self.directory)
@@ -262,6 +265,7 @@
             self.env, self.directory, self._loads, self._platform.decode_runner
         )
         runner_listener.schedule = _schedule
+        runner_listener.on_restart = self._limiter.record_restart
         configuration_listener = configurationlistener.ConfigurationListener(
             self.env, self.directory, self._platform
         )
@@ -319,6 +323,7 @@
         while True:
             listed = set(self.directory.runner_by_id)
             self._loads.retain(listed)
+            self._limiter.retain(listed)
             self._memory.count_upstreams(len(listed))
             self._update_gauges()
             if self._settings.features.even_load:
@@ -336,6 +341,7 @@
         set_gauge("connections", "Callers' connections.", self._acceptor.count)
         self._links.set_gauges(set_gauge)
         self._memory.set_gauges(set_gauge)
+        self._limiter.set_gauges()
         set_gauge("log_lines_dropped", "Lines dropped.", self._log.dropped)
         set_gauge(
             "leading", "Whether it leads.", float(bool(self._lease.held))
--- a/src/citronvalve/daemon/runnerlistener.py
+++ b/src/citronvalve/daemon/runnerlistener.py
@@ -29,6 +29,7 @@
     :param loads: the load of each upstream.
     :param decode: decodes an entry; returns None if it names no usable
         upstream.
+    :ivar on_restart: called with the id of an upstream that has started again.
     :ivar store_failed_at: returns when a call to the store last failed, or
         None.
     :ivar schedule: calls a function after a delay in ms.
@@ -46,6 +47,7 @@
         self._loads = loads
         self._decode = decode
         self._missing_since: dict[str, clock.Ms] = {}
+        self.on_restart: Callable[[str], None] = lambda _: None
         self.store_failed_at: Callable[[], clock.Ms | None] = lambda: None
         self.schedule: Callable[[clock.Ms, Callable[[], None]], None] = (
             lambda *_: None
@@ -114,6 +116,8 @@
         self._directory.record_membership(
             previous, runner, self._env.clock.now()
         )
+        if previous is not None and previous.start_id != runner.start_id:
+            self.on_restart(runner.id)
         group = runner.membership
         previous_group = previous.membership if previous else None
         if (
--- a/src/citronvalve/forward/attempt.py
+++ b/src/citronvalve/forward/attempt.py
@@ -17,6 +17,7 @@
 from citronvalve.forward import responsereader
 from citronvalve.forward import routedrequest
 from citronvalve.forward import streamprogress
+from citronvalve.model import clock
 from citronvalve.policy import upstreamchoice
 
 _Ending = attemptresult.Ending
@@ -67,6 +68,7 @@
         self._target = connectors.Target(chosen.upstream, "", "")
         self._run = crashdetector.Run(self._target)
         self._exchange: exchanges.Exchange | None = None
+        self._sent_at: clock.Ms = 0
         self.relay = ""
         self.result: attemptresult.AttemptResult | None = None
 
@@ -234,6 +236,7 @@
     def _send(self, exchange: exchanges.Exchange) -> None:
         self._reply.check_caller()
         self._reader.check_others()
+        self._sent_at = self._env.clock.now()
         exchange.send(
             requesthead.compose(
                 self._env, self._routed, self.chosen, self._progress
@@ -277,6 +280,9 @@
         self._run = self._run._replace(answered_at=self._env.clock.now())
         self._record_activity()
         self._record_start()
+        self._deps.limiter.record_answer(
+            self.chosen.upstream, response, self._sent_at
+        )
         load = response.load(self._env.header_names)
         if load is not None:
             now = self._env.clock.now()
--- a/src/citronvalve/forward/dependencies.py
+++ b/src/citronvalve/forward/dependencies.py
@@ -7,6 +7,7 @@
 from citronvalve.forward import crashdetector
 from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
+from citronvalve.forward import limiter as limiters
 from citronvalve.forward import placement as placements
 from citronvalve.forward import retrybudgets
 from citronvalve.forward import stalldetector
@@ -25,3 +26,4 @@
     retry_budgets: retrybudgets.RetryBudgets
     stall_detector: stalldetector.StallDetector
     crash_detector: crashdetector.CrashDetector
+    limiter: limiters.Limiter
--- a/src/citronvalve/forward/headernames.py
+++ b/src/citronvalve/forward/headernames.py
@@ -12,12 +12,13 @@
     upstream that may run the request; ``seal`` an upstream's signature of
     its response; ``not_run`` states that the upstream did not run the
     request; ``at_fault`` is the upstream that caused a rejection; ``load``
-    running and waiting requests and slots; ``rank`` 0 to 9, most urgent
-    first; ``model``, ``token_counts`` (prompt tokens, most output tokens)
-    and ``length_hint`` describe the work; ``prompt_parts`` lists the parts of
-    the prompt in order as comma-separated ID:TOKENS; ``resume_after`` is the
-    last event id that the caller has; ``expected_version`` that of the
-    weights.
+    running and waiting requests and slots; ``limit`` the requests per second
+    that the upstream takes from all daemons together; ``rank`` 0 to 9, most
+    urgent first; ``model``, ``token_counts`` (prompt tokens, most output
+    tokens) and ``length_hint`` describe the work; ``prompt_parts`` lists the
+    parts of the prompt in order as comma-separated ID:TOKENS;
+    ``resume_after`` is the last event id that the caller has;
+    ``expected_version`` that of the weights.
     """
 
     request_id: bytes = b"x-request-id"
@@ -29,6 +30,7 @@
     not_run: bytes = b"x-not-run"
     at_fault: bytes = b"x-at-fault"
     load: bytes = b"x-load"
+    limit: bytes = b"x-limit"
     rank: bytes = b"x-rank"
     model: bytes = b"x-model"
     token_counts: bytes = b"x-tokens"
--- a/src/citronvalve/forward/headers.py
+++ b/src/citronvalve/forward/headers.py
@@ -1,10 +1,14 @@
 """Selection of the headers that are forwarded."""
 
 from collections.abc import Iterable
+import re
 
 #: A header as h11 returns it: name in lower case, value.
 Header = tuple[bytes, bytes]
 
+#: Longer numbers are mistakes; without a bound they overflow.
+_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,20})?")
+
 #: Headers that concern one connection, or framing, which is made anew on each
 #: connection: a copied length or transfer coding could hide a second request.
 _HOP_BY_HOP = frozenset(
@@ -27,13 +31,22 @@
 def value(headers: Iterable[Header], name: bytes) -> bytes:
     """Return the first value of a header, or no bytes.
 
+    :param headers: names in lower case.
+    :param name: in lower case.
+    """
+    return find(headers, name) or b""
+
+
+def find(headers: Iterable[Header], name: bytes) -> bytes | None:
+    """Return the first value of a header, None if it is absent.
+
     :param headers: names in lower case.
     :param name: in lower case.
     """
     for given, content in headers:
         if given == name:
             return content
-    return b""
+    return None
 
 
 def end_to_end(
@@ -68,3 +81,12 @@
     """
     text = text.strip()
     return int(text) if text.isdigit() and len(text) <= 18 else None
+
+
+def parse_decimal(text: bytes) -> float | None:
+    """Return a non-negative decimal number, or None.
+
+    :param text: a header's value.
+    """
+    text = text.strip()
+    return float(text) if _DECIMAL.fullmatch(text) else None
--- a/standins/scriptedrunner.py
+++ b/standins/scriptedrunner.py
@@ -34,6 +34,7 @@
     :ivar requests: heads of the requests that came, as text.
     :ivar runs: how many it ran.
     :ivar bodies: of those requests.
+    :ivar said: further header lines of its answers.
     :ivar closed_on: connections that its caller closed while it was silent.
     """
 
@@ -54,6 +55,7 @@
         self.bodies: list[bytes] = []
         self.runs = 0
         self.closed_on = 0
+        self.said = ""
         self._task = eventlet.spawn(self._accept)
 
     def close(self) -> None:
@@ -98,7 +100,7 @@
         return (
             f"HTTP/1.1 {status} Some\r\n{self._request}: {number}\r\n"
             f"{self._seal}: seal-of-{self._name}\r\n"
-            f"X-Load: 1,0,13\r\n{extra}\r\n"
+            f"X-Load: 1,0,13\r\n{self.said}{extra}\r\n"
         ).encode()
 
     def _stream_head(self, fields) -> bytes:
--- a/tests/forward/rig.py
+++ b/tests/forward/rig.py
@@ -13,6 +13,7 @@
 from citronvalve.forward import environment as environments
 from citronvalve.forward import forwarder
 from citronvalve.forward import headernames
+from citronvalve.forward import limiter
 from citronvalve.forward import linkchecker
 from citronvalve.forward import placement
 from citronvalve.forward import poolrooms
@@ -112,6 +113,7 @@
         self.stall_detector.is_lost = self.link_checker.is_lost
         self.stall_detector.is_doubted = self.link_checker.is_doubted
         self.retry_budgets = retrybudgets.RetryBudgets(self.env, limits)
+        self.limiter = limiter.Limiter(self.env)
         deps = dependencies.Dependencies(
             self.env,
             self.directory,
@@ -128,6 +130,7 @@
             self.retry_budgets,
             self.stall_detector,
             crashdetector.CrashDetector(self.env, pool),
+            self.limiter,
         )
         self.crash_detector = deps.crash_detector
         self.placement = deps.placement
