Test that upstreams that name a request rate get no more

Real processes: six daemons, the soak's store and runners, 30 callers, 30 s. From 8 to 22 s heads or plain runners name a rate in all their answers. What a runner gets from daemons that had passed on such an answer half a second before is counted in windows of 4 s, from 3 s on.

--- a/standins/soak/caller.py
+++ b/standins/soak/caller.py
@@ -11,6 +11,7 @@
 from standins.soak import crashing
 from standins.soak import daemon as daemons
 from standins.soak import ledger as ledgers
+from standins.soak import needs
 from standins.soak import operator as operators
 from standins.soak import runner as runners
 
@@ -88,7 +89,7 @@
     def _one(self, connection, daemon: daemons.Daemon) -> bool:
         asked, method, head = self._make()
         began = self._book.now
-        self._book.ask(asked)
+        self._book.ask(asked, daemon.name)
         sent = False
         try:
             connection.request(method, asked.path, asked.body or None, head)
@@ -96,6 +97,7 @@
             if self._chance.random() < 0.03:
                 return self._leave(connection, asked)
             got = connection.getresponse()
+            self._take_needs(daemon, got)
             data = self._read(got)
         except (OSError, http.client.HTTPException) as error:
             self._book.first(
@@ -113,6 +115,11 @@
             eventlet.sleep(min(wait, 2.0))
         return not got.will_close
 
+    def _take_needs(self, daemon: daemons.Daemon, got) -> None:
+        if needs.LIMIT in got.headers:
+            runner, _, _ = got.headers.get("X-Runner-Seal", "").partition(".")
+            self._book.needs.tell(daemon.name, runner, self._book.now)
+
     def _read(self, got: http.client.HTTPResponse) -> bytes:
         if not self.is_slow:
             return got.read()
--- a/standins/soak/ledger.py
+++ b/standins/soak/ledger.py
@@ -5,6 +5,7 @@
 import time
 from typing import NamedTuple
 
+from standins.soak import needs
 
 #: Seconds after a fault until the promises with a bound in time hold again.
 CALM = 3.0
@@ -112,6 +113,7 @@
     :ivar ends: how requests ended, by status or word.
     :ivar ended: the same with the second of each.
     :ivar torn: members that were told to leave a head that serves.
+    :ivar needs: what runners in need asked for, and what reached them.
     :ivar cuts: requests whose connection was closed though they ran.
     """
 
@@ -133,6 +135,8 @@
         self.queued = 0.0
         self.firsts: list[First] = []
         self.parts = Parts()
+        self.needs = needs.Needs()
+        self._daemon_by_id: dict[str, str] = {}
         self.cuts: list[Cut] = []
         self.torn: list[str] = []
 
@@ -252,12 +256,23 @@
             self.broken.append(broken)
             self.on_broken(broken)
 
-    def ask(self, asked: Asked) -> None:
+    def ask(self, asked: Asked, daemon: str = "") -> None:
         """Take in that a caller is about to send a request.
 
         :param asked: the request.
+        :param daemon: name of the daemon that it is sent to.
         """
         self._asked_by_id[asked.id] = asked
+        self._daemon_by_id[asked.id] = daemon
+
+    def reached(self, request: str, upstream: str) -> None:
+        """Take in that a request has reached an upstream.
+
+        :param request: its id.
+        :param upstream: the upstream's id.
+        """
+        daemon = self._daemon_by_id.get(request, "")
+        self.needs.arrive(needs.Arrival(self.now, upstream, daemon))
 
     def ran(self, got: Asked, upstream: str) -> None:
         """Take in that an upstream begins to run a request.
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -36,6 +36,7 @@
     :param calling: callers at a time.
     :param folder: takes settings and output.
     :param longest: most events of a stream.
+    :ivar seconds: the same as the parameter.
     :ivar installation: store, runners and daemons.
     :ivar events: what is injected, by time.
     :ivar beside: what else is done while it plays.
@@ -53,7 +54,7 @@
         folder: pathlib.Path,
         longest: int = _LONGEST,
     ) -> None:
-        self._seconds = seconds
+        self.seconds = seconds
         self.events = schedules.draw(seed, seconds)
         self.book = ledgers.Ledger()
         self.installation = installations.Installation(
@@ -125,7 +126,7 @@
             eventlet.sleep(max(0.0, event.at - book.now))
             self.injected[event.fault] += 1
             eventlet.spawn(made.do, event)
-        eventlet.sleep(max(0.0, self._seconds - book.now))
+        eventlet.sleep(max(0.0, self.seconds - book.now))
         for task in (*calling, versions, beside, pulse):
             task.kill()
         eventlet.sleep(0.6)
--- a/standins/soak/runner.py
+++ b/standins/soak/runner.py
@@ -16,6 +16,7 @@
 from standins import process
 from standins import rowstore
 from standins.soak import ledger as ledgers
+from standins.soak import needs
 from standins.soak import place as places
 from standins.soak import relay as relays
 
@@ -53,6 +54,7 @@
     :ivar late: whether orders are answered by nobody and carried out late.
     :ivar is_slow: whether it reads requests slowly.
     :ivar loses: whether answers of what it ran are lost.
+    :ivar limit: the rate that its answers name, or nothing.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         self.listed = True
         self.draining_at: float | None = None
         self.late = self.loses = self.is_slow = False
+        self.limit = ""
         self._life = 0
         self._born = round(time.time() * 1_000)
         self._socket = process.listen(256)
@@ -161,6 +164,26 @@
         self.place.silent = False
         self.tell()
 
+    def name_limit(self, rate: float) -> None:
+        """Name a rate in all answers from now on.
+
+        :param rate: requests per second.
+        """
+        self.limit = f"{rate:g}"
+        named = needs.Limit(self.name, rate, self._book.now)
+        self._book.needs.limits.append(named)
+
+    def end_limit(self) -> None:
+        """Name no rate any more."""
+        self.limit = ""
+        limits = self._book.needs.limits
+        limits[:] = [
+            limit._replace(end=min(limit.end, self._book.now))
+            if limit.upstream == self.name
+            else limit
+            for limit in limits
+        ]
+
     def drain(self) -> None:
         """Say that it is leaving."""
         self.draining_at = self._book.now
@@ -226,6 +249,7 @@
     def _serve(self, environ, start_response, body) -> Iterable[bytes]:
         number = environ.get("HTTP_X_ATTEMPT_ID", "")
         parts = environ.get("HTTP_X_PROMPT_PREFIX", "")
+        self._book.reached(number, self.name)
         part = self._book.parts.find(parts)
         if part:
             now = self._book.now
@@ -265,7 +289,7 @@
             return self._hang_up(environ)
         seal = f"{self.name}.{number}"
         data = msgspec.json.encode({"number": number, "by": self.name})
-        start_response("200 OK", _head(number, seal, data))
+        start_response("200 OK", _head(number, seal, data) + self._said())
         return [data]
 
     def _crash_by(self, part: str, life: int) -> None:
@@ -282,7 +306,7 @@
         first = int(environ.get("HTTP_LAST_EVENT_ID") or 0) + 1
         count = int(environ["PATH_INFO"].rstrip("/").rpartition("/")[2])
         head = [("Content-Type", "text/event-stream")]
-        head += _head(number, f"{self.name}.{number}")
+        head += _head(number, f"{self.name}.{number}") + self._said()
         start_response("200 OK", head)
         return self._events(number, first, count, body)
 
@@ -331,8 +355,13 @@
     ) -> Iterable[bytes]:
         head = [("X-Not-Executed", "1"), ("At-Server", self.name)]
         head.append(("X-Attempt-Id", number))
+        head += self._said()
         return _json(start_response, status, {}, head)
 
+    def _said(self) -> list[tuple[str, str]]:
+        """Return what its answers say of its need."""
+        return [(needs.LIMIT, self.limit)] if self.limit else []
+
     def _hang_up(self, environ) -> Iterable[bytes]:
         with contextlib.suppress(OSError):
             environ["eventlet.input"].get_socket().shutdown(socket.SHUT_RDWR)
--- /dev/null
+++ b/tests/needs/limits.feature
@@ -0,0 +1,25 @@
+Feature: Upstreams that name a request rate get no more
+  Guards against upstreams in need that get as many requests as before. The
+  rate is for all daemons together; it counts from 3 s after it was first
+  named, for daemons that have passed on an answer that names it.
+
+  Scenario Outline: <who> a rate of <rate> a second, <more>
+    Given a soak of seed <seed> for 30 s with 6 daemons, 30 callers and no faults
+    And from 8 s to 22 s <who> a rate of <rate> a second, <more>
+    When it has run
+    Then no promise was broken
+    And no runner got more requests than its rate allows
+    And each of them got at least half of its rate meanwhile
+    And from 4 s after that each gets at least half as many as before
+    And callers were served, or refused by all that they could reach
+
+    Examples:
+      | who                       | rate | more                         | seed |
+      | one head names            | 1.1  | at all daemons               | 601  |
+      | one head names            | 0.3  | at all daemons               | 602  |
+      | all heads name            | 1.3  | at all daemons               | 603  |
+      | all heads name            | 0.3  | at all daemons               | 604  |
+      | one plain runner names    | 1.4  | at all daemons               | 605  |
+      | all plain runners name    | 1.1  | at all daemons               | 606  |
+      | one head names            | 1.3  | as three daemons start again | 607  |
+      | all heads name            | 1.3  | as two daemons have no links | 608  |
