--- a/standins/soak/caller.py
+++ b/standins/soak/caller.py
@@ -127,6 +127,8 @@
         while piece := got.read1(_EVENT_SIZE):
             data += piece
             eventlet.sleep(_READ_PAUSE)
+        # It does not end by itself when its length has been read in parts.
+        got.close()
         return data
 
     def _make(self) -> tuple[ledgers.Asked, str, dict[str, str]]:
