Heed the request rates that upstreams name, all daemons together

Callers saw nothing.

Cause: what an answer says of its upstream beyond the load acted on no other request.

Change: each daemon records the rate, tells the others, and sends one request at its turn. The turns follow from the time since the rate was first named, so that the sum stays below it though each daemon's part may be less than one request in the window. First tries, retries, resumed streams and requests that another daemon relays pass the same choice.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -118,6 +118,7 @@
             self._peers_wait(), not self._settings.first_start
         )
         self._crash_exchange.start()
+        self._limit_exchange.start()
         eventlet.spawn(self._renew_lease)
         eventlet.spawn(self._planner_task.run)
         eventlet.spawn(self._clean_up)
@@ -136,7 +137,7 @@
         self._links.attach(self._stall_detector)
         pool = self._links.pool
         self._crash_detector = crashdetector.CrashDetector(env, pool)
-        self._limiter = limiter.Limiter(env)
+        self._limiter = limiter.Limiter(env, self.directory)
         self._rooms = (
             poolrooms.PoolRooms(env, self.directory, self._loads)
             if settings.features.fair_shares
@@ -149,7 +150,12 @@
             self._links.connector,
             pool,
             placement.Placement(
-                env, self.directory, self._loads, settings.cold, self._rooms
+                env,
+                self.directory,
+                self._loads,
+                settings.cold,
+                self._limiter,
+                self._rooms,
             ),
             retrybudgets.RetryBudgets(env, settings.repeats),
             self._stall_detector,
@@ -190,6 +196,7 @@
         self._lease.has_majority = self._messages.hears_majority
         self._lease.rank = self._lead_rank
         self._exchange_crashes()
+        self._exchange_limits()
         self._messages.load_broadcaster.is_nearly_full = (
             self._dependencies.placement.is_pressed
         )
@@ -227,6 +234,11 @@
         exchange.record = record.write
         self._lease.on_row = self._read_crashes
 
+    def _exchange_limits(self) -> None:
+        exchange = self._messages.exchange_limits(self._limiter)
+        self._limiter.on_change = exchange.send_change
+        self._limit_exchange = exchange
+
     def _read_crashes(self, row: rows.Row) -> None:
         if row.key == crashrecord.KEY:
             evidence = crashrecord.parse(row.value, self.env.clock.now())
--- a/src/citronvalve/daemon/messagetask.py
+++ b/src/citronvalve/daemon/messagetask.py
@@ -6,10 +6,12 @@
 import eventlet
 
 from citronvalve.daemon import crashexchange
+from citronvalve.daemon import limitexchange
 from citronvalve.daemon import loadbroadcaster
 from citronvalve.daemon import newcomers
 from citronvalve.daemon import tablemessages
 from citronvalve.forward import environment as environments
+from citronvalve.forward import limiter as limiters
 from citronvalve.model import clock
 from citronvalve.model import missing
 from citronvalve.peers import distributor as distributors
@@ -43,6 +45,9 @@
 #: Key by which daemons are ranked as candidates for the lead.
 _LEAD_KEY = "lead"
 
+#: A daemon that is not heard for this time takes no part in shared limits.
+_MEMBER_TIMEOUT: clock.Ms = 3_000
+
 #: Larger messages are not sent; daemons that miss changes read the table.
 _MAX_MESSAGE_BYTES = 90_000
 
@@ -235,6 +240,31 @@
         self._on_contact = exchange.record_contact
         return exchange
 
+    def exchange_limits(
+        self, limiter: limiters.Limiter
+    ) -> limitexchange.LimitExchange:
+        """Return the exchange of upstreams' limits, for its messages.
+
+        :param limiter: records the limits.
+        """
+        exchange = limitexchange.LimitExchange(
+            self._env,
+            self._lease,
+            limiter,
+            self._broadcast,
+            self._send_message,
+        )
+        exchange.is_reachable = self._may_reach
+        self._handler_by_type[messages.LimitReport] = exchange.on_limits
+        return exchange
+
+    def _may_reach(self, name: str) -> bool:
+        """Return whether a daemon was heard lately, or would not be heard."""
+        topology, now = self._distributor.topology, self._env.clock.now()
+        return not topology.is_direct or topology.is_heard(
+            name, _MEMBER_TIMEOUT, now
+        )
+
     def lead_rank(self) -> int:
         """Return this daemon's place among the candidates for the lead."""
         names = self._lease.peer_by_name.keys() - {self._lease.leader}
--- a/src/citronvalve/forward/headers.py
+++ b/src/citronvalve/forward/headers.py
@@ -1,14 +1,10 @@
 """Selection of the headers that are forwarded."""
 
 from collections.abc import Iterable
-import re
 
 #: A header as h11 returns it: name in lower case, value.
 Header = tuple[bytes, bytes]
 
-#: Longer numbers are mistakes; without a bound they overflow.
-_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,20})?")
-
 #: Headers that concern one connection, or framing, which is made anew on each
 #: connection: a copied length or transfer coding could hide a second request.
 _HOP_BY_HOP = frozenset(
@@ -81,12 +77,3 @@
     """
     text = text.strip()
     return int(text) if text.isdigit() and len(text) <= 18 else None
-
-
-def parse_decimal(text: bytes) -> float | None:
-    """Return a non-negative decimal number, or None.
-
-    :param text: a header's value.
-    """
-    text = text.strip()
-    return float(text) if _DECIMAL.fullmatch(text) else None
--- a/src/citronvalve/forward/limiter.py
+++ b/src/citronvalve/forward/limiter.py
@@ -1,26 +1,116 @@
 """Heeds the request rates that upstreams name in their answers."""
 
+import collections
+from collections.abc import Callable
+from collections.abc import Collection
+
+from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
 from citronvalve.forward import headers
 from citronvalve.forward import responsehead
 from citronvalve.model import clock
+from citronvalve.model import numbertext
 from citronvalve.policy import upstreamlimits
 
 #: Longest part of an unreadable value that is logged.
 _MAX_SHOWN = 40
 
+#: Longest time that a refused caller is told.
+_MAX_PROMISE: clock.Ms = 60_000
+
+_NONE: frozenset[str] = frozenset()
+
 
 class Limiter:
-    """Records the limits of upstreams.
+    """Records the limits of upstreams, and tells which may get a request.
 
     :param env: the daemon's environment.
+    :param directory: the upstreams.
     :ivar limits: the limits in force.
+    :ivar members: this daemon's places among those that share the limits.
+    :ivar on_change: called with the id of an upstream whose limit this
+        daemon found to have begun, changed or ended.
     """
 
-    def __init__(self, env: environments.Environment) -> None:
+    def __init__(
+        self,
+        env: environments.Environment,
+        directory: directories.Directory,
+    ) -> None:
         self._env = env
+        self._directory = directory
         self._unreadable: set[str] = set()
+        self._refused_by_upstream: collections.Counter[str] = (
+            collections.Counter()
+        )
+        self._promised_at_by_service: dict[str, float] = {}
         self.limits = upstreamlimits.UpstreamLimits()
+        self.members = upstreamlimits.members_of(
+            env.name, {env.name: env.datacentre}
+        )
+        self.on_change: Callable[[str], None] = lambda _: None
+
+    def held(self) -> frozenset[str]:
+        """Return the upstreams that may not get a request now."""
+        if not self.limits.limit_by_upstream:
+            return _NONE
+        members, now = self.members, self._env.clock.now()
+        return frozenset(
+            upstream
+            for upstream in self.limits.limit_by_upstream
+            if not self.limits.is_due(
+                upstream, self._datacentre(upstream), members, now
+            )
+        )
+
+    def is_limited(self, upstream: str) -> bool:
+        """Return whether an upstream has named a rate.
+
+        :param upstream: its id.
+        """
+        return upstream in self.limits.limit_by_upstream
+
+    def record_sent(self, upstream: str) -> None:
+        """Record that a request is about to be sent.
+
+        :param upstream: its id.
+        """
+        self.limits.record_sent(upstream, self._env.clock.now())
+
+    def record_refusal(self, upstreams: Collection[str], team: str) -> None:
+        """Record a request that is refused for limits.
+
+        :param upstreams: ids of the limited upstreams.
+        :param team: the caller's team.
+        """
+        self._refused_by_upstream.update(upstreams)
+        self._env.metrics.record_need_refusal("limit", team)
+
+    def promise(
+        self, service: str, upstreams: Collection[str], left: clock.Ms
+    ) -> clock.Ms:
+        """Return the ms after which a refused caller may be served.
+
+        Each caller is told of another turn, as far as the turns come before
+        its deadline.
+
+        :param service: the service's name.
+        :param upstreams: ids of its limited upstreams.
+        :param left: ms until the caller's deadline.
+        """
+        places = [(one, self._datacentre(one)) for one in upstreams]
+        now = self._env.clock.now()
+        following = self.limits.next_turn(places, self.members, now)
+        promised_at = self._promised_at_by_service.get(service, 0.0)
+        at = max(now + following.wait, promised_at + following.interval)
+        if at - now > left:
+            return max(left, round(min(following.wait, _MAX_PROMISE)))
+        self._promised_at_by_service[service] = at
+        return round(at - now)
+
+    def _datacentre(self, upstream: str) -> str:
+        runner = self._directory.runner_by_id.get(upstream)
+        return "" if runner is None else runner.datacentre
 
     def record_answer(
         self,
@@ -49,7 +139,9 @@
 
         :param upstream: its id.
         """
-        self._end(upstream, self._env.clock.now() + 1, "it has restarted")
+        at = self._env.clock.now() + 1
+        if self.record_end(upstream, at, "it has restarted"):
+            self.on_change(upstream)
 
     def retain(self, upstreams: set[str]) -> None:
         """Drop the limits of all other upstreams.
@@ -73,24 +165,27 @@
         )
 
     def _record_named(self, upstream: str, text: bytes) -> None:
-        rate = headers.parse_decimal(text)
+        rate = numbertext.parse_decimal(text.decode("latin-1"))
         if rate is None:
             self._note_unreadable(upstream, text)
             return
         now = self._env.clock.now()
         self._unreadable.discard(upstream)
-        self.record_limit(upstream, upstreamlimits.Limit(rate, now, now))
+        limit = upstreamlimits.Limit(rate, now, now)
+        if self.record_limit(upstream, limit, "here"):
+            self.on_change(upstream)
 
     def record_limit(
-        self, upstream: str, limit: upstreamlimits.Limit, found: str = "here"
-    ) -> None:
-        """Record a limit.
+        self, upstream: str, limit: upstreamlimits.Limit, found: str
+    ) -> bool:
+        """Record a limit; return whether another rate is now in force.
 
         :param upstream: the upstream's id.
         :param limit: the limit.
         :param found: ``here`` or ``elsewhere``, for the log.
         """
-        if self.limits.record(upstream, limit):
+        has_changed = self.limits.record(upstream, limit)
+        if has_changed:
             self._env.log.change(
                 "upstream limited",
                 upstream=upstream,
@@ -98,14 +193,22 @@
                 age_ms=self._env.clock.now() - limit.began_at,
                 found=found,
             )
+        return has_changed
 
     def _record_unnamed(self, upstream: str, sent_at: clock.Ms) -> None:
         limit = self.limits.limit_by_upstream.get(upstream)
         # An answer that was held up may be older than the limit.
         if limit is not None and sent_at > limit.heard_at:
-            self._end(upstream, sent_at, "an answer names none")
+            self.record_end(upstream, sent_at, "an answer names none")
+            self.on_change(upstream)
 
-    def _end(self, upstream: str, at: clock.Ms, why: str) -> None:
+    def record_end(self, upstream: str, at: clock.Ms, why: str) -> bool:
+        """Record that a limit is over; return whether it was in force.
+
+        :param upstream: the upstream's id.
+        :param at: monotonic ms at which the upstream had no limit.
+        :param why: how that was seen, for the log.
+        """
         limit = self.limits.record_end(upstream, at)
         if limit is not None:
             self._env.log.change(
@@ -113,8 +216,10 @@
                 upstream=upstream,
                 per_second=limit.rate,
                 lasted_ms=self._env.clock.now() - limit.began_at,
+                refused_here=self._refused_by_upstream.pop(upstream, 0),
                 why=why,
             )
+        return limit is not None
 
     def _note_unreadable(self, upstream: str, text: bytes) -> None:
         if upstream in self._unreadable:
--- a/src/citronvalve/forward/metrics.py
+++ b/src/citronvalve/forward/metrics.py
@@ -40,6 +40,9 @@
         self._excess = self._counter(
             "excess_total", "Sent elsewhere for lack of room, by data centre."
         )
+        self._need_refusals = self._counter(
+            "need_refusals_total", "Refused as upstreams asked, by team."
+        )
         self._teams: set[str] = set()
         self._malformed = self._counter(
             "malformed_total", "Bytes that were no request, by status."
@@ -98,12 +101,22 @@
 
         :param team: its team.
         """
+        self._team_refusals.inc({"team": self._team_label(team)})
+
+    def record_need_refusal(self, need: str, team: str) -> None:
+        """Count a request that upstreams in need could not take.
+
+        :param need: what they ask for, from a closed set.
+        :param team: the caller's team.
+        """
+        self._need_refusals.inc({"need": need, "team": self._team_label(team)})
+
+    def _team_label(self, team: str) -> str:
         if team not in self._teams:
             if len(self._teams) >= _MAX_TEAMS:
-                team = _OTHER_TEAMS
-            else:
-                self._teams.add(team)
-        self._team_refusals.inc({"team": team})
+                return _OTHER_TEAMS
+            self._teams.add(team)
+        return team
 
     def record_excess(self, datacentre: str) -> None:
         """Count a request that another data centre has more room for.
--- a/src/citronvalve/forward/placement.py
+++ b/src/citronvalve/forward/placement.py
@@ -9,12 +9,14 @@
 from citronvalve.forward import attemptresult
 from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
+from citronvalve.forward import limiter as limiters
 from citronvalve.forward import poolrooms
 from citronvalve.forward import routedrequest
 from citronvalve.model import clock
 from citronvalve.model import refusal
 from citronvalve.policy import coldrate
 from citronvalve.policy import enginepace
+from citronvalve.policy import pooluse
 from citronvalve.policy import upstreamchoice
 from citronvalve.routes import enginespec
 from citronvalve.routes import modelspec
@@ -49,6 +51,9 @@
 #: ``Retry-After`` is at most the caller's remaining time divided by this.
 _RETRY_AFTER_DIVISOR = 3
 
+#: Limited upstreams that a line of the log names.
+_MAX_SHOWN = 5
+
 #: Plain services have no forecast.
 _NO_FORECAST = enginepace.Forecast(0.0, 0.0, 0.0)
 
@@ -74,6 +79,7 @@
     :param directory: the upstreams.
     :param loads: the upstreams' loads.
     :param cold_limits: the limits for cold upstreams.
+    :param limiter: the rates that upstreams have named.
     :param rooms: shares replica pools among teams; None to share none.
     :ivar cold_limits: the same; replaced when the settings change.
     """
@@ -84,11 +90,13 @@
         directory: directories.Directory,
         loads: upstreamchoice.LoadTable,
         cold_limits: ColdLimits,
+        limiter: limiters.Limiter,
         rooms: poolrooms.PoolRooms | None = None,
     ) -> None:
         self._env = env
         self._directory = directory
         self.cold_limits = cold_limits
+        self._limiter = limiter
         self._rooms = rooms
         self._pressed_at: clock.Ms | None = None
         self._pace_by_model: dict[
@@ -124,6 +132,9 @@
                 f"all {found.candidates} replicas are full",
                 max(_MIN_RETRY_AFTER, found.retry_in),
             )
+        limited = self._limited(routed, tried)
+        if limited:
+            return self._refuse_limited(routed, limited)
         why = self._passed_over(routed, tried, now)
         return self._refuse(
             routed, why or _no_upstream_reason(routed), _REPAIR_TIME
@@ -284,9 +295,8 @@
         model = engine.model_by_name.get(routed.model)
         if model is None or _is_unusable(found):
             return None
-        candidates = self._candidates(routed)
         sizing = poolrooms.Sizing(
-            candidates,
+            self._unlimited(routed),
             self._pace(routed.service, model),
             _OBJECTIVE_SHARE * routed.route.latency_objective,
             poolrooms.has_returned(routed),
@@ -325,10 +335,12 @@
         now: clock.Ms,
     ) -> list[upstreamchoice.Candidate]:
         rate = self._cold_limit(routed)
+        held = self._limiter.held()
         return [
             candidate
             for candidate in candidates
             if candidate.upstream not in tried
+            and candidate.upstream not in held
             and (
                 not rate
                 or candidate.cold_until <= now
@@ -344,9 +356,51 @@
             return 0.0
         return declared * self.cold_limits.over + self.cold_limits.slack
 
+    def _unlimited(
+        self, routed: routedrequest.RoutedRequest
+    ) -> Collection[upstreamchoice.Candidate]:
+        """Return the upstreams whose room counts for a pool."""
+        candidates = self._candidates(routed)
+        is_limited = self._limiter.is_limited
+        unlimited = [c for c in candidates if not is_limited(c.upstream)]
+        return unlimited or candidates
+
+    def _limited(
+        self, routed: routedrequest.RoutedRequest, tried: list[str]
+    ) -> list[str]:
+        """Return the untried upstreams that have named a rate."""
+        return [
+            candidate.upstream
+            for candidate in self._candidates(routed)
+            if candidate.upstream not in tried
+            and self._limiter.is_limited(candidate.upstream)
+        ]
+
+    def _refuse_limited(
+        self, routed: routedrequest.RoutedRequest, limited: list[str]
+    ) -> refusal.Refusal:
+        holder = routed.key_holder
+        team = pooluse.NO_TEAM if holder is None else holder.name
+        self._limiter.record_refusal(limited, team)
+        left = max(0, routed.deadline - self._env.clock.now())
+        service = routed.service.name
+        retry_in = self._limiter.promise(service, limited, left)
+        count = len(self._candidates(routed))
+        if count > len(limited):
+            retry_in = min(retry_in, _REPAIR_TIME)
+        return refusal.Refusal(
+            refusal.RefusalKind.NO_UPSTREAM,
+            f"{len(limited)} of {count} upstreams are limited to the rate "
+            "that they named",
+            "send the request again after the time given",
+            retry_after=max(_MIN_RETRY_AFTER, retry_in),
+            facts=(("team", team), ("limited", tuple(limited[:_MAX_SHOWN]))),
+        )
+
     def _record_sent(
         self, upstream: str, routed: routedrequest.RoutedRequest, now: clock.Ms
     ) -> None:
+        self._limiter.record_sent(upstream)
         if self._cold_limit(routed):
             # Recorded while warm, too: an upstream can become cold without
             # notice, and the requests of the last second count then.
--- a/src/citronvalve/peers/messages.py
+++ b/src/citronvalve/peers/messages.py
@@ -126,6 +126,21 @@
     address: str
 
 
+class LimitReport(
+    msgspec.Struct, tag="upstream-limits", array_like=True, frozen=True
+):
+    """Rates that upstreams have named, and limits that are over.
+
+    ``limits`` are (upstream, requests per second, ms since it was first
+    named, ms since the newest answer that names it), ``ends`` (upstream, ms
+    since it had no limit).
+    """
+
+    name: str
+    limits: tuple[tuple[str, float, clock.Ms, clock.Ms], ...]
+    ends: tuple[tuple[str, clock.Ms], ...]
+
+
 class Stall(msgspec.Struct, tag="standstill", array_like=True, frozen=True):
     """An upstream sends nothing on any connection."""
 
@@ -185,7 +200,15 @@
     DOWN = 2
 
 
-Broadcast = Hello | Heartbeat | TableChanges | Crash | CrashEvidence | Stall
+Broadcast = (
+    Hello
+    | Heartbeat
+    | TableChanges
+    | Crash
+    | CrashEvidence
+    | LimitReport
+    | Stall
+)
 
 
 class Relayed(msgspec.Struct, tag="passed", array_like=True, frozen=True):
--- a/src/citronvalve/peers/topology.py
+++ b/src/citronvalve/peers/topology.py
@@ -176,9 +176,18 @@
             targets += reachable[:1] or self._probe(datacentre, ranked, now)
         return targets
 
-    def _is_reachable(self, name: str, now: clock.Ms) -> bool:
+    def is_heard(self, name: str, span: clock.Ms, now: clock.Ms) -> bool:
+        """Return whether a daemon was heard lately.
+
+        :param name: the daemon.
+        :param span: ms within which it was.
+        :param now: monotonic ms.
+        """
         at = self._heard_at_by_name.get(name)
-        return at is not None and now - at < REACHABLE_FOR
+        return at is not None and now - at < span
+
+    def _is_reachable(self, name: str, now: clock.Ms) -> bool:
+        return self.is_heard(name, REACHABLE_FOR, now)
 
     def _probe(
         self, datacentre: str, candidates: list[str], now: clock.Ms
--- a/tests/forward/limits.feature
+++ b/tests/forward/limits.feature
@@ -58,3 +58,46 @@
     When it names a rate of "500" and a caller calls /any/thing
     And it starts again
     Then 0 limits are in force
+
+  Scenario Outline: ten requests to <path> when <which> named a rate
+    Guards against requests that go to limited upstreams, and against refusals
+    that are late or after which there is still no room.
+    Given two <kind>, of which both "<way>"
+    When <which> named a rate of 1, and ten callers send <path> one after another
+    Then at most 1 request reaches each limited upstream
+    And <served> callers are served, and the others refused at once
+    And whoever was refused is served after the time that it was told
+
+    Examples:
+      | kind          | way    | path       | which         | served |
+      | plain runners | whole  | /any/thing | the first has | 10     |
+      | plain runners | whole  | /any/thing | both have     | 2      |
+      | plain runners | whole  | /once/b    | both have     | 2      |
+      | heads         | stream | /stream/a  | the first has | 10     |
+      | heads         | stream | /stream/a  | both have     | 2      |
+
+  Scenario Outline: a try at <path> <way>, and the other upstream is limited
+    Guards against retries and resumed streams that pass the rate.
+    Given two <kind>, of which the first "<way>"
+    When the second has had its turn at a rate of 0.3, and a caller sends <path>
+    Then no request reaches the second
+
+    Examples:
+      | kind          | way             | path       |
+      | plain runners | closes          | /any/thing |
+      | plain runners | turns_away      | /any/thing |
+      | heads         | closes          | /stream/a  |
+      | heads         | cut_in_an_event | /stream/a  |
+      | heads         | rests_at_first  | /stream/a  |
+
+  Scenario: limited upstreams are reached through another daemon
+    Guards against relayed requests that pass the rate.
+    Given a daemon without links to two upstreams that "whole", and one with links
+    When both have named a rate of 0.3, and ten callers send /any/thing one after another
+    Then at most 2 requests reach them together
+
+  Scenario: limits turn callers of a team away
+    Guards against refusals that operators can't see.
+    Given two plain runners, of which both "whole"
+    When both have named a rate of 1, and ten callers send /any/thing one after another
+    Then the metrics show 8 refusals of team-1 for "limit", and 2 limited upstreams
--- a/tests/forward/rig.py
+++ b/tests/forward/rig.py
@@ -113,7 +113,7 @@
         self.stall_detector.is_lost = self.link_checker.is_lost
         self.stall_detector.is_doubted = self.link_checker.is_doubted
         self.retry_budgets = retrybudgets.RetryBudgets(self.env, limits)
-        self.limiter = limiter.Limiter(self.env)
+        self.limiter = limiter.Limiter(self.env, self.directory)
         deps = dependencies.Dependencies(
             self.env,
             self.directory,
@@ -125,6 +125,7 @@
                 self.directory,
                 loads,
                 placement.ColdLimits(),
+                self.limiter,
                 self._rooms() if fair_shares else None,
             ),
             self.retry_budgets,
--- a/tests/forward/steps/limits_steps.py
+++ b/tests/forward/steps/limits_steps.py
@@ -1,9 +1,13 @@
 """Steps about the request rates that upstreams name."""
 
+import re
+import time
+
 import behave
 import eventlet
 
 from citronvalve.forward import responsehead
+from citronvalve.policy import upstreamlimits
 
 _SAID_BY_NEXT = {
     "names no rate": "",
@@ -16,6 +20,27 @@
 _TURN = 0.05
 
 
+#: Seconds in which a request that can't be served is refused.
+_AT_ONCE = 0.05
+
+_STREAM = "X-Model: large\r\nX-Tokens: 100,60\r\n"
+
+
+def _limit(rig, names, rate=1.0):
+    now = rig.env.clock.now()
+    limit = upstreamlimits.Limit(rate, now, now)
+    for name in names:
+        rig.limiter.record_limit(name, limit, "here")
+        rig.runners[name].said = f"X-Limit: {rate:g}\r\n"
+
+
+def _ask(rig, path):
+    headers = _STREAM if path.startswith("/stream") else ""
+    began = time.monotonic()
+    got = rig.send(path, headers, body=b"prompt")
+    return got, time.monotonic() - began
+
+
 def _upstream(context):
     return context.rig.runners["plain-1"]
 
@@ -88,3 +113,88 @@
 def step_over(context, count):
     lines = _lines(context, "upstream limit over")
     assert len(lines) == count, context.rig.log.lines
+
+
+@behave.when(
+    "{which} named a rate of {rate:g}, and ten callers send {path} one after "
+    "another"
+)
+def step_ten(context, which, rate, path):
+    rig = context.rig
+    kind = "head" if path.startswith("/stream") else "plain"
+    names = sorted(name for name in rig.runners if name.startswith(kind))
+    context.limited = names[:1] if which == "the first has" else names
+    _limit(rig, context.limited, rate)
+    context.path = path
+    context.answers = [_ask(rig, path) for _ in range(10)]
+
+
+@behave.then("at most {most:d} request reaches each limited upstream")
+def step_most(context, most):
+    counts = {
+        name: len(context.rig.runners[name].requests)
+        for name in context.limited
+    }
+    assert max(counts.values()) <= most, counts
+    assert any(got.startswith(b"HTTP/1.1 200") for got, _ in context.answers)
+
+
+@behave.then("at most {most:d} requests reach them together")
+def step_most_together(context, most):
+    # The rig leads all connections of a daemon without links to one address.
+    runners = context.rig.runners
+    count = sum(len(runners[name].requests) for name in context.limited)
+    assert 0 < count <= most, count
+
+
+@behave.then("{served:d} callers are served, and the others refused at once")
+def step_others(context, served):
+    refused = [
+        (got, took)
+        for got, took in context.answers
+        if not got.startswith(b"HTTP/1.1 200")
+    ]
+    assert len(context.answers) - len(refused) == served, context.answers
+    for got, took in refused:
+        assert got.startswith(b"HTTP/1.1 503"), got
+        assert took < _AT_ONCE, took
+    context.refused = [got for got, _ in refused]
+
+
+@behave.then("whoever was refused is served after the time that it was told")
+def step_told(context):
+    if not context.refused:
+        return
+    told = re.search(rb"(?i)\r\nretry-after: ([0-9.]+)", context.refused[0])
+    eventlet.sleep(float(told[1]))
+    got, _ = _ask(context.rig, context.path)
+    assert got.startswith(b"HTTP/1.1 200"), got
+
+
+@behave.when(
+    "the second has had its turn at a rate of {rate:g}, and a caller sends "
+    "{path}"
+)
+def step_second(context, rate, path):
+    rig = context.rig
+    context.second = sorted(rig.runners)[1]
+    _limit(rig, [context.second], rate)
+    rig.limiter.record_sent(context.second)
+    context.got, _ = _ask(rig, path)
+
+
+@behave.then("no request reaches the second")
+def step_none(context):
+    assert not context.rig.runners[context.second].requests, context.got
+
+
+@behave.then(
+    'the metrics show {count:d} refusals of {team} for "{need}", and '
+    "{limited:d} limited upstreams"
+)
+def step_metrics(context, count, team, need, limited):
+    context.rig.limiter.set_gauges()
+    text = context.rig.env.metrics.render().decode()
+    shown = f'need_refusals_total{{need="{need}",team="{team}"}} {count}\n'
+    assert shown in text, text
+    assert f"limited_upstreams {limited}" in text, text
--- a/tests/placing/steps/placing_steps.py
+++ b/tests/placing/steps/placing_steps.py
@@ -6,6 +6,7 @@
 import behave
 
 from citronvalve.forward import directory
+from citronvalve.forward import limiter
 from citronvalve.forward import placement
 from citronvalve.model import manualclock
 from citronvalve.model import refusal
@@ -136,8 +137,13 @@
 )
 def step_place(context, size, memory):
     env = types.SimpleNamespace(
-        clock=manualclock.ManualClock(), rng=random.Random(1), daemon_count=1
+        name="daemon-1",
+        datacentre="zone-0",
+        clock=manualclock.ManualClock(),
+        rng=random.Random(1),
+        daemon_count=1,
     )
+    replicas = _idle_replicas()
     service = types.SimpleNamespace(
         name="svc",
         engine=engines.spec()._replace(kv_cache_tokens=memory),
@@ -145,9 +151,10 @@
     )
     placing = placement.Placement(
         env,
-        _idle_replicas(),
+        replicas,
         upstreamchoice.LoadTable(),
         placement.ColdLimits(),
+        limiter.Limiter(env, replicas),
     )
     now = env.clock.now()
     context.placed = placing.place(
--- a/tests/work/daemons.py
+++ b/tests/work/daemons.py
@@ -4,6 +4,7 @@
 import types
 
 from citronvalve.forward import directory as directories
+from citronvalve.forward import limiter
 from citronvalve.forward import metrics
 from citronvalve.forward import placement
 from citronvalve.forward import poolrooms
@@ -31,6 +32,8 @@
         self.rng = rng
         self._work = work
         self._env = types.SimpleNamespace(
+            name=f"daemon-{number}",
+            datacentre=self.datacentre,
             clock=clock,
             rng=rng,
             daemon_count=work.daemons,
@@ -53,6 +56,7 @@
             self._directory,
             self.loads,
             placement.ColdLimits(),
+            limiter.Limiter(self._env, self._directory),
             self.rooms,
         )
         steps = 1 if self._work.daemons <= _MAX_DIRECT_DAEMONS else 2
