Heed the request rates that upstreams of the own interface name

Cause: its clients of upstreams read no header but the type of the content.

Change: the clients pass the headers of each answer on, and the policy gives a limited upstream one slot at this daemon's turn, by its rank among all members, and none between. A refusal for it says when the next turn comes. The daemons don't tell each other; each learns the rate by its first answer.

--- a/src/citronvalve/daemon/daemon.py
+++ b/src/citronvalve/daemon/daemon.py
@@ -16,6 +16,7 @@
 from citronvalve.daemon import peertask
 from citronvalve.daemon import policydispatch
 from citronvalve.daemon import policysync
+from citronvalve.daemon import ratelistener
 from citronvalve.daemon import recordtask
 from citronvalve.daemon import settings as settings_
 from citronvalve.daemon import sweeptask
@@ -68,6 +69,9 @@
             self._env, self._view, self._dispatcher
         )
         connections = pools.Pools()
+        connections.on_sending = ratelistener.RateListener(
+            self._env, self._dispatcher
+        ).on_sending
         platform = platform_client.PlatformClient(settings.platform)
         self._record_task = recordtask.RecordTask(
             self._env, platform, lambda: len(self._peer_task.peer.members())
--- a/src/citronvalve/policy/candidate.py
+++ b/src/citronvalve/policy/candidate.py
@@ -72,6 +72,9 @@
         self.allowance = 0
         #: Requests there that may have crashed an upstream.
         self.suspects = 0
+        #: Whether it has named a request rate, and it is not this daemon's
+        #: turn to send.
+        self.is_limited = self.is_held = False
         #: Whether a report with a new start id is not yet handled.
         self.restart_pending = False
         #: When a connection to it last broke.
@@ -207,10 +210,14 @@
     def _allowed(self, now: clock.Ms, share: limits.Share) -> int:
         if self.upstream.weight <= 0 or self.block_reason(now) is not None:
             return 0
+        if self.is_held:
+            return 0
         if self.ramp.is_cold(now):
             allowed = min(self.loan_slots(now), self.ramp.bound(now))
         else:
             allowed = self.fixed_part(share)
+        if self.is_limited:
+            allowed = min(allowed, self.own + 1)
         half_open = self.circuit.state is circuit.State.HALF_OPEN
         return min(1, allowed) if half_open else allowed
 
--- a/src/citronvalve/policy/dispatcher.py
+++ b/src/citronvalve/policy/dispatcher.py
@@ -17,6 +17,7 @@
 from citronvalve.policy import refusals
 from citronvalve.policy import requests
 from citronvalve.policy import starter
+from citronvalve.policy import upstreamlimits
 from citronvalve.policy import work
 
 _Decisions = tuple[decision.Decision, ...]
@@ -150,6 +151,24 @@
         self.fleet.observe(report, now)
         self.monitor.handle_report(report.upstream, now)
 
+    def record_rate(self, upstream: str, rate: float, now: clock.Ms) -> bool:
+        """Record the rate that an answer names; return whether it is new.
+
+        :param upstream: name of the upstream.
+        :param rate: requests per second that it takes from all daemons.
+        :param now: monotonic ms.
+        """
+        limit = upstreamlimits.Limit(rate, now, now)
+        return self.fleet.rates.record(upstream, limit)
+
+    def record_no_rate(self, upstream: str, sent_at: clock.Ms) -> bool:
+        """Record an answer without a rate; return whether that ended a limit.
+
+        :param upstream: name of the upstream.
+        :param sent_at: monotonic ms at which its request was sent.
+        """
+        return self.fleet.rates.record_end(upstream, sent_at) is not None
+
     def accept_loan(
         self, upstream: str, slots: int, expires_at: clock.Ms, now: clock.Ms
     ) -> None:
--- a/src/citronvalve/policy/fleet.py
+++ b/src/citronvalve/policy/fleet.py
@@ -11,10 +11,15 @@
 from citronvalve.policy import datacentrestate
 from citronvalve.policy import freeslots
 from citronvalve.policy import limits
+from citronvalve.policy import roomshare
+from citronvalve.policy import upstreamlimits
 
 #: Ticks in which the whole fleet is refreshed once.
 _TICKS_PER_ROUND = 8
 
+#: All daemons share the rate of an upstream, wherever it is.
+_ANYWHERE = ""
+
 _NO_SLOTS: collections.Counter = collections.Counter()
 
 
@@ -38,16 +43,20 @@
     """All candidates, and the sums of their allowances by model.
 
     :param home: this daemon's data centre.
+    :ivar rates: the request rates that upstreams have named.
     """
 
     def __init__(self, home: str) -> None:
         self.candidate_by_name: dict[str, candidate.Candidate] = {}
+        self.name_by_address: dict[str, str] = {}
         self.index_by_model: dict[str, freeslots.FreeSlotIndex] = {}
         self.state_by_datacentre: dict[
             str, datacentrestate.DatacentreState
         ] = {}
         self._home = home
         self._share = limits.Share(0, 1)
+        self._members = _members(self._share)
+        self.rates = upstreamlimits.UpstreamLimits()
         self._next_index = 0
         self._slots_by_model: dict[str, collections.Counter] = {}
 
@@ -58,6 +67,7 @@
         :param now: monotonic ms.
         """
         self._share = share
+        self._members = _members(share)
         self._refresh_all(self.candidate_by_name.values(), now)
 
     def apply_table(
@@ -76,6 +86,7 @@
         upstream_by_name = {**table.upstream_by_name, **grouped_by_name}
         for name in self.candidate_by_name.keys() - upstream_by_name.keys():
             self._remove(self.candidate_by_name.pop(name))
+        self.rates.retain(set(upstream_by_name), now)
         returning = self._apply_datacentres(table, upstream_by_name)
         for upstream in upstream_by_name.values():
             self._apply_upstream(table, upstream)
@@ -135,6 +146,10 @@
         :param now: monotonic ms.
         """
         item.circuit.tick(now)
+        item.is_limited = item.name in self.rates.limit_by_upstream
+        item.is_held = item.is_limited and not self.rates.is_due(
+            item.name, _ANYWHERE, self._members, now
+        )
         delta = item.refresh(now, self._share)
         for model in item.upstream.serves if delta else ():
             slots = self._slots_by_model[model]
@@ -176,11 +191,36 @@
             reason = item.block_reason(now)
             cold = "it is cold, and no slots of it are lent to this daemon"
             full = "it has no slots for this daemon"
+            limited = "it named a rate, and it is not this daemon's turn"
             not_blocked = cold if item.ramp.is_cold(now) else full
+            not_blocked = limited if item.is_limited else not_blocked
             counts[reason.value if reason else not_blocked] += 1
         parts = (f"{many} since {why}" for why, many in counts.items())
         return "; ".join(parts) or "none is declared"
 
+    def record_sent(self, item: candidate.Candidate, now: clock.Ms) -> None:
+        """Record that a request is about to be sent to an upstream.
+
+        :param item: the upstream.
+        :param now: monotonic ms.
+        """
+        if item.is_limited:
+            self.rates.record_sent(item.name, now)
+            self.refresh(item, now)
+
+    def next_turn(self, model: str, now: clock.Ms) -> upstreamlimits.NextTurn:
+        """Return when this daemon may next use the limited upstreams.
+
+        :param model: the model or plain service.
+        :param now: monotonic ms.
+        """
+        limited = [
+            (item.name, _ANYWHERE)
+            for item in self.serving(model)
+            if item.is_limited
+        ]
+        return self.rates.next_turn(limited, self._members, now)
+
     def start_id(self, upstream: str) -> str:
         """Return the last known start id of an upstream.
 
@@ -266,11 +306,14 @@
         tier = self._tier(table, upstream.datacentre)
         item = candidate.Candidate(upstream, state, tier)
         self.candidate_by_name[upstream.name] = item
+        self.name_by_address[upstream.address] = upstream.name
         for model in upstream.serves:
             self.index_by_model.setdefault(model, freeslots.FreeSlotIndex())
             self._slots_by_model.setdefault(model, collections.Counter())
 
     def _remove(self, item: candidate.Candidate) -> None:
+        if self.name_by_address.get(item.upstream.address) == item.name:
+            del self.name_by_address[item.upstream.address]
         for model in item.upstream.serves:
             self.index_by_model[model].remove(item)
             slots = self._slots_by_model[model]
@@ -297,3 +340,9 @@
         upstream.datacentre,
         upstream.serves,
     )
+
+
+def _members(share: limits.Share) -> upstreamlimits.Members:
+    turn = roomshare.Turn(share.rank, max(1, share.members))
+    size_by_datacentre = {_ANYWHERE: turn.daemons}
+    return upstreamlimits.Members(_ANYWHERE, turn, turn, size_by_datacentre)
--- a/src/citronvalve/policy/refusals.py
+++ b/src/citronvalve/policy/refusals.py
@@ -1,5 +1,6 @@
 """Refusals of requests, with their details and remedies."""
 
+import math
 import random
 
 from citronvalve.model import clock
@@ -108,13 +109,22 @@
         detail = "upstreams were lost while running it"
         return self.build(refusal.RefusalKind.FENCED_OFF, detail)
 
-    def no_upstream(self, entry: attempt.Entry, why: str) -> refusal.Refusal:
+    def no_upstream(
+        self, entry: attempt.Entry, why: str, wait: float = math.inf
+    ) -> refusal.Refusal:
         """Return the refusal of a request that no upstream can serve.
 
         :param entry: the request.
         :param why: why no upstream is available.
+        :param wait: ms until a limited upstream takes one, infinite if
+            there is none.
         """
         model = entry.work.model
         detail = f"no upstream of {model} is in service: {why}"
         kind = refusal.RefusalKind.NO_UPSTREAM
-        return self.build(kind, detail, has_run=entry.ran)
+        refused = self.build(kind, detail, has_run=entry.ran)
+        if math.isinf(wait):
+            return refused
+        # A caller that comes back sooner finds the same.
+        at_least = max(refused.retry_after, math.ceil(wait))
+        return refused._replace(retry_after=at_least)
--- a/src/citronvalve/policy/requests.py
+++ b/src/citronvalve/policy/requests.py
@@ -212,7 +212,8 @@
         self, entry: attempt.Entry, now: clock.Ms
     ) -> refusal.Refusal:
         why = self._fleet.no_slots_reason(entry.work.model, now)
-        return self._refusals.no_upstream(entry, why)
+        wait = self._fleet.next_turn(entry.work.model, now).wait
+        return self._refusals.no_upstream(entry, why, wait)
 
     def _take_start(
         self, entry: attempt.Entry, wait: clock.Ms
--- a/src/citronvalve/policy/starter.py
+++ b/src/citronvalve/policy/starter.py
@@ -238,6 +238,7 @@
         self._last_ticket += 1
         entry.attempts += 1
         target.record_start(now)
+        self._fleet.record_sent(target, now)
         target.datacentre.running += 1
         target.suspects += entry.suspect
         self._limits.acquire(_key(entry, target))
--- a/src/citronvalve/upstreams/engineclient.py
+++ b/src/citronvalve/upstreams/engineclient.py
@@ -36,6 +36,7 @@
         :return: the open stream, or why there is none.
         """
         idle_timeout = min(pools.IDLE_TIMEOUT, max(1, remaining))
+        on_answer = self._pools.on_sending(address)
         try:
             response = self._pools.get(address).urlopen(
                 "POST",
@@ -51,6 +52,7 @@
             return self.handle_failure(
                 httperror.classify(error, address), address
             )
+        on_answer(response.headers, response.status)
         if response.status != 200:
             return _read_rejection(response, address)
         return enginestream.EngineStream(response, address, remaining)
--- a/src/citronvalve/upstreams/plainclient.py
+++ b/src/citronvalve/upstreams/plainclient.py
@@ -43,7 +43,10 @@
             # The library's timeout applies to each receive: a service that
             # sends a byte now and then would block its caller forever.
             with eventlet.Timeout(request.timeout / clock.SECOND):
-                return _read_response(_open(pool, request), address)
+                on_answer = self._pools.on_sending(address)
+                response = _open(pool, request)
+                on_answer(response.headers, response.status)
+                return _read_response(response, address)
         except eventlet.Timeout:
             self._pools.drop(address)
             return failure.Failure(
--- a/src/citronvalve/upstreams/pools.py
+++ b/src/citronvalve/upstreams/pools.py
@@ -1,5 +1,8 @@
 """Connection pools for upstreams."""
 
+from collections.abc import Callable
+from collections.abc import Mapping
+
 import urllib3
 
 from citronvalve.model import clock
@@ -16,10 +19,19 @@
 IDLE_TIMEOUT: clock.Ms = 3_000
 
 
+#: Called with the headers of an answer.
+OnAnswer = Callable[[Mapping[str, str], int], None]
+
+
 class Pools:
-    """Holds one connection pool per address."""
+    """Holds one connection pool per address.
+
+    :ivar on_sending: called with an address before a request is sent there;
+        returns what is called with the headers and status of the answer.
+    """
 
     def __init__(self) -> None:
+        self.on_sending: Callable[[str], OnAnswer] = lambda _: lambda *_: None
         self._pool_by_address: dict[str, urllib3.HTTPConnectionPool] = {}
 
     def get(self, address: str) -> urllib3.HTTPConnectionPool:
--- a/standins/records.py
+++ b/standins/records.py
@@ -28,6 +28,8 @@
         self._asked = 0
         self._fault = ""
         self._fault_calls = 0
+        self._looked_up = 0
+        self._said: tuple[tuple[str, str], ...] = ()
 
     def routes(self) -> wsgi.Routes:
         """Return the service's HTTP interface."""
@@ -36,7 +38,9 @@
                 "GET /load": self.load,
                 "GET /asked": lambda _: wsgi.Reply(200, self._asked),
                 "GET /runs": lambda _: wsgi.Reply(200, self._issued),
+                "GET /looked-up": lambda _: wsgi.Reply(200, self._looked_up),
                 "POST /faults": self.faults,
+                "POST /says": self.says,
                 "GET /*": self.look_up,
                 "POST /*": self.issue,
             }
@@ -70,17 +74,26 @@
         self._fault_calls = order.get("calls", 1)
         return wsgi.Reply(200, {})
 
+    def says(self, call: wsgi.Call) -> wsgi.Reply:
+        """Add headers to the answers of look-ups.
+
+        :param call: the headers by name.
+        """
+        self._said = tuple(call.json().items())
+        return wsgi.Reply(200, {})
+
     def look_up(self, call: wsgi.Call) -> wsgi.Reply:
         """Return what was issued under a path.
 
         :param call: names the path.
         """
+        self._looked_up += 1
         if self._strikes("silent-get"):
             eventlet.sleep(3_600)
         if self._strikes("drip"):
             return wsgi.Reply(200, _drip(), "text/plain")
         found = [run for run in self._issued if run["path"] == call.path]
-        return wsgi.Reply(200, found)
+        return wsgi.Reply(200, found, headers=self._said)
 
     def issue(self, call: wsgi.Call) -> wsgi.Reply:
         """Issue a certificate; each call issues another.
--- a/standins/wsgi.py
+++ b/standins/wsgi.py
@@ -28,6 +28,7 @@
     status: int
     body: Any
     content_type: str = "application/json"
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 class Call(NamedTuple):
@@ -65,7 +66,8 @@
         call = Call(method, path, environ, body)
         reply = handler(call) if handler else Reply(404, {"no": path})
         line = f"{reply.status} {_REASON_BY_STATUS[reply.status]}"
-        start_response(line, [("Content-Type", reply.content_type)])
+        head = [("Content-Type", reply.content_type), *reply.headers]
+        start_response(line, head)
         if isinstance(reply.body, bytes):
             return [reply.body]
         if hasattr(reply.body, "__next__"):
