--- a/standins/soak/installation.py
+++ b/standins/soak/installation.py
@@ -104,6 +104,7 @@
             _Fault.LINKS: self._cut_links,
             _Fault.RUNNERS_SILENT: self._silence,
             _Fault.CRASHING_PART: self._crash_by_part,
+            _Fault.RUNNERS_LIMITED: self._limit,
         }
 
     @property
@@ -189,7 +190,7 @@
         sound = [
             runner
             for runner in self._runner_by_name.values()
-            if runner.alive and runner.listed and runner.draining_at is None
+            if runner.is_sound()
         ]
         return sound[event.target % len(sound)] if sound else None
 
@@ -197,20 +198,24 @@
         daemon = self._daemon(event)
         if daemon is not None:
             daemon.kill()
+            self._book.needs.forget(daemon.name)
             eventlet.sleep(event.span)
             daemon.start()
 
     def _pause(self, event: schedules.Event) -> None:
         daemon = self._daemon(event)
         if daemon is not None:
+            self._book.needs.forget(daemon.name)
             daemon.send(signal.SIGSTOP)
             eventlet.sleep(2 * event.span)
             daemon.send(signal.SIGCONT)
+            self._book.needs.forget(daemon.name)
 
     def _stop(self, event: schedules.Event) -> None:
         daemon = self._daemon(event)
         if daemon is not None:
             code = daemon.stop()
+            self._book.needs.forget(daemon.name)
             self._book.look(
                 "a daemon ends in order with 0", code == 0, daemon.name
             )
@@ -307,6 +312,8 @@
         began, calm = self._book.now, self._book.is_calm_but_for(event.fault)
         cut_off = self.daemons[:count]
         self.links.cut_for(cut_off, how, 3 * event.span)
+        for daemon in cut_off:
+            self._book.needs.forget(daemon.name)
         if calm and self._book.is_calm_but_for(event.fault):
             names = {daemon.name for daemon in cut_off}
             self._book.look_at_cut(names, began + links.SETTLED)
@@ -323,6 +330,23 @@
                 pool.spawn(runner.pause, chance.uniform(1.0, 1.3))
         pool.waitall()
 
+    def _limit(self, event: schedules.Event) -> None:
+        """Let some runners of a service name a request rate."""
+        chance = random.Random(event.target)
+        service = chance.choice((operators.MODELS, operators.DESK))
+        rate = chance.choice((0.3, 1.1, 2.0, 5.0))
+        able = [
+            runner
+            for runner in self.all_runners
+            if runner.service == service and runner.is_sound()
+        ]
+        limited = chance.sample(able, chance.randint(0, len(able)))
+        for runner in limited:
+            runner.name_limit(rate)
+        eventlet.sleep(event.span)
+        for runner in limited:
+            runner.end_limit()
+
     def _crash_by_part(self, event: schedules.Event) -> None:
         """Send requests with a part that crashes runners."""
         book, chance = self._book, random.Random(event.target)
--- a/standins/soak/needs.py
+++ b/standins/soak/needs.py
@@ -56,6 +56,15 @@
         self.arrivals: list[Arrival] = []
         self._told_at: dict[tuple[str, str], float] = {}
 
+    def begin(self, limit: Limit) -> None:
+        """Take in that a runner names a rate from now on.
+
+        :param limit: the rate; daemons have yet to pass it on.
+        """
+        self.limits.append(limit)
+        for key in [key for key in self._told_at if key[1] == limit.upstream]:
+            del self._told_at[key]
+
     def tell(self, daemon: str, upstream: str, at: float) -> None:
         """Take in that a daemon has passed on an answer with a limit.
 
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -132,6 +132,18 @@
         eventlet.sleep(0.6)
         for each in self._callers:
             each.check_left()
+        self._look_at_needs()
+
+    def _look_at_needs(self) -> None:
+        needs = self.book.needs
+        excesses = list(needs.excesses())
+        for limit in needs.limits:
+            found = [e for e in excesses if e.upstream == limit.upstream]
+            self.book.look(
+                "a runner that names a rate gets no more",
+                not found,
+                f"{found}",
+            )
 
     def _versions(self) -> None:
         while True:
--- a/standins/soak/runner.py
+++ b/standins/soak/runner.py
@@ -98,6 +98,10 @@
         """Tell whether it works."""
         return self.place.alive
 
+    def is_sound(self) -> bool:
+        """Tell whether it works, is listed and stays."""
+        return self.alive and self.listed and self.draining_at is None
+
     def tell(self) -> None:
         """Write the entry as it is now."""
         if not self.alive or not self.listed or self.place.silent:
@@ -122,6 +126,7 @@
     def crash(self) -> None:
         """Die without a word."""
         self._life += 1
+        self.end_limit()
         self.place.crash()
         self.relay.do(relays.Harm.REFUSED)
 
@@ -131,6 +136,7 @@
         Its connections are closed and its port refuses.
         """
         self._life += 1
+        self.end_limit()
         life = self._life
         self.place.crash()
         self.relay.end()
@@ -171,7 +177,7 @@
         """
         self.limit = f"{rate:g}"
         named = needs.Limit(self.name, rate, self._book.now)
-        self._book.needs.limits.append(named)
+        self._book.needs.begin(named)
 
     def end_limit(self) -> None:
         """Name no rate any more."""
--- a/standins/soak/schedule.py
+++ b/standins/soak/schedule.py
@@ -31,6 +31,7 @@
     LINKS = "links of daemons to all runners"
     RUNNERS_SILENT = "some runners silent"
     CRASHING_PART = "requests with a part that crashes runners"
+    RUNNERS_LIMITED = "runners name a request rate"
 
 
 #: Work that operators plan; it excuses nothing.
@@ -45,7 +46,7 @@
 )
 
 #: What excuses no broken promise.
-NO_EXCUSE = PLANNED | {Fault.RUNNERS_SILENT}
+NO_EXCUSE = PLANNED | {Fault.RUNNERS_SILENT, Fault.RUNNERS_LIMITED}
 
 #: Seconds from the first to the last fault of a series, and of the calm after
 #: it, in which the promises with a bound in time are looked at.
@@ -67,7 +68,18 @@
 _CRASHING = 6.0, 10.0
 _RESTART_SHARE = 0.7
 
-_DRAWN_APART = (Fault.LINKS, Fault.RUNNERS_SILENT, Fault.CRASHING_PART)
+#: Part of the series in which runners are in need, and for how long.
+_NEED_SHARE = 0.6
+_NEED = 6.0, 10.0
+
+_NEEDS = [Fault.RUNNERS_LIMITED]
+
+_DRAWN_APART = (
+    Fault.LINKS,
+    Fault.RUNNERS_SILENT,
+    Fault.CRASHING_PART,
+    *_NEEDS,
+)
 _DRAWN = [fault for fault in Fault if fault not in _DRAWN_APART]
 
 _LINK_HARMS = tuple(h for h in relays.Harm if h is not relays.Harm.NONE)
@@ -97,6 +109,7 @@
     cuts = random.Random(f"{seed}/links")
     silences = random.Random(f"{seed}/silences")
     crashes = random.Random(f"{seed}/crashing parts")
+    needs = random.Random(f"{seed}/needs")
     events = []
     began = _FIRST
     while began + _SERIES + _CALM < seconds:
@@ -120,6 +133,10 @@
             if crashes.random() < _RESTART_SHARE:
                 kill = at + crashes.uniform(1.0, span - 1.0)
                 events.append(_one(crashes, kill, [Fault.KILL, Fault.STOP]))
+        if needs.random() < _NEED_SHARE:
+            at = began + needs.uniform(0, _SERIES)
+            event = _one(needs, at, _NEEDS)
+            events.append(event._replace(span=needs.uniform(*_NEED)))
         began += _SERIES + _CALM
     return sorted(events)
 
