Log how long upstreams that turn requests away want no other one

A daemon now logs 'upstream rests' and 'upstream rested', and has gauges of the rests under way and of the oldest. A value that is no decimal number is ignored, with one line for each upstream. Nothing else heeds the rests yet.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -32,6 +32,7 @@
 from citronvalve.forward import limiter
 from citronvalve.forward import placement
 from citronvalve.forward import poolrooms
+from citronvalve.forward import rests
 from citronvalve.forward import retrybudgets
 from citronvalve.forward import stalldetector
 from citronvalve.model import clock
@@ -138,6 +139,7 @@
         pool = self._links.pool
         self._crash_detector = crashdetector.CrashDetector(env, pool)
         self._limiter = limiter.Limiter(env, self.directory)
+        self._rests = rests.Rests(env)
         self._rooms = (
             poolrooms.PoolRooms(env, self.directory, self._loads)
             if settings.features.fair_shares
@@ -161,6 +163,7 @@
             self._stall_detector,
             self._crash_detector,
             self._limiter,
+            self._rests,
         )
         self._forwarder = forwarder.Forwarder(
             self._dependencies, admission.Admission(env, self.directory)
@@ -277,7 +280,7 @@
             self.env, self.directory, self._loads, self._platform.decode_runner
         )
         runner_listener.schedule = _schedule
-        runner_listener.on_restart = self._limiter.record_restart
+        runner_listener.on_restart = self._on_runner_restart
         configuration_listener = configurationlistener.ConfigurationListener(
             self.env, self.directory, self._platform
         )
@@ -314,6 +317,10 @@
                 self._lease.is_store_away = tail_.is_store_away
             eventlet.spawn(tail_.run)
 
+    def _on_runner_restart(self, upstream: str) -> None:
+        self._limiter.record_restart(upstream)
+        self._rests.record_restart(upstream)
+
     def _peers_wait(self) -> clock.Ms:
         """Return the ms for which other daemons may send the first rows."""
         usual = (
@@ -354,6 +361,7 @@
         self._links.set_gauges(set_gauge)
         self._memory.set_gauges(set_gauge)
         self._limiter.set_gauges()
+        self._rests.update()
         set_gauge("log_lines_dropped", "Lines dropped.", self._log.dropped)
         set_gauge(
             "leading", "Whether it leads.", float(bool(self._lease.held))
--- a/src/citronvalve/forward/attempt.py
+++ b/src/citronvalve/forward/attempt.py
@@ -283,6 +283,9 @@
         self._deps.limiter.record_answer(
             self.chosen.upstream, response, self._sent_at
         )
+        self._deps.rests.record_answer(
+            self.chosen.upstream, response, self.relay
+        )
         load = response.load(self._env.header_names)
         if load is not None:
             now = self._env.clock.now()
--- a/src/citronvalve/forward/dependencies.py
+++ b/src/citronvalve/forward/dependencies.py
@@ -9,6 +9,7 @@
 from citronvalve.forward import environment as environments
 from citronvalve.forward import limiter as limiters
 from citronvalve.forward import placement as placements
+from citronvalve.forward import rests as rests_
 from citronvalve.forward import retrybudgets
 from citronvalve.forward import stalldetector
 from citronvalve.policy import upstreamchoice
@@ -27,3 +28,4 @@
     stall_detector: stalldetector.StallDetector
     crash_detector: crashdetector.CrashDetector
     limiter: limiters.Limiter
+    rests: rests_.Rests
--- /dev/null
+++ b/src/citronvalve/forward/rests.py
@@ -0,0 +1,131 @@
+"""Heeds how long upstreams that turned a request away want no other one."""
+
+import collections
+from collections.abc import Callable
+
+from citronvalve.forward import environment as environments
+from citronvalve.forward import headers
+from citronvalve.forward import responsehead
+from citronvalve.model import clock
+from citronvalve.model import numbertext
+from citronvalve.policy import upstreamrests
+
+_RETRY_AFTER = b"retry-after"
+
+#: Longest part of an unreadable value that is logged.
+_MAX_SHOWN = 40
+
+
+class Rests:
+    """Records the rests of upstreams, and tells which are over.
+
+    An upstream asks the VM that sent it a request, so that rests are not
+    shared among daemons.  One that was asked through another daemon has asked
+    that one, too.
+
+    :param env: the daemon's environment.
+    :ivar rests: the rests.
+    :ivar on_relayed: called with a daemon's name, an upstream's id and ms,
+        when an upstream has turned away what that daemon relayed.
+    """
+
+    def __init__(self, env: environments.Environment) -> None:
+        self._env = env
+        self._unreadable: set[str] = set()
+        self._refused_by_upstream: collections.Counter[str] = (
+            collections.Counter()
+        )
+        self.rests = upstreamrests.UpstreamRests()
+        self.on_relayed: Callable[[str, str, int], None] = lambda *_: None
+
+    def record_answer(
+        self,
+        upstream: str,
+        response: responsehead.ResponseHead,
+        relay: str = "",
+    ) -> None:
+        """Record how long the upstream of an answer wants no request.
+
+        :param upstream: the upstream's id.
+        :param response: the answer's head.
+        :param relay: the daemon that relayed it, empty if it is direct.
+        """
+        if response.status != 503:
+            return
+        text = headers.find(response.headers, _RETRY_AFTER)
+        if text is None:
+            return
+        seconds = numbertext.parse_decimal(text.decode("latin-1"))
+        if seconds is None:
+            self._note_unreadable(upstream, text)
+            return
+        self.record_rest(upstream, seconds * clock.SECOND, relay)
+        if relay:
+            self.on_relayed(relay, upstream, round(seconds * clock.SECOND))
+
+    def record_rest(
+        self, upstream: str, duration: float, relay: str = ""
+    ) -> None:
+        """Record that an upstream wants no request for a time.
+
+        :param upstream: the upstream's id.
+        :param duration: ms.
+        :param relay: the daemon that was asked, empty if it is this one.
+        """
+        if not duration:
+            return
+        if self.rests.record(upstream, duration, self._env.clock.now()):
+            self._env.log.change(
+                "upstream rests",
+                upstream=upstream,
+                for_ms=round(duration),
+                relay=relay,
+            )
+
+    def is_resting(self, upstream: str) -> bool:
+        """Return whether an upstream wants no request.
+
+        :param upstream: its id.
+        """
+        return self.rests.is_resting(upstream, self._env.clock.now())
+
+    def record_restart(self, upstream: str) -> None:
+        """Record that an upstream has started again and asked for nothing.
+
+        :param upstream: its id.
+        """
+        if self.rests.rest_by_upstream.pop(upstream, None) is not None:
+            self._env.log.change(
+                "upstream rested", upstream=upstream, why="it has restarted"
+            )
+
+    def update(self) -> None:
+        """Set the gauges, and log the rests that are over."""
+        now = self._env.clock.now()
+        for upstream, rest in self.rests.prune(now).items():
+            self._env.log.change(
+                "upstream rested",
+                upstream=upstream,
+                lasted_ms=rest.until - rest.began_at,
+                refused_here=self._refused_by_upstream.pop(upstream, 0),
+            )
+        rests = self.rests.rest_by_upstream.values()
+        oldest = max((now - rest.began_at for rest in rests), default=0)
+        set_gauge = self._env.metrics.set_gauge
+        set_gauge("resting_upstreams", "Want no request now.", len(rests))
+        set_gauge(
+            "rest_oldest_seconds",
+            "Since the oldest rest under way was asked for.",
+            oldest / clock.SECOND,
+        )
+
+    def _note_unreadable(self, upstream: str, text: bytes) -> None:
+        if upstream in self._unreadable:
+            return
+        self._unreadable.add(upstream)
+        self._env.log.change(
+            "rest unreadable",
+            upstream=upstream,
+            value=text[:_MAX_SHOWN].decode("latin-1"),
+            why="a decimal number of seconds is expected",
+        )
--- a/standins/scriptedrunner.py
+++ b/standins/scriptedrunner.py
@@ -35,6 +35,7 @@
     :ivar runs: how many it ran.
     :ivar bodies: of those requests.
     :ivar said: further header lines of its answers.
+    :ivar retry_after: how long it asks for rest, as text.
     :ivar closed_on: connections that its caller closed while it was silent.
     """
 
@@ -56,6 +57,7 @@
         self.runs = 0
         self.closed_on = 0
         self.said = ""
+        self.retry_after = "3"
         self._task = eventlet.spawn(self._accept)
 
     def close(self) -> None:
@@ -262,6 +264,12 @@
         sock.sendall(self._head(fields, 503, extra))
         return True
 
+    def _asks_for_rest(self, sock, fields) -> bool:
+        extra = f"X-Not-Run: 1\r\nRetry-After: {self.retry_after}\r\n"
+        extra += "Content-Length: 0\r\n"
+        sock.sendall(self._head(fields, 503, extra))
+        return True
+
     def _turns_away_late(self, sock, fields) -> bool:
         eventlet.sleep(answerparts.PAUSE)
         return self._turns_away(sock, fields)
--- a/tests/forward/rig.py
+++ b/tests/forward/rig.py
@@ -17,6 +17,7 @@
 from citronvalve.forward import linkchecker
 from citronvalve.forward import placement
 from citronvalve.forward import poolrooms
+from citronvalve.forward import rests
 from citronvalve.forward import retrybudgets
 from citronvalve.forward import stalldetector
 from citronvalve.model import clock
@@ -114,6 +115,7 @@
         self.stall_detector.is_doubted = self.link_checker.is_doubted
         self.retry_budgets = retrybudgets.RetryBudgets(self.env, limits)
         self.limiter = limiter.Limiter(self.env, self.directory)
+        self.rests = rests.Rests(self.env)
         deps = dependencies.Dependencies(
             self.env,
             self.directory,
@@ -132,6 +134,7 @@
             self.stall_detector,
             crashdetector.CrashDetector(self.env, pool),
             self.limiter,
+            self.rests,
         )
         self.crash_detector = deps.crash_detector
         self.placement = deps.placement
