Log which upstreams say in their answers that they leave

A daemon now logs 'upstream leaving', once for each start, and whether the platform's list had said so before. Values other than 1 are ignored, with one line for each upstream. Nothing else heeds it yet.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -29,6 +29,7 @@
 from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
 from citronvalve.forward import forwarder
+from citronvalve.forward import leaving
 from citronvalve.forward import limiter
 from citronvalve.forward import placement
 from citronvalve.forward import poolrooms
@@ -140,6 +141,7 @@
         self._crash_detector = crashdetector.CrashDetector(env, pool)
         self._limiter = limiter.Limiter(env, self.directory)
         self._rests = rests.Rests(env)
+        self._leaving = leaving.Leaving(env, self.directory)
         self._rooms = (
             poolrooms.PoolRooms(env, self.directory, self._loads)
             if settings.features.fair_shares
@@ -164,6 +166,7 @@
             self._crash_detector,
             self._limiter,
             self._rests,
+            self._leaving,
         )
         self._forwarder = forwarder.Forwarder(
             self._dependencies, admission.Admission(env, self.directory)
--- a/src/citronvalve/forward/attempt.py
+++ b/src/citronvalve/forward/attempt.py
@@ -286,6 +286,7 @@
         self._deps.rests.record_answer(
             self.chosen.upstream, response, self.relay
         )
+        self._deps.leaving.record_answer(self.chosen.upstream, response)
         load = response.load(self._env.header_names)
         if load is not None:
             now = self._env.clock.now()
--- a/src/citronvalve/forward/dependencies.py
+++ b/src/citronvalve/forward/dependencies.py
@@ -7,6 +7,7 @@
 from citronvalve.forward import crashdetector
 from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
+from citronvalve.forward import leaving as leaving_
 from citronvalve.forward import limiter as limiters
 from citronvalve.forward import placement as placements
 from citronvalve.forward import rests as rests_
@@ -29,3 +30,4 @@
     crash_detector: crashdetector.CrashDetector
     limiter: limiters.Limiter
     rests: rests_.Rests
+    leaving: leaving_.Leaving
--- a/src/citronvalve/forward/headernames.py
+++ b/src/citronvalve/forward/headernames.py
@@ -13,7 +13,8 @@
     its response; ``not_run`` states that the upstream did not run the
     request; ``at_fault`` is the upstream that caused a rejection; ``load``
     running and waiting requests and slots; ``limit`` the requests per second
-    that the upstream takes from all daemons together; ``rank`` 0 to 9, most
+    that the upstream takes from all daemons together; ``leaving`` is 1 if
+    it leaves; ``rank`` 0 to 9, most
     urgent first; ``model``, ``token_counts`` (prompt tokens, most output
     tokens) and ``length_hint`` describe the work; ``prompt_parts`` lists the
     parts of the prompt in order as comma-separated ID:TOKENS;
@@ -31,6 +32,7 @@
     at_fault: bytes = b"x-at-fault"
     load: bytes = b"x-load"
     limit: bytes = b"x-limit"
+    leaving: bytes = b"x-leaving"
     rank: bytes = b"x-rank"
     model: bytes = b"x-model"
     token_counts: bytes = b"x-tokens"
--- a/tests/forward/rig.py
+++ b/tests/forward/rig.py
@@ -13,6 +13,7 @@
 from citronvalve.forward import environment as environments
 from citronvalve.forward import forwarder
 from citronvalve.forward import headernames
+from citronvalve.forward import leaving
 from citronvalve.forward import limiter
 from citronvalve.forward import linkchecker
 from citronvalve.forward import placement
@@ -116,6 +117,7 @@
         self.retry_budgets = retrybudgets.RetryBudgets(self.env, limits)
         self.limiter = limiter.Limiter(self.env, self.directory)
         self.rests = rests.Rests(self.env)
+        self.leaving = leaving.Leaving(self.env, self.directory)
         deps = dependencies.Dependencies(
             self.env,
             self.directory,
@@ -135,6 +137,7 @@
             crashdetector.CrashDetector(self.env, pool),
             self.limiter,
             self.rests,
+            self.leaving,
         )
         self.crash_detector = deps.crash_detector
         self.placement = deps.placement
