Test that upstreams that ask for rest get it, and that those that leave get nothing new

Real processes as for the limits. From 8 to 22 s heads or plain runners turn each request away with 503 and Retry-After; a rest is broken by more than two requests that its daemon sent from half a second after it was asked for to its end. From 8 to 20 s they say in their answers alone that they leave; late is what a caller sent more than 2 s after its daemon had passed that on.

The steps of the limits are worded like them: 'answers of one head name a rate'.

--- a/standins/soak/caller.py
+++ b/standins/soak/caller.py
@@ -116,9 +116,12 @@
         return not got.will_close
 
     def _take_needs(self, daemon: daemons.Daemon, got) -> None:
+        book = self._book
+        runner, _, _ = got.headers.get("X-Runner-Seal", "").partition(".")
         if needs.LIMIT in got.headers:
-            runner, _, _ = got.headers.get("X-Runner-Seal", "").partition(".")
-            self._book.needs.tell(daemon.name, runner, self._book.now)
+            book.needs.tell(daemon.name, runner, book.now)
+        if needs.LEAVING in got.headers:
+            book.needs.tell_leaving(daemon.name, runner, book.now)
 
     def _read(self, got: http.client.HTTPResponse) -> bytes:
         if not self.is_slow:
--- a/standins/soak/ledger.py
+++ b/standins/soak/ledger.py
@@ -136,7 +136,7 @@
         self.firsts: list[First] = []
         self.parts = Parts()
         self.needs = needs.Needs()
-        self._daemon_by_id: dict[str, str] = {}
+        self._sent_by_id: dict[str, tuple[str, float]] = {}
         self.cuts: list[Cut] = []
         self.torn: list[str] = []
 
@@ -263,16 +263,18 @@
         :param daemon: name of the daemon that it is sent to.
         """
         self._asked_by_id[asked.id] = asked
-        self._daemon_by_id[asked.id] = daemon
+        self._sent_by_id[asked.id] = daemon, self.now
 
-    def reached(self, request: str, upstream: str) -> None:
+    def reached(self, request: str, upstream: str) -> str:
         """Take in that a request has reached an upstream.
 
         :param request: its id.
         :param upstream: the upstream's id.
+        :returns: name of the daemon that took it.
         """
-        daemon = self._daemon_by_id.get(request, "")
-        self.needs.arrive(needs.Arrival(self.now, upstream, daemon))
+        daemon, asked_at = self._sent_by_id.get(request, ("", 0.0))
+        self.needs.arrive(needs.Arrival(self.now, upstream, daemon, asked_at))
+        return daemon
 
     def ran(self, got: Asked, upstream: str) -> None:
         """Take in that an upstream begins to run a request.
--- a/standins/soak/runner.py
+++ b/standins/soak/runner.py
@@ -55,6 +55,9 @@
     :ivar is_slow: whether it reads requests slowly.
     :ivar loses: whether answers of what it ran are lost.
     :ivar limit: the rate that its answers name, or nothing.
+    :ivar rest: seconds for which it wants nothing from those that it turns
+        away; 0 if it turns nobody away.
+    :ivar is_leaving: whether its answers say that it leaves.
     """
 
     def __init__(
@@ -78,6 +81,8 @@
         self.draining_at: float | None = None
         self.late = self.loses = self.is_slow = False
         self.limit = ""
+        self.rest = 0.0
+        self.is_leaving = False
         self._life = 0
         self._born = round(time.time() * 1_000)
         self._socket = process.listen(256)
@@ -150,6 +155,8 @@
     def start(self) -> None:
         """Come back with nothing known, under the same id."""
         self.place.start()
+        self.rest, self.is_leaving = 0.0, False
+        self._book.needs.stay(self.name)
         self.listed = True
         self.draining_at = None
         self._born = round(time.time() * 1_000)
@@ -255,13 +262,15 @@
     def _serve(self, environ, start_response, body) -> Iterable[bytes]:
         number = environ.get("HTTP_X_ATTEMPT_ID", "")
         parts = environ.get("HTTP_X_PROMPT_PREFIX", "")
-        self._book.reached(number, self.name)
+        daemon = self._book.reached(number, self.name)
         part = self._book.parts.find(parts)
         if part:
             now = self._book.now
             self._book.parts.arrivals.append(
                 ledgers.PartEvent(now, part, self.name)
             )
+        if self.rest:
+            return self._turn_away(start_response, number, daemon)
         if self._sizes:
             held = self.place.group
             if held is None or held.rank or held.state != "open":
@@ -357,16 +366,26 @@
         )
 
     def _not_run(
-        self, start_response, status: int, number: str
+        self, start_response, status: int, number: str, more=()
     ) -> Iterable[bytes]:
-        head = [("X-Not-Executed", "1"), ("At-Server", self.name)]
+        head = [("X-Not-Executed", "1"), ("At-Server", self.name), *more]
         head.append(("X-Attempt-Id", number))
         head += self._said()
         return _json(start_response, status, {}, head)
 
+    def _turn_away(
+        self, start_response, number: str, daemon: str
+    ) -> Iterable[bytes]:
+        now = self._book.now
+        rest = needs.Rest(self.name, daemon, now, now + self.rest)
+        self._book.needs.rests.append(rest)
+        more = [(needs.REST, f"{self.rest:g}")]
+        return self._not_run(start_response, 503, number, more)
+
     def _said(self) -> list[tuple[str, str]]:
         """Return what its answers say of its need."""
-        return [(needs.LIMIT, self.limit)] if self.limit else []
+        said = [(needs.LIMIT, self.limit)] if self.limit else []
+        return [*said, (needs.LEAVING, "1")] if self.is_leaving else said
 
     def _hang_up(self, environ) -> Iterable[bytes]:
         with contextlib.suppress(OSError):
--- a/tests/needs/steps/limits_steps.py
+++ b/tests/needs/steps/needs_steps.py
@@ -1,4 +1,4 @@
-"""Steps about runners that name a request rate."""
+"""Steps about runners in need."""
 
 import behave
 import eventlet
@@ -34,10 +34,10 @@
 
 
 _FIND_BY_WHO = {
-    "one head names": lambda soak: _heads(soak)[:1],
-    "all heads name": _heads,
-    "one plain runner names": lambda soak: _plain(soak)[:1],
-    "all plain runners name": _plain,
+    "one head": lambda soak: _heads(soak)[:1],
+    "all heads": _heads,
+    "one plain runner": lambda soak: _plain(soak)[:1],
+    "all plain runners": _plain,
 }
 
 
@@ -62,33 +62,80 @@
 }
 
 
-@behave.given(
-    "from {first:d} s to {last:d} s {who} a rate of {rate:g} a second, {more}"
-)
-def step_name(context, first, last, who, rate, more):
-    context.span = first, last
+def _in_need(context, span, who, more, begin, end):
+    """Let runners be in need for a span, and disturb daemons meanwhile."""
+    context.span = first, last = span
     context.is_calm = more == "at all daemons"
-    context.rate = rate
 
-    def name(soak):
+    def act(soak):
         eventlet.sleep(first)
-        context.limited = _FIND_BY_WHO[who](soak)
-        for runner in context.limited:
-            runner.name_limit(rate)
-        if more != "at all daemons":
+        context.in_need = _FIND_BY_WHO[who](soak)
+        for runner in context.in_need:
+            begin(runner)
+        if not context.is_calm:
             soak.book.trouble(more, True)
         eventlet.spawn(_DO_BY_MORE[more], soak, last - first)
         eventlet.sleep(last - first)
-        for runner in context.limited:
-            runner.end_limit()
+        for runner in context.in_need:
+            end(runner)
+
+    context.soak.beside = act
+
+
+@behave.given(
+    "from {first:d} s to {last:d} s answers of {who} name a rate of {rate:g} "
+    "a second, {more}"
+)
+def step_name(context, first, last, who, rate, more):
+    context.rate = rate
+    _in_need(
+        context,
+        (first, last),
+        who,
+        more,
+        lambda runner: runner.name_limit(rate),
+        lambda runner: runner.end_limit(),
+    )
 
-    context.soak.beside = name
+
+@behave.given(
+    "from {first:d} s to {last:d} s answers of {who} ask for {seconds:g} s of "
+    "rest, {more}"
+)
+def step_rest(context, first, last, who, seconds, more):
+    _in_need(
+        context,
+        (first, last),
+        who,
+        more,
+        lambda runner: setattr(runner, "rest", seconds),
+        lambda runner: setattr(runner, "rest", 0.0),
+    )
+
+
+@behave.given(
+    "from {first:d} s to {last:d} s answers of {who} say that it leaves, "
+    "{more}"
+)
+def step_leave(context, first, last, who, more):
+    def stay(runner):
+        runner.is_leaving = False
+        context.soak.book.needs.stay(runner.name)
+
+    _in_need(
+        context,
+        (first, last),
+        who,
+        more,
+        lambda runner: setattr(runner, "is_leaving", True),
+        stay,
+    )
 
 
 @behave.then("no runner got more requests than its rate allows")
 def step_kept(context):
     excesses = list(context.soak.book.needs.excesses())
-    assert context.limited
+    assert context.in_need
     assert not excesses, excesses
 
 
@@ -133,4 +180,28 @@
 
 def _counts(context, begin, end):
     count = context.soak.book.needs.count
-    return {r.name: count(r.name, begin, end) for r in context.limited}
+    return {r.name: count(r.name, begin, end) for r in context.in_need}
+
+
+@behave.then("no daemon sent a resting runner more than two requests")
+def step_rests(context):
+    book = context.soak.book
+    assert book.needs.rests, "no runner asked for rest"
+    broken = book.needs.broken_rests()
+    total = len(book.needs.rests)
+    assert not broken, (len(broken), total, broken[:4])
+
+
+@behave.then("no request is late at a runner that leaves")
+def step_late(context):
+    late = context.soak.book.needs.late
+    assert not late, (len(late), late[:4])
+
+
+@behave.then("each of them got few requests from {seconds:g} s on")
+def step_few(context, seconds):
+    first, last = context.span
+    before = _counts(context, first - _BEFORE, first)
+    after = _counts(context, first + seconds, last)
+    assert sum(before.values()), before
+    assert sum(after.values()) <= 2, after
