Send nothing new to upstreams that say in their answers that they leave

Upstreams that said in their answers alone that they leave got 22 to 71 requests which callers sent more than 2 s after their daemon had passed that on (four rows of tests/needs).

Change: whoever says 1 there leaves in the directory, with its start: it is no candidate for any request, first, retried or resumed, is not relayed to, and its replica is dissolved, until it starts again; the list's next entry does not undo it. All daemons are told.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -121,6 +121,7 @@
         )
         self._crash_exchange.start()
         self._limit_exchange.start()
+        self._leaving_exchange.start()
         eventlet.spawn(self._renew_lease)
         eventlet.spawn(self._planner_task.run)
         eventlet.spawn(self._clean_up)
@@ -202,7 +203,7 @@
         self._lease.has_majority = self._messages.hears_majority
         self._lease.rank = self._lead_rank
         self._exchange_crashes()
-        self._exchange_limits()
+        self._exchange_needs()
         self._messages.load_broadcaster.is_nearly_full = (
             self._dependencies.placement.is_pressed
         )
@@ -240,10 +241,12 @@
         exchange.record = record.write
         self._lease.on_row = self._read_crashes
 
-    def _exchange_limits(self) -> None:
+    def _exchange_needs(self) -> None:
         exchange = self._messages.exchange_limits(self._limiter)
         self._limiter.on_change = exchange.send_change
         self._limit_exchange = exchange
+        self._leaving_exchange = self._messages.exchange_leaving(self._leaving)
+        self._leaving.on_change = self._leaving_exchange.send_change
 
     def _read_crashes(self, row: rows.Row) -> None:
         if row.key == crashrecord.KEY:
@@ -365,6 +368,7 @@
         self._memory.set_gauges(set_gauge)
         self._limiter.set_gauges()
         self._rests.update()
+        self._leaving.set_gauges()
         set_gauge("log_lines_dropped", "Lines dropped.", self._log.dropped)
         set_gauge(
             "leading", "Whether it leads.", float(bool(self._lease.held))
--- a/src/citronvalve/daemon/messagetask.py
+++ b/src/citronvalve/daemon/messagetask.py
@@ -6,11 +6,13 @@
 import eventlet
 
 from citronvalve.daemon import crashexchange
+from citronvalve.daemon import leavingexchange
 from citronvalve.daemon import limitexchange
 from citronvalve.daemon import loadbroadcaster
 from citronvalve.daemon import newcomers
 from citronvalve.daemon import tablemessages
 from citronvalve.forward import environment as environments
+from citronvalve.forward import leaving as leaving_
 from citronvalve.forward import limiter as limiters
 from citronvalve.model import clock
 from citronvalve.model import missing
@@ -258,6 +260,23 @@
         self._handler_by_type[messages.LimitReport] = exchange.on_limits
         return exchange
 
+    def exchange_leaving(
+        self, leaving: leaving_.Leaving
+    ) -> leavingexchange.LeavingExchange:
+        """Return the exchange of upstreams that leave, for its messages.
+
+        :param leaving: records them.
+        """
+        exchange = leavingexchange.LeavingExchange(
+            self._env,
+            self._lease,
+            leaving,
+            self._broadcast,
+            self._send_message,
+        )
+        self._handler_by_type[messages.LeavingUpstreams] = exchange.on_leaving
+        return exchange
+
     def _may_reach(self, name: str) -> bool:
         """Return whether a daemon was heard lately, or would not be heard."""
         topology, now = self._distributor.topology, self._env.clock.now()
--- a/src/citronvalve/daemon/runnerlistener.py
+++ b/src/citronvalve/daemon/runnerlistener.py
@@ -139,7 +139,7 @@
                 leaving=runner.leaving,
                 version=runner.list_version,
             )
-        elif previous.leaving != runner.leaving:
+        elif runner.leaving and not previous.leaving:
             self._env.log.change(
                 "runner leaving", runner=runner.id, version=runner.list_version
             )
--- a/src/citronvalve/forward/directory.py
+++ b/src/citronvalve/forward/directory.py
@@ -15,6 +15,9 @@
 #: Upstreams that are looked at for one that is wanted.
 _SAMPLED = 24
 
+#: Upstreams that leave above which those no longer listed are forgotten.
+_MOST_LEAVING = 4_096
+
 _CandidateById = dict[str, upstreamchoice.Candidate]
 
 
@@ -40,6 +43,7 @@
         self.list_known = False
         self.datacentres_out: frozenset[str] = frozenset()
         self.confirmed_at: clock.Ms = 0
+        self._leaving_start_by_id: dict[str, int] = {}
         self._heads_by_model: dict[tuple[str, str], _CandidateById] = {}
         self._upstreams_by_service: dict[str, _CandidateById] = {}
 
@@ -73,10 +77,41 @@
             and previous.list_version >= runner.list_version
         ):
             return previous
+        if self._leaving_start_by_id.get(runner.id) == runner.start_id:
+            # The list may show it as ready until it is gone.
+            runner = runner._replace(leaving=True)
         self.runner_by_id[runner.id] = runner
         self._replace_candidate(previous, runner)
         return previous
 
+    def mark_leaving(self, upstream: str, start_id: int) -> bool:
+        """Send an upstream nothing new, whatever the list says.
+
+        :param upstream: its id.
+        :param start_id: the start that leaves; another one does not.
+        :returns: whether that was not known.
+        """
+        if self._leaving_start_by_id.get(upstream) == start_id:
+            return False
+        self._leaving_start_by_id[upstream] = start_id
+        if len(self._leaving_start_by_id) > _MOST_LEAVING:
+            self._leaving_start_by_id = self.leaving_start_by_id()
+        runner = self.runner_by_id.get(upstream)
+        if runner is not None and runner.start_id == start_id:
+            leaving = runner._replace(leaving=True)
+            self.runner_by_id[upstream] = leaving
+            self._replace_candidate(runner, leaving)
+        return True
+
+    def leaving_start_by_id(self) -> dict[str, int]:
+        """Return the listed upstreams that were marked, and their starts."""
+        return {
+            upstream: start_id
+            for upstream, start_id in self._leaving_start_by_id.items()
+            if upstream in self.runner_by_id
+            and self.runner_by_id[upstream].start_id == start_id
+        }
+
     def remove(self, upstream: str) -> runners.Runner | None:
         """Remove an upstream that is no longer in the list.
 
--- a/src/citronvalve/forward/leaving.py
+++ b/src/citronvalve/forward/leaving.py
@@ -1,5 +1,7 @@
 """Heeds that upstreams say in their answers that they leave."""
 
+from collections.abc import Callable
+
 from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
 from citronvalve.forward import headers
@@ -15,8 +17,12 @@
 class Leaving:
     """Records which upstreams have said that they leave.
 
+    They get nothing new until they start again.
+
     :param env: the daemon's environment.
     :param directory: the upstreams.
+    :ivar on_change: called with the id of an upstream that has told this
+        daemon that it leaves.
     """
 
     def __init__(
@@ -27,7 +33,7 @@
         self._env = env
         self._directory = directory
         self._unreadable: set[str] = set()
-        self._start_by_upstream: dict[str, int] = {}
+        self.on_change: Callable[[str], None] = lambda _: None
 
     def record_answer(
         self, upstream: str, response: responsehead.ResponseHead
@@ -45,24 +51,49 @@
         if text is None:
             return
         if text.strip() == _LEAVES:
-            self._record(upstream)
+            self._record_own(upstream)
         else:
             self._note_unreadable(upstream, text)
 
-    def _record(self, upstream: str) -> None:
+    def start_by_upstream(self) -> dict[str, int]:
+        """Return the listed upstreams that leave, and their starts."""
+        return self._directory.leaving_start_by_id()
+
+    def record(self, upstream: str, start_id: int, found: str) -> bool:
+        """Record that an upstream leaves; return whether that is new.
+
+        :param upstream: its id.
+        :param start_id: the start that leaves.
+        :param found: ``here`` or ``elsewhere``, for the log.
+        """
         runner = self._directory.runner_by_id.get(upstream)
-        if runner is None:
-            return
-        if self._start_by_upstream.get(upstream) == runner.start_id:
-            return
-        self._start_by_upstream[upstream] = runner.start_id
+        is_listed = runner is not None and runner.leaving
+        if not self._directory.mark_leaving(upstream, start_id):
+            return False
         self._env.log.change(
             "upstream leaving",
             upstream=upstream,
-            start_id=runner.start_id,
-            listed_as_leaving=runner.leaving,
+            start_id=start_id,
+            listed_as_leaving=is_listed,
+            found=found,
+        )
+        return True
+
+    def set_gauges(self) -> None:
+        """Set the gauge of the upstreams that leave."""
+        self._env.metrics.set_gauge(
+            "leaving_upstreams",
+            "Have said that they leave.",
+            len(self.start_by_upstream()),
         )
 
+    def _record_own(self, upstream: str) -> None:
+        runner = self._directory.runner_by_id.get(upstream)
+        if runner is not None and self.record(
+            upstream, runner.start_id, "here"
+        ):
+            self.on_change(upstream)
+
     def _note_unreadable(self, upstream: str, text: bytes) -> None:
         if upstream in self._unreadable:
             return
--- a/src/citronvalve/peers/messages.py
+++ b/src/citronvalve/peers/messages.py
@@ -141,6 +141,15 @@
     ends: tuple[tuple[str, clock.Ms], ...]
 
 
+class LeavingUpstreams(
+    msgspec.Struct, tag="upstreams-leaving", array_like=True, frozen=True
+):
+    """Upstreams that have said that they leave, with their starts."""
+
+    name: str
+    start_by_upstream: dict[str, int]
+
+
 class Stall(msgspec.Struct, tag="standstill", array_like=True, frozen=True):
     """An upstream sends nothing on any connection."""
 
@@ -207,6 +216,7 @@
     | Crash
     | CrashEvidence
     | LimitReport
+    | LeavingUpstreams
     | Stall
 )
 
--- a/tests/forward/steps/limits_steps.py
+++ b/tests/forward/steps/limits_steps.py
@@ -34,7 +34,12 @@
         rig.runners[name].said = f"X-Limit: {rate:g}\r\n"
 
 
-def _ask(rig, path):
+def ask(rig, path):
+    """Send a request; return what comes and after how many seconds.
+
+    :param rig: the daemon.
+    :param path: of the request.
+    """
     headers = _STREAM if path.startswith("/stream") else ""
     began = time.monotonic()
     got = rig.send(path, headers, body=b"prompt")
@@ -126,7 +131,7 @@
     context.limited = names[:1] if which == "the first has" else names
     _limit(rig, context.limited, rate)
     context.path = path
-    context.answers = [_ask(rig, path) for _ in range(10)]
+    context.answers = [ask(rig, path) for _ in range(10)]
 
 
 @behave.then("at most {most:d} request reaches each limited upstream")
@@ -167,7 +172,7 @@
         return
     told = re.search(rb"(?i)\r\nretry-after: ([0-9.]+)", context.refused[0])
     eventlet.sleep(float(told[1]))
-    got, _ = _ask(context.rig, context.path)
+    got, _ = ask(context.rig, context.path)
     assert got.startswith(b"HTTP/1.1 200"), got
 
 
@@ -180,7 +185,7 @@
     context.second = sorted(rig.runners)[1]
     _limit(rig, [context.second], rate)
     rig.limiter.record_sent(context.second)
-    context.got, _ = _ask(rig, path)
+    context.got, _ = ask(rig, path)
 
 
 @behave.then("no request reaches the second")
