Leave upstreams that ask for rest alone until it is over

Callers waited some ms more for each try in vain; when all upstreams turned requests away, each caller tried up to four of them and was told 0.25 s.

Cause: nothing read the Retry-After of an upstream's 503; such an upstream was passed over for 120 ms, and the next request chose it again.

Change: each daemon keeps until when an upstream wants no request from it, and no choice takes it until then: first tries, retries, resumed streams. What another daemon relayed concerns that one, too: it is told, and relays nothing to that upstream meanwhile. When only upstreams in need are left, callers are refused at once and told the end of the first rest, or the next turn at a limited one (forward/needs.py, split from the placement).

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -31,6 +31,7 @@
 from citronvalve.forward import forwarder
 from citronvalve.forward import leaving
 from citronvalve.forward import limiter
+from citronvalve.forward import needs
 from citronvalve.forward import placement
 from citronvalve.forward import poolrooms
 from citronvalve.forward import rests
@@ -142,6 +143,7 @@
         self._crash_detector = crashdetector.CrashDetector(env, pool)
         self._limiter = limiter.Limiter(env, self.directory)
         self._rests = rests.Rests(env)
+        self._links.heed(self._rests)
         self._leaving = leaving.Leaving(env, self.directory)
         self._rooms = (
             poolrooms.PoolRooms(env, self.directory, self._loads)
@@ -159,7 +161,7 @@
                 self.directory,
                 self._loads,
                 settings.cold,
-                self._limiter,
+                needs.Needs(env, self._limiter, self._rests),
                 self._rooms,
             ),
             retrybudgets.RetryBudgets(env, settings.repeats),
@@ -244,6 +246,8 @@
     def _exchange_needs(self) -> None:
         exchange = self._messages.exchange_limits(self._limiter)
         self._limiter.on_change = exchange.send_change
+        self._rests.on_relayed = self._messages.send_rest
+        self._messages.on_rest = self._rests.record_rest
         self._limit_exchange = exchange
         self._leaving_exchange = self._messages.exchange_leaving(self._leaving)
         self._leaving.on_change = self._leaving_exchange.send_change
--- a/src/citronvalve/daemon/linktask.py
+++ b/src/citronvalve/daemon/linktask.py
@@ -9,6 +9,7 @@
 from citronvalve.forward import environment as environments
 from citronvalve.forward import linkchecker
 from citronvalve.forward import relayserver
+from citronvalve.forward import rests as rests_
 from citronvalve.forward import stalldetector
 from citronvalve.model import clock
 from citronvalve.policy import links as links_
@@ -74,6 +75,14 @@
         detector.is_lost = self._checker.is_lost
         detector.is_doubted = self._checker.is_doubted
 
+    def heed(self, rests: rests_.Rests) -> None:
+        """Relay nothing to upstreams that want no request from this VM.
+
+        :param rests: how long they want none.
+        """
+        if self._server is not None:
+            self._server.is_resting = rests.is_resting
+
     def start(self) -> None:
         """Start the tasks."""
         self._checker.start()
--- a/src/citronvalve/daemon/messagetask.py
+++ b/src/citronvalve/daemon/messagetask.py
@@ -72,6 +72,8 @@
     :ivar tables: makes and applies messages about the followed tables.
     :ivar load_broadcaster: sends the load of upstreams.
     :ivar on_stall: called with the id of a stalled upstream.
+    :ivar on_rest: called with the id of an upstream and the ms for which it
+        wants no request from this daemon.
     """
 
     def __init__(
@@ -109,6 +111,7 @@
             messages.DatacentreLoads: self._on_datacentre_loads,
             messages.OtherLoads: self._on_other_loads,
             messages.Relayed: self._on_relayed,
+            messages.UpstreamRest: self._on_rest,
         }
         self._on_contact: Callable[[], None] = lambda: None
         self._distributor = distributors.Distributor(
@@ -122,6 +125,7 @@
         self._started_at = env.clock.now()
         self._hellos_due = 0
         self.on_stall: Callable[[str], None] = lambda _: None
+        self.on_rest: Callable[[str, float], None] = lambda *_: None
 
     def start(self, tables_wait: clock.Ms, is_restart: bool) -> None:
         """Open the sockets and start the tasks.
@@ -211,6 +215,16 @@
             self.on_stall(upstream)
         self._broadcast(messages.Stall(upstream))
 
+    def send_rest(self, relay: str, upstream: str, duration: clock.Ms) -> None:
+        """Inform a daemon that an upstream turned away what it relayed.
+
+        :param relay: the daemon's name.
+        :param upstream: the upstream's id.
+        :param duration: ms for which it wants no other request.
+        """
+        rest = messages.UpstreamRest(self._env.name, upstream, duration)
+        self._send_all([distributors.Outgoing(relay, rest)])
+
     def request_full_update(self, table: str) -> None:
         """Ask the leader for a full update of a table.
 
@@ -407,6 +421,9 @@
     def _on_stall(self, message: messages.Stall) -> None:
         self.on_stall(message.upstream)
 
+    def _on_rest(self, message: messages.UpstreamRest) -> None:
+        self.on_rest(message.upstream, message.duration)
+
     def _on_daemon_loads(self, message: messages.DaemonLoads) -> None:
         self._distributor.apply_daemon_loads(message, self._env.clock.now())
 
--- a/src/citronvalve/forward/connector.py
+++ b/src/citronvalve/forward/connector.py
@@ -271,6 +271,9 @@
             self._choice.record_worked(relay, now)
         if known in _VERDICTS:
             return known
+        if known is _Reason.RESTING:
+            # It may relay to other upstreams.
+            return None
         self._choice.record_refusal(relay, now, known is _Reason.BUSY)
         return None
 
--- a/src/citronvalve/forward/limiter.py
+++ b/src/citronvalve/forward/limiter.py
@@ -63,13 +63,6 @@
             )
         )
 
-    def is_limited(self, upstream: str) -> bool:
-        """Return whether an upstream has named a rate.
-
-        :param upstream: its id.
-        """
-        return upstream in self.limits.limit_by_upstream
-
     def record_sent(self, upstream: str) -> None:
         """Record that a request is about to be sent.
 
@@ -83,8 +76,9 @@
         :param upstreams: ids of the limited upstreams.
         :param team: the caller's team.
         """
-        self._refused_by_upstream.update(upstreams)
-        self._env.metrics.record_need_refusal("limit", team)
+        if upstreams:
+            self._refused_by_upstream.update(upstreams)
+            self._env.metrics.record_need_refusal("limit", team)
 
     def promise(
         self, service: str, upstreams: Collection[str], left: clock.Ms
--- /dev/null
+++ b/src/citronvalve/forward/needs.py
@@ -0,0 +1,131 @@
+"""Which upstreams in need may get a request, and refusals for the others."""
+
+from collections.abc import Collection
+from collections.abc import Iterable
+
+from citronvalve.forward import environment as environments
+from citronvalve.forward import limiter as limiters
+from citronvalve.forward import rests as rests_
+from citronvalve.forward import routedrequest
+from citronvalve.model import clock
+from citronvalve.model import refusal
+from citronvalve.policy import pooluse
+from citronvalve.policy import upstreamchoice
+
+#: Shortest ``Retry-After``.
+_MIN_RETRY_AFTER: clock.Ms = 250
+
+#: Callers who wait for the end of a rest come back over this part of it.
+_SPREAD = 0.1
+
+#: Typical time in which an upstream that is no longer used is replaced.
+_REPAIR_TIME: clock.Ms = 1_500
+
+#: Upstreams in need that a line of the log names.
+_MAX_SHOWN = 5
+
+
+class Needs:
+    """What upstreams in need ask for, as far as it concerns the next request.
+
+    :param env: the daemon's environment.
+    :param limiter: the rates that upstreams have named.
+    :param rests: how long upstreams want no request.
+    """
+
+    def __init__(
+        self,
+        env: environments.Environment,
+        limiter: limiters.Limiter,
+        rests: rests_.Rests,
+    ) -> None:
+        self._env = env
+        self._limiter = limiter
+        self._rests = rests
+
+    def held(self) -> frozenset[str]:
+        """Return the upstreams that may not get a request now."""
+        return self._limiter.held() | self._rests.resting()
+
+    def sound(
+        self, candidates: Collection[upstreamchoice.Candidate]
+    ) -> Collection[upstreamchoice.Candidate]:
+        """Return the upstreams without a need, all if none is without.
+
+        :param candidates: upstreams in service.
+        """
+        in_need = set(self.among(candidates))
+        if not in_need:
+            return candidates
+        sound = [c for c in candidates if c.upstream not in in_need]
+        return sound or candidates
+
+    def among(
+        self, candidates: Iterable[upstreamchoice.Candidate]
+    ) -> list[str]:
+        """Return the upstreams in need.
+
+        :param candidates: upstreams in service.
+        """
+        limits = self._limiter.limits.limit_by_upstream
+        resting = self._rests.resting()
+        if not limits and not resting:
+            return []
+        return [
+            candidate.upstream
+            for candidate in candidates
+            if candidate.upstream in limits or candidate.upstream in resting
+        ]
+
+    def record_sent(self, upstream: str) -> None:
+        """Record that a request is about to be sent.
+
+        :param upstream: the upstream's id.
+        """
+        self._limiter.record_sent(upstream)
+
+    def refuse(
+        self,
+        routed: routedrequest.RoutedRequest,
+        in_need: Collection[str],
+        count: int,
+    ) -> refusal.Refusal:
+        """Return the refusal of a request for which upstreams are in need.
+
+        :param routed: the request.
+        :param in_need: ids of the upstreams in need.
+        :param count: the upstreams in service, in need or not.
+        """
+        holder = routed.key_holder
+        team = pooluse.NO_TEAM if holder is None else holder.name
+        resting = [one for one in in_need if self._rests.is_resting(one)]
+        limited = [one for one in in_need if one not in resting]
+        self._limiter.record_refusal(limited, team)
+        self._rests.record_refusal(resting, team)
+        wait = min(self._rest_wait(resting), self._limit_wait(routed, limited))
+        if count > len(in_need):
+            wait = min(wait, _REPAIR_TIME)
+        return refusal.Refusal(
+            refusal.RefusalKind.NO_UPSTREAM,
+            f"of {count} upstreams {len(limited)} are limited to the rate "
+            f"that they named, and {len(resting)} want no request",
+            "send the request again after the time given",
+            retry_after=max(_MIN_RETRY_AFTER, round(wait)),
+            facts=(
+                ("team", team),
+                ("limited", tuple(limited[:_MAX_SHOWN])),
+                ("resting", tuple(resting[:_MAX_SHOWN])),
+            ),
+        )
+
+    def _rest_wait(self, resting: list[str]) -> float:
+        wait = self._rests.wait(resting)
+        return wait * (1 + _SPREAD * self._env.rng.random())
+
+    def _limit_wait(
+        self, routed: routedrequest.RoutedRequest, limited: list[str]
+    ) -> float:
+        if not limited:
+            return float("inf")
+        left = max(0, routed.deadline - self._env.clock.now())
+        return self._limiter.promise(routed.service.name, limited, left)
--- a/src/citronvalve/forward/placement.py
+++ b/src/citronvalve/forward/placement.py
@@ -9,14 +9,13 @@
 from citronvalve.forward import attemptresult
 from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
-from citronvalve.forward import limiter as limiters
+from citronvalve.forward import needs as needs_
 from citronvalve.forward import poolrooms
 from citronvalve.forward import routedrequest
 from citronvalve.model import clock
 from citronvalve.model import refusal
 from citronvalve.policy import coldrate
 from citronvalve.policy import enginepace
-from citronvalve.policy import pooluse
 from citronvalve.policy import upstreamchoice
 from citronvalve.routes import enginespec
 from citronvalve.routes import modelspec
@@ -51,9 +50,6 @@
 #: ``Retry-After`` is at most the caller's remaining time divided by this.
 _RETRY_AFTER_DIVISOR = 3
 
-#: Limited upstreams that a line of the log names.
-_MAX_SHOWN = 5
-
 #: Plain services have no forecast.
 _NO_FORECAST = enginepace.Forecast(0.0, 0.0, 0.0)
 
@@ -79,7 +75,7 @@
     :param directory: the upstreams.
     :param loads: the upstreams' loads.
     :param cold_limits: the limits for cold upstreams.
-    :param limiter: the rates that upstreams have named.
+    :param needs: what upstreams in need ask for.
     :param rooms: shares replica pools among teams; None to share none.
     :ivar cold_limits: the same; replaced when the settings change.
     """
@@ -90,13 +86,13 @@
         directory: directories.Directory,
         loads: upstreamchoice.LoadTable,
         cold_limits: ColdLimits,
-        limiter: limiters.Limiter,
+        needs: needs_.Needs,
         rooms: poolrooms.PoolRooms | None = None,
     ) -> None:
         self._env = env
         self._directory = directory
         self.cold_limits = cold_limits
-        self._limiter = limiter
+        self._needs = needs
         self._rooms = rooms
         self._pressed_at: clock.Ms | None = None
         self._pace_by_model: dict[
@@ -132,9 +128,10 @@
                 f"all {found.candidates} replicas are full",
                 max(_MIN_RETRY_AFTER, found.retry_in),
             )
-        limited = self._limited(routed, tried)
-        if limited:
-            return self._refuse_limited(routed, limited)
+        candidates = self._candidates(routed)
+        in_need = self._needs.among(candidates)
+        if in_need:
+            return self._needs.refuse(routed, in_need, len(candidates))
         why = self._passed_over(routed, tried, now)
         return self._refuse(
             routed, why or _no_upstream_reason(routed), _REPAIR_TIME
@@ -200,6 +197,11 @@
         :param routed: the request.
         :param result: the result of the last attempt.
         """
+        candidates = self._candidates(routed)
+        in_need = self._needs.among(candidates)
+        if in_need and len(in_need) == len(candidates):
+            # Whoever comes back sooner is turned away again.
+            return self._needs.refuse(routed, in_need, len(candidates))
         return self._refuse(routed, f"not run: {result.why}", _MIN_RETRY_AFTER)
 
     def _choose(
@@ -296,7 +298,7 @@
         if model is None or _is_unusable(found):
             return None
         sizing = poolrooms.Sizing(
-            self._unlimited(routed),
+            self._needs.sound(self._candidates(routed)),
             self._pace(routed.service, model),
             _OBJECTIVE_SHARE * routed.route.latency_objective,
             poolrooms.has_returned(routed),
@@ -335,7 +337,7 @@
         now: clock.Ms,
     ) -> list[upstreamchoice.Candidate]:
         rate = self._cold_limit(routed)
-        held = self._limiter.held()
+        held = self._needs.held()
         return [
             candidate
             for candidate in candidates
@@ -356,51 +358,10 @@
             return 0.0
         return declared * self.cold_limits.over + self.cold_limits.slack
 
-    def _unlimited(
-        self, routed: routedrequest.RoutedRequest
-    ) -> Collection[upstreamchoice.Candidate]:
-        """Return the upstreams whose room counts for a pool."""
-        candidates = self._candidates(routed)
-        is_limited = self._limiter.is_limited
-        unlimited = [c for c in candidates if not is_limited(c.upstream)]
-        return unlimited or candidates
-
-    def _limited(
-        self, routed: routedrequest.RoutedRequest, tried: list[str]
-    ) -> list[str]:
-        """Return the untried upstreams that have named a rate."""
-        return [
-            candidate.upstream
-            for candidate in self._candidates(routed)
-            if candidate.upstream not in tried
-            and self._limiter.is_limited(candidate.upstream)
-        ]
-
-    def _refuse_limited(
-        self, routed: routedrequest.RoutedRequest, limited: list[str]
-    ) -> refusal.Refusal:
-        holder = routed.key_holder
-        team = pooluse.NO_TEAM if holder is None else holder.name
-        self._limiter.record_refusal(limited, team)
-        left = max(0, routed.deadline - self._env.clock.now())
-        service = routed.service.name
-        retry_in = self._limiter.promise(service, limited, left)
-        count = len(self._candidates(routed))
-        if count > len(limited):
-            retry_in = min(retry_in, _REPAIR_TIME)
-        return refusal.Refusal(
-            refusal.RefusalKind.NO_UPSTREAM,
-            f"{len(limited)} of {count} upstreams are limited to the rate "
-            "that they named",
-            "send the request again after the time given",
-            retry_after=max(_MIN_RETRY_AFTER, retry_in),
-            facts=(("team", team), ("limited", tuple(limited[:_MAX_SHOWN]))),
-        )
-
     def _record_sent(
         self, upstream: str, routed: routedrequest.RoutedRequest, now: clock.Ms
     ) -> None:
-        self._limiter.record_sent(upstream)
+        self._needs.record_sent(upstream)
         if self._cold_limit(routed):
             # Recorded while warm, too: an upstream can become cold without
             # notice, and the requests of the last second count then.
--- a/src/citronvalve/forward/relayframe.py
+++ b/src/citronvalve/forward/relayframe.py
@@ -44,6 +44,8 @@
     #: The relaying daemon does not list the upstream, or it is leaving or
     #: out of service.
     NOT_IN_SERVICE = "not in service"
+    #: The upstream wants no request from the relaying daemon for a while.
+    RESTING = "resting"
     #: The relaying daemon relays as much as it can.
     BUSY = "busy"
     #: The relaying daemon is stopping, or does not know the upstreams yet.
--- a/src/citronvalve/forward/relayserver.py
+++ b/src/citronvalve/forward/relayserver.py
@@ -48,6 +48,8 @@
     :param env: the daemon's environment.
     :param directory: the upstreams.
     :param connector: opens the connections.
+    :ivar is_resting: returns whether an upstream wants no request from this
+        VM.
     :raises errors.SettingsError: when the address can't be bound.
     """
 
@@ -62,6 +64,7 @@
         self._directory = directory
         self._connector = connector
         self._connections: set[_Connection] = set()
+        self.is_resting: Callable[[str], bool] = lambda _: False
         self._cut_until_by_datacentre: dict[str, clock.Ms] = {}
         self._listener = portlistener.PortListener(
             address, _BACKLOG, env, self._serve
@@ -102,6 +105,8 @@
         cut_until = self._cut_until_by_datacentre.get(datacentre, 0)
         if self._env.clock.now() < cut_until:
             return _Reason.NO_LINK
+        if self.is_resting(upstream):
+            return _Reason.RESTING
         if self.count > _MAX_CONNECTIONS:
             return _Reason.BUSY
         return None
--- a/src/citronvalve/forward/rests.py
+++ b/src/citronvalve/forward/rests.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Collection
 
 from citronvalve.forward import environment as environments
 from citronvalve.forward import headers
@@ -15,6 +16,8 @@
 #: Longest part of an unreadable value that is logged.
 _MAX_SHOWN = 40
 
+_NONE: frozenset[str] = frozenset()
+
 
 class Rests:
     """Records the rests of upstreams, and tells which are over.
@@ -82,6 +85,34 @@
                 relay=relay,
             )
 
+    def resting(self) -> frozenset[str]:
+        """Return the upstreams that want no request now."""
+        if not self.rests.rest_by_upstream:
+            return _NONE
+        now = self._env.clock.now()
+        return frozenset(
+            upstream
+            for upstream in self.rests.rest_by_upstream
+            if self.rests.is_resting(upstream, now)
+        )
+
+    def wait(self, upstreams: Collection[str]) -> float:
+        """Return the ms until the first of some rests ends.
+
+        :param upstreams: ids of resting upstreams; infinite without any.
+        """
+        return self.rests.wait(upstreams, self._env.clock.now())
+
+    def record_refusal(self, upstreams: Collection[str], team: str) -> None:
+        """Record a request that is refused for rests.
+
+        :param upstreams: ids of the resting upstreams.
+        :param team: the caller's team.
+        """
+        if upstreams:
+            self._refused_by_upstream.update(upstreams)
+            self._env.metrics.record_need_refusal("rest", team)
+
     def is_resting(self, upstream: str) -> bool:
         """Return whether an upstream wants no request.
 
--- a/src/citronvalve/peers/messages.py
+++ b/src/citronvalve/peers/messages.py
@@ -150,6 +150,19 @@
     start_by_upstream: dict[str, int]
 
 
+class UpstreamRest(
+    msgspec.Struct, tag="upstream-rest", array_like=True, frozen=True
+):
+    """An upstream wants no request from the receiver for ``duration`` ms.
+
+    It has turned away what the receiver relayed for the sender.
+    """
+
+    name: str
+    upstream: str
+    duration: clock.Ms
+
+
 class Stall(msgspec.Struct, tag="standstill", array_like=True, frozen=True):
     """An upstream sends nothing on any connection."""
 
@@ -235,6 +248,7 @@
     | CrashEvidenceRequest
     | FullTableRequest
     | TableRows
+    | UpstreamRest
     | DaemonLoads
     | DatacentreLoads
     | OtherLoads
--- a/tests/forward/rig.py
+++ b/tests/forward/rig.py
@@ -16,6 +16,7 @@
 from citronvalve.forward import leaving
 from citronvalve.forward import limiter
 from citronvalve.forward import linkchecker
+from citronvalve.forward import needs
 from citronvalve.forward import placement
 from citronvalve.forward import poolrooms
 from citronvalve.forward import rests
@@ -129,7 +130,7 @@
                 self.directory,
                 loads,
                 placement.ColdLimits(),
-                self.limiter,
+                needs.Needs(self.env, self.limiter, self.rests),
                 self._rooms() if fair_shares else None,
             ),
             self.retry_budgets,
--- a/tests/forward/steps/relaying_steps.py
+++ b/tests/forward/steps/relaying_steps.py
@@ -41,6 +41,7 @@
             self.rig.directory,
             self.rig.connector,
         )
+        self.server.is_resting = self.rig.rests.is_resting
         self.server.start()
         self.relay = relaychoice.Relay(name, self.server.address, "zone-0")
 
@@ -66,6 +67,11 @@
     for relay in context.relays:
         context.add_cleanup(relay.close)
     rig.connector.relays = lambda: [r.relay for r in context.relays]
+    rig.rests.on_relayed = lambda name, upstream, duration: next(
+        one.rig.rests.record_rest(upstream, duration)
+        for one in context.relays
+        if one.relay.name == name
+    )
     context.way_out = _ADDRESS_BY_FAILURE[failure]()
     context.true_by_id = dict(rig.directory.runner_by_id)
     if cut:
--- a/tests/forward/steps/rests_steps.py
+++ b/tests/forward/steps/rests_steps.py
@@ -1,6 +1,25 @@
 """Steps about the rest that upstreams ask for."""
 
+import re
+
 import behave
+import eventlet
+
+from citronvalve.forward import relayframe
+from tests.forward.steps import limits_steps
+
+#: Seconds in which daemons of one scenario have told each other.
+_TOLD = 0.1
+
+
+def _names(rig, path):
+    kind = "head" if path.startswith("/stream") else "plain"
+    return sorted(name for name in rig.runners if name.startswith(kind))
+
+
+def _rest(rig, names, seconds):
+    for name in names:
+        rig.rests.record_rest(name, seconds * 1_000)
 
 
 @behave.when('it asks for a rest of "{value}" and a caller calls /any/thing')
@@ -25,3 +44,116 @@
 @behave.then('the log has {count:d} lines "{event}", with ""')
 def step_lines_empty(context, count, event):
     step_lines(context, count, event, "")
+
+
+@behave.when(
+    "{which} asked for a rest of {seconds:g} s, and ten callers send {path} "
+    "one after another"
+)
+def step_ten(context, which, seconds, path):
+    rig = context.rig
+    names = _names(rig, path)
+    context.resting = names[:1] if which == "the first has" else names
+    _rest(rig, context.resting, seconds)
+    context.path = path
+    context.answers = [limits_steps.ask(rig, path) for _ in range(10)]
+    context.reached = _reached(context)
+
+
+def _reached(context):
+    runners = context.rig.runners
+    return {name: len(runners[name].requests) for name in context.resting}
+
+
+@behave.then("no request reaches a resting upstream")
+def step_unreached(context):
+    assert not any(context.reached.values()), context.reached
+
+
+@behave.when(
+    "both ask for {seconds:g} s of rest, and three callers send {path} one "
+    "after another"
+)
+def step_three(context, seconds, path):
+    rig = context.rig
+    context.resting = _names(rig, path)
+    for name in context.resting:
+        rig.runners[name].retry_after = f"{seconds:g}"
+    context.answers = [limits_steps.ask(rig, path)[0] for _ in range(3)]
+
+
+@behave.then("each upstream got one request")
+def step_one_each(context):
+    reached = _reached(context)
+    assert set(reached.values()) == {1}, reached
+
+
+@behave.then(
+    "all three are refused with a Retry-After of {least:g} to {most:g} s"
+)
+def step_told(context, least, most):
+    for got in context.answers:
+        assert got.startswith(b"HTTP/1.1 503"), got
+        told = re.search(rb"(?i)\r\nretry-after: ([0-9.]+)", got)
+        assert least <= float(told[1]) <= most, got
+
+
+@behave.when(
+    "the second has asked for a rest of {seconds:g} s, and a caller sends "
+    "{path}"
+)
+def step_second(context, seconds, path):
+    rig = context.rig
+    context.second = sorted(rig.runners)[1]
+    _rest(rig, [context.second], seconds)
+    context.got, _ = limits_steps.ask(rig, path)
+
+
+@behave.when(
+    "both have asked for a rest of {seconds:g} s, and start again, and a "
+    "caller sends {path}"
+)
+def step_restart(context, seconds, path):
+    rig = context.rig
+    _rest(rig, rig.runners, seconds)
+    for name in rig.runners:
+        rig.rests.record_restart(name)
+    context.got, _ = limits_steps.ask(rig, path)
+
+
+@behave.when(
+    "both ask for a rest of {long:g} s and then of {short:g} s, and a caller "
+    "sends {path} after {later:g} s"
+)
+def step_shorter(context, long, short, path, later):
+    rig = context.rig
+    context.resting = _names(rig, path)
+    for seconds in (long, short):
+        _rest(rig, context.resting, seconds)
+    eventlet.sleep(later)
+    limits_steps.ask(rig, path)
+    context.reached = _reached(context)
+
+
+@behave.then(
+    "the other daemon has learned of each rest, and relays nothing there"
+)
+def step_relay(context):
+    eventlet.sleep(_TOLD)
+    relay = context.relays[0]
+    resting = context.rig.rests.resting()
+    refusals = {name: relay.server.find_refusal(name) for name in resting}
+    assert resting, context.rig.log.lines
+    assert set(refusals.values()) == {relayframe.Reason.RESTING}, refusals
+
+
+@behave.then(
+    'the metrics show {count:d} refusals of {team} for "{need}", and '
+    "{resting:d} resting upstreams"
+)
+def step_metrics(context, count, team, need, resting):
+    context.rig.rests.update()
+    text = context.rig.env.metrics.render().decode()
+    shown = f'need_refusals_total{{need="{need}",team="{team}"}} {count}\n'
+    assert shown in text, text
+    assert f"resting_upstreams {resting}" in text, text
--- a/tests/placing/steps/placing_steps.py
+++ b/tests/placing/steps/placing_steps.py
@@ -7,7 +7,9 @@
 
 from citronvalve.forward import directory
 from citronvalve.forward import limiter
+from citronvalve.forward import needs
 from citronvalve.forward import placement
+from citronvalve.forward import rests
 from citronvalve.model import manualclock
 from citronvalve.model import refusal
 from citronvalve.policy import upstreamchoice
@@ -154,7 +156,7 @@
         replicas,
         upstreamchoice.LoadTable(),
         placement.ColdLimits(),
-        limiter.Limiter(env, replicas),
+        needs.Needs(env, limiter.Limiter(env, replicas), rests.Rests(env)),
     )
     now = env.clock.now()
     context.placed = placing.place(
