Say of refusals what the others fail for, and forget needs of upstreams that are gone

Found in reading the diff: a refusal with one upstream in need and others that fail named the first only, and told its rest as the time to come back; values and counts of upstreams that left the list were kept. The exchange of upstreams that leave has rows of its own.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -352,7 +352,8 @@
         while True:
             listed = set(self.directory.runner_by_id)
             self._loads.retain(listed)
-            self._limiter.retain(listed)
+            for needs_kept in (self._limiter, self._rests, self._leaving):
+                needs_kept.retain(listed)
             self._memory.count_upstreams(len(listed))
             self._update_gauges()
             if self._settings.features.even_load:
--- a/src/citronvalve/forward/leaving.py
+++ b/src/citronvalve/forward/leaving.py
@@ -79,6 +79,13 @@
         )
         return True
 
+    def retain(self, upstreams: set[str]) -> None:
+        """Drop what is known of the values of all other upstreams.
+
+        :param upstreams: the ids to keep.
+        """
+        self._unreadable &= upstreams
+
     def set_gauges(self) -> None:
         """Set the gauge of the upstreams that leave."""
         self._env.metrics.set_gauge(
--- a/src/citronvalve/forward/limiter.py
+++ b/src/citronvalve/forward/limiter.py
@@ -102,10 +102,6 @@
         self._promised_at_by_service[service] = at
         return round(at - now)
 
-    def _datacentre(self, upstream: str) -> str:
-        runner = self._directory.runner_by_id.get(upstream)
-        return "" if runner is None else runner.datacentre
-
     def record_answer(
         self,
         upstream: str,
@@ -144,6 +140,8 @@
         """
         self.limits.retain(upstreams, self._env.clock.now())
         self._unreadable &= upstreams
+        for upstream in self._refused_by_upstream.keys() - upstreams:
+            del self._refused_by_upstream[upstream]
 
     def set_gauges(self) -> None:
         """Set the gauges of the limits in force."""
@@ -158,17 +156,6 @@
             oldest / clock.SECOND,
         )
 
-    def _record_named(self, upstream: str, text: bytes) -> None:
-        rate = numbertext.parse_decimal(text.decode("latin-1"))
-        if rate is None:
-            self._note_unreadable(upstream, text)
-            return
-        now = self._env.clock.now()
-        self._unreadable.discard(upstream)
-        limit = upstreamlimits.Limit(rate, now, now)
-        if self.record_limit(upstream, limit, "here"):
-            self.on_change(upstream)
-
     def record_limit(
         self, upstream: str, limit: upstreamlimits.Limit, found: str
     ) -> bool:
@@ -189,13 +176,6 @@
             )
         return has_changed
 
-    def _record_unnamed(self, upstream: str, sent_at: clock.Ms) -> None:
-        limit = self.limits.limit_by_upstream.get(upstream)
-        # An answer that was held up may be older than the limit.
-        if limit is not None and sent_at > limit.heard_at:
-            self.record_end(upstream, sent_at, "an answer names none")
-            self.on_change(upstream)
-
     def record_end(self, upstream: str, at: clock.Ms, why: str) -> bool:
         """Record that a limit is over; return whether it was in force.
 
@@ -215,6 +195,28 @@
             )
         return limit is not None
 
+    def _record_named(self, upstream: str, text: bytes) -> None:
+        rate = numbertext.parse_decimal(text.decode("latin-1"))
+        if rate is None:
+            self._note_unreadable(upstream, text)
+            return
+        now = self._env.clock.now()
+        self._unreadable.discard(upstream)
+        limit = upstreamlimits.Limit(rate, now, now)
+        if self.record_limit(upstream, limit, "here"):
+            self.on_change(upstream)
+
+    def _record_unnamed(self, upstream: str, sent_at: clock.Ms) -> None:
+        limit = self.limits.limit_by_upstream.get(upstream)
+        # An answer that was held up may be older than the limit.
+        if limit is not None and sent_at > limit.heard_at:
+            self.record_end(upstream, sent_at, "an answer names none")
+            self.on_change(upstream)
+
+    def _datacentre(self, upstream: str) -> str:
+        runner = self._directory.runner_by_id.get(upstream)
+        return "" if runner is None else runner.datacentre
+
     def _note_unreadable(self, upstream: str, text: bytes) -> None:
         if upstream in self._unreadable:
             return
--- a/src/citronvalve/forward/needs.py
+++ b/src/citronvalve/forward/needs.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Collection
 from collections.abc import Iterable
+import math
 
 from citronvalve.forward import environment as environments
 from citronvalve.forward import limiter as limiters
@@ -21,6 +22,9 @@
 #: Typical time in which an upstream that is no longer used is replaced.
 _REPAIR_TIME: clock.Ms = 1_500
 
+#: Callers wait for at most their remaining time divided by this.
+_PATIENCE = 3
+
 #: Upstreams in need that a line of the log names.
 _MAX_SHOWN = 5
 
@@ -88,13 +92,14 @@
         self,
         routed: routedrequest.RoutedRequest,
         in_need: Collection[str],
-        count: int,
+        others: str = "",
     ) -> refusal.Refusal:
-        """Return the refusal of a request for which upstreams are in need.
+        """Return the refusal of a request that upstreams in need can't take.
 
         :param routed: the request.
         :param in_need: ids of the upstreams in need.
-        :param count: the upstreams in service, in need or not.
+        :param others: why those without a need are not used, empty if there
+            are none.
         """
         holder = routed.key_holder
         team = pooluse.NO_TEAM if holder is None else holder.name
@@ -102,13 +107,19 @@
         limited = [one for one in in_need if one not in resting]
         self._limiter.record_refusal(limited, team)
         self._rests.record_refusal(resting, team)
-        wait = min(self._rest_wait(resting), self._limit_wait(routed, limited))
-        if count > len(in_need):
-            wait = min(wait, _REPAIR_TIME)
+        left = max(0, routed.deadline - self._env.clock.now())
+        wait = min(
+            self._rest_wait(resting),
+            self._limit_wait(routed, limited, left),
+            self._repair_wait(left) if others else math.inf,
+        )
+        why = (
+            f"{len(limited)} upstreams are limited to the rate that they "
+            f"named, and {len(resting)} want no request"
+        )
         return refusal.Refusal(
             refusal.RefusalKind.NO_UPSTREAM,
-            f"of {count} upstreams {len(limited)} are limited to the rate "
-            f"that they named, and {len(resting)} want no request",
+            f"{why}; {others}" if others else why,
             "send the request again after the time given",
             retry_after=max(_MIN_RETRY_AFTER, round(wait)),
             facts=(
@@ -123,9 +134,16 @@
         return wait * (1 + _SPREAD * self._env.rng.random())
 
     def _limit_wait(
-        self, routed: routedrequest.RoutedRequest, limited: list[str]
+        self,
+        routed: routedrequest.RoutedRequest,
+        limited: list[str],
+        left: clock.Ms,
     ) -> float:
         if not limited:
-            return float("inf")
-        left = max(0, routed.deadline - self._env.clock.now())
+            return math.inf
         return self._limiter.promise(routed.service.name, limited, left)
+
+    def _repair_wait(self, left: clock.Ms) -> float:
+        return min(
+            _REPAIR_TIME * self._env.rng.uniform(1.0, 1.5), left / _PATIENCE
+        )
--- a/src/citronvalve/forward/placement.py
+++ b/src/citronvalve/forward/placement.py
@@ -130,9 +130,10 @@
             )
         candidates = self._candidates(routed)
         in_need = self._needs.among(candidates)
-        if in_need:
-            return self._needs.refuse(routed, in_need, len(candidates))
         why = self._passed_over(routed, tried, now)
+        if in_need:
+            others = why if len(in_need) < len(candidates) else ""
+            return self._needs.refuse(routed, in_need, others)
         return self._refuse(
             routed, why or _no_upstream_reason(routed), _REPAIR_TIME
         )
@@ -201,7 +202,7 @@
         in_need = self._needs.among(candidates)
         if in_need and len(in_need) == len(candidates):
             # Whoever comes back sooner is turned away again.
-            return self._needs.refuse(routed, in_need, len(candidates))
+            return self._needs.refuse(routed, in_need)
         return self._refuse(routed, f"not run: {result.why}", _MIN_RETRY_AFTER)
 
     def _choose(
@@ -251,7 +252,7 @@
             "tried"
             if candidate.upstream in tried
             else self._choice.why_unavailable(candidate.upstream, now)
-            or "cold or busy"
+            or "cold, busy or in need"
             for candidate in candidates
         )
         reasons = ", ".join(f"{n} {why}" for why, n in counts.most_common())
--- a/src/citronvalve/forward/rests.py
+++ b/src/citronvalve/forward/rests.py
@@ -127,9 +127,22 @@
         """
         if self.rests.rest_by_upstream.pop(upstream, None) is not None:
             self._env.log.change(
-                "upstream rested", upstream=upstream, why="it has restarted"
+                "upstream rested",
+                upstream=upstream,
+                refused_here=self._refused_by_upstream.pop(upstream, 0),
+                why="it has restarted",
             )
 
+    def retain(self, upstreams: set[str]) -> None:
+        """Drop what is known of all other upstreams.
+
+        :param upstreams: the ids to keep.
+        """
+        self._unreadable &= upstreams
+        for upstream in self.rests.rest_by_upstream.keys() - upstreams:
+            del self.rests.rest_by_upstream[upstream]
+            self._refused_by_upstream.pop(upstream, None)
+
     def update(self) -> None:
         """Set the gauges, and log the rests that are over."""
         now = self._env.clock.now()
--- a/src/citronvalve/policy/upstreamlimits.py
+++ b/src/citronvalve/policy/upstreamlimits.py
@@ -13,8 +13,8 @@
 #: Usable part of a rate: daemons may disagree for a moment on who they are.
 _USABLE_PART = 0.9
 
-#: Least rate in requests per second: only an answer shows that a limit is
-#: over, and after the last one an upstream would wait too long.
+#: Least rate in requests per second.  Only an answer shows that a limit is
+#: over: at a lower rate an upstream would stay limited long after its need.
 _MIN_RATE = 0.25
 
 #: A turn lapses after this time.  Unused turns of many daemons would
@@ -22,12 +22,13 @@
 _TURN_VALIDITY: clock.Ms = 1_000
 
 #: Without an answer for this time, the daemons of the upstream's data centre
-#: don't use it, and those of all data centres take turns.
+#: don't use it.
 _UNUSED_TIME: clock.Ms = 8_000
 
-#: Answers of this many turns are missing then, where turns are rare, and how
-#: long it goes on.
+#: The same in turns, for rates at which each daemon's turn is rarer.
 _UNUSED_TURNS = 3
+
+#: For this long the daemons of all data centres then take turns.
 _SPREAD_TIME: clock.Ms = 60_000
 
 #: Ends are kept for this time: a late message may name a limit that is over.
--- a/tests/forward/rests.feature
+++ b/tests/forward/rests.feature
@@ -92,3 +92,10 @@
     Given two plain runners, of which both "whole"
     When both have asked for a rest of 1 s, and ten callers send /any/thing one after another
     Then the metrics show 10 refusals of team-1 for "rest", and 2 resting upstreams
+
+  Scenario: one upstream rests for long, and the other one fails
+    Guards against callers that are told the end of a rest though another
+    upstream is back much sooner.
+    Given two plain runners, of which both "whole"
+    When the first asked for a rest of 60 s, the second fails, and a caller sends /any/thing
+    Then it is refused with a Retry-After of 0.2 to 0.7 s
--- a/tests/forward/steps/rests_steps.py
+++ b/tests/forward/steps/rests_steps.py
@@ -157,3 +157,21 @@
     shown = f'need_refusals_total{{need="{need}",team="{team}"}} {count}\n'
     assert shown in text, text
     assert f"resting_upstreams {resting}" in text, text
+
+
+@behave.when(
+    "the first asked for a rest of {seconds:g} s, the second fails, and a "
+    "caller sends {path}"
+)
+def step_mixed(context, seconds, path):
+    rig = context.rig
+    first, second = _names(rig, path)
+    _rest(rig, [first], seconds)
+    now = rig.env.clock.now()
+    rig.loads.of(second).circuit.record_failure(now, fatal=True)
+    context.answers = [limits_steps.ask(rig, path)[0]]
+
+
+@behave.then("it is refused with a Retry-After of {least:g} to {most:g} s")
+def step_told_one(context, least, most):
+    step_told(context, least, most)
