Let runners of the soak ask for rest, and leave by their own word

Drawn like the rates. A rest is looked at for each 503 with Retry-After, a leave for each request that its caller sent more than 2 s after the daemon had passed it on. A daemon that is killed, stopped, paused or cut off is excused until it is told again.

--- a/standins/soak/installation.py
+++ b/standins/soak/installation.py
@@ -105,6 +105,8 @@
             _Fault.RUNNERS_SILENT: self._silence,
             _Fault.CRASHING_PART: self._crash_by_part,
             _Fault.RUNNERS_LIMITED: self._limit,
+            _Fault.RUNNERS_REST: self._rest,
+            _Fault.RUNNER_SAYS_IT_LEAVES: self._say_leaving,
         }
 
     @property
@@ -332,20 +334,45 @@
 
     def _limit(self, event: schedules.Event) -> None:
         """Let some runners of a service name a request rate."""
+        rate = random.Random(event.target).choice((0.3, 1.1, 2.0, 5.0))
+        limited = self._some_sound(event)
+        for runner in limited:
+            runner.name_limit(rate)
+        eventlet.sleep(event.span)
+        for runner in limited:
+            runner.end_limit()
+
+    def _rest(self, event: schedules.Event) -> None:
+        """Let some runners of a service turn requests away for a while."""
+        resting = self._some_sound(event)
+        for runner in resting:
+            runner.rest = 1.0 + event.target % 25 / 10
+        eventlet.sleep(event.span)
+        for runner in resting:
+            runner.rest = 0.0
+
+    def _say_leaving(self, event: schedules.Event) -> None:
+        """Let a runner leave that the list shows as ready until it is gone."""
+        runner = self._runner(event)
+        if runner is None:
+            return
+        runner.is_leaving = True
+        eventlet.sleep(event.span)
+        if runner.is_sound():
+            self.let_leave(runner)
+            eventlet.sleep(event.span / 4)
+            runner.start()
+
+    def _some_sound(self, event: schedules.Event) -> list[runners.Runner]:
+        """Return some runners of a service that work and stay."""
         chance = random.Random(event.target)
         service = chance.choice((operators.MODELS, operators.DESK))
-        rate = chance.choice((0.3, 1.1, 2.0, 5.0))
-        able = [
+        sound = [
             runner
             for runner in self.all_runners
             if runner.service == service and runner.is_sound()
         ]
-        limited = chance.sample(able, chance.randint(0, len(able)))
-        for runner in limited:
-            runner.name_limit(rate)
-        eventlet.sleep(event.span)
-        for runner in limited:
-            runner.end_limit()
+        return chance.sample(sound, chance.randint(0, len(sound)))
 
     def _crash_by_part(self, event: schedules.Event) -> None:
         """Send requests with a part that crashes runners."""
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -144,6 +144,19 @@
                 not found,
                 f"{found}",
             )
+        broken = needs.broken_rests()
+        for rest in needs.rests:
+            found = [count for one, count in broken if one == rest]
+            self.book.look(
+                "a runner that asks for rest gets two requests at most",
+                not found,
+                f"{rest} {found}",
+            )
+        self.book.look(
+            "a runner that says that it leaves gets nothing after 2 s",
+            not needs.late,
+            f"{needs.late[:3]}",
+        )
 
     def _versions(self) -> None:
         while True:
--- a/standins/soak/runner.py
+++ b/standins/soak/runner.py
@@ -132,6 +132,7 @@
         """Die without a word."""
         self._life += 1
         self.end_limit()
+        self.rest = 0.0
         self.place.crash()
         self.relay.do(relays.Harm.REFUSED)
 
@@ -142,6 +143,7 @@
         """
         self._life += 1
         self.end_limit()
+        self.rest = 0.0
         life = self._life
         self.place.crash()
         self.relay.end()
--- a/standins/soak/schedule.py
+++ b/standins/soak/schedule.py
@@ -32,6 +32,8 @@
     RUNNERS_SILENT = "some runners silent"
     CRASHING_PART = "requests with a part that crashes runners"
     RUNNERS_LIMITED = "runners name a request rate"
+    RUNNERS_REST = "runners ask for rest"
+    RUNNER_SAYS_IT_LEAVES = "a runner says in answers alone that it leaves"
 
 
 #: Work that operators plan; it excuses nothing.
@@ -46,7 +48,12 @@
 )
 
 #: What excuses no broken promise.
-NO_EXCUSE = PLANNED | {Fault.RUNNERS_SILENT, Fault.RUNNERS_LIMITED}
+NO_EXCUSE = PLANNED | {
+    Fault.RUNNERS_SILENT,
+    Fault.RUNNERS_LIMITED,
+    Fault.RUNNERS_REST,
+    Fault.RUNNER_SAYS_IT_LEAVES,
+}
 
 #: Seconds from the first to the last fault of a series, and of the calm after
 #: it, in which the promises with a bound in time are looked at.
@@ -72,7 +79,11 @@
 _NEED_SHARE = 0.6
 _NEED = 6.0, 10.0
 
-_NEEDS = [Fault.RUNNERS_LIMITED]
+_NEEDS = [
+    Fault.RUNNERS_LIMITED,
+    Fault.RUNNERS_REST,
+    Fault.RUNNER_SAYS_IT_LEAVES,
+]
 
 _DRAWN_APART = (
     Fault.LINKS,
@@ -133,10 +144,11 @@
             if crashes.random() < _RESTART_SHARE:
                 kill = at + crashes.uniform(1.0, span - 1.0)
                 events.append(_one(crashes, kill, [Fault.KILL, Fault.STOP]))
-        if needs.random() < _NEED_SHARE:
-            at = began + needs.uniform(0, _SERIES)
-            event = _one(needs, at, _NEEDS)
-            events.append(event._replace(span=needs.uniform(*_NEED)))
+        for need in _NEEDS:
+            if needs.random() < _NEED_SHARE:
+                at = began + needs.uniform(0, _SERIES)
+                event = _one(needs, at, [need])
+                events.append(event._replace(span=needs.uniform(*_NEED)))
         began += _SERIES + _CALM
     return sorted(events)
 
