Say in two comments what their constants bound

'Longest time that a refused caller is told' did not name the header that it bounds, and 'validity of what was measured' read like the story of a value. Comments only; nothing to measure.

--- a/src/citronvalve/forward/limiter.py
+++ b/src/citronvalve/forward/limiter.py
@@ -15,7 +15,7 @@
 #: Longest part of an unreadable value that is logged.
 _MAX_SHOWN = 40
 
-#: Longest time that a refused caller is told.
+#: Upper bound of Retry-After for a caller without a turn before its deadline.
 _MAX_PROMISE: clock.Ms = 60_000
 
 _NONE: frozenset[str] = frozenset()
--- a/src/citronvalve/policy/datacentrerooms.py
+++ b/src/citronvalve/policy/datacentrerooms.py
@@ -12,7 +12,7 @@
 from citronvalve.policy import roomloss
 from citronvalve.policy import upstreamchoice
 
-#: Validity of what was measured.
+#: A measurement is used again for this time.
 _VALIDITY: clock.Ms = 50
 
 #: A data centre that comes back gets its whole part after this time: its
