Write logic of needs once, and look at a request's candidates only

Found in reading the change. Limiter, rests and leaving each kept and logged values that can't be read, and two of them counted refused callers: now forward/unreadable.py and refusalcounts.py. The suites of the two exchanges share their daemons (tests/daemon/exchangefleet.py). The turn that a refused caller is told is assigned, no longer promised; what was 'sound' is without need.

--- a/src/citronvalve/forward/leaving.py
+++ b/src/citronvalve/forward/leaving.py
@@ -6,13 +6,11 @@
 from citronvalve.forward import environment as environments
 from citronvalve.forward import headers
 from citronvalve.forward import responsehead
+from citronvalve.forward import unreadable
 
 #: The value of an upstream that leaves.
 _LEAVES = b"1"
 
-#: Longest part of an unreadable value that is logged.
-_MAX_SHOWN = 40
-
 
 class Leaving:
     """Records which upstreams have said that they leave.
@@ -32,7 +30,9 @@
     ) -> None:
         self._env = env
         self._directory = directory
-        self._unreadable: set[str] = set()
+        self._unreadable = unreadable.UnreadableValues(
+            env, "leaving unreadable", "1, or no such header,"
+        )
         self.on_change: Callable[[str], None] = lambda _: None
 
     def record_answer(
@@ -53,7 +53,7 @@
         if text.strip() == _LEAVES:
             self._record_own(upstream)
         else:
-            self._note_unreadable(upstream, text)
+            self._unreadable.note(upstream, text)
 
     def start_by_upstream(self) -> dict[str, int]:
         """Return the listed upstreams that leave, and their starts."""
@@ -84,7 +84,7 @@
 
         :param upstreams: the ids to keep.
         """
-        self._unreadable &= upstreams
+        self._unreadable.retain(upstreams)
 
     def set_gauges(self) -> None:
         """Set the gauge of the upstreams that leave."""
@@ -100,14 +100,3 @@
             upstream, runner.start_id, "here"
         ):
             self.on_change(upstream)
-
-    def _note_unreadable(self, upstream: str, text: bytes) -> None:
-        if upstream in self._unreadable:
-            return
-        self._unreadable.add(upstream)
-        self._env.log.change(
-            "leaving unreadable",
-            upstream=upstream,
-            value=text[:_MAX_SHOWN].decode("latin-1"),
-            why="1 is expected of an upstream that leaves",
-        )
--- a/src/citronvalve/forward/limiter.py
+++ b/src/citronvalve/forward/limiter.py
@@ -1,24 +1,20 @@
 """Heeds the request rates that upstreams name in their answers."""
 
-import collections
 from collections.abc import Callable
 from collections.abc import Collection
 
 from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
 from citronvalve.forward import headers
+from citronvalve.forward import refusalcounts
 from citronvalve.forward import responsehead
+from citronvalve.forward import unreadable
 from citronvalve.model import clock
 from citronvalve.model import numbertext
 from citronvalve.policy import upstreamlimits
 
-#: Longest part of an unreadable value that is logged.
-_MAX_SHOWN = 40
-
 #: Upper bound of Retry-After for a caller without a turn before its deadline.
-_MAX_PROMISE: clock.Ms = 60_000
-
-_NONE: frozenset[str] = frozenset()
+_MAX_WAIT: clock.Ms = 60_000
 
 
 class Limiter:
@@ -26,6 +22,7 @@
 
     :param env: the daemon's environment.
     :param directory: the upstreams.
+    :ivar refusals: counts the callers that are refused for limits.
     :ivar limits: the limits in force.
     :ivar members: this daemon's places among those that share the limits.
     :ivar on_change: called with the id of an upstream whose limit this
@@ -39,28 +36,29 @@
     ) -> None:
         self._env = env
         self._directory = directory
-        self._unreadable: set[str] = set()
-        self._refused_by_upstream: collections.Counter[str] = (
-            collections.Counter()
+        self._unreadable = unreadable.UnreadableValues(
+            env,
+            "limit unreadable",
+            "a decimal number of requests per second",
         )
-        self._promised_at_by_service: dict[str, float] = {}
+        self._assigned_at_by_service: dict[str, float] = {}
+        self.refusals = refusalcounts.RefusalCounts(env, "limit")
         self.limits = upstreamlimits.UpstreamLimits()
         self.members = upstreamlimits.members_of(
             env.name, {env.name: env.datacentre}
         )
         self.on_change: Callable[[str], None] = lambda _: None
 
-    def held(self) -> frozenset[str]:
-        """Return the upstreams that may not get a request now."""
-        if not self.limits.limit_by_upstream:
-            return _NONE
-        members, now = self.members, self._env.clock.now()
-        return frozenset(
-            upstream
-            for upstream in self.limits.limit_by_upstream
-            if not self.limits.is_due(
-                upstream, self._datacentre(upstream), members, now
-            )
+    def is_due(self, upstream: str) -> bool:
+        """Return whether an upstream's limit permits a request now.
+
+        :param upstream: its id.
+        """
+        return self.limits.is_due(
+            upstream,
+            self._datacentre(upstream),
+            self.members,
+            self._env.clock.now(),
         )
 
     def record_sent(self, upstream: str) -> None:
@@ -70,17 +68,7 @@
         """
         self.limits.record_sent(upstream, self._env.clock.now())
 
-    def record_refusal(self, upstreams: Collection[str], team: str) -> None:
-        """Record a request that is refused for limits.
-
-        :param upstreams: ids of the limited upstreams.
-        :param team: the caller's team.
-        """
-        if upstreams:
-            self._refused_by_upstream.update(upstreams)
-            self._env.metrics.record_need_refusal("limit", team)
-
-    def promise(
+    def assign_turn(
         self, service: str, upstreams: Collection[str], left: clock.Ms
     ) -> clock.Ms:
         """Return the ms after which a refused caller may be served.
@@ -95,11 +83,11 @@
         places = [(one, self._datacentre(one)) for one in upstreams]
         now = self._env.clock.now()
         following = self.limits.next_turn(places, self.members, now)
-        promised_at = self._promised_at_by_service.get(service, 0.0)
-        at = max(now + following.wait, promised_at + following.interval)
+        assigned_at = self._assigned_at_by_service.get(service, 0.0)
+        at = max(now + following.wait, assigned_at + following.interval)
         if at - now > left:
-            return max(left, round(min(following.wait, _MAX_PROMISE)))
-        self._promised_at_by_service[service] = at
+            return max(left, round(min(following.wait, _MAX_WAIT)))
+        self._assigned_at_by_service[service] = at
         return round(at - now)
 
     def record_answer(
@@ -139,9 +127,8 @@
         :param upstreams: the ids to keep.
         """
         self.limits.retain(upstreams, self._env.clock.now())
-        self._unreadable &= upstreams
-        for upstream in self._refused_by_upstream.keys() - upstreams:
-            del self._refused_by_upstream[upstream]
+        self._unreadable.retain(upstreams)
+        self.refusals.retain(upstreams)
 
     def set_gauges(self) -> None:
         """Set the gauges of the limits in force."""
@@ -190,7 +177,7 @@
                 upstream=upstream,
                 per_second=limit.rate,
                 lasted_ms=self._env.clock.now() - limit.began_at,
-                refused_here=self._refused_by_upstream.pop(upstream, 0),
+                refused_here=self.refusals.take(upstream),
                 why=why,
             )
         return limit is not None
@@ -198,10 +185,9 @@
     def _record_named(self, upstream: str, text: bytes) -> None:
         rate = numbertext.parse_decimal(text.decode("latin-1"))
         if rate is None:
-            self._note_unreadable(upstream, text)
+            self._unreadable.note(upstream, text)
             return
         now = self._env.clock.now()
-        self._unreadable.discard(upstream)
         limit = upstreamlimits.Limit(rate, now, now)
         if self.record_limit(upstream, limit, "here"):
             self.on_change(upstream)
@@ -216,14 +202,3 @@
     def _datacentre(self, upstream: str) -> str:
         runner = self._directory.runner_by_id.get(upstream)
         return "" if runner is None else runner.datacentre
-
-    def _note_unreadable(self, upstream: str, text: bytes) -> None:
-        if upstream in self._unreadable:
-            return
-        self._unreadable.add(upstream)
-        self._env.log.change(
-            "limit unreadable",
-            upstream=upstream,
-            value=text[:_MAX_SHOWN].decode("latin-1"),
-            why="a decimal number of requests per second is expected",
-        )
--- a/src/citronvalve/forward/needs.py
+++ b/src/citronvalve/forward/needs.py
@@ -47,27 +47,37 @@
         self._limiter = limiter
         self._rests = rests
 
-    def held(self) -> frozenset[str]:
-        """Return the upstreams that may not get a request now."""
-        return self._limiter.held() | self._rests.resting()
+    def held(
+        self, candidates: Iterable[upstreamchoice.Candidate]
+    ) -> frozenset[str]:
+        """Return the upstreams that may not get a request now.
+
+        :param candidates: upstreams in service.
+        """
+        resting = self._rests.resting()
+        return frozenset(
+            upstream
+            for upstream in self.in_need(candidates)
+            if upstream in resting or not self._limiter.is_due(upstream)
+        )
 
-    def sound(
+    def without_need(
         self, candidates: Collection[upstreamchoice.Candidate]
     ) -> Collection[upstreamchoice.Candidate]:
         """Return the upstreams without a need, all if none is without.
 
         :param candidates: upstreams in service.
         """
-        in_need = set(self.among(candidates))
+        in_need = set(self.in_need(candidates))
         if not in_need:
             return candidates
-        sound = [c for c in candidates if c.upstream not in in_need]
-        return sound or candidates
+        others = [c for c in candidates if c.upstream not in in_need]
+        return others or candidates
 
-    def among(
+    def in_need(
         self, candidates: Iterable[upstreamchoice.Candidate]
     ) -> list[str]:
-        """Return the upstreams in need.
+        """Return the ids of the upstreams in need.
 
         :param candidates: upstreams in service.
         """
@@ -105,8 +115,8 @@
         team = pooluse.NO_TEAM if holder is None else holder.name
         resting = [one for one in in_need if self._rests.is_resting(one)]
         limited = [one for one in in_need if one not in resting]
-        self._limiter.record_refusal(limited, team)
-        self._rests.record_refusal(resting, team)
+        self._limiter.refusals.record(limited, team)
+        self._rests.refusals.record(resting, team)
         left = max(0, routed.deadline - self._env.clock.now())
         wait = min(
             self._rest_wait(resting),
@@ -141,7 +151,7 @@
     ) -> float:
         if not limited:
             return math.inf
-        return self._limiter.promise(routed.service.name, limited, left)
+        return self._limiter.assign_turn(routed.service.name, limited, left)
 
     def _repair_wait(self, left: clock.Ms) -> float:
         return min(
--- a/src/citronvalve/forward/placement.py
+++ b/src/citronvalve/forward/placement.py
@@ -3,7 +3,6 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Collection
-from collections.abc import Iterable
 from typing import NamedTuple
 
 from citronvalve.forward import attemptresult
@@ -129,7 +128,7 @@
                 max(_MIN_RETRY_AFTER, found.retry_in),
             )
         candidates = self._candidates(routed)
-        in_need = self._needs.among(candidates)
+        in_need = self._needs.in_need(candidates)
         why = self._passed_over(routed, tried, now)
         if in_need:
             others = why if len(in_need) < len(candidates) else ""
@@ -199,7 +198,7 @@
         :param result: the result of the last attempt.
         """
         candidates = self._candidates(routed)
-        in_need = self._needs.among(candidates)
+        in_need = self._needs.in_need(candidates)
         if in_need and len(in_need) == len(candidates):
             # Whoever comes back sooner is turned away again.
             return self._needs.refuse(routed, in_need)
@@ -299,7 +298,7 @@
         if model is None or _is_unusable(found):
             return None
         sizing = poolrooms.Sizing(
-            self._needs.sound(self._candidates(routed)),
+            self._needs.without_need(self._candidates(routed)),
             self._pace(routed.service, model),
             _OBJECTIVE_SHARE * routed.route.latency_objective,
             poolrooms.has_returned(routed),
@@ -332,13 +331,13 @@
 
     def _eligible(
         self,
-        candidates: Iterable[upstreamchoice.Candidate],
+        candidates: Collection[upstreamchoice.Candidate],
         routed: routedrequest.RoutedRequest,
         tried: list[str],
         now: clock.Ms,
     ) -> list[upstreamchoice.Candidate]:
         rate = self._cold_limit(routed)
-        held = self._needs.held()
+        held = self._needs.held(candidates)
         return [
             candidate
             for candidate in candidates
--- a/src/citronvalve/forward/rests.py
+++ b/src/citronvalve/forward/rests.py
@@ -1,21 +1,19 @@
 """Heeds how long upstreams that turned a request away want no other one."""
 
-import collections
 from collections.abc import Callable
 from collections.abc import Collection
 
 from citronvalve.forward import environment as environments
 from citronvalve.forward import headers
+from citronvalve.forward import refusalcounts
 from citronvalve.forward import responsehead
+from citronvalve.forward import unreadable
 from citronvalve.model import clock
 from citronvalve.model import numbertext
 from citronvalve.policy import upstreamrests
 
 _RETRY_AFTER = b"retry-after"
 
-#: Longest part of an unreadable value that is logged.
-_MAX_SHOWN = 40
-
 _NONE: frozenset[str] = frozenset()
 
 
@@ -27,6 +25,7 @@
     that one, too.
 
     :param env: the daemon's environment.
+    :ivar refusals: counts the callers that are refused for rests.
     :ivar rests: the rests.
     :ivar on_relayed: called with a daemon's name, an upstream's id and ms,
         when an upstream has turned away what that daemon relayed.
@@ -34,10 +33,10 @@
 
     def __init__(self, env: environments.Environment) -> None:
         self._env = env
-        self._unreadable: set[str] = set()
-        self._refused_by_upstream: collections.Counter[str] = (
-            collections.Counter()
+        self._unreadable = unreadable.UnreadableValues(
+            env, "rest unreadable", "a decimal number of seconds"
         )
+        self.refusals = refusalcounts.RefusalCounts(env, "rest")
         self.rests = upstreamrests.UpstreamRests()
         self.on_relayed: Callable[[str, str, int], None] = lambda *_: None
 
@@ -60,7 +59,7 @@
             return
         seconds = numbertext.parse_decimal(text.decode("latin-1"))
         if seconds is None:
-            self._note_unreadable(upstream, text)
+            self._unreadable.note(upstream, text)
             return
         self.record_rest(upstream, seconds * clock.SECOND, relay)
         if relay:
@@ -103,16 +102,6 @@
         """
         return self.rests.wait(upstreams, self._env.clock.now())
 
-    def record_refusal(self, upstreams: Collection[str], team: str) -> None:
-        """Record a request that is refused for rests.
-
-        :param upstreams: ids of the resting upstreams.
-        :param team: the caller's team.
-        """
-        if upstreams:
-            self._refused_by_upstream.update(upstreams)
-            self._env.metrics.record_need_refusal("rest", team)
-
     def is_resting(self, upstream: str) -> bool:
         """Return whether an upstream wants no request.
 
@@ -129,7 +118,7 @@
             self._env.log.change(
                 "upstream rested",
                 upstream=upstream,
-                refused_here=self._refused_by_upstream.pop(upstream, 0),
+                refused_here=self.refusals.take(upstream),
                 why="it has restarted",
             )
 
@@ -138,10 +127,10 @@
 
         :param upstreams: the ids to keep.
         """
-        self._unreadable &= upstreams
+        self._unreadable.retain(upstreams)
+        self.refusals.retain(upstreams)
         for upstream in self.rests.rest_by_upstream.keys() - upstreams:
             del self.rests.rest_by_upstream[upstream]
-            self._refused_by_upstream.pop(upstream, None)
 
     def update(self) -> None:
         """Set the gauges, and log the rests that are over."""
@@ -151,7 +140,7 @@
                 "upstream rested",
                 upstream=upstream,
                 lasted_ms=rest.until - rest.began_at,
-                refused_here=self._refused_by_upstream.pop(upstream, 0),
+                refused_here=self.refusals.take(upstream),
             )
         rests = self.rests.rest_by_upstream.values()
         oldest = max((now - rest.began_at for rest in rests), default=0)
@@ -162,14 +151,3 @@
             "Since the oldest rest under way was asked for.",
             oldest / clock.SECOND,
         )
-
-    def _note_unreadable(self, upstream: str, text: bytes) -> None:
-        if upstream in self._unreadable:
-            return
-        self._unreadable.add(upstream)
-        self._env.log.change(
-            "rest unreadable",
-            upstream=upstream,
-            value=text[:_MAX_SHOWN].decode("latin-1"),
-            why="a decimal number of seconds is expected",
-        )
--- a/tests/daemon/steps/limits_steps.py
+++ b/tests/daemon/steps/limits_steps.py
@@ -1,66 +1,29 @@
 """Steps about the exchange of upstreams' limits."""
 
-import random
-
 import behave
 import eventlet
 
 from citronvalve.daemon import limitexchange
 from citronvalve.forward import directory as directories
-from citronvalve.forward import environment as environments
-from citronvalve.forward import headernames
 from citronvalve.forward import limiter
 from citronvalve.model import clock
 from citronvalve.policy import upstreamlimits
-from citronvalve.replicas import lease as leases
-from tests import quietlog
-
-_LATENCY = 0.005
-
-#: Seconds in which a broadcast reaches everybody.
-_BROADCAST = 0.2
-
-
-class _Members:
-    """The known daemons, as the lease holds them."""
+from tests.daemon import exchangefleet
 
-    def __init__(self):
-        self.peer_by_name = {}
 
-
-class _Daemon:
-    def __init__(self, fleet, number, count):
-        self.name = f"daemon-{number}"
-        self._fleet = fleet
-        self.told = 0
-        self.env = environments.Environment(
-            self.name,
-            "zone-0",
-            clock.SystemClock(),
-            random.Random(number),
-            quietlog.QuietLog(),
-            headernames.HeaderNames(),
-        )
-        self.env.daemon_count = count
+class _Daemon(exchangefleet.Daemon):
+    def make(self, members):
         self.limiter = limiter.Limiter(
             self.env, directories.Directory("zone-0")
         )
-        self.exchange = limitexchange.LimitExchange(
-            self.env, fleet.members, self.limiter, self._broadcast, self._send
-        )
-        self.limiter.on_change = self.exchange.send_change
-        fleet.add(self)
-
-    def _broadcast(self, message):
-        self.told += 1
-        for address in self._fleet.daemon_by_name:
-            if address != self.name:
-                self._send(address, message)
-
-    def _send(self, address, message):
-        eventlet.spawn_after(
-            _LATENCY, self._fleet.deliver, self.name, address, message
+        exchange = limitexchange.LimitExchange(
+            self.env, members, self.limiter, self.broadcast, self.send
         )
+        self.limiter.on_change = exchange.send_change
+        return exchange
+
+    def receive(self, message):
+        self.exchange.on_limits(message)
 
     def name_limits(self, count=1, age=0):
         now = self.env.clock.now() - age
@@ -77,34 +40,9 @@
         return len(self.limiter.limits.limit_by_upstream)
 
 
-class _Fleet:
-    def __init__(self, count):
-        self.members = _Members()
-        self.daemon_by_name = {}
-        self.cut_off = set()
-        for number in range(count):
-            _Daemon(self, number, count)
-        for daemon in self.daemons:
-            daemon.exchange.start()
-
-    @property
-    def daemons(self):
-        return list(self.daemon_by_name.values())
-
-    def add(self, daemon):
-        self.daemon_by_name[daemon.name] = daemon
-        self.members.peer_by_name[daemon.name] = leases.Peer(
-            daemon.name, "zone-0"
-        )
-
-    def deliver(self, sender, address, message):
-        if not self.cut_off & {sender, address}:
-            self.daemon_by_name[address].exchange.on_limits(message)
-
-
 @behave.given("{count:d} daemons of one data centre")
 def step_fleet(context, count):
-    context.fleet = _Fleet(count)
+    context.fleet = exchangefleet.Fleet(count, _Daemon)
 
 
 def _tell_one(fleet):
@@ -118,38 +56,32 @@
 
 def _tell_and_end(fleet):
     _tell_one(fleet)
-    eventlet.sleep(_BROADCAST)
+    eventlet.sleep(exchangefleet.BROADCAST)
     fleet.daemons[1].end_limit()
 
 
 def _tell_and_start(fleet):
     _tell_one(fleet)
-    eventlet.sleep(_BROADCAST)
-    count = len(fleet.daemons)
-    _Daemon(fleet, count, count + 1).exchange.start()
-
-
-def _miss(fleet, act):
-    fleet.cut_off = {"daemon-4"}
-    act()
-    eventlet.sleep(_BROADCAST)
-    fleet.cut_off = set()
+    eventlet.sleep(exchangefleet.BROADCAST)
+    fleet.start_another()
 
 
 def _cut_and_tell(fleet):
-    _miss(fleet, fleet.daemons[0].name_limits)
+    fleet.miss(fleet.daemons[0].name_limits)
 
 
 def _cut_and_end(fleet):
     _tell_one(fleet)
-    eventlet.sleep(_BROADCAST)
-    _miss(fleet, fleet.daemons[1].end_limit)
+    eventlet.sleep(exchangefleet.BROADCAST)
+    fleet.miss(fleet.daemons[1].end_limit)
 
 
 def _tell_late(fleet):
     _tell_and_end(fleet)
-    eventlet.sleep(_BROADCAST)
-    fleet.daemons[2].name_limits(age=round(_BROADCAST * clock.SECOND))
+    eventlet.sleep(exchangefleet.BROADCAST)
+    fleet.daemons[2].name_limits(
+        age=round(exchangefleet.BROADCAST * clock.SECOND)
+    )
 
 
 def _tell_many(fleet):
@@ -183,17 +115,17 @@
 
 @behave.then("within {seconds:g} s all daemons know {limits:d} limits")
 def step_know(context, seconds, limits):
-    end = clock.SystemClock().now() + seconds * clock.SECOND
-    fleet = context.fleet
-    while {daemon.count for daemon in fleet.daemons} != {limits}:
-        counts = [daemon.count for daemon in fleet.daemons]
-        assert clock.SystemClock().now() < end, counts
-        eventlet.sleep(0.01)
+    def counts():
+        return [daemon.count for daemon in context.fleet.daemons]
+
+    exchangefleet.wait_until(
+        lambda: set(counts()) == {limits}, seconds, counts
+    )
 
 
 @behave.then("at most {most:d} of them tell all others")
 def step_few(context, most):
-    eventlet.sleep(_BROADCAST)
+    eventlet.sleep(exchangefleet.BROADCAST)
     telling = sum(daemon.told for daemon in context.fleet.daemons)
     assert 0 < telling <= most, telling
 
--- a/tests/forward/steps/limits_steps.py
+++ b/tests/forward/steps/limits_steps.py
@@ -195,11 +195,13 @@
 
 @behave.then(
     'the metrics show {count:d} refusals of {team} for "{need}", and '
-    "{limited:d} limited upstreams"
+    "{upstreams:d} {what} upstreams"
 )
-def step_metrics(context, count, team, need, limited):
-    context.rig.limiter.set_gauges()
-    text = context.rig.env.metrics.render().decode()
+def step_metrics(context, count, team, need, upstreams, what):
+    rig = context.rig
+    rig.limiter.set_gauges()
+    rig.rests.update()
+    text = rig.env.metrics.render().decode()
     shown = f'need_refusals_total{{need="{need}",team="{team}"}} {count}\n'
     assert shown in text, text
-    assert f"limited_upstreams {limited}" in text, text
+    assert f"{what}_upstreams {upstreams}" in text, text
--- a/tests/forward/steps/rests_steps.py
+++ b/tests/forward/steps/rests_steps.py
@@ -147,18 +147,6 @@
     assert set(refusals.values()) == {relayframe.Reason.RESTING}, refusals
 
 
-@behave.then(
-    'the metrics show {count:d} refusals of {team} for "{need}", and '
-    "{resting:d} resting upstreams"
-)
-def step_metrics(context, count, team, need, resting):
-    context.rig.rests.update()
-    text = context.rig.env.metrics.render().decode()
-    shown = f'need_refusals_total{{need="{need}",team="{team}"}} {count}\n'
-    assert shown in text, text
-    assert f"resting_upstreams {resting}" in text, text
-
-
 @behave.when(
     "the first asked for a rest of {seconds:g} s, the second fails, and a "
     "caller sends {path}"
