--- a/tests/processes/processes.feature
+++ b/tests/processes/processes.feature
@@ -127,6 +127,15 @@
     Then no promise was broken
     And from 3 s after that what this daemon reads is served at least three quarters as often as before
 
+  Scenario: a daemon wakes after replicas have changed
+    Guards against a daemon that was paused for seconds and sends requests by
+    the list that it held before: one for a model then runs at a replica of
+    another one, to which the head was joined meanwhile.
+
+    Given a soak of seed 1440 for 26 s with 4 daemons
+    When it has run
+    Then no promise was broken
+
   Scenario: a process starts right after connections were reset
     The soak of seed 544 lost a daemon's start: the number of a connection that
     a relay had reset went to the new process's pipe, and the hub still had
