--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -18,6 +18,7 @@
 from citronvalve.daemon import listener
 from citronvalve.daemon import memorytask
 from citronvalve.daemon import messagetask
+from citronvalve.daemon import needexchange
 from citronvalve.daemon import plannertask
 from citronvalve.daemon import platforminterface as ports_
 from citronvalve.daemon import roomreport
@@ -29,12 +30,9 @@
 from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
 from citronvalve.forward import forwarder
-from citronvalve.forward import leaving
-from citronvalve.forward import limiter
 from citronvalve.forward import needs
 from citronvalve.forward import placement
 from citronvalve.forward import poolrooms
-from citronvalve.forward import rests
 from citronvalve.forward import retrybudgets
 from citronvalve.forward import stalldetector
 from citronvalve.model import clock
@@ -121,8 +119,7 @@
             self._peers_wait(), not self._settings.first_start
         )
         self._crash_exchange.start()
-        self._limit_exchange.start()
-        self._leaving_exchange.start()
+        self._need_exchange.start()
         eventlet.spawn(self._renew_lease)
         eventlet.spawn(self._planner_task.run)
         eventlet.spawn(self._clean_up)
@@ -141,10 +138,8 @@
         self._links.attach(self._stall_detector)
         pool = self._links.pool
         self._crash_detector = crashdetector.CrashDetector(env, pool)
-        self._limiter = limiter.Limiter(env, self.directory)
-        self._rests = rests.Rests(env)
-        self._links.heed(self._rests)
-        self._leaving = leaving.Leaving(env, self.directory)
+        self._needs = needs.Needs(env, self.directory)
+        self._links.heed(self._needs.rests)
         self._rooms = (
             poolrooms.PoolRooms(env, self.directory, self._loads)
             if settings.features.fair_shares
@@ -161,15 +156,13 @@
                 self.directory,
                 self._loads,
                 settings.cold,
-                needs.Needs(env, self._limiter, self._rests),
+                self._needs,
                 self._rooms,
             ),
             retrybudgets.RetryBudgets(env, settings.repeats),
             self._stall_detector,
             self._crash_detector,
-            self._limiter,
-            self._rests,
-            self._leaving,
+            self._needs,
         )
         self._forwarder = forwarder.Forwarder(
             self._dependencies, admission.Admission(env, self.directory)
@@ -205,7 +198,9 @@
         self._lease.has_majority = self._messages.hears_majority
         self._lease.rank = self._lead_rank
         self._exchange_crashes()
-        self._exchange_needs()
+        self._need_exchange = needexchange.NeedExchange(
+            env, self._needs, self._lease, self._messages
+        )
         self._messages.load_broadcaster.is_nearly_full = (
             self._dependencies.placement.is_pressed
         )
@@ -243,15 +238,6 @@
         exchange.record = record.write
         self._lease.on_row = self._read_crashes
 
-    def _exchange_needs(self) -> None:
-        exchange = self._messages.exchange_limits(self._limiter)
-        self._limiter.on_change = exchange.send_change
-        self._rests.on_relayed = self._messages.send_rest
-        self._messages.on_rest = self._rests.record_rest
-        self._limit_exchange = exchange
-        self._leaving_exchange = self._messages.exchange_leaving(self._leaving)
-        self._leaving.on_change = self._leaving_exchange.send_change
-
     def _read_crashes(self, row: rows.Row) -> None:
         if row.key == crashrecord.KEY:
             evidence = crashrecord.parse(row.value, self.env.clock.now())
@@ -290,7 +276,7 @@
             self.env, self.directory, self._loads, self._platform.decode_runner
         )
         runner_listener.schedule = _schedule
-        runner_listener.on_restart = self._on_runner_restart
+        runner_listener.on_restart = self._needs.record_restart
         configuration_listener = configurationlistener.ConfigurationListener(
             self.env, self.directory, self._platform
         )
@@ -327,10 +313,6 @@
                 self._lease.is_store_away = tail_.is_store_away
             eventlet.spawn(tail_.run)
 
-    def _on_runner_restart(self, upstream: str) -> None:
-        self._limiter.record_restart(upstream)
-        self._rests.record_restart(upstream)
-
     def _peers_wait(self) -> clock.Ms:
         """Return the ms for which other daemons may send the first rows."""
         usual = (
@@ -352,8 +334,7 @@
         while True:
             listed = set(self.directory.runner_by_id)
             self._loads.retain(listed)
-            for needs_kept in (self._limiter, self._rests, self._leaving):
-                needs_kept.retain(listed)
+            self._needs.update(listed)
             self._memory.count_upstreams(len(listed))
             self._update_gauges()
             if self._settings.features.even_load:
@@ -371,9 +352,6 @@
         set_gauge("connections", "Callers' connections.", self._acceptor.count)
         self._links.set_gauges(set_gauge)
         self._memory.set_gauges(set_gauge)
-        self._limiter.set_gauges()
-        self._rests.update()
-        self._leaving.set_gauges()
         set_gauge("log_lines_dropped", "Lines dropped.", self._log.dropped)
         set_gauge(
             "leading", "Whether it leads.", float(bool(self._lease.held))
--- a/src/citronvalve/daemon/messagetask.py
+++ b/src/citronvalve/daemon/messagetask.py
@@ -6,14 +6,10 @@
 import eventlet
 
 from citronvalve.daemon import crashexchange
-from citronvalve.daemon import leavingexchange
-from citronvalve.daemon import limitexchange
 from citronvalve.daemon import loadbroadcaster
 from citronvalve.daemon import newcomers
 from citronvalve.daemon import tablemessages
 from citronvalve.forward import environment as environments
-from citronvalve.forward import leaving as leaving_
-from citronvalve.forward import limiter as limiters
 from citronvalve.model import clock
 from citronvalve.model import missing
 from citronvalve.peers import distributor as distributors
@@ -72,8 +68,6 @@
     :ivar tables: makes and applies messages about the followed tables.
     :ivar load_broadcaster: sends the load of upstreams.
     :ivar on_stall: called with the id of a stalled upstream.
-    :ivar on_rest: called with the id of an upstream and the ms for which it
-        wants no request from this daemon.
     """
 
     def __init__(
@@ -111,7 +105,6 @@
             messages.DatacentreLoads: self._on_datacentre_loads,
             messages.OtherLoads: self._on_other_loads,
             messages.Relayed: self._on_relayed,
-            messages.UpstreamRest: self._on_rest,
         }
         self._on_contact: Callable[[], None] = lambda: None
         self._distributor = distributors.Distributor(
@@ -125,7 +118,6 @@
         self._started_at = env.clock.now()
         self._hellos_due = 0
         self.on_stall: Callable[[str], None] = lambda _: None
-        self.on_rest: Callable[[str, float], None] = lambda *_: None
 
     def start(self, tables_wait: clock.Ms, is_restart: bool) -> None:
         """Open the sockets and start the tasks.
@@ -179,7 +171,7 @@
         """Send changes of a table; return the size of the message."""
         changes = self.tables.make_changes(lease, table, base, scan)
         if lease:
-            self._broadcast(changes)
+            self.broadcast(changes)
         else:
             self._broadcast_locally(changes)
         return len(self._codec.encode(changes))
@@ -213,17 +205,15 @@
         """
         if self._lease.held:
             self.on_stall(upstream)
-        self._broadcast(messages.Stall(upstream))
+        self.broadcast(messages.Stall(upstream))
 
-    def send_rest(self, relay: str, upstream: str, duration: clock.Ms) -> None:
-        """Inform a daemon that an upstream turned away what it relayed.
+    def send_to(self, name: str, message: messages.Message) -> None:
+        """Send a message to a daemon, if it is known.
 
-        :param relay: the daemon's name.
-        :param upstream: the upstream's id.
-        :param duration: ms for which it wants no other request.
+        :param name: the daemon's name.
+        :param message: the message.
         """
-        rest = messages.UpstreamRest(self._env.name, upstream, duration)
-        self._send_all([distributors.Outgoing(relay, rest)])
+        self._send_all([distributors.Outgoing(name, message)])
 
     def request_full_update(self, table: str) -> None:
         """Ask the leader for a full update of a table.
@@ -246,8 +236,8 @@
             self._address,
             self._lease,
             suspects,
-            self._broadcast,
-            self._send_message,
+            self.broadcast,
+            self.send_message,
         )
         self._handler_by_type |= {
             messages.CrashEvidence: exchange.on_evidence,
@@ -256,43 +246,21 @@
         self._on_contact = exchange.record_contact
         return exchange
 
-    def exchange_limits(
-        self, limiter: limiters.Limiter
-    ) -> limitexchange.LimitExchange:
-        """Return the exchange of upstreams' limits, for its messages.
+    def register(
+        self, kind: type, handle: Callable[[messages.Message], None]
+    ) -> None:
+        """Set what takes in the messages of a type.
 
-        :param limiter: records the limits.
+        :param kind: the type.
+        :param handle: called with each message.
         """
-        exchange = limitexchange.LimitExchange(
-            self._env,
-            self._lease,
-            limiter,
-            self._broadcast,
-            self._send_message,
-        )
-        exchange.is_reachable = self._may_reach
-        self._handler_by_type[messages.LimitReport] = exchange.on_limits
-        return exchange
+        self._handler_by_type[kind] = handle
 
-    def exchange_leaving(
-        self, leaving: leaving_.Leaving
-    ) -> leavingexchange.LeavingExchange:
-        """Return the exchange of upstreams that leave, for its messages.
+    def may_reach(self, name: str) -> bool:
+        """Return whether a daemon was heard lately, or would not be heard.
 
-        :param leaving: records them.
+        :param name: the daemon's name.
         """
-        exchange = leavingexchange.LeavingExchange(
-            self._env,
-            self._lease,
-            leaving,
-            self._broadcast,
-            self._send_message,
-        )
-        self._handler_by_type[messages.LeavingUpstreams] = exchange.on_leaving
-        return exchange
-
-    def _may_reach(self, name: str) -> bool:
-        """Return whether a daemon was heard lately, or would not be heard."""
         topology, now = self._distributor.topology, self._env.clock.now()
         return not topology.is_direct or topology.is_heard(
             name, _MEMBER_TIMEOUT, now
@@ -326,7 +294,7 @@
         while True:
             self._update_peers()
             if self._lease.is_renewed:
-                self._broadcast(self.tables.make_heartbeat(self._lease.held))
+                self.broadcast(self.tables.make_heartbeat(self._lease.held))
             elif self.is_reader():
                 self._broadcast_locally(self.tables.make_heartbeat(0))
             else:
@@ -348,7 +316,7 @@
             )
         if self._hellos_due:
             self._hellos_due -= 1
-            self._broadcast(
+            self.broadcast(
                 messages.Hello(
                     self._env.name,
                     self._address,
@@ -357,7 +325,11 @@
                 )
             )
 
-    def _broadcast(self, item: messages.Broadcast) -> None:
+    def broadcast(self, item: messages.Broadcast) -> None:
+        """Send a message to all daemons.
+
+        :param item: the message.
+        """
         now = self._env.clock.now()
         self._send_all(self._distributor.broadcast(item, now))
 
@@ -376,7 +348,12 @@
             if peer is not None:
                 self._send_data(peer.address, data)
 
-    def _send_message(self, address: str, message: messages.Message) -> None:
+    def send_message(self, address: str, message: messages.Message) -> None:
+        """Send a message to an address.
+
+        :param address: host:port.
+        :param message: the message.
+        """
         self._send_data(address, self._codec.encode(message))
 
     def _send_data(self, address: str, data: bytes) -> None:
@@ -421,9 +398,6 @@
     def _on_stall(self, message: messages.Stall) -> None:
         self.on_stall(message.upstream)
 
-    def _on_rest(self, message: messages.UpstreamRest) -> None:
-        self.on_rest(message.upstream, message.duration)
-
     def _on_daemon_loads(self, message: messages.DaemonLoads) -> None:
         self._distributor.apply_daemon_loads(message, self._env.clock.now())
 
--- a/src/citronvalve/forward/attempt.py
+++ b/src/citronvalve/forward/attempt.py
@@ -280,13 +280,9 @@
         self._run = self._run._replace(answered_at=self._env.clock.now())
         self._record_activity()
         self._record_start()
-        self._deps.limiter.record_answer(
-            self.chosen.upstream, response, self._sent_at
+        self._deps.needs.record_answer(
+            self.chosen.upstream, response, self._sent_at, self.relay
         )
-        self._deps.rests.record_answer(
-            self.chosen.upstream, response, self.relay
-        )
-        self._deps.leaving.record_answer(self.chosen.upstream, response)
         load = response.load(self._env.header_names)
         if load is not None:
             now = self._env.clock.now()
--- a/src/citronvalve/forward/dependencies.py
+++ b/src/citronvalve/forward/dependencies.py
@@ -7,10 +7,8 @@
 from citronvalve.forward import crashdetector
 from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
-from citronvalve.forward import leaving as leaving_
-from citronvalve.forward import limiter as limiters
+from citronvalve.forward import needs as needs_
 from citronvalve.forward import placement as placements
-from citronvalve.forward import rests as rests_
 from citronvalve.forward import retrybudgets
 from citronvalve.forward import stalldetector
 from citronvalve.policy import upstreamchoice
@@ -28,6 +26,4 @@
     retry_budgets: retrybudgets.RetryBudgets
     stall_detector: stalldetector.StallDetector
     crash_detector: crashdetector.CrashDetector
-    limiter: limiters.Limiter
-    rests: rests_.Rests
-    leaving: leaving_.Leaving
+    needs: needs_.Needs
--- a/src/citronvalve/forward/needs.py
+++ b/src/citronvalve/forward/needs.py
@@ -4,8 +4,11 @@
 from collections.abc import Iterable
 import math
 
+from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
+from citronvalve.forward import leaving as leaving_
 from citronvalve.forward import limiter as limiters
+from citronvalve.forward import responsehead
 from citronvalve.forward import rests as rests_
 from citronvalve.forward import routedrequest
 from citronvalve.model import clock
@@ -30,22 +33,59 @@
 
 
 class Needs:
-    """What upstreams in need ask for, as far as it concerns the next request.
+    """What upstreams in need ask for, and what that means for requests.
 
     :param env: the daemon's environment.
-    :param limiter: the rates that upstreams have named.
-    :param rests: how long upstreams want no request.
+    :param directory: the upstreams.
+    :ivar limiter: the rates that upstreams have named.
+    :ivar rests: how long upstreams want no request.
+    :ivar leaving: the upstreams that have said that they leave.
     """
 
     def __init__(
         self,
         env: environments.Environment,
-        limiter: limiters.Limiter,
-        rests: rests_.Rests,
+        directory: directories.Directory,
     ) -> None:
         self._env = env
-        self._limiter = limiter
-        self._rests = rests
+        self.limiter = limiters.Limiter(env, directory)
+        self.rests = rests_.Rests(env)
+        self.leaving = leaving_.Leaving(env, directory)
+
+    def record_answer(
+        self,
+        upstream: str,
+        response: responsehead.ResponseHead,
+        sent_at: clock.Ms,
+        relay: str,
+    ) -> None:
+        """Record what an answer says of its upstream's needs.
+
+        :param upstream: the upstream's id.
+        :param response: the answer's head.
+        :param sent_at: monotonic ms at which its request was sent.
+        :param relay: the daemon that relayed it, empty if it is direct.
+        """
+        self.limiter.record_answer(upstream, response, sent_at)
+        self.rests.record_answer(upstream, response, relay)
+        self.leaving.record_answer(upstream, response)
+
+    def record_restart(self, upstream: str) -> None:
+        """Record that an upstream has started again and asked for nothing.
+
+        :param upstream: its id.
+        """
+        self.limiter.record_restart(upstream)
+        self.rests.record_restart(upstream)
+
+    def update(self, upstreams: set[str]) -> None:
+        """Forget all other upstreams, and set the gauges.
+
+        :param upstreams: ids of the listed upstreams.
+        """
+        for kept in (self.limiter, self.rests, self.leaving):
+            kept.retain(upstreams)
+            kept.set_gauges()
 
     def held(
         self, candidates: Iterable[upstreamchoice.Candidate]
@@ -54,11 +94,11 @@
 
         :param candidates: upstreams in service.
         """
-        resting = self._rests.resting()
+        resting = self.rests.resting()
         return frozenset(
             upstream
             for upstream in self.in_need(candidates)
-            if upstream in resting or not self._limiter.is_due(upstream)
+            if upstream in resting or not self.limiter.is_due(upstream)
         )
 
     def without_need(
@@ -81,8 +121,8 @@
 
         :param candidates: upstreams in service.
         """
-        limits = self._limiter.limits.limit_by_upstream
-        resting = self._rests.resting()
+        limits = self.limiter.limits.limit_by_upstream
+        resting = self.rests.resting()
         if not limits and not resting:
             return []
         return [
@@ -96,7 +136,7 @@
 
         :param upstream: the upstream's id.
         """
-        self._limiter.record_sent(upstream)
+        self.limiter.record_sent(upstream)
 
     def refuse(
         self,
@@ -113,10 +153,10 @@
         """
         holder = routed.key_holder
         team = pooluse.NO_TEAM if holder is None else holder.name
-        resting = [one for one in in_need if self._rests.is_resting(one)]
+        resting = [one for one in in_need if self.rests.is_resting(one)]
         limited = [one for one in in_need if one not in resting]
-        self._limiter.refusals.record(limited, team)
-        self._rests.refusals.record(resting, team)
+        self.limiter.refusals.record(limited, team)
+        self.rests.refusals.record(resting, team)
         left = max(0, routed.deadline - self._env.clock.now())
         wait = min(
             self._rest_wait(resting),
@@ -140,7 +180,7 @@
         )
 
     def _rest_wait(self, resting: list[str]) -> float:
-        wait = self._rests.wait(resting)
+        wait = self.rests.wait(resting)
         return wait * (1 + _SPREAD * self._env.rng.random())
 
     def _limit_wait(
@@ -151,7 +191,7 @@
     ) -> float:
         if not limited:
             return math.inf
-        return self._limiter.assign_turn(routed.service.name, limited, left)
+        return self.limiter.assign_turn(routed.service.name, limited, left)
 
     def _repair_wait(self, left: clock.Ms) -> float:
         return min(
--- a/src/citronvalve/forward/rests.py
+++ b/src/citronvalve/forward/rests.py
@@ -131,17 +131,11 @@
         self.refusals.retain(upstreams)
         for upstream in self.rests.rest_by_upstream.keys() - upstreams:
             del self.rests.rest_by_upstream[upstream]
+        self._end_rests()
 
-    def update(self) -> None:
-        """Set the gauges, and log the rests that are over."""
+    def set_gauges(self) -> None:
+        """Set the gauges of the rests under way."""
         now = self._env.clock.now()
-        for upstream, rest in self.rests.prune(now).items():
-            self._env.log.change(
-                "upstream rested",
-                upstream=upstream,
-                lasted_ms=rest.until - rest.began_at,
-                refused_here=self.refusals.take(upstream),
-            )
         rests = self.rests.rest_by_upstream.values()
         oldest = max((now - rest.began_at for rest in rests), default=0)
         set_gauge = self._env.metrics.set_gauge
@@ -151,3 +145,14 @@
             "Since the oldest rest under way was asked for.",
             oldest / clock.SECOND,
         )
+
+    def _end_rests(self) -> None:
+        """Log and drop the rests that are over."""
+        now = self._env.clock.now()
+        for upstream, rest in self.rests.prune(now).items():
+            self._env.log.change(
+                "upstream rested",
+                upstream=upstream,
+                lasted_ms=rest.until - rest.began_at,
+                refused_here=self.refusals.take(upstream),
+            )
--- a/tests/forward/rig.py
+++ b/tests/forward/rig.py
@@ -13,13 +13,10 @@
 from citronvalve.forward import environment as environments
 from citronvalve.forward import forwarder
 from citronvalve.forward import headernames
-from citronvalve.forward import leaving
-from citronvalve.forward import limiter
 from citronvalve.forward import linkchecker
 from citronvalve.forward import needs
 from citronvalve.forward import placement
 from citronvalve.forward import poolrooms
-from citronvalve.forward import rests
 from citronvalve.forward import retrybudgets
 from citronvalve.forward import stalldetector
 from citronvalve.model import clock
@@ -116,9 +113,10 @@
         self.stall_detector.is_lost = self.link_checker.is_lost
         self.stall_detector.is_doubted = self.link_checker.is_doubted
         self.retry_budgets = retrybudgets.RetryBudgets(self.env, limits)
-        self.limiter = limiter.Limiter(self.env, self.directory)
-        self.rests = rests.Rests(self.env)
-        self.leaving = leaving.Leaving(self.env, self.directory)
+        self.needs = needs.Needs(self.env, self.directory)
+        self.limiter = self.needs.limiter
+        self.rests = self.needs.rests
+        self.leaving = self.needs.leaving
         deps = dependencies.Dependencies(
             self.env,
             self.directory,
@@ -130,15 +128,13 @@
                 self.directory,
                 loads,
                 placement.ColdLimits(),
-                needs.Needs(self.env, self.limiter, self.rests),
+                self.needs,
                 self._rooms() if fair_shares else None,
             ),
             self.retry_budgets,
             self.stall_detector,
             crashdetector.CrashDetector(self.env, pool),
-            self.limiter,
-            self.rests,
-            self.leaving,
+            self.needs,
         )
         self.crash_detector = deps.crash_detector
         self.placement = deps.placement
--- a/tests/forward/steps/limits_steps.py
+++ b/tests/forward/steps/limits_steps.py
@@ -200,7 +200,7 @@
 def step_metrics(context, count, team, need, upstreams, what):
     rig = context.rig
     rig.limiter.set_gauges()
-    rig.rests.update()
+    rig.rests.set_gauges()
     text = rig.env.metrics.render().decode()
     shown = f'need_refusals_total{{need="{need}",team="{team}"}} {count}\n'
     assert shown in text, text
--- a/tests/placing/steps/placing_steps.py
+++ b/tests/placing/steps/placing_steps.py
@@ -6,10 +6,8 @@
 import behave
 
 from citronvalve.forward import directory
-from citronvalve.forward import limiter
 from citronvalve.forward import needs
 from citronvalve.forward import placement
-from citronvalve.forward import rests
 from citronvalve.model import manualclock
 from citronvalve.model import refusal
 from citronvalve.policy import upstreamchoice
@@ -156,7 +154,7 @@
         replicas,
         upstreamchoice.LoadTable(),
         placement.ColdLimits(),
-        needs.Needs(env, limiter.Limiter(env, replicas), rests.Rests(env)),
+        needs.Needs(env, replicas),
     )
     now = env.clock.now()
     context.placed = placing.place(
--- a/tests/work/daemons.py
+++ b/tests/work/daemons.py
@@ -4,12 +4,10 @@
 import types
 
 from citronvalve.forward import directory as directories
-from citronvalve.forward import limiter
 from citronvalve.forward import metrics
 from citronvalve.forward import needs
 from citronvalve.forward import placement
 from citronvalve.forward import poolrooms
-from citronvalve.forward import rests
 from citronvalve.policy import loaddetails
 from citronvalve.policy import upstreamchoice
 
@@ -58,16 +56,12 @@
             self._directory,
             self.loads,
             placement.ColdLimits(),
-            self._needs(),
+            needs.Needs(self._env, self._directory),
             self.rooms,
         )
         steps = 1 if self._work.daemons <= _MAX_DIRECT_DAEMONS else 2
         self.placement.set_report_age(lambda: steps * REPORT_INTERVAL)
 
-    def _needs(self):
-        limits = limiter.Limiter(self._env, self._directory)
-        return needs.Needs(self._env, limits, rests.Rests(self._env))
-
     def update_directory(self, world, out):
         """Apply the list of runners.
 
