Tell callers of a daemon without links when its relays' upstreams have rested

Callers of daemons without links were told 0.25 s though no daemon could relay to any upstream for seconds, and each request asked up to three relays for each of its tries.

Cause: a relay that was asked for rest refused with a reason alone; the other daemon took it for a lost link.

Change: the refusal says for how long; the other daemon counts the upstream as resting until the first of its relays may ask again, tries another one, and spends no retry.

--- a/src/citronvalve/daemon/linktask.py
+++ b/src/citronvalve/daemon/linktask.py
@@ -81,7 +81,7 @@
         :param rests: how long they want none.
         """
         if self._server is not None:
-            self._server.is_resting = rests.is_resting
+            self._server.rest_left = rests.rest_left
 
     def start(self) -> None:
         """Start the tasks."""
--- a/src/citronvalve/forward/attempt.py
+++ b/src/citronvalve/forward/attempt.py
@@ -164,6 +164,9 @@
     def _handle_unreached(
         self, error: exchangeerror.ExchangeError
     ) -> attemptresult.AttemptResult:
+        if error.failure is _Failure.RESTING:
+            self._record_rest(error)
+            return _Result(_Ending.RESTING, str(error))
         if error.failure is _Failure.NO_LINK:
             if not self._deps.connector.links.is_cut:
                 # The leader has to learn of a data centre that is cut off.
@@ -303,6 +306,9 @@
     ) -> attemptresult.AttemptResult:
         why = str(error)
         match error.failure:
+            case _Failure.RESTING:
+                self._record_rest(error)
+                return _Result(_Ending.RESTING, why)
             case _Failure.NO_LINK:
                 # The relay refused it before it passed anything on.
                 return _Result(_Ending.NOT_RUN, why)
@@ -320,6 +326,10 @@
         self._record_failure()
         return _Result(_Ending.BROKEN, why)
 
+    def _record_rest(self, error: exchangeerror.ExchangeError) -> None:
+        """Record that the upstream rests for those that could relay."""
+        self._deps.needs.rests.record_rest(self.chosen.upstream, error.rest)
+
     def _record_silence(self) -> None:
         # All open connections may be silent while new ones work.
         self._deps.pool.close_idle(self._target.address)
--- a/src/citronvalve/forward/attemptresult.py
+++ b/src/citronvalve/forward/attemptresult.py
@@ -17,6 +17,8 @@
     NOT_RUN = enum.auto()
     #: The same, since no link leads to the upstream.
     UNLINKED = enum.auto()
+    #: The same, and those that relay were asked for rest by the upstream.
+    RESTING = enum.auto()
     #: The request may have run; there is no complete response.
     BROKEN = enum.auto()
     #: Nothing arrived in time; the upstream may be stalled.
--- a/src/citronvalve/forward/connector.py
+++ b/src/citronvalve/forward/connector.py
@@ -177,15 +177,20 @@
         return relayed
 
     def _unreached(
-        self, target: Target, reason: _Reason | None, error: OSError
+        self,
+        target: Target,
+        reason: _Reason | relayframe.Refusal | None,
+        error: OSError,
     ) -> exchangeerror.ExchangeError:
-        """Return the error for an upstream that no daemon reaches."""
+        """Return the error for an upstream that is not reached."""
         failed = self._failed(error)
-        if reason is not _Reason.NO_LINK:
+        is_resting = isinstance(reason, relayframe.Refusal)
+        if reason is not _Reason.NO_LINK and not is_resting:
             return failed
-        # Nobody can tell the upstream's failure from the links'.
+        # Nobody can tell the upstream's failure from the links', or it works
+        # and wants nothing from those that relay.
         self._record_lost(target, "")
-        return _no_link()
+        return _no_link(reason)
 
     def _open_relayed(
         self, target: Target, request_id: str
@@ -197,17 +202,19 @@
             raise exchangeerror.ExchangeError(
                 _Failure.UNREACHED, "another daemon does not reach it either"
             )
-        raise _no_link()
+        raise _no_link(relayed)
 
     def _ask_others(
         self, target: Target, request_id: str
-    ) -> transport.Transport | _Reason | None:
+    ) -> transport.Transport | _Reason | relayframe.Refusal | None:
         """Return a relayed connection, or why there is none.
 
-        :returns: None if there is no daemon to ask.
+        :returns: None if there is no daemon to ask, a refusal if the upstream
+            wants no request from any that has links.
         """
         asked: set[str] = set()
         found = _Reason.NO_LINK if self.relays() else None
+        rests: list[relayframe.Refusal] = []
         end = self._env.clock.now() + _MAX_ASK_TIME
         while len(asked) < _MAX_ASKED and self._env.clock.now() < end:
             now = self._env.clock.now()
@@ -216,16 +223,18 @@
                 break
             asked.add(relay.name)
             answer = self._ask(relay, target, request_id)
-            if answer is _Reason.NOT_IN_SERVICE:
+            if isinstance(answer, relayframe.Refusal):
+                rests.append(answer)
+            elif answer is _Reason.NOT_IN_SERVICE:
                 # One that has just started may be listed elsewhere.
                 found = answer
             elif answer is not None:
                 return answer
-        return found
+        return min(rests, key=lambda one: one.rest, default=found)
 
     def _ask(
         self, relay: relaychoice.Relay, target: Target, request_id: str
-    ) -> transport.Transport | _Reason | None:
+    ) -> transport.Transport | _Reason | relayframe.Refusal | None:
         """Ask one daemon; return None if it can't tell."""
         opening = relayframe.Opening(
             self._env.name, target.upstream, request_id
@@ -262,8 +271,9 @@
 
     def _note_refusal(
         self, relay: str, opening: relayframe.Opening, reason: str
-    ) -> _Reason | None:
-        known = {one.value: one for one in _Reason}.get(reason)
+    ) -> _Reason | relayframe.Refusal | None:
+        refused = relayframe.decode_refusal(reason)
+        known = refused.reason
         self.on_relaying(known or "failed")
         self._log_refusal(relay, opening, reason)
         now = self._env.clock.now()
@@ -273,7 +283,7 @@
             return known
         if known is _Reason.RESTING:
             # It may relay to other upstreams.
-            return None
+            return refused
         self._choice.record_refusal(relay, now, known is _Reason.BUSY)
         return None
 
@@ -338,7 +348,16 @@
         self.on_lost(target.upstream)
 
 
-def _no_link() -> exchangeerror.ExchangeError:
+def _no_link(
+    found: _Reason | relayframe.Refusal | None,
+) -> exchangeerror.ExchangeError:
+    if isinstance(found, relayframe.Refusal):
+        return exchangeerror.ExchangeError(
+            _Failure.RESTING,
+            "this VM has no link to the upstream, which wants no request from "
+            "those that relay",
+            found.rest,
+        )
     return exchangeerror.ExchangeError(
         _Failure.NO_LINK,
         "this VM has no link to the upstream, and no other daemon relays",
--- a/src/citronvalve/forward/dispatch.py
+++ b/src/citronvalve/forward/dispatch.py
@@ -21,7 +21,11 @@
 _MIN_ATTEMPT_TIME: clock.Ms = 60
 
 _Ending = attemptresult.Ending
-_CERTAINLY_NOT_RUN = frozenset({_Ending.NOT_RUN, _Ending.UNLINKED})
+
+#: Nothing was sent, so that no retry is spent.
+_UNSENT = frozenset({_Ending.UNLINKED, _Ending.RESTING})
+
+_CERTAINLY_NOT_RUN = _UNSENT | {_Ending.NOT_RUN}
 _Kind = refusal.RefusalKind
 
 #: Statuses which imply that the request did not run.
@@ -135,7 +139,7 @@
         chosen: upstreamchoice.Chosen,
         last: attemptresult.AttemptResult | None,
     ) -> attempts.Attempt:
-        if last is not None and last.ending is not _Ending.UNLINKED:
+        if last is not None and last.ending not in _UNSENT:
             self._deps.retry_budgets.spend(self._routed.service.name)
         if not self._tried:
             self._deps.placement.record_start(self._routed)
@@ -229,9 +233,11 @@
     def _may_retry(self, result: attemptresult.AttemptResult) -> bool:
         if not self._may_attempt_again():
             return False
+        if result.ending is _Ending.RESTING:
+            # Others may be relayed to.
+            return True
         if result.ending is _Ending.UNLINKED:
-            # Nothing was sent, so no retry is spent.  Without any link the
-            # other upstreams can't be reached either.
+            # Without any link the other upstreams can't be reached either.
             return not self._deps.connector.links.is_cut
         may_have_run = result.ending is not _Ending.NOT_RUN
         if may_have_run and not self._may_run_again(self._runs):
--- a/src/citronvalve/forward/relayframe.py
+++ b/src/citronvalve/forward/relayframe.py
@@ -44,7 +44,8 @@
     #: The relaying daemon does not list the upstream, or it is leaving or
     #: out of service.
     NOT_IN_SERVICE = "not in service"
-    #: The upstream wants no request from the relaying daemon for a while.
+    #: The upstream wants no request from the relaying daemon for a while; the
+    #: content goes on with ``:`` and the ms.
     RESTING = "resting"
     #: The relaying daemon relays as much as it can.
     BUSY = "busy"
@@ -77,6 +78,36 @@
         super().__init__(why, remedy="run the same release on all daemons")
 
 
+class Refusal(NamedTuple):
+    """Why a connection is not relayed, None if the reason is not known.
+
+    ``rest`` is the ms for which the upstream wants no request from the
+    relaying daemon.
+    """
+
+    reason: Reason | None
+    rest: int = 0
+
+
+def encode_refusal(refusal: Refusal) -> bytes:
+    """Encode the content of a frame of the kind ``REFUSED``.
+
+    :param refusal: with a known reason.
+    """
+    text = refusal.reason.value
+    return (f"{text}:{refusal.rest}" if refusal.rest else text).encode()
+
+
+def decode_refusal(text: str) -> Refusal:
+    """Decode the content of such a frame.
+
+    :param text: from a daemon of any release.
+    """
+    name, _, rest = text.partition(":")
+    known = {one.value: one for one in Reason}.get(name)
+    return Refusal(known, int(rest) if rest.isdecimal() else 0)
+
+
 def encode(kind: FrameKind, content: bytes = b"") -> bytes:
     """Encode one or more frames of a kind.
 
--- a/src/citronvalve/forward/relayserver.py
+++ b/src/citronvalve/forward/relayserver.py
@@ -48,8 +48,8 @@
     :param env: the daemon's environment.
     :param directory: the upstreams.
     :param connector: opens the connections.
-    :ivar is_resting: returns whether an upstream wants no request from this
-        VM.
+    :ivar rest_left: returns the ms for which an upstream wants no request
+        from this VM.
     :raises errors.SettingsError: when the address can't be bound.
     """
 
@@ -64,7 +64,7 @@
         self._directory = directory
         self._connector = connector
         self._connections: set[_Connection] = set()
-        self.is_resting: Callable[[str], bool] = lambda _: False
+        self.rest_left: Callable[[str], clock.Ms] = lambda _: 0
         self._cut_until_by_datacentre: dict[str, clock.Ms] = {}
         self._listener = portlistener.PortListener(
             address, _BACKLOG, env, self._serve
@@ -105,7 +105,7 @@
         cut_until = self._cut_until_by_datacentre.get(datacentre, 0)
         if self._env.clock.now() < cut_until:
             return _Reason.NO_LINK
-        if self.is_resting(upstream):
+        if self.rest_left(upstream):
             return _Reason.RESTING
         if self.count > _MAX_CONNECTIONS:
             return _Reason.BUSY
@@ -240,7 +240,10 @@
                 self._far = opened
                 self._pump = eventlet.spawn(self._pass_back, opened)
         if refused is not None:
-            self._write(_Kind.REFUSED, refused.value.encode())
+            rest = self._server.rest_left(opening.upstream)
+            is_resting = refused is _Reason.RESTING
+            told = relayframe.Refusal(refused, rest if is_resting else 0)
+            self._write(_Kind.REFUSED, relayframe.encode_refusal(told))
             self._end(f"refused: {refused}")
             return False
         self._write(_Kind.OPENED)
--- a/src/citronvalve/forward/rests.py
+++ b/src/citronvalve/forward/rests.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
+import math
 
 from citronvalve.forward import environment as environments
 from citronvalve.forward import headers
@@ -102,6 +103,14 @@
         """
         return self.rests.wait(upstreams, self._env.clock.now())
 
+    def rest_left(self, upstream: str) -> clock.Ms:
+        """Return the ms for which an upstream wants no request, or 0.
+
+        :param upstream: its id.
+        """
+        wait = self.wait([upstream])
+        return 0 if math.isinf(wait) else math.ceil(wait)
+
     def is_resting(self, upstream: str) -> bool:
         """Return whether an upstream wants no request.
 
--- a/src/citronvalve/forward/upstreamconnection.py
+++ b/src/citronvalve/forward/upstreamconnection.py
@@ -7,6 +7,7 @@
 
 from citronvalve.forward import exchangeerror
 from citronvalve.forward import headers
+from citronvalve.forward import relayframe
 from citronvalve.forward import relaytransport
 from citronvalve.forward import transport as transports
 from citronvalve.model import clock
@@ -254,8 +255,11 @@
                 _Failure.SILENT, "no data arrived in time"
             ) from error
         except relaytransport.RelayRefusedError as error:
+            rest = relayframe.decode_refusal(error.reason).rest
             raise exchangeerror.ExchangeError(
-                _Failure.NO_LINK, str(error)
+                _Failure.RESTING if rest else _Failure.NO_LINK,
+                str(error),
+                rest,
             ) from error
         except OSError as error:
             raise exchangeerror.ExchangeError(
--- a/tests/forward/rests.feature
+++ b/tests/forward/rests.feature
@@ -87,6 +87,13 @@
     When a caller calls /any/thing
     Then the other daemon has learned of each rest, and relays nothing there
 
+  Scenario: an upstream wants nothing from the only daemon that could relay
+    Guards against callers that are told to come back before any rest is over.
+    Given a daemon without links to two upstreams that "whole", and one with links
+    When its relay was asked for a rest of 2 s by both, and three callers send /any/thing
+    Then all three are refused with a Retry-After of 1.4 to 2.3 s
+    And no request reaches a resting upstream
+
   Scenario: rests turn callers of a team away
     Guards against refusals that operators can't see.
     Given two plain runners, of which both "whole"
--- a/tests/forward/steps/relaying_steps.py
+++ b/tests/forward/steps/relaying_steps.py
@@ -41,7 +41,7 @@
             self.rig.directory,
             self.rig.connector,
         )
-        self.server.is_resting = self.rig.rests.is_resting
+        self.server.rest_left = self.rig.rests.rest_left
         self.server.start()
         self.relay = relaychoice.Relay(name, self.server.address, "zone-0")
 
--- a/tests/forward/steps/rests_steps.py
+++ b/tests/forward/steps/rests_steps.py
@@ -141,9 +141,14 @@
 def step_relay(context):
     eventlet.sleep(_TOLD)
     relay = context.relays[0]
-    resting = context.rig.rests.resting()
-    refusals = {name: relay.server.find_refusal(name) for name in resting}
-    assert resting, context.rig.log.lines
+    heads = [
+        head
+        for runner in context.rig.runners.values()
+        for head in runner.requests
+    ]
+    asked = set(re.findall(r"x-expect-upstream: (\S+)", "".join(heads)))
+    refusals = {name: relay.server.find_refusal(name) for name in asked}
+    assert asked, context.rig.log.lines
     assert set(refusals.values()) == {relayframe.Reason.RESTING}, refusals
 
 
@@ -163,3 +168,16 @@
 @behave.then("it is refused with a Retry-After of {least:g} to {most:g} s")
 def step_told_one(context, least, most):
     step_told(context, least, most)
+
+
+@behave.when(
+    "its relay was asked for a rest of {seconds:g} s by both, and three "
+    "callers send {path}"
+)
+def step_relay_rests(context, seconds, path):
+    context.resting = _names(context.rig, path)
+    _rest(context.relays[0].rig, context.resting, seconds)
+    context.answers = [
+        limits_steps.ask(context.rig, path)[0] for _ in range(3)
+    ]
+    context.reached = _reached(context)
