--- /dev/null
+++ b/review/common/runner.py
@@ -0,0 +1,258 @@
+"""One runner of a model service or of a plain one, a process of its own.
+
+It registers in the store, joins and opens groups as ordered, and answers
+requests.  A request's path ends with the number of its events and the ms
+between two of them, or for a plain service with the ms of its work.  Each run
+is a line of the log file.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import json
+import time
+
+import wire
+
+#: Seconds of a join and of an opening.
+_JOIN, _FORM = 0.2, 0.3
+_HEARTBEAT = 1.2
+
+
+class Runner:
+    def __init__(self, given):
+        self.given = given
+        self.group = None
+        self.seen_epoch = 0
+        self.sequence = 0
+        self.orders = 0
+        self.running = 0
+        self.born = round(time.time() * 1_000)
+        self.is_draining = False
+        self.log = open(given.log, "a", buffering=1)
+
+    def note(self, what, **facts):
+        facts = {"at": round(time.time(), 3), "runner": self.given.id} | facts
+        print(json.dumps({"what": what} | facts), file=self.log)
+
+    def said_group(self):
+        if self.group is None:
+            return None
+        return {
+            "Name": self.group["group"],
+            "epoch": self.group["epoch"],
+            "rank": self.group["rank"],
+            "State": self.group["state"],
+        }
+
+    async def tell(self):
+        self.sequence += 1
+        entry = {
+            "Service": self.given.service,
+            "Address": self.given.address,
+            "Zone": self.given.zone,
+            "Version": "1",
+            "Slots": self.given.slots,
+            "State": "draining" if self.is_draining else "ready",
+            "ColdRemainingMs": 0,
+            "Sequence": self.sequence,
+            "born": self.born,
+        }
+        if self.given.domain:
+            entry |= {
+                "Domain": self.given.domain,
+                "Staged": self.given.models.split(","),
+                "Models": [],
+                "group": self.said_group(),
+            }
+        with contextlib.suppress(OSError):
+            said = {"Table": "servers", "Key": self.given.id, "Value": entry}
+            await wire.post(self.given.store, "/put", said)
+
+    async def beat(self):
+        while True:
+            await self.tell()
+            await asyncio.sleep(_HEARTBEAT)
+
+    def ordered(self, order):
+        kind = order["Operation"]
+        if kind == "join":
+            return self.join(order)
+        if kind == "Stage":
+            return 200
+        held = self.group
+        if held is None or (held["group"], held["epoch"]) != (
+            order.get("group"),
+            order.get("epoch"),
+        ):
+            return 409
+        if kind == "leave":
+            self.group = None
+        elif kind == "open":
+            if held["state"] == "open":
+                return 200
+            if held["rank"] or held["state"] != "ready":
+                return 409
+            asyncio.create_task(self.become(held, "ready", "open", _FORM))
+        elif held["state"] == "open":
+            held["state"] = "ready"
+        self.orders += 1
+        asyncio.create_task(self.tell())
+        return 202
+
+    def join(self, order):
+        if order["epoch"] < self.seen_epoch:
+            return 412
+        held = self.group
+        place = order["group"], order["epoch"]
+        if held is not None and (held["group"], held["epoch"]) == place:
+            return 200 if held["Members"] == order["Members"] else 412
+        self.seen_epoch = order["epoch"]
+        self.orders += 1
+        rank = order["Members"].index(self.given.id)
+        self.group = order | {"rank": rank, "state": "joining"}
+        asyncio.create_task(
+            self.become(self.group, "joining", "ready", _JOIN)
+        )
+        asyncio.create_task(self.tell())
+        return 202
+
+    async def become(self, held, before, after, seconds):
+        await asyncio.sleep(seconds)
+        if self.group is held and held["state"] == before:
+            held["state"] = after
+            await self.tell()
+
+    def report(self):
+        return {
+            "Stage": "both",
+            "Models": [],
+            "Busy": False,
+            "Sequence": self.orders,
+            "Queued": 0,
+            "Running": self.running,
+            "KvUsed": 0,
+            "KvTotal": 1_235_000,
+            "Handles": 0,
+            "Staged": self.given.models.split(","),
+            "Domain": self.given.domain,
+            "group": self.said_group(),
+            "born": self.born,
+        }
+
+    async def serve(self, reader, writer):
+        try:
+            while (asked := await wire.read_request(reader)) is not None:
+                if not await self.answer(reader, writer, *asked):
+                    break
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    async def answer(self, reader, writer, method, target, headers, body):
+        number = headers.get("x-attempt-id", "")
+        own = [("X-Attempt-Id", number)]
+        not_run = [*own, ("X-Not-Executed", "1")]
+        if headers.get("x-expect-runner") not in (None, self.given.id):
+            writer.write(wire.response(421, {}, not_run))
+        elif target == "/v1/report":
+            writer.write(wire.response(200, self.report()))
+        elif target == "/v1/order":
+            writer.write(wire.response(self.ordered(json.loads(body)), {}))
+        elif target == "/health":
+            writer.write(
+                wire.response(200, {}, [("X-Runner-Id", self.given.id)])
+            )
+        elif self.given.domain and not self.is_open_head():
+            writer.write(wire.response(421, {}, not_run))
+        elif self.running >= self.given.slots:
+            writer.write(wire.response(503, {}, not_run))
+        else:
+            return await self.run(writer, target, headers, number)
+        await writer.drain()
+        return True
+
+    def is_open_head(self):
+        return self.group is not None and self.group["state"] == "open"
+
+    async def run(self, writer, target, headers, number):
+        self.note(
+            "run begins",
+            request=number,
+            path=target,
+            tenant=headers.get("x-tenant"),
+            after=headers.get("last-event-id"),
+        )
+        self.running += 1
+        try:
+            if self.given.domain:
+                return await self.stream(writer, target, headers, number)
+            await asyncio.sleep(int(target.rpartition("/")[2]) / 1_000)
+            seal = ("X-Runner-Seal", f"{self.given.id}.{number}")
+            said = {"request": number, "by": self.given.id}
+            writer.write(
+                wire.response(200, said, [("X-Attempt-Id", number), seal])
+            )
+            await writer.drain()
+            self.note("run ended", request=number)
+            return True
+        except OSError as error:
+            self.note("run cut", request=number, why=repr(error))
+            raise
+        finally:
+            self.running -= 1
+
+    async def stream(self, writer, target, headers, number):
+        *_, count, gap = target.split("/")
+        is_framed = not self.given.unframed
+        head = [
+            "HTTP/1.1 200 OK",
+            "Content-Type: text/event-stream",
+            f"X-Attempt-Id: {number}",
+            f"X-Runner-Seal: {self.given.id}.{number}",
+            "Transfer-Encoding: chunked" if is_framed else "Connection: close",
+            "",
+            "",
+        ]
+        writer.write("\r\n".join(head).encode())
+        first = int(headers.get("last-event-id") or 0) + 1
+        for turn in range(first, int(count) + 1):
+            await asyncio.sleep(int(gap) / 1_000)
+            if writer.is_closing():
+                raise ConnectionResetError("the channel was closed")
+            data = event(number, turn)
+            writer.write(
+                b"%x\r\n%b\r\n" % (len(data), data) if is_framed else data
+            )
+            await writer.drain()
+        if is_framed:
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+        self.note("run ended", request=number)
+        return is_framed
+
+
+def event(number, turn):
+    """Return one event of a stream."""
+    return f"id: {turn}\ndata: {number}-{turn}\n\n".encode()
+
+
+async def main():
+    parser = argparse.ArgumentParser()
+    for name in ("id", "service", "zone", "store", "address", "log"):
+        parser.add_argument(f"--{name}", required=True)
+    parser.add_argument("--domain", default="")
+    parser.add_argument("--models", default="")
+    parser.add_argument("--slots", type=int, default=13)
+    parser.add_argument("--unframed", action="store_true")
+    runner = Runner(parser.parse_args())
+    host, _, port = runner.given.address.rpartition(":")
+    server = await asyncio.start_server(runner.serve, host, int(port))
+    runner.note("started")
+    async with server:
+        await runner.beat()
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
