--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -257,7 +257,10 @@
             "Zone": zone,
             "Region": "doto",
             "Zones": dict.fromkeys(zones, "doto"),
-            "Listen": {"Front": f"{ip}:{ports[0]}", "Ready": f"{ip}:{ports[1]}"},
+            "Listen": {
+                "Front": f"{ip}:{ports[0]}",
+                "Ready": f"{ip}:{ports[1]}",
+            },
             "InternalPorts": sorted(ports[2:]),
             "Seeds": [],
             "Bootstrap": True,
--- a/review/common/runner.py
+++ b/review/common/runner.py
@@ -111,9 +111,7 @@
         self.orders += 1
         rank = order["Members"].index(self.given.id)
         self.group = order | {"rank": rank, "state": "joining"}
-        asyncio.create_task(
-            self.become(self.group, "joining", "ready", _JOIN)
-        )
+        asyncio.create_task(self.become(self.group, "joining", "ready", _JOIN))
         asyncio.create_task(self.tell())
         return 202
 
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -100,7 +100,9 @@
             for each in expected
             if (each["Table"], each["Key"]) in self.row_by_key
         ]
-        version_by_key = {(r["Table"], r["Key"]): r["RowVersion"] for r in held}
+        version_by_key = {
+            (r["Table"], r["Key"]): r["RowVersion"] for r in held
+        }
         for each in expected:
             known = version_by_key.get((each["Table"], each["Key"]), 0)
             if known != each["RowVersion"]:
@@ -109,7 +111,10 @@
         if any(each["Table"] in ("op", "servers") for each in touched):
             return self.told(403)
         await self.apply(
-            [(w["Table"], w["Key"], w["Value"]) for w in said.get("Writes", [])],
+            [
+                (w["Table"], w["Key"], w["Value"])
+                for w in said.get("Writes", [])
+            ],
             [(r["Table"], r["Key"]) for r in said.get("Remove", [])],
         )
         return self.told(200)
