review: SIGHUP ends a daemon that is starting

Seen: a daemon whose settings change within the first tenths of a second after its start ends by SIGHUP (exit by signal 1) instead of reading them. At fault: daemon/entrydaemon.py sets the handler in run(), after all imports and the making of the daemon; until then the signal's default holds.

--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -1,5 +1,6 @@
 """A small deployment on loopback addresses: store, runners and daemons."""
 
+import base64
 import json
 import os
 import pathlib
@@ -314,6 +315,26 @@
         wait_for(lambda: is_ready(ready), 20, name)
         return name
 
+    def set_bootstrap(self, name, value):
+        """Write whether the whole system starts for the first time."""
+        self._change(name, lambda settings: settings.update(Bootstrap=value))
+
+    def change_slack(self, name, value):
+        """Write another bound on repeats."""
+
+        def change(settings):
+            settings["Bounds"]["RetryBudgetSlack"] = value
+
+        self._change(name, change)
+
+    def _change(self, name, change):
+        path = self.folder / f"{name}.json"
+        settings = json.loads(path.read_text())
+        change(settings)
+        written = path.with_suffix(".new")
+        written.write_text(json.dumps(settings))
+        written.replace(path)
+
     def open_heads(self):
         """Return the runners that are open heads, by the store."""
         said = json.load(
@@ -322,8 +343,6 @@
                 timeout=5,
             )
         )
-        import base64
-
         entries = {
             row["Key"]: json.loads(base64.b64decode(row["Value"]))
             for row in said["Rows"]
