review: an answer that is reset passes for whole while its request is sent

Seen: of the unframed answers to long requests whose channels a runner reset in the middle, 3 of 12 reached the requester as 200 with the runner's seal and half of its body. At fault: forward/upstreamconnection.py drops the error that its sending green thread gets, and the kernel tells a reset once, so that the reader sees an orderly end.

--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -419,8 +419,8 @@
         time.sleep(0.05)
 
 
-def request(method, path, number, deadline, more=()):
-    """Return the bytes of a request without a body."""
+def request(method, path, number, deadline, more=(), body=b""):
+    """Return the bytes of a request."""
     head = [
         f"{method} {path} HTTP/1.1",
         f"Host: {HOST}",
@@ -428,11 +428,11 @@
         f"X-Deadline-Ms: {deadline}",
         f"X-Api-Key: {KEY}",
         *more,
-        "Content-Length: 0",
+        f"Content-Length: {len(body)}",
         "",
         "",
     ]
-    return "\r\n".join(head).encode()
+    return "\r\n".join(head).encode() + body
 
 
 def stream_request(number, count, gap, deadline=8_000):
--- a/review/common/runner.py
+++ b/review/common/runner.py
@@ -10,6 +10,8 @@
 import asyncio
 import contextlib
 import json
+import socket
+import struct
 import time
 
 import wire
@@ -19,6 +21,16 @@
 _JOIN, _WARM, _LOAD, _FORM = 0.2, 1.6, 16.0, 0.3
 _HEARTBEAT = 1.2
 
+#: Bytes from which a body is long, and seconds between the halves of an answer
+#: that begins before it is read.
+_LONG, _PAUSE = 1_000_000, 0.3
+
+#: Of five answers to long requests, those whose channels a runner resets.
+_RESET = (1, 3)
+
+#: Bytes that the kernel takes in of what is not read: links have small windows.
+_RECEIVE_BUFFER = 65_536
+
 
 class Runner:
     def __init__(self, given):
@@ -34,6 +46,7 @@
         self.staged = given.models.split(",") if given.staged else []
         self.is_late = False
         self.late_orders = []
+        self.long_answers = 0
         self.log = open(given.log, "a", buffering=1)
 
     def note(self, what, **facts):
@@ -203,6 +216,9 @@
 
     async def serve(self, reader, writer):
         try:
+            if self.given.early:
+                await self.serve_early(reader, writer)
+                return
             while (asked := await wire.read_request(reader)) is not None:
                 if not await self.answer(reader, writer, *asked):
                     break
@@ -241,6 +257,46 @@
         await writer.drain()
         return True
 
+    async def serve_early(self, reader, writer):
+        """Serve one request; answer a long one before its body is read."""
+        asked = await wire.read_head(reader)
+        if asked is None:
+            return
+        method, target, headers = asked
+        size = int(headers.get("content-length", 0))
+        if size < _LONG:
+            body = await reader.readexactly(size)
+            await self.answer(reader, writer, method, target, headers, body)
+            return
+        number = headers.get("x-attempt-id", "")
+        self.note("run begins", request=number, path=target, body=size)
+        head = [
+            "HTTP/1.1 200 OK",
+            f"X-Attempt-Id: {number}",
+            f"X-Runner-Seal: {self.given.id}.{number}",
+            "Connection: close",
+            "",
+            "",
+        ]
+        whole = whole_answer(number)
+        half = len(whole) // 2
+        writer.write("\r\n".join(head).encode() + whole[:half])
+        await writer.drain()
+        await asyncio.sleep(_PAUSE)
+        self.long_answers += 1
+        if self.given.resets and self.long_answers % 5 in _RESET:
+            self.note("channel reset", request=number, sent=half)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            writer.transport.abort()
+            return
+        await reader.readexactly(size)
+        writer.write(whole[half:])
+        await writer.drain()
+        self.note("run ended", request=number)
+
     def is_open_head(self):
         return self.group is not None and self.group["state"] == "open"
 
@@ -304,6 +360,11 @@
         return is_framed
 
 
+def whole_answer(number):
+    """Return the answer to a long request."""
+    return (f"{number} " * 48).encode()
+
+
 def event(number, turn):
     """Return one event of a stream."""
     return f"id: {turn}\ndata: {number}-{turn}\n\n".encode()
@@ -317,10 +378,16 @@
     parser.add_argument("--models", default="")
     parser.add_argument("--slots", type=int, default=13)
     parser.add_argument("--staged", action="store_true")
+    parser.add_argument("--early", action="store_true")
+    parser.add_argument("--resets", action="store_true")
     parser.add_argument("--unframed", action="store_true")
     runner = Runner(parser.parse_args())
     host, _, port = runner.given.address.rpartition(":")
-    server = await asyncio.start_server(runner.serve, host, int(port))
+    listening = socket.socket()
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER)
+    listening.bind((host, int(port)))
+    server = await asyncio.start_server(runner.serve, sock=listening)
     runner.note("started")
     async with server:
         await runner.beat()
--- a/review/common/wire.py
+++ b/review/common/wire.py
@@ -6,6 +6,15 @@
 
 async def read_request(reader):
     """Return method, target, headers and body, None at the end."""
+    asked = await read_head(reader)
+    if asked is None:
+        return None
+    body = await reader.readexactly(int(asked[2].get("content-length", 0)))
+    return *asked, body
+
+
+async def read_head(reader):
+    """Return method, target and headers of a request, None at the end."""
     try:
         head = await reader.readuntil(b"\r\n\r\n")
     except (asyncio.IncompleteReadError, ConnectionError):
@@ -16,8 +25,7 @@
     for line in filter(None, lines):
         name, _, value = line.partition(":")
         headers[name.strip().lower()] = value.strip()
-    body = await reader.readexactly(int(headers.get("content-length", 0)))
-    return method, target, headers, body
+    return method, target, headers
 
 
 def response(status, said, headers=()):
