--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,5 @@
 """A leader is stopped right after an order that is carried out late."""
 
-import os
 import pathlib
 import signal
 import sys
@@ -29,6 +28,12 @@
         self._fleet = fleet
         self.is_over = False
 
+    def end(self):
+        """Stop; wait for the last answer."""
+        self.is_over = True
+        if self.is_alive():
+            self.join()
+
     def run(self):
         while not self.is_over:
             for name, front in list(self._fleet.front_by_daemon.items()):
@@ -44,22 +49,15 @@
             time.sleep(0.3)
 
 
-def main():
-    is_troubled = os.environ.get("TROUBLE") != "0"
-    fleet = fleets.Fleet(HERE)
+def play(fleet, is_troubled):
     traffic = Traffic(fleet)
     try:
-        return play(fleet, traffic, is_troubled)
-    except (fleets.CantRunError, OSError) as error:
-        fleet.record.note(f"the case could not run: {error!r}")
-        return 2
+        return play_beside(fleet, traffic, is_troubled)
     finally:
-        traffic.is_over = True
-        traffic.join()
-        fleet.close()
+        traffic.end()
 
 
-def play(fleet, traffic, is_troubled):
+def play_beside(fleet, traffic, is_troubled):
     fleet.put("op", "config", fleets.CONFIG)
     zones = ("doto-a", "doto-b")
     for zone in zones:
@@ -109,7 +107,8 @@
     leader = fleet.leader()
     fleet.process_by_name[leader].send(signal.SIGTERM)
     fleet.record.note(f"SIGTERM to {leader}, which leads the groups")
-    threading.Thread(target=start_again, args=(fleet, leader)).start()
+    back = threading.Thread(target=start_again, args=(fleet, leader))
+    back.start()
     fleet.control(head, late=False)
     group = fleet.rows("servers")[head]["group"]
     until = late["at"] + _LATEST
@@ -121,6 +120,7 @@
     time.sleep(max(0.1, late["at"] + _LATE + 0.05 - time.time()))
     for _ in fleet.control(head):
         fleet.control(head, carry_out=1)
+    back.join()
 
 
 def start_again(fleet, name):
@@ -151,8 +151,8 @@
             run["at"],
         )
     fleet.record.note("TWO is broken" if broken else "TWO held")
-    return int(bool(broken))
+    return bool(broken)
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(fleets.run_case(HERE, play))
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,5 @@
 """Unframed answers to long requests are cut by a reset of their channels."""
 
-import os
 import pathlib
 import sys
 import time
@@ -16,18 +15,6 @@
 _REQUESTS, _BODY = 100, 4_000_000
 
 
-def main():
-    is_troubled = os.environ.get("TROUBLE") != "0"
-    fleet = fleets.Fleet(HERE)
-    try:
-        return play(fleet, is_troubled)
-    except (fleets.CantRunError, OSError) as error:
-        fleet.record.note(f"the case could not run: {error!r}")
-        return 2
-    finally:
-        fleet.close()
-
-
 def play(fleet, is_troubled):
     fleet.put("op", "config", fleets.CONFIG)
     zones = ("doto-a", "doto-b")
@@ -47,7 +34,7 @@
         broken += is_mixed(fleet, taking, is_troubled)
     fleet.record.note(f"answers that MIXED counts: {broken}")
     fleet.record.note("MIXED is broken" if broken else "MIXED held")
-    return int(bool(broken))
+    return bool(broken)
 
 
 def is_mixed(fleet, taking, is_troubled):
@@ -71,4 +58,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(fleets.run_case(HERE, play))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,6 @@
 """A silent unframed stream is reset while another runner is asked."""
 
 from concurrent import futures
-import os
 import pathlib
 import sys
 import time
@@ -24,18 +23,6 @@
 _LONGEST_GAP = 2.0
 
 
-def main():
-    is_troubled = os.environ.get("TROUBLE") != "0"
-    fleet = fleets.Fleet(HERE)
-    try:
-        return play(fleet, is_troubled)
-    except (fleets.CantRunError, OSError) as error:
-        fleet.record.note(f"the case could not run: {error!r}")
-        return 2
-    finally:
-        fleet.close()
-
-
 def play(fleet, is_troubled):
     fleet.put("op", "config", fleets.CONFIG)
     zones = ("doto-a", "doto-b")
@@ -60,7 +47,7 @@
         broken = sum(each.result() for each in calls)
     fleet.record.note(f"streams that ORDER counts: {broken}")
     fleet.record.note("ORDER is broken" if broken else "ORDER held")
-    return int(bool(broken))
+    return bool(broken)
 
 
 def call(fleet, taking, is_troubled):
@@ -82,4 +69,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(fleets.run_case(HERE, play))
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,6 @@
 """Kept channels are served on while the daemon stops, and cut at its end."""
 
 from concurrent import futures
-import os
 import pathlib
 import signal
 import sys
@@ -24,18 +23,6 @@
 _BEFORE_STOP, _EXCUSED = 0.4, 3.0
 
 
-def main():
-    is_troubled = os.environ.get("TROUBLE") != "0"
-    fleet = fleets.Fleet(HERE)
-    try:
-        return play(fleet, is_troubled)
-    except (fleets.CantRunError, OSError) as error:
-        fleet.record.note(f"the case could not run: {error!r}")
-        return 2
-    finally:
-        fleet.close()
-
-
 def play(fleet, is_troubled):
     record = fleet.record
     fleet.put("op", "config", fleets.CONFIG)
@@ -62,7 +49,7 @@
         broken = sum(each.result() for each in calls)
     record.note(f"requests that LOST counts: {broken}")
     record.note("LOST is broken" if broken else "LOST held")
-    return int(bool(broken))
+    return bool(broken)
 
 
 def call(fleet, taking, stop_at):
@@ -110,4 +97,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(fleets.run_case(HERE, play))
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 import time
+import traceback
 import urllib.request
 
 HERE = pathlib.Path(__file__).parent
@@ -388,6 +389,30 @@
         self.record.close()
 
 
+def run_case(folder, play):
+    """Run a case; return 1 if the rule was broken, 0 if it held, 2 if it failed.
+
+    :param folder: takes ``record.txt``.
+    :param play: called with the fleet and whether there is trouble; returns
+        whether the rule was broken.
+    """
+    is_troubled = os.environ.get("TROUBLE") != "0"
+    # So that its processes end with it.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    fleet = None
+    try:
+        fleet = Fleet(folder)
+        return int(play(fleet, is_troubled))
+    except Exception:
+        # Not only what is expected to fail: an error of the case itself must
+        # not pass for a broken rule.
+        traceback.print_exc()
+        return 2
+    finally:
+        if fleet is not None:
+            fleet.close()
+
+
 def free_port():
     with socket.socket() as held:
         held.bind(("127.0.0.1", 0))
