review: each case reads TROUBLE and names its record itself

Seen: the reading of TROUBLE and the place of record.txt stood in the common file only, where a reader of a case did not find them.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,5 +1,6 @@
 """A leader is stopped right after an order that is carried out late."""
 
+import os
 import pathlib
 import signal
 import sys
@@ -155,4 +156,6 @@
 
 
 if __name__ == "__main__":
-    sys.exit(fleets.run_case(HERE, play))
+    # With TROUBLE=0 all is the same but for the disruption.
+    trouble_on = os.environ.get("TROUBLE") != "0"
+    sys.exit(fleets.run_case(play, trouble_on, HERE / "record.txt"))
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,5 +1,6 @@
 """Unframed answers to long requests are cut by a reset of their channels."""
 
+import os
 import pathlib
 import sys
 import time
@@ -58,4 +59,6 @@
 
 
 if __name__ == "__main__":
-    sys.exit(fleets.run_case(HERE, play))
+    # With TROUBLE=0 all is the same but for the disruption.
+    trouble_on = os.environ.get("TROUBLE") != "0"
+    sys.exit(fleets.run_case(play, trouble_on, HERE / "record.txt"))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
 """A silent unframed stream is reset while another runner is asked."""
 
 from concurrent import futures
+import os
 import pathlib
 import sys
 import time
@@ -69,4 +70,6 @@
 
 
 if __name__ == "__main__":
-    sys.exit(fleets.run_case(HERE, play))
+    # With TROUBLE=0 all is the same but for the disruption.
+    trouble_on = os.environ.get("TROUBLE") != "0"
+    sys.exit(fleets.run_case(play, trouble_on, HERE / "record.txt"))
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,6 +1,7 @@
 """Kept channels are served on while the daemon stops, and cut at its end."""
 
 from concurrent import futures
+import os
 import pathlib
 import signal
 import sys
@@ -97,4 +98,6 @@
 
 
 if __name__ == "__main__":
-    sys.exit(fleets.run_case(HERE, play))
+    # With TROUBLE=0 all is the same but for the disruption.
+    trouble_on = os.environ.get("TROUBLE") != "0"
+    sys.exit(fleets.run_case(play, trouble_on, HERE / "record.txt"))
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -155,11 +155,14 @@
 
 
 class Record:
-    """The file ``record.txt`` beside a script, with s from the start."""
+    """What was sent, answered and run, with s from the start.
 
-    def __init__(self, folder):
+    :param path: the file that takes it.
+    """
+
+    def __init__(self, path):
         self.began = time.time()
-        self._path = folder / "record.txt"
+        self._path = path
         self._lines = []
 
     def note(self, text, at=None):
@@ -201,8 +204,8 @@
 class Fleet:
     """All processes of a case; ``close`` ends them."""
 
-    def __init__(self, folder):
-        self.record = Record(folder)
+    def __init__(self, record):
+        self.record = Record(record)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.runs_log = self.folder / "runs.jsonl"
         self.processes = []
@@ -389,19 +392,19 @@
         self.record.close()
 
 
-def run_case(folder, play):
+def run_case(play, is_troubled, record):
     """Run a case; return 1 if the rule was broken, 0 if it held, 2 if it failed.
 
-    :param folder: takes ``record.txt``.
     :param play: called with the fleet and whether there is trouble; returns
         whether the rule was broken.
+    :param is_troubled: whether the disruption takes place.
+    :param record: path of the file that takes what was sent, answered and run.
     """
-    is_troubled = os.environ.get("TROUBLE") != "0"
     # So that its processes end with it.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     fleet = None
     try:
-        fleet = Fleet(folder)
+        fleet = Fleet(record)
         return int(play(fleet, is_troubled))
     except Exception:
         # Not only what is expected to fail: an error of the case itself must
