Keep what broke an upstream's connection for the read that follows

Cause: the kernel reports the error of a connection to one call only. While another runner is asked, the silent connection is checked for data with a peek, which took the reset and dropped it; the next read got no bytes, which ends a response without a length.

Change: SocketTransport keeps the error, whichever call met it, and each read at the end raises it. The kernel's timeout is raised as a broken connection.

--- a/src/citronvalve/forward/receiving.py
+++ b/src/citronvalve/forward/receiving.py
@@ -19,7 +19,8 @@
     :param max_bytes: most bytes to return.
     :param timeout: ms to wait, or None.
     :raises TimeoutError: when nothing arrived in time.
-    :raises OSError: when the connection was reset.
+    :raises OSError: when the connection broke; of another type, also where
+        the kernel has given it up since the peer confirmed nothing.
     """
     seconds = None if timeout is None else timeout / clock.SECOND
     is_due = False
@@ -29,6 +30,8 @@
         except BlockingIOError:
             if is_due:
                 raise TimeoutError from None
+        except TimeoutError as error:
+            raise broken(error) from error
         try:
             hubs.trampoline(
                 sock.fd,
@@ -40,3 +43,14 @@
             # After a pause of the process, due timers are served before
             # sockets, and bytes that arrived in the pause are unread.
             is_due = True
+
+
+def broken(error: OSError) -> ConnectionError:
+    """Return the error for a connection that is broken.
+
+    The kernel's own timeout of a connection has the type of a read that got
+    nothing in time, after which a caller would read on.
+
+    :param error: reported by the kernel.
+    """
+    return ConnectionResetError(error.errno, str(error))
--- a/src/citronvalve/forward/transport.py
+++ b/src/citronvalve/forward/transport.py
@@ -79,11 +79,16 @@
 class SocketTransport(Transport):
     """A direct connection.
 
+    The kernel reports what broke a connection to one call only, of whatever
+    kind; later reads return no bytes, as after a proper end.  The error is
+    therefore kept, and each read at the end raises it.
+
     :param sock: a connected green socket.
     """
 
     def __init__(self, sock: green_socket.socket) -> None:
         self._sock = sock
+        self._error: OSError | None = None
 
     def send(self, data: bytes) -> None:
         self._sock.settimeout(None)
@@ -99,15 +104,36 @@
         hubs.trampoline(self._sock.fd, write=True)
 
     def receive(self, max_bytes: int, timeout: clock.Ms | None) -> bytes:
-        return receiving.receive(self._sock, max_bytes, timeout)
+        try:
+            data = receiving.receive(self._sock, max_bytes, timeout)
+        except TimeoutError:
+            raise
+        except OSError as error:
+            self._keep(error)
+            raise
+        if not data and self._error is not None:
+            raise self._error
+        return data
 
     def is_idle(self) -> bool:
-        return is_quiet(self._sock)
+        try:
+            return not has_arrived(self._sock)
+        except OSError as error:
+            self._keep(error)
+            return False
 
     def close(self) -> None:
         with contextlib.suppress(OSError):
             self._sock.close()
 
+    def _keep(self, error: OSError) -> None:
+        """Keep the first error that broke the connection.
+
+        :param error: reported by the kernel.
+        """
+        if self._error is None:
+            self._error = receiving.broken(error)
+
 
 def prepare(
     sock: green_socket.socket, send_buffer: int = 0
@@ -131,12 +157,25 @@
 def is_quiet(sock: green_socket.socket) -> bool:
     """Return whether a socket is open with nothing to read.
 
+    An error is reported to no later call, so this is not for a connection
+    whose end tells that a response is complete.
+
+    :param sock: a green socket.
+    """
+    try:
+        return not has_arrived(sock)
+    except OSError:
+        return False
+
+
+def has_arrived(sock: green_socket.socket) -> bool:
+    """Return whether data or the end of it has arrived on a socket.
+
     :param sock: a green socket.
+    :raises OSError: when the connection is broken.
     """
     try:
         sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
     except BlockingIOError:
-        return True
-    except OSError:
         return False
-    return False
+    return True
--- a/standins/scriptedrunner.py
+++ b/standins/scriptedrunner.py
@@ -359,6 +359,14 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, answerparts.RESET)
         return False
 
+    def _rests_unframed_and_resets(self, sock, fields) -> bool:
+        self.runs += 1
+        head = self._head(fields, extra="Connection: close\r\n")
+        sock.sendall(head + b"answer")
+        eventlet.sleep(answerparts.PAUSE)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, answerparts.RESET)
+        return False
+
     def _crashes(self, sock, fields) -> bool:
         self.runs += 1
         self.close()
--- a/standins/unframedstreams.py
+++ b/standins/unframedstreams.py
@@ -71,3 +71,9 @@
         eventlet.sleep(0.05)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, answerparts.RESET)
         return False
+
+    def _unframed_rests_and_resets(self, sock, fields) -> bool:
+        self._unframed_events(sock, fields, until=3)
+        eventlet.sleep(answerparts.PAUSE)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, answerparts.RESET)
+        return False
--- /dev/null
+++ b/tests/forward/resets.feature
@@ -0,0 +1,53 @@
+Feature: A reset never looks like the end of a response
+  The kernel reports a reset to one call only; reads after that return no
+  bytes, as after a proper end.  A response without a length ends with its
+  connection, so a part of it would pass for the whole.
+
+  Scenario Outline: the upstream resets its connection, and <touch> meets it
+    Guards against a reset that is dropped where it is met: the next read would
+    see a proper end.
+
+    Given a connection on which an upstream has sent a part of its response
+    When the upstream resets it, and <touch> meets the reset
+    Then each read after the part reports that
+
+    Examples:
+      | touch            |
+      | a read           |
+      | a check for data |
+
+  Scenario: the kernel gives up a connection since the upstream reads nothing
+    Guards against the kernel's timeout taken for that of a read: reading on
+    would see a proper end.
+
+    Given a connection on which an upstream has sent a part of its response
+    When the upstream reads nothing until the kernel gives it up
+    Then each read after the part reports that
+
+  Scenario Outline: a silent runner <first> is reset while another is asked
+    Guards against a part that ends as complete: the silent connection is
+    checked for data before it is read.
+
+    Given runners of which the first "<first>" and the next "<second>"
+    When its kind of request is sent
+    Then within 2 s it has a whole answer
+    And each runner got at most one request, and no load is left
+
+    Examples: direct connections
+      | first                     | second          |
+      | unframed_rests_and_resets | pauses_at_first |
+      | rests_unframed_and_resets | takes_a_second  |
+
+  Scenario Outline: the same through another daemon, runner <first>
+    Guards against the same where a relay meets the reset.
+
+    Given runners of which the first "<first>" and the next "<second>"
+    And they are reached through other daemons
+    When its kind of request is sent
+    Then within 2.5 s it has a whole answer
+    And each runner got at most one request, and no load is left
+
+    Examples: relayed connections
+      | first                     | second          |
+      | unframed_rests_and_resets | pauses_at_first |
+      | rests_unframed_and_resets | takes_a_second  |
