Keep what a send meets for the read of an upstream's response

Cause: a long request is sent by a task of its own. The kernel reports a reset to one call only; where the sending task was woken first, its send took the error and dropped it, and the reader got no bytes, as after a proper end.

Change: SocketTransport keeps errors of sends, too. A broken pipe is left out: it follows a proper end as well, and a reset before it is kept already.

Evidence and tests: tests/forward/resets.feature.

--- a/src/citronvalve/forward/transport.py
+++ b/src/citronvalve/forward/transport.py
@@ -92,13 +92,20 @@
 
     def send(self, data: bytes) -> None:
         self._sock.settimeout(None)
-        self._sock.sendall(data)
+        try:
+            self._sock.sendall(data)
+        except OSError as error:
+            self._keep(error)
+            raise
 
     def send_some(self, data: bytes | memoryview) -> int:
         try:
             return self._sock.fd.send(data)
         except BlockingIOError:
             return 0
+        except OSError as error:
+            self._keep(error)
+            raise
 
     def wait_writable(self) -> None:
         hubs.trampoline(self._sock.fd, write=True)
@@ -129,9 +136,12 @@
     def _keep(self, error: OSError) -> None:
         """Keep the first error that broke the connection.
 
+        A broken pipe is none: an upstream that has ended its response in order
+        may have closed before it read all of the request.
+
         :param error: reported by the kernel.
         """
-        if self._error is None:
+        if self._error is None and not isinstance(error, BrokenPipeError):
             self._error = receiving.broken(error)
 
 
--- a/src/citronvalve/forward/upstreamconnection.py
+++ b/src/citronvalve/forward/upstreamconnection.py
@@ -234,7 +234,7 @@
         return sent
 
     def _send_in_background(self, data: memoryview) -> None:
-        # The reader sees an error here as a broken response.
+        # The transport keeps an error for the reader.
         with contextlib.suppress(exchangeerror.ExchangeError, OSError):
             while data:
                 sent = self._send_some(data)
--- a/standins/scriptedrunner.py
+++ b/standins/scriptedrunner.py
@@ -15,6 +15,9 @@
 #: Seconds that a silent runner stays silent.
 _SILENCE = 30
 
+#: Begins the names of ways that don't read the body of a request first.
+_EARLY = "early_"
+
 #: Seconds of a pause after which its caller has given it up.
 _LONG_PAUSE = 1.2
 
@@ -89,12 +92,13 @@
             head += data
         text, _, rest = head.partition(b"\r\n\r\n")
         fields = _fields(text)
-        length = int(fields.get("content-length", 0))
-        rest = self._receive_body(sock, rest, length, fields)
+        turn = min(len(self.requests), len(self._script) - 1)
+        way = self._script[turn]
         self.requests.append(text.decode())
+        if not way.startswith(_EARLY):
+            length = int(fields.get("content-length", 0))
+            rest = self._receive_body(sock, rest, length, fields)
         self.bodies.append(rest)
-        turn = min(len(self.requests), len(self._script)) - 1
-        way = self._script[turn]
         return getattr(self, f"_{way}")(sock, fields)
 
     def _head(self, fields, status=200, extra="", number=None) -> bytes:
@@ -367,6 +371,17 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, answerparts.RESET)
         return False
 
+    def _early_unframed(self, sock, fields) -> bool:
+        self._unframed(sock, fields)
+        sock.shutdown(socket.SHUT_WR)
+        # A socket that is closed with unread bytes would reset.
+        while sock.recv(65_536):
+            pass
+        return False
+
+    def _early_unframed_resets(self, sock, fields) -> bool:
+        return self._resets_unframed(sock, fields)
+
     def _crashes(self, sock, fields) -> bool:
         self.runs += 1
         self.close()
--- a/standins/slowreading.py
+++ b/standins/slowreading.py
@@ -28,6 +28,10 @@
         :param rate: bytes a second.
         """
         self.read_rate = rate
+        self.set_buffer()
+
+    def set_buffer(self) -> None:
+        """Let the kernel hold little of what is unread on new connections."""
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _BUFFER)
 
     def _receive(self, sock) -> bytes:
--- a/tests/forward/resets.feature
+++ b/tests/forward/resets.feature
@@ -15,6 +15,8 @@
       | touch            |
       | a read           |
       | a check for data |
+      | a send           |
+      | a write          |
 
   Scenario: the kernel gives up a connection since the upstream reads nothing
     Guards against the kernel's timeout taken for that of a read: reading on
@@ -51,3 +53,19 @@
       | first                     | second          |
       | unframed_rests_and_resets | pauses_at_first |
       | rests_unframed_and_resets | takes_a_second  |
+
+  Scenario Outline: a runner <way> before it has read the request, <links>
+    Guards against half a response that passes for the whole: the task that
+    still sends the request meets the reset, or the one that reads.
+    Pattern of load: 20 requests of 400 KB, one after another.
+
+    Given a runner with room for 8 KB unread that "<way>", <links>
+    When 20 bodies of 400 KB are sent to /once/thing
+    Then each of them gets <status>
+
+    Examples:
+      | way                  | links               | status |
+      | early_unframed_resets | directly            | 502    |
+      | early_unframed_resets | through other daemons | 502    |
+      | early_unframed        | directly            | 200    |
+      | early_unframed        | through other daemons | 200    |
--- a/tests/forward/steps/resets_steps.py
+++ b/tests/forward/steps/resets_steps.py
@@ -1,11 +1,16 @@
 """Steps about connections that an upstream resets."""
 
+import re
+
 import behave
 import eventlet
 from eventlet.green import socket
 
 from citronvalve.forward import transport
+from citronvalve.policy import unsentbudget
 from standins import answerparts
+from tests.forward import rig as rigs
+from tests.forward.steps import relaying_steps
 
 _PART = b"a part"
 
@@ -33,9 +38,19 @@
     assert context.transport.receive(99, _READ_TIME) == _PART
 
 
+def _fails(send):
+    try:
+        send()
+    except OSError:
+        return
+    raise AssertionError("the kernel took what was sent")
+
+
 _TOUCH_BY_NAME = {
     "a read": lambda _: None,
     "a check for data": lambda way: way.is_idle(),
+    "a send": lambda way: _fails(lambda: way.send_some(b"more")),
+    "a write": lambda way: _fails(lambda: way.send(b"more")),
 }
 
 
@@ -69,3 +84,30 @@
         except ConnectionResetError:
             continue
         raise AssertionError(f"a proper end or data: {data!r}")
+
+
+@behave.given('a runner with room for 8 KB unread that "{way}", {links}')
+def step_runner(context, way, links):
+    context.rig = rig = rigs.Rig({"plain-1": [way]})
+    rig.limits = rigs.LIMITS._replace(max_body_bytes=1_000_000)
+    rig.env.unsent = unsentbudget.UnsentBudget(10_000_000, rig.env.memory)
+    rig.runners["plain-1"].set_buffer()
+    if links != "directly":
+        relaying_steps.add_relays(context)
+
+
+@behave.when("{count:d} bodies of {size:d} KB are sent to {path}")
+def step_send(context, count, size, path):
+    body = b"x" * (size * 1_000)
+    context.statuses = []
+    load = context.rig.loads.of("plain-1")
+    for _ in range(count):
+        # Otherwise the runner would be left out after its first failures.
+        load.circuit.record_success()
+        got = context.rig.send(path, body=body)
+        context.statuses.append(int(re.match(rb"HTTP/1.1 (\d+)", got)[1]))
+
+
+@behave.then("each of them gets {status:d}")
+def step_statuses(context, status):
+    assert set(context.statuses) == {status}, context.statuses
