Take no request on a kept connection that may outlast a daemon's stop

Cause: after each answer a connection read the next request, whatever the state of the stop. Connections were closed by a look for idle ones each 20 ms, which one whose caller goes on at once never is. An answer that began before the stop does not announce the end of its connection.

Change: policy/stopschedule.py plans a stop from its grace: until when connections are accepted, until when requests that have been read are served, and when the process ends. After the first time a connection ends with the answer in progress; after the second a request is refused with 503, as it has not run. With a grace of 8 s that is after 2.7, 3.0 and 7.7 s: the first request of a connection that was accepted last was read up to 3.3 s after SIGTERM before, which no rule excuses. With a short grace the first two take half of it; before, connections were accepted until the process ended. The line "stopping" tells the three times.

Related paths: relays refuse from SIGTERM on. The own interface closes kept connections with the listener; a step for it passed before the change. Three test steps set the state of the stop in the new way, with the same checks.

With the two new checks taken out, "stops listening in an answer to /stream/a" and "the rest comes 0.6 s after" failed: the next request ran, and 200.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -39,6 +39,7 @@
 from citronvalve.model import errors
 from citronvalve.policy import datacentrechoice
 from citronvalve.policy import evenchoice
+from citronvalve.policy import stopschedule
 from citronvalve.policy import upstreamchoice
 from citronvalve.replicas import crashrecord
 from citronvalve.replicas import lease
@@ -49,13 +50,6 @@
 
 _OPERATORS_TIMEOUT: clock.Ms = 5_000
 
-#: Connections are accepted for this time after a request to stop: the
-#: balancer checks once a second and removes a daemon after two failures.
-_ACCEPT_AFTER_STOP: clock.Ms = 3_000
-
-#: The process exits by this much before the grace ends.
-_EXIT_MARGIN: clock.Ms = 300
-
 _DRAIN_POLL_INTERVAL: clock.Ms = 20
 
 #: Interval at which loads of removed upstreams are dropped and gauges set.
@@ -392,17 +386,23 @@
 
     def _drain(self) -> None:
         env = self.env
-        started_at = env.clock.now()
-        ends_at = started_at + self._settings.grace - _EXIT_MARGIN
-        env.stopping = True
-        env.log.change("stopping", in_progress=self._forwarder.in_progress)
+        now = env.clock.now()
+        schedule = stopschedule.plan(now, self._settings.grace)
+        env.stop = schedule
+        env.log.change(
+            "stopping",
+            in_progress=self._forwarder.in_progress,
+            listens_ms=schedule.listens_until - now,
+            takes_ms=schedule.takes_until - now,
+            ends_ms=schedule.ends_at - now,
+        )
         self._lease.resign()
-        while env.clock.now() < started_at + _ACCEPT_AFTER_STOP:
+        while not env.has_stopped_listening():
             eventlet.sleep(_DRAIN_POLL_INTERVAL / clock.SECOND)
         self._acceptor.close()
         while (
             self._acceptor.count or self._links.relaying
-        ) and env.clock.now() < ends_at:
+        ) and env.clock.now() < schedule.ends_at:
             self._acceptor.close_idle()
             eventlet.sleep(_DRAIN_POLL_INTERVAL / clock.SECOND)
         env.log.change("stopped", left=self._forwarder.in_progress)
--- a/src/citronvalve/forward/admission.py
+++ b/src/citronvalve/forward/admission.py
@@ -13,6 +13,9 @@
 #: Time in which a daemon that has just started learns its upstreams.
 _NOT_READY_RETRY: clock.Ms = 500
 
+#: Another daemon serves the request.
+_OTHER_DAEMON_RETRY: clock.Ms = 1
+
 #: A caller that comes back within this time finds room, or another daemon.
 _FULL_RETRY: clock.Ms = 300
 
@@ -49,6 +52,10 @@
         """
         if self._env.memory.is_full:
             return memory_refusal()
+        if not self._env.takes_requests():
+            return _refused(
+                _Kind.STOPPING, "this daemon stops, and may end before it"
+            )._replace(retry_after=_OTHER_DAEMON_RETRY)
         catalogue = self._directory.catalogue
         if catalogue is None or not self._directory.ready:
             return _refused(
--- a/src/citronvalve/forward/callerconnection.py
+++ b/src/citronvalve/forward/callerconnection.py
@@ -22,6 +22,7 @@
 from citronvalve.model import clock
 from citronvalve.model import refusal
 from citronvalve.policy import memoryaccount
+from citronvalve.policy import stopschedule
 from citronvalve.routes import callerlimits
 
 #: Bytes per read; a usual request fits into one.
@@ -37,10 +38,6 @@
 #: Added to the idle timeout, so that a request sent at its end is served.
 _IDLE_SLACK: clock.Ms = 1_000
 
-#: A new connection is not closed as idle for this long, so that the first
-#: request arrives.  A later request might outlast the grace.
-_FIRST_REQUEST_TIME: clock.Ms = 300
-
 _VERSIONS = frozenset({b"1.0", b"1.1"})
 
 Handler = Callable[[callerrequest.CallerRequest, reply.Reply], None]
@@ -80,7 +77,11 @@
         self._pipelined_bytes = 0
         self._body_bytes = 0
         self._omit_body = False
-        self._first_request_until = env.clock.now() + _FIRST_REQUEST_TIME
+        # A new connection is not closed as idle before its first request has
+        # arrived.  A later request might outlast the grace.
+        self._first_request_until = (
+            env.clock.now() + stopschedule.FIRST_REQUEST_TIME
+        )
         self.idle = True
         self.started = False
 
@@ -190,6 +191,10 @@
             return False
         if self._parser.their_state is not h11.DONE:
             return False
+        # The end of a connection whose last response began before the stop
+        # was not announced.
+        if self._env.has_stopped_listening():
+            return False
         self._parser.start_next_cycle()
         return True
 
--- a/src/citronvalve/forward/environment.py
+++ b/src/citronvalve/forward/environment.py
@@ -8,6 +8,7 @@
 from citronvalve.model import clock
 from citronvalve.model import decisionlog
 from citronvalve.policy import memoryaccount
+from citronvalve.policy import stopschedule
 from citronvalve.policy import unsentbudget
 
 
@@ -25,7 +26,7 @@
     :ivar unsent: budget for what callers have not read, None if writes wait
         for them.
     :ivar link: bytes per ms of the VM's link, 0 if that is not known.
-    :ivar stopping: set once the daemon has been asked to stop.
+    :ivar stop: when a daemon that was asked to stop does what, or None.
     :ivar daemon_count: how many daemons share the limits.
     """
 
@@ -49,5 +50,21 @@
         self.body_space = bodybuffer.BodySpace(account=self.memory)
         self.unsent: unsentbudget.UnsentBudget | None = None
         self.link = 0.0
-        self.stopping = False
+        self.stop: stopschedule.StopSchedule | None = None
         self.daemon_count = 1
+
+    @property
+    def stopping(self) -> bool:
+        """Return whether the daemon has been asked to stop."""
+        return self.stop is not None
+
+    def has_stopped_listening(self) -> bool:
+        """Return whether a connection ends after the request in progress."""
+        return (
+            self.stop is not None
+            and self.clock.now() >= self.stop.listens_until
+        )
+
+    def takes_requests(self) -> bool:
+        """Return whether a request that has been read now is served."""
+        return self.stop is None or self.clock.now() < self.stop.takes_until
--- a/standins/scriptedrunner.py
+++ b/standins/scriptedrunner.py
@@ -63,6 +63,13 @@
         self.retry_after = "3"
         self._task = eventlet.spawn(self._accept)
 
+    def set_script(self, script: list[str]) -> None:
+        """Answer the next requests by another script.
+
+        :param script: as at the start.
+        """
+        self._script = script
+
     def close(self) -> None:
         """Stop listening; new connections are refused."""
         self._task.kill()
--- a/tests/daemon/lifecycle.feature
+++ b/tests/daemon/lifecycle.feature
@@ -11,6 +11,7 @@
     Then it reports that it is not ready
     And a request on a keep-alive connection during the stop notice is answered
     And new connections are refused after the stop notice
+    And a keep-alive connection that carries no request is closed
     And the caller receives the whole response, and the daemon exits with 0
 
   Scenario: settings with several errors
--- a/tests/daemon/steps/lifecycle_steps.py
+++ b/tests/daemon/steps/lifecycle_steps.py
@@ -44,8 +44,13 @@
     context.connections = urllib3.HTTPConnectionPool(
         *context.made.addresses().callers.split(":"), maxsize=1
     )
-    # Opens the keep-alive connection before the signal.
+    host, _, port = context.made.addresses().callers.rpartition(":")
+    context.idle = socket.create_connection((host, int(port)), 5)
+    context.add_cleanup(context.idle.close)
+    # Opens the keep-alive connections before the signal.
     context.connections.request("GET", "/", retries=False)
+    context.idle.sendall(b"GET / HTTP/1.1\r\nHost: one\r\n\r\n")
+    assert context.idle.recv(65_536).startswith(b"HTTP/1.1 404")
     context.daemon = context.made.fleet.process_by_name["daemon-0"]
     context.exit = threading.Thread(target=context.daemon.end)
     context.exit.start()
@@ -83,6 +88,12 @@
     assert answered.status == 200, answered.data
 
 
+@behave.then("a keep-alive connection that carries no request is closed")
+def step_idle_closed(context):
+    assert context.idle.recv(65_536) == b""
+    assert not context.answer.done(), "the response ended before that"
+
+
 @behave.then("new connections are refused after the stop notice")
 def step_refused(context):
     host, _, port = context.made.addresses().callers.rpartition(":")
--- a/tests/forward/closing.feature
+++ b/tests/forward/closing.feature
@@ -37,6 +37,45 @@
     When a caller has connected, and sends its request 0.6 s later as the daemon stops listening
     Then the caller gets no answer, and its request has not run
 
+  Scenario Outline: the daemon stops listening in an answer to <path>
+    Guards against requests that are taken on a kept connection when no more
+    are: the process ends before they do, and their answers are cut.  The
+    answer in progress began before the stop, so that its head announces no
+    end of the connection.
+
+    Given a daemon in front of a plain runner and a head
+    When the daemon stops listening in an answer of a "<way>" to <path>
+    Then its caller's next request on the connection has not run
+    And the first answer was whole, and the connection is closed
+
+    Examples:
+      | path        | way                |
+      | /any/thing  | rests_in_its_body  |
+      | /once/thing | rests_in_its_body  |
+      | /stream/a   | pauses_after_three |
+
+  Scenario: a daemon that is to stop still listens
+    Guards against connections that are closed without need, while the balancer
+    still sends callers.
+
+    Given a daemon in front of a plain runner and a head
+    When the daemon is to stop in an answer of a "pauses_after_three" to /stream/a
+    Then its caller's next request on the connection is answered
+    And the first answer was whole, and the connection is closed
+
+  Scenario Outline: the rest of a request comes <seconds> s after the last connection
+    Guards against a request that is read so late that the process may end
+    before its answer.
+
+    Given a daemon that has read the whole head, and waits 2 s for the rest
+    When the daemon stops listening, and the rest comes <seconds> s later
+    Then the answer is <status>, after which the connection is closed
+
+    Examples:
+      | seconds | status |
+      | 0.1     | 200    |
+      | 0.6     | 503    |
+
   Scenario: a caller that has connected sends nothing as the daemon stops
     Guards against a stop that waits for a caller that sends nothing.
 
--- a/tests/forward/rig.py
+++ b/tests/forward/rig.py
@@ -23,6 +23,7 @@
 from citronvalve.model import decisionlog
 from citronvalve.policy import links
 from citronvalve.policy import retrybudget
+from citronvalve.policy import stopschedule
 from citronvalve.policy import upstreamchoice
 from citronvalve.replicas import membership
 from citronvalve.replicas import phase
@@ -191,6 +192,14 @@
         )
 
 
+def stop_listening(rig, grace=4_000):
+    """Let a daemon that was asked to stop take no more connections."""
+    now = rig.env.clock.now()
+    schedule = stopschedule.plan(now, grace)
+    early = schedule.listens_until - now
+    rig.env.stop = stopschedule.plan(now - early, grace)
+
+
 def _catalogue(timeout, attempts):
     kinds = {
         "once": kind.RequestKind.AT_MOST_ONCE,
--- a/tests/forward/steps/closing_steps.py
+++ b/tests/forward/steps/closing_steps.py
@@ -1,6 +1,7 @@
 """Steps about connections that a daemon closes by itself."""
 
 import contextlib
+import re
 
 import behave
 import eventlet
@@ -8,6 +9,7 @@
 from eventlet import patcher
 
 from citronvalve.model import clock
+from citronvalve.policy import stopschedule
 from tests.forward import rig as rigs
 
 #: Seconds in which the daemon reads what a caller has sent.
@@ -31,6 +33,15 @@
     "nothing has arrived": (b"", b""),
 }
 
+#: Seconds in which a connection is closed that carries nothing more.
+_CLOSE_TIME = 1.5
+
+#: Ms of grace that leave the daemon listening throughout a scenario.
+_LONG_GRACE = 20_000
+
+#: The end of a response of these scenarios.
+_WHOLE = re.compile(rb"\r\n0\r\n\r\n$|answer of plain-1$")
+
 #: Seconds between the drain's calls that close idle connections.
 _DRAIN_INTERVAL = 0.02
 
@@ -93,7 +104,7 @@
     context.sock.sendall(before)
     if what.endswith("read"):
         eventlet.sleep(_READ_TIME)
-    context.rig.env.stopping = True
+    rigs.stop_listening(context.rig)
     context.rig.acceptor.close_idle()
     context.sock.sendall(after)
 
@@ -121,7 +132,19 @@
 
 @behave.given("a daemon with a kept connection that has read {what}")
 def step_read(context, what):
-    _keep_connection(context, rigs.LIMITS)
+    _read_part(context, what, rigs.LIMITS)
+
+
+@behave.given(
+    "a daemon that has read {what}, and waits {seconds:d} s for the rest"
+)
+def step_waits(context, what, seconds):
+    timeout = seconds * clock.SECOND
+    _read_part(context, what, rigs.LIMITS._replace(header_timeout=timeout))
+
+
+def _read_part(context, what, limits):
+    _keep_connection(context, limits)
     part, context.rest = _SPLIT_BY_READ[what]
     context.sock.sendall(part)
     eventlet.sleep(_READ_TIME)
@@ -166,7 +189,7 @@
 
 
 def _start_drain(rig):
-    rig.env.stopping = True
+    rigs.stop_listening(rig)
     rig.acceptor.close()
     eventlet.spawn(_drain, rig)
 
@@ -182,6 +205,99 @@
     return socket.socket(_socket.create_connection((host, int(port))))
 
 
+@behave.given("a daemon in front of a plain runner and a head")
+def step_both_kinds(context):
+    context.rig = rigs.Rig({"plain-1": ["whole"], "head-1": ["stream"]})
+
+
+def _request_to(path):
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Key: secret\r\n"
+        "X-Request-Id: req-1\r\nX-Model: large\r\nX-Tokens: 100,60\r\n"
+        "Content-Length: 5\r\n\r\nhello"
+    ).encode()
+
+
+def _is_listening(rig):
+    now = rig.env.clock.now()
+    rig.env.stop = stopschedule.plan(now, _LONG_GRACE)
+
+
+def _is_not_listening(rig):
+    _start_drain(rig)
+
+
+_STOP_BY_WHAT = {
+    "is to stop": _is_listening,
+    "stops listening": _is_not_listening,
+}
+
+
+@behave.when('the daemon {what} in an answer of a "{way}" to {path}')
+def step_stop_in_answer(context, what, way, path):
+    rig = context.rig
+    for runner in rig.runners.values():
+        runner.set_script([way, "stream" if "stream" in path else "whole"])
+    context.sock = _connect(rig)
+    context.sock.sendall(_request_to(path))
+    with eventlet.Timeout(_ANSWER_TIME):
+        while not rig.runs():
+            eventlet.sleep(_DRAIN_INTERVAL)
+    eventlet.sleep(_READ_TIME)
+    _STOP_BY_WHAT[what](rig)
+    context.first = _read_one(context.sock)
+    with contextlib.suppress(OSError):
+        context.sock.sendall(_request_to(path))
+    context.got, context.is_closed = _receive(context.sock, _CLOSE_TIME)
+
+
+def _read_one(sock):
+    """Read a response with a length or in chunks."""
+    got = b""
+    while not _WHOLE.search(got):
+        data = sock.recv(65_536)
+        assert data, got
+        got += data
+    return got
+
+
+@behave.then("its caller's next request on the connection has not run")
+def step_not_run(context):
+    assert context.got == b"", context.got
+    assert context.rig.runs() == 1, context.rig.runs()
+
+
+@behave.then("its caller's next request on the connection is answered")
+def step_run(context):
+    assert _WHOLE.search(context.got), context.got
+    assert b"connection: close" in context.got.lower(), context.got
+    assert context.rig.runs() == 2, context.rig.runs()
+
+
+@behave.then("the first answer was whole, and the connection is closed")
+def step_first_whole(context):
+    assert context.first.startswith(b"HTTP/1.1 200"), context.first
+    assert context.is_closed
+
+
+@behave.when(
+    "the daemon stops listening, and the rest comes {pause:f} s later"
+)
+def step_rest(context, pause):
+    _start_drain(context.rig)
+    eventlet.sleep(pause)
+    context.sock.sendall(context.rest)
+
+
+@behave.then("the answer is {status:d}, after which the connection is closed")
+def step_status(context, status):
+    got, is_closed = _receive(context.sock, _CLOSE_TIME)
+    assert got.startswith(b"HTTP/1.1 %d" % status), got
+    assert is_closed
+    # The kept connection had one.
+    assert context.rig.runs() == 1 + (status == 200)
+
+
 @behave.when("a caller has connected as the daemon stops listening")
 def step_connected(context):
     context.sock = _connect_unaccepted(context.rig)
--- a/tests/forward/steps/relaying_steps.py
+++ b/tests/forward/steps/relaying_steps.py
@@ -153,7 +153,7 @@
 
 
 def _stop(relay):
-    relay.rig.env.stopping = True
+    rigs.stop_listening(relay.rig)
 
 
 def _start(relay):
--- a/tests/forward/steps/slowcallers_steps.py
+++ b/tests/forward/steps/slowcallers_steps.py
@@ -388,7 +388,7 @@
     rig = context.rig
     step_ask(context, count, "stay")
     _wait_until(lambda: context.runner.whole == count, 2.0)
-    rig.env.stopping = True
+    rigs.stop_listening(rig)
     rig.acceptor.close()
     eventlet.spawn(_drain, rig)
     eventlet.sleep(seconds)
