Open no group whose members may still be ordered out of it

Cause: a leader opened any complete group that it found ready, whatever orders to join were outstanding for its members: those of the leader before, which may be carried out up to 12 s late, or its own for a later group, which it repeats each second.

Change: in the first 12.5 s a leader opens no group that an earlier one has formed. It is released and formed anew: runners reject joins with a lower epoch than one that they have seen, so the new joins make the old ones harmless. The own orders to join count as outstanding from when they are given until 12.5 s after the last.

--- a/src/citronvalve/replicas/builder.py
+++ b/src/citronvalve/replicas/builder.py
@@ -367,6 +367,7 @@
             held = runner.membership if runner else None
             if held is not None and held.key == pending.key:
                 continue
+            self._reservations.record_join(member, pending.key, now)
             self._outbox.add(
                 orders.Order(
                     _Kind.JOIN,
--- a/src/citronvalve/replicas/planner.py
+++ b/src/citronvalve/replicas/planner.py
@@ -373,20 +373,41 @@
                     self._record_loss(key, now)
                 self._close(replica, why, now)
             return True
-        if replica.is_ready() and key not in self._dissolved_at_by_key:
+        if self._may_adopt(replica, now):
             self._builder.adopt(replica, now)
             return True
-        if replica.phase is _Phase.READY and self._may_open_late(key, now):
+        if replica.phase is _Phase.READY and self._has_late_orders(key, now):
+            # An order to leave may be carried out late, too.
+            self._dissolved_at_by_key.setdefault(key, now)
             self._reservations.release(replica, now)
             return True
         return False
 
+    def _may_adopt(self, replica: replicas.Replica, now: clock.Ms) -> bool:
+        """Return whether a replica that is not open may be opened.
+
+        An order that is still to be carried out may take a member of an open
+        group into another one.
+        """
+        key = replica.key
+        return (
+            replica.is_ready()
+            and key not in self._dissolved_at_by_key
+            and not self._has_late_orders(key, now)
+            and not self._reservations.may_lose_member(replica, now)
+        )
+
     def _record_loss(self, key: membership.GroupKey, now: clock.Ms) -> None:
         if self.wants is not None and key not in self._dissolved_at_by_key:
             self.wants.record_loss(now)
 
-    def _may_open_late(self, key: membership.GroupKey, now: clock.Ms) -> bool:
-        """Return whether an earlier leader's order may still open a group."""
+    def _has_late_orders(
+        self, key: membership.GroupKey, now: clock.Ms
+    ) -> bool:
+        """Return whether orders of an earlier leader may still be carried out.
+
+        They may open a group, or take its members into another one.
+        """
         return (
             self._builder.is_inherited(key) and now < self._late_orders_until
         )
--- a/src/citronvalve/replicas/reservations.py
+++ b/src/citronvalve/replicas/reservations.py
@@ -1,5 +1,6 @@
 """Runners that must not join another group since their head may serve."""
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from citronvalve.model import clock
@@ -39,6 +40,16 @@
     members: set[str]
 
 
+class _OutstandingJoin(NamedTuple):
+    """An order to join that may still be carried out.
+
+    ``until`` is monotonic ms.
+    """
+
+    epoch: int
+    until: clock.Ms
+
+
 class Reservations:
     """Tracks which runners may still belong to a group that serves.
 
@@ -69,6 +80,8 @@
         self._open_answered: set[membership.GroupKey] = set()
         self._opening_by_key: dict[membership.GroupKey, _Reservation] = {}
         self._cut_answered: set[membership.GroupKey] = set()
+        self._join_by_id: dict[str, _OutstandingJoin] = {}
+        self._released: set[membership.GroupKey] = set()
 
     def update(self, alive: list[runners.Runner]) -> None:
         """Update the heads of all groups.
@@ -96,6 +109,7 @@
             }
             self._open_answered &= live_keys
             self._cut_answered &= live_keys
+            self._released &= live_keys
 
     def record_head_alive(
         self, replica: replicas.Replica, now: clock.Ms
@@ -135,6 +149,10 @@
         members = list(replica.member_by_rank.values())
         head = self._head_by_key.get(key)
         if head is not None and self._has_left(head, key):
+            if key in self._released:
+                # The next leader could not tell a group without a head from
+                # one whose head is lost.
+                self._order_to_leave(members, key, now)
             return False
         if not self._is_head_lost(key, head, now):
             return True
@@ -155,18 +173,26 @@
         return True
 
     def release(self, replica: replicas.Replica, now: clock.Ms) -> None:
-        """Order all members of a closed group to leave it.
+        """Order the members of a group that is not open to leave it.
 
-        Once the head has left, no order to open the group can have an effect.
-        The others leave with it, since the next leader could not tell a group
-        without a head from one whose head is lost.
+        The head leaves first: without a member, an order to open that is
+        carried out late would open an incomplete group.
 
         :param replica: the group.
         :param now: monotonic ms.
         """
+        self._released.add(replica.key)
+        self._order_to_leave([replica.head], replica.key, now)
+
+    def _order_to_leave(
+        self,
+        members: Iterable[runners.Runner],
+        key: membership.GroupKey,
+        now: clock.Ms,
+    ) -> None:
         why = orders.Reason.RELEASED
-        for runner in replica.member_by_rank.values():
-            leave = orders.Order(_Kind.LEAVE, runner.id, replica.key, why=why)
+        for runner in members:
+            leave = orders.Order(_Kind.LEAVE, runner.id, key, why=why)
             self._outbox.add(leave, now)
 
     def left_runners(self) -> frozenset[str]:
@@ -207,6 +233,44 @@
         """
         return key in self._open_answered
 
+    def record_join(
+        self, runner: str, key: membership.GroupKey, now: clock.Ms
+    ) -> None:
+        """Record that a runner is ordered to join a group.
+
+        The order may be carried out late, whatever it is answered.
+
+        :param runner: its id.
+        :param key: the group.
+        :param now: monotonic ms.
+        """
+        until = now + MAX_ORDER_DELAY
+        previous = self._join_by_id.get(runner)
+        epoch = max(key.epoch, previous.epoch if previous else 0)
+        self._join_by_id[runner] = _OutstandingJoin(epoch, until)
+
+    def may_lose_member(
+        self, replica: replicas.Replica, now: clock.Ms
+    ) -> bool:
+        """Return whether an order may take a member into another group.
+
+        A runner rejects an order to join with a lower epoch than one that it
+        has seen, so that only orders for later groups count.
+
+        :param replica: the group.
+        :param now: monotonic ms.
+        """
+        outstanding = (
+            self._join_by_id.get(runner.id)
+            for runner in replica.member_by_rank.values()
+        )
+        return any(
+            join is not None
+            and join.epoch > replica.key.epoch
+            and now < join.until
+            for join in outstanding
+        )
+
     def record_result(
         self, order: orders.Order, result: orders.OrderResult, now: clock.Ms
     ) -> None:
@@ -217,6 +281,8 @@
         :param now: monotonic ms.
         """
         unanswered = result is orders.OrderResult.SILENT
+        if order.kind is _Kind.JOIN and unanswered:
+            self.record_join(order.runner, order.key, now)
         if order.kind is _Kind.OPEN and unanswered:
             # The order may be carried out after another order has opened the
             # group and it has been closed again.
@@ -242,6 +308,11 @@
             for runner, until in self._left_until_by_id.items()
             if now < until
         }
+        self._join_by_id = {
+            runner: join
+            for runner, join in self._join_by_id.items()
+            if now < join.until
+        }
         reserved = set(self._left_until_by_id)
         for reservation_by_key in (
             self._lost_by_key,
--- a/tests/replicas/world.py
+++ b/tests/replicas/world.py
@@ -71,6 +71,8 @@
         self.busy = set()
         self.list_lag = 0
         self.opens_to_delay = 0
+        self.late_joins = set()
+        self._seen_epoch_by_start = {}
         self.history = []
         self.frozen_list = None
         self._left_membership_by_id = {}
@@ -148,6 +150,8 @@
         self._check_groups()
 
     def _is_delayed(self, order):
+        if order.kind is orders.OrderKind.JOIN:
+            return order.runner in self.late_joins
         if self.opens_to_delay and order.kind is orders.OrderKind.OPEN:
             self.opens_to_delay -= 1
             return True
@@ -234,11 +238,13 @@
 
     def _on_join(self, runner, order):
         held = runner.membership
-        if held and held.key.epoch > order.key.epoch:
+        life = runner.id, runner.start_id
+        if order.key.epoch < self._seen_epoch_by_start.get(life, 0):
             return
         if held and held.key == order.key:
             return
         self._check_join(runner)
+        self._seen_epoch_by_start[life] = order.key.epoch
         rank = order.members.index(runner.id)
         self._set(runner, order.key, rank, phase.Phase.JOINING)
         model = self.models[order.model]
@@ -273,15 +279,19 @@
     def _on_open(self, runner, order):
         held = runner.membership
         if held and held.key == order.key and held.phase is phase.Phase.READY:
-            ranks = {
-                r.membership.rank
-                for r in self.runner_by_id.values()
-                if r.membership and r.membership.key == order.key
-            }
+            ranks = self._ranks(order.key)
             if len(ranks) != self.models[order.key.model].size:
                 self.violations.append(f"{order.key} opened with {ranks}")
             self._set(runner, order.key, held.rank, phase.Phase.OPEN)
 
+    def _ranks(self, key):
+        """Return the ranks of a group's members."""
+        return {
+            r.membership.rank
+            for r in self.runner_by_id.values()
+            if r.membership and r.membership.key == key
+        }
+
     def _on_close(self, runner, order):
         after = phase.Phase.READY
         if runner.id in self.busy:
