Take no order to close for proof while its head is opening

A head accepts an order to close while it opens (0.3 s), and opens all the same. The leader took the accepted order for proof that the head serves nobody, and joined the other members elsewhere.

Change: an answered order to cut counts only if it was given after the time that a head takes to open, from the answer to the order to open (declared with the engine).

Tests: tests/replicas/lateorders.feature, "a member is lost 0.0 s after its head has begun to open", where the head's own new join is late; it failed before: the group opened with two of six members. The stand-in's heads may take time to open.

--- a/src/citronvalve/replicas/outbox.py
+++ b/src/citronvalve/replicas/outbox.py
@@ -24,14 +24,19 @@
         :param order: the order.
         :param now: monotonic ms.
         """
-        # An order is the same whatever it is given for.
-        same = order._replace(why=orders.Reason.FORMED)
-        sent_at = self._sent_at_by_order.get(same)
+        sent_at = self.sent_at(order)
         if sent_at is not None and now - sent_at < RETRY_INTERVAL:
             return
-        self._sent_at_by_order[same] = now
+        self._sent_at_by_order[_plain(order)] = now
         self._queued.append(order)
 
+    def sent_at(self, order: orders.Order) -> clock.Ms | None:
+        """Return when an order was last queued, None if that is not known.
+
+        :param order: the order.
+        """
+        return self._sent_at_by_order.get(_plain(order))
+
     def add_probe(self, runner_id: str) -> None:
         """Queue a probe.
 
@@ -52,3 +57,11 @@
             }
         queued, self._queued = self._queued, []
         return queued
+
+
+def _plain(order: orders.Order) -> orders.Order:
+    """Return an order as it is whatever it is given for.
+
+    :param order: the order.
+    """
+    return order._replace(why=orders.Reason.FORMED)
--- a/src/citronvalve/replicas/planner.py
+++ b/src/citronvalve/replicas/planner.py
@@ -71,7 +71,10 @@
         self.liveness = liveness_.Liveness(pause_limit=stall_timeout)
         self._outbox = outbox.Outbox()
         self._reservations = reservations.Reservations(
-            self.liveness, self._outbox, stall_timeout
+            self.liveness,
+            self._outbox,
+            stall_timeout,
+            spec.group_open_time,
         )
         self._weights = weights.Weights(spec, self.liveness, self._outbox)
         self._builder = builder.ReplicaBuilder(
--- a/src/citronvalve/replicas/reservations.py
+++ b/src/citronvalve/replicas/reservations.py
@@ -61,6 +61,7 @@
     :param liveness: which runners are alive.
     :param outbox: takes the orders.
     :param stall_timeout: ms after which a stalled head breaks.
+    :param open_time: ms that a head takes to open.
     """
 
     def __init__(
@@ -68,8 +69,10 @@
         liveness: liveness_.Liveness,
         outbox: outboxes.Outbox,
         stall_timeout: clock.Ms,
+        open_time: clock.Ms,
     ) -> None:
         self._liveness = liveness
+        self._open_time = open_time
         self._outbox = outbox
         self._stall_timeout = stall_timeout
         self._head_by_key: dict[membership.GroupKey, str] = {}
@@ -77,7 +80,7 @@
         self._lost_by_key: dict[membership.GroupKey, _Reservation] = {}
         self._left_until_by_id: dict[str, clock.Ms] = {}
         self._abandoned_by_key: dict[membership.GroupKey, _Reservation] = {}
-        self._open_answered: set[membership.GroupKey] = set()
+        self._open_answered_at_by_key: dict[membership.GroupKey, clock.Ms] = {}
         self._opening_by_key: dict[membership.GroupKey, _Reservation] = {}
         self._cut_answered: set[membership.GroupKey] = set()
         self._join_by_id: dict[str, _OutstandingJoin] = {}
@@ -107,7 +110,11 @@
                 for k, head in self._head_by_key.items()
                 if k in live_keys
             }
-            self._open_answered &= live_keys
+            self._open_answered_at_by_key = {
+                k: at
+                for k, at in self._open_answered_at_by_key.items()
+                if k in live_keys
+            }
             self._cut_answered &= live_keys
             self._released &= live_keys
 
@@ -231,7 +238,7 @@
 
         :param key: the group.
         """
-        return key in self._open_answered
+        return key in self._open_answered_at_by_key
 
     def record_join(
         self, runner: str, key: membership.GroupKey, now: clock.Ms
@@ -292,9 +299,23 @@
                 order.runner, now + MAX_ORDER_DELAY, members
             )
         if order.kind is _Kind.OPEN and not unanswered:
-            self._open_answered.add(order.key)
+            self._open_answered_at_by_key[order.key] = now
         if order.kind is _Kind.CUT and not unanswered:
-            self._cut_answered.add(order.key)
+            if self._is_after_opening(order):
+                self._cut_answered.add(order.key)
+
+    def _is_after_opening(self, cut: orders.Order) -> bool:
+        """Return whether an order to cut found no head that was opening.
+
+        A head that is opening accepts the order, and opens all the same.
+
+        :param cut: an order that was answered.
+        """
+        opened_at = self._open_answered_at_by_key.get(cut.key)
+        sent_at = self._outbox.sent_at(cut)
+        if opened_at is None or sent_at is None:
+            return True
+        return sent_at >= opened_at + self._open_time
 
     def reserved_runners(self, now: clock.Ms) -> set[str]:
         """Drop expired reservations; return the runners still reserved.
--- a/tests/replicas/lateorders.feature
+++ b/tests/replicas/lateorders.feature
@@ -41,6 +41,23 @@
       | 5.0     |
       | 12.0    |
 
+  Scenario Outline: a member is lost <seconds> s after its head has begun to open
+    Guards against an order to close that a head accepts while it opens, and
+    that counts as proof that it does not serve: it opens all the same.
+
+    Given 6 domains of 11 runners serve
+    And heads take 0.3 s to open
+    When a member of a "large" replica crashes without notice
+    And the head is reported as stalled
+    And another one lapses <seconds> s after the new head is ordered to open, which then gets no order to join
+    Then for 14 s no runner is in two groups
+
+    Examples:
+      | seconds |
+      | 0.0     |
+      | 0.1     |
+      | 0.2     |
+
   Scenario Outline: domains crash, leaders change and a third of the orders is late, seed <seed>
     Guards against any other order, of any leader, that does the same.
 
--- a/tests/replicas/lateworld.py
+++ b/tests/replicas/lateworld.py
@@ -44,6 +44,7 @@
         self.leaders = 0
         self.late = []
         super().__init__(domains, size)
+        self.form_time = _FORM_TIME
 
     def start_leader(self, lease):
         """Replace the planner; it knows who was ordered to leave."""
@@ -145,15 +146,6 @@
             self.late.append(order.kind)
             self.carry_out(order)
 
-    def _on_open(self, runner, order):
-        opened = functools.partial(self._open, order, runner.start_id)
-        self._due.append((self.now + _FORM_TIME, opened))
-
-    def _open(self, order, start_id):
-        runner = self.runner_by_id[order.runner]
-        if runner.start_id == start_id and order.runner not in self.dead:
-            super()._on_open(runner, order)
-
     def _ranks(self, key):
         # A member that was ready and is lost excuses that it is missing.
         lost = self._lost_ranks_by_key.get(key, set())
--- a/tests/replicas/steps/lateorders_steps.py
+++ b/tests/replicas/steps/lateorders_steps.py
@@ -120,3 +120,22 @@
 @behave.then("orders to join were carried out late")
 def step_late(context):
     assert orders.OrderKind.JOIN in context.world.late, context.world.late
+
+
+@behave.given("heads take {seconds:f} s to open")
+def step_form_time(context, seconds):
+    context.world.form_time = round(seconds * 1_000)
+
+
+@behave.when(
+    "another one lapses {seconds:f} s after the new head is ordered to open, "
+    "which then gets no order to join"
+)
+def step_lost_while_opening(context, seconds):
+    world = context.world
+    _step_until(world, lambda: world.opening)
+    _, order, _ = world.opening[0]
+    world.run(round(seconds * 1_000))
+    others = [m for m in world.members(order.runner) if m != order.runner]
+    world.unlisted.add(others[-1])
+    world.late_joins = {order.runner}
--- a/tests/replicas/world.py
+++ b/tests/replicas/world.py
@@ -72,6 +72,8 @@
         self.list_lag = 0
         self.opens_to_delay = 0
         self.late_joins = set()
+        self.form_time = 0
+        self.opening = []
         self._seen_epoch_by_start = {}
         self.history = []
         self.frozen_list = None
@@ -277,6 +279,22 @@
                     )
 
     def _on_open(self, runner, order):
+        at = self.now + self.form_time
+        self.opening.append((at, order, runner.start_id))
+        if not self.form_time:
+            self._open_due()
+
+    def _open_due(self):
+        """Open the heads whose time to form is over."""
+        due = [one for one in self.opening if one[0] <= self.now]
+        self.opening = [one for one in self.opening if one[0] > self.now]
+        for _, order, start_id in due:
+            runner = self.runner_by_id[order.runner]
+            is_same = runner.start_id == start_id
+            if is_same and order.runner not in self.dead:
+                self._open(runner, order)
+
+    def _open(self, runner, order):
         held = runner.membership
         if held and held.key == order.key and held.phase is phase.Phase.READY:
             ranks = self._ranks(order.key)
@@ -317,6 +335,7 @@
         self._put(runner._replace(staged=(order.model,)))
 
     def _progress(self):
+        self._open_due()
         for name, at in list(self._ready_at_by_id.items()):
             runner = self.runner_by_id[name]
             held = runner.membership
