Count a replica that is released until its runners have left

The first form of the release marked the group as dissolved at once, so that its replica was not counted while its runners were still reserved for it, and others could be formed in its place from spares.

A released group is not opened again by this leader; the reservations say so.

--- a/src/citronvalve/replicas/planner.py
+++ b/src/citronvalve/replicas/planner.py
@@ -380,8 +380,6 @@
             self._builder.adopt(replica, now)
             return True
         if replica.phase is _Phase.READY and self._has_late_orders(key, now):
-            # An order to leave may be carried out late, too.
-            self._dissolved_at_by_key.setdefault(key, now)
             self._reservations.release(replica, now)
             return True
         return False
@@ -396,6 +394,7 @@
         return (
             replica.is_ready()
             and key not in self._dissolved_at_by_key
+            and not self._reservations.is_released(key)
             and not self._has_late_orders(key, now)
             and not self._reservations.may_lose_member(replica, now)
         )
--- a/src/citronvalve/replicas/reservations.py
+++ b/src/citronvalve/replicas/reservations.py
@@ -191,6 +191,15 @@
         self._released.add(replica.key)
         self._order_to_leave([replica.head], replica.key, now)
 
+    def is_released(self, key: membership.GroupKey) -> bool:
+        """Return whether members of a group may still be leaving it.
+
+        An order to leave may be carried out late.
+
+        :param key: the group.
+        """
+        return key in self._released
+
     def _order_to_leave(
         self,
         members: Iterable[runners.Runner],
