Reject responses whose head is cut, in all clients on urllib3

It happened here: plain services of the own interface gave an empty 200 or 204; the store's client gave 200 with an empty body for reads, and 200, 204 or 412 for writes; orders to runners of the users' machines counted as accepted, which for an order to cut is the proof that a head has stopped.

Cause: http.client takes the end of a connection for the end of the head, and a line that is cut for a line. Where nothing is to follow the response looks complete, elsewhere its length is lost. It does the same with the line that gives the size of a chunk: "0" of a longer size ended a body.

Change: connections/ has one pool class for all clients, whose responses reject a line that the connection cuts.

--- a/src/citronvalve/cli/daemons.py
+++ b/src/citronvalve/cli/daemons.py
@@ -10,6 +10,7 @@
 import urllib3
 
 from citronvalve.cli import exitcode
+from citronvalve.connections import pool
 from citronvalve.model import errors
 from citronvalve.model import missing
 
@@ -84,7 +85,7 @@
 def _query_one(address: str) -> QueryResult:
     url = f"http://{address.removeprefix('http://').rstrip('/')}/status"
     try:
-        response = urllib3.request(
+        response = pool.PoolManager().request(
             "GET", url, retries=False, timeout=_TIMEOUT_SECONDS
         )
         status: Any = msgspec.json.decode(response.data, type=DaemonStatus)
--- /dev/null
+++ b/src/citronvalve/connections/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP connections of the program's clients."""
--- a/src/citronvalve/groups/httpengines.py
+++ b/src/citronvalve/groups/httpengines.py
@@ -7,6 +7,7 @@
 import msgspec
 import urllib3
 
+from citronvalve.connections import pool
 from citronvalve.groups import accepted
 from citronvalve.groups import engineload
 from citronvalve.groups import engines
@@ -63,7 +64,7 @@
     ) -> None:
         self._map = map_function
         self._clock = time_source or clock.SystemClock()
-        self._pools = urllib3.PoolManager(
+        self._pools = pool.PoolManager(
             num_pools=_MAX_POOLS,
             maxsize=_CONNECTIONS_PER_ENGINE,
             retries=False,
--- a/src/citronvalve/storage/client.py
+++ b/src/citronvalve/storage/client.py
@@ -5,6 +5,7 @@
 import msgspec
 import urllib3
 
+from citronvalve.connections import pool as pools
 from citronvalve.model import clock
 from citronvalve.model import missing
 
@@ -188,9 +189,9 @@
                 )
         return bytes(body)
 
-    def _new_pool(self) -> urllib3.HTTPConnectionPool:
+    def _new_pool(self) -> pools.ConnectionPool:
         host, _, port = self.address.rpartition(":")
-        return urllib3.HTTPConnectionPool(
+        return pools.ConnectionPool(
             host, int(port), maxsize=MAX_CONNECTIONS, block=True
         )
 
--- a/src/citronvalve/upstreams/plainclient.py
+++ b/src/citronvalve/upstreams/plainclient.py
@@ -3,6 +3,7 @@
 import eventlet
 import urllib3
 
+from citronvalve.connections import pool as pool_
 from citronvalve.model import clock
 from citronvalve.upstreams import engineclient
 from citronvalve.upstreams import failure
@@ -38,7 +39,7 @@
         pool = self._pools.get(address)
         own_pool = None
         if request.new_connection:
-            pool = own_pool = urllib3.HTTPConnectionPool(pool.host, pool.port)
+            pool = own_pool = pool_.ConnectionPool(pool.host, pool.port)
         try:
             # The library's timeout applies to each receive: a service that
             # sends a byte now and then would block its caller forever.
@@ -71,7 +72,7 @@
 
 
 def _open(
-    pool: urllib3.HTTPConnectionPool, request: plainrequest.PlainRequest
+    pool: pool_.ConnectionPool, request: plainrequest.PlainRequest
 ) -> urllib3.BaseHTTPResponse:
     return pool.urlopen(
         request.method,
--- a/src/citronvalve/upstreams/pools.py
+++ b/src/citronvalve/upstreams/pools.py
@@ -5,6 +5,7 @@
 
 import urllib3
 
+from citronvalve.connections import pool as pools
 from citronvalve.model import clock
 
 #: Further connections are opened and not reused.  A replica has a capacity
@@ -32,9 +33,9 @@
 
     def __init__(self) -> None:
         self.on_sending: Callable[[str], OnAnswer] = lambda _: lambda *_: None
-        self._pool_by_address: dict[str, urllib3.HTTPConnectionPool] = {}
+        self._pool_by_address: dict[str, pools.ConnectionPool] = {}
 
-    def get(self, address: str) -> urllib3.HTTPConnectionPool:
+    def get(self, address: str) -> pools.ConnectionPool:
         """Return the pool of an upstream, creating it on first use.
 
         :param address: host:port.
@@ -42,7 +43,7 @@
         pool = self._pool_by_address.get(address)
         if pool is None:
             host, _, port = address.rpartition(":")
-            pool = urllib3.HTTPConnectionPool(
+            pool = pools.ConnectionPool(
                 host, int(port), maxsize=_CONNECTIONS_PER_UPSTREAM, block=False
             )
             self._pool_by_address[address] = pool
--- a/standins/scriptedrunner.py
+++ b/standins/scriptedrunner.py
@@ -40,6 +40,9 @@
     :ivar said: further header lines of its answers.
     :ivar retry_after: how long it asks for rest, as text.
     :ivar closed_on: connections that its caller closed while it was silent.
+    :ivar cut_at: bytes of a head after which a connection ends.
+    :ivar resets: whether it then ends with a reset.
+    :ivar head_size: bytes of the last head that was cut.
     """
 
     def __init__(
@@ -59,6 +62,9 @@
         self.bodies: list[bytes] = []
         self.runs = 0
         self.closed_on = 0
+        self.cut_at = 0
+        self.resets = False
+        self.head_size = 0
         self.said = ""
         self.retry_after = "3"
         self._task = eventlet.spawn(self._accept)
@@ -389,6 +395,19 @@
     def _early_unframed_resets(self, sock, fields) -> bool:
         return self._resets_unframed(sock, fields)
 
+    def _cut_in_its_head(self, sock, fields) -> bool:
+        self.runs += 1
+        extra = "Content-Length: 0\r\nX-After: 1\r\n"
+        head = self._head(fields, extra=extra)
+        self.head_size = len(head)
+        sock.sendall(head[: self.cut_at])
+        if self.resets:
+            eventlet.sleep(0.002)
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, answerparts.RESET
+            )
+        return False
+
     def _crashes(self, sock, fields) -> bool:
         self.runs += 1
         self.close()
--- a/tests/forward/resets.feature
+++ b/tests/forward/resets.feature
@@ -1,4 +1,4 @@
-Feature: A reset never looks like the end of a response
+Feature: A connection that breaks never looks like the end of a response
   The kernel reports a reset to one call only; reads after that return no
   bytes, as after a proper end.  A response without a length ends with its
   connection, so a part of it would pass for the whole.
@@ -69,3 +69,21 @@
       | early_unframed_resets | through other daemons | 502    |
       | early_unframed        | directly            | 200    |
       | early_unframed        | through other daemons | 200    |
+
+  Scenario Outline: a response to <method> <path> is <how> at each byte of its head
+    Guards against an empty response that passes for the whole, where nothing
+    is to follow the head.
+
+    Given a runner that "cut_in_its_head"
+    When its response to <method> <path> is <how> after each byte of the head
+    Then no caller gets 200
+
+    Examples:
+      | method | path        | how    |
+      | GET    | /any/thing  | closed |
+      | HEAD   | /any/thing  | closed |
+      | HEAD   | /any/thing  | reset  |
+      | POST   | /once/thing | closed |
+      | POST   | /once/thing | reset  |
+      | POST   | /stream/a   | closed |
+      | POST   | /stream/a   | reset  |
--- a/tests/forward/steps/resets_steps.py
+++ b/tests/forward/steps/resets_steps.py
@@ -111,3 +111,32 @@
 @behave.then("each of them gets {status:d}")
 def step_statuses(context, status):
     assert set(context.statuses) == {status}, context.statuses
+
+
+@behave.given('a runner that "{way}"')
+def step_one_runner(context, way):
+    context.rig = rigs.Rig({"plain-1": [way], "head-1": [way]})
+
+
+@behave.when(
+    "its response to {method} {path} is {how} after each byte of the head"
+)
+def step_cut(context, method, path, how):
+    rig = context.rig
+    headers = "X-Model: large\r\nX-Tokens: 100,60\r\n"
+    name = "head-1" if "stream" in path else "plain-1"
+    runner = rig.runners[name]
+    runner.resets = how == "reset"
+    context.statuses = []
+    while runner.cut_at < runner.head_size or not runner.cut_at:
+        # Otherwise it would be left out after its first failures.
+        rig.loads.of(name).circuit.record_success()
+        got = rig.send(path, headers, method)
+        context.statuses.append(int(re.match(rb"HTTP/1.1 (\d+)", got)[1]))
+        runner.cut_at += 1
+    assert len(context.statuses) == runner.runs > 100, context.statuses
+
+
+@behave.then("no caller gets 200")
+def step_none_whole(context):
+    assert 200 not in context.statuses, context.statuses
