Let the soak kill leaders as orders are late, and keep connections to the end

Now the leader is killed right after orders to repair a group had no answer (half of the series, drawn apart so that a seed's other events stay); callers of a daemon that stops send their next request at once, until the process is gone; and a head that joins another group while its own is open counts as a runner in two groups: only the other members did.

Not added: resets in the middle of answers without a length, since the soak's relays turn a reset into a proper end; tests/forward/resets.feature has them.

--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -59,6 +59,17 @@
         self._revision += 1
         self._set(table, key, base64.b64encode(data).decode())
 
+    def value(self, table: str, key: str) -> Any:
+        """Return the value of a row, None if there is none.
+
+        :param table: name of the table.
+        :param key: the row's key.
+        """
+        row = self._rows.get((table, key))
+        if row is None or "Value" not in row:
+            return None
+        return msgspec.json.decode(base64.b64decode(row["Value"]))
+
     def drop(self, table: str, key: str) -> None:
         """Drop a row.
 
--- a/standins/soak/caller.py
+++ b/standins/soak/caller.py
@@ -68,7 +68,9 @@
                         socket.SOL_SOCKET, socket.SO_RCVBUF, _BUFFER
                     )
                 while self._one(connection, daemon):
-                    eventlet.sleep(self._chance.uniform(0.02, 0.2))
+                    pause = self._chance.uniform(0.02, 0.2)
+                    # Those of a daemon that stops go on at once.
+                    eventlet.sleep(pause if daemon.up else 0.0)
             except (OSError, http.client.HTTPException):
                 eventlet.sleep(self._chance.uniform(0.05, 0.3))
             finally:
--- a/standins/soak/installation.py
+++ b/standins/soak/installation.py
@@ -107,6 +107,7 @@
             _Fault.RUNNERS_LIMITED: self._limit,
             _Fault.RUNNERS_REST: self._rest,
             _Fault.RUNNER_SAYS_IT_LEAVES: self._say_leaving,
+            _Fault.LEADER_LATE: self._kill_leader,
         }
 
     @property
@@ -204,6 +205,23 @@
             eventlet.sleep(event.span)
             daemon.start()
 
+    def _kill_leader(self, event: schedules.Event) -> None:
+        """Let a runner crash, orders be late, and the leader be killed."""
+        self._set_all("late", True)
+        runner = self._runner(event)
+        if runner is not None:
+            eventlet.spawn(self._crash, event)
+        # The order to repair its group has no answer by then.
+        eventlet.sleep(event.span)
+        row = self.store.value("citronvalve", "leader") or {}
+        leading = [d for d in self.up if d.name == row.get("holder")]
+        for daemon in leading if len(self.up) > 1 else []:
+            daemon.kill()
+            self._book.needs.forget(daemon.name)
+            eventlet.sleep(event.span / 3)
+            daemon.start()
+        self._set_all("late", False)
+
     def _pause(self, event: schedules.Event) -> None:
         daemon = self._daemon(event)
         if daemon is not None:
@@ -296,11 +314,13 @@
         self._misbehave("loses", event)
 
     def _misbehave(self, what: str, event: schedules.Event) -> None:
-        for runner in self._runner_by_name.values():
-            setattr(runner, what, True)
+        self._set_all(what, True)
         eventlet.sleep(event.span)
+        self._set_all(what, False)
+
+    def _set_all(self, what: str, value: bool) -> None:
         for runner in self._runner_by_name.values():
-            setattr(runner, what, False)
+            setattr(runner, what, value)
 
     def _versions(self, event: schedules.Event) -> None:
         for _ in range(1 + event.target % 6):
--- a/standins/soak/place.py
+++ b/standins/soak/place.py
@@ -250,7 +250,8 @@
         held = self.group
         if held is None:
             return
-        serves = self._old_head_serves()
+        is_head = held.rank == 0 and held.state in _SERVING
+        serves = self._old_head_serves() or (is_head and not self.is_broken())
         detail = f"{self._name} leaves {held.name} that its head serves"
         self._book.look("no runner is in two groups", not serves, detail)
 
--- a/standins/soak/schedule.py
+++ b/standins/soak/schedule.py
@@ -34,6 +34,7 @@
     RUNNERS_LIMITED = "runners name a request rate"
     RUNNERS_REST = "runners ask for rest"
     RUNNER_SAYS_IT_LEAVES = "a runner says in answers alone that it leaves"
+    LEADER_LATE = "leader killed as orders are late"
 
 
 #: Work that operators plan; it excuses nothing.
@@ -79,6 +80,9 @@
 _NEED_SHARE = 0.6
 _NEED = 6.0, 10.0
 
+#: Part of the series in which the leader is killed while orders are late.
+_LEADER_SHARE = 0.5
+
 _NEEDS = [
     Fault.RUNNERS_LIMITED,
     Fault.RUNNERS_REST,
@@ -89,6 +93,7 @@
     Fault.LINKS,
     Fault.RUNNERS_SILENT,
     Fault.CRASHING_PART,
+    Fault.LEADER_LATE,
     *_NEEDS,
 )
 _DRAWN = [fault for fault in Fault if fault not in _DRAWN_APART]
@@ -121,6 +126,7 @@
     silences = random.Random(f"{seed}/silences")
     crashes = random.Random(f"{seed}/crashing parts")
     needs = random.Random(f"{seed}/needs")
+    leaders = random.Random(f"{seed}/leaders")
     events = []
     began = _FIRST
     while began + _SERIES + _CALM < seconds:
@@ -144,6 +150,9 @@
             if crashes.random() < _RESTART_SHARE:
                 kill = at + crashes.uniform(1.0, span - 1.0)
                 events.append(_one(crashes, kill, [Fault.KILL, Fault.STOP]))
+        if leaders.random() < _LEADER_SHARE:
+            at = began + leaders.uniform(0, _SERIES - 3)
+            events.append(_one(leaders, at, [Fault.LEADER_LATE]))
         for need in _NEEDS:
             if needs.random() < _NEED_SHARE:
                 at = began + needs.uniform(0, _SERIES)
