Trust no end of an unframed response while the daemon stood still

Cause: whether an upstream crashed at the end of a response without a length was told by whether it accepts connections when the daemon asks. A daemon that stood still asks too late.

A relaying daemon tells the other one that the connection broke.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -108,6 +108,7 @@
         signal.signal(signal.SIGHUP, self._on_reload)
         self.env.log.change("started", callers=self._settings.callers)
         eventlet.spawn(self._log.run)
+        eventlet.spawn(self.env.pauses.run)
         self._follow_tables()
         self._messages.start(
             self._peers_wait(), not self._settings.first_start
--- a/src/citronvalve/forward/environment.py
+++ b/src/citronvalve/forward/environment.py
@@ -5,6 +5,7 @@
 from citronvalve.forward import bodybuffer
 from citronvalve.forward import headernames
 from citronvalve.forward import metrics as metrics_
+from citronvalve.forward import pausewatch
 from citronvalve.model import clock
 from citronvalve.model import decisionlog
 from citronvalve.policy import memoryaccount
@@ -27,6 +28,7 @@
         for them.
     :ivar link: bytes per ms of the VM's link, 0 if that is not known.
     :ivar stop: when a daemon that was asked to stop does what, or None.
+    :ivar pauses: tells whether the process stood still.
     :ivar daemon_count: how many daemons share the limits.
     """
 
@@ -51,6 +53,7 @@
         self.unsent: unsentbudget.UnsentBudget | None = None
         self.link = 0.0
         self.stop: stopschedule.StopSchedule | None = None
+        self.pauses = pausewatch.PauseWatch(clock_)
         self.daemon_count = 1
 
     @property
--- a/src/citronvalve/forward/exchange.py
+++ b/src/citronvalve/forward/exchange.py
@@ -299,13 +299,18 @@
 
         A response without a length ends when its connection closes, which
         a crash in the middle does too: the caller would take the part for
-        a complete response.  A crashed upstream does not accept connections.
+        a complete response.  A crashed upstream does not accept connections,
+        but one that crashed while this daemon stood still may be back.
 
         :raises exchangeerror.ExchangeError: when nothing accepts
-            connections at the upstream's address.
+            connections at the upstream's address, or that proves nothing.
         """
         if self.response is None or self.response.is_framed():
             return
+        if self._env.pauses.is_recent():
+            raise exchangeerror.ExchangeError(
+                _Failure.BROKEN, "response ended while this daemon stood still"
+            )
         try:
             self._deps.pool.check_listening(self._target)
         except exchangeerror.ExchangeError as error:
--- a/src/citronvalve/forward/relayserver.py
+++ b/src/citronvalve/forward/relayserver.py
@@ -273,7 +273,9 @@
                 self._write(_Kind.DATA, data)
                 # An upstream that sends without end would let no task run.
                 eventlet.sleep(0)
-            self._write(_Kind.END)
+            # A response without a length may have ended by a crash meanwhile.
+            is_doubtful = self._env.pauses.is_recent()
+            self._write(_Kind.BROKEN if is_doubtful else _Kind.END)
         except OSError:
             with contextlib.suppress(OSError):
                 self._write(_Kind.BROKEN)
--- a/src/citronvalve/replicas/outbox.py
+++ b/src/citronvalve/replicas/outbox.py
@@ -27,7 +27,7 @@
         sent_at = self.sent_at(order)
         if sent_at is not None and now - sent_at < RETRY_INTERVAL:
             return
-        self._sent_at_by_order[_plain(order)] = now
+        self._sent_at_by_order[_without_reason(order)] = now
         self._queued.append(order)
 
     def sent_at(self, order: orders.Order) -> clock.Ms | None:
@@ -35,7 +35,7 @@
 
         :param order: the order.
         """
-        return self._sent_at_by_order.get(_plain(order))
+        return self._sent_at_by_order.get(_without_reason(order))
 
     def add_probe(self, runner_id: str) -> None:
         """Queue a probe.
@@ -59,7 +59,7 @@
         return queued
 
 
-def _plain(order: orders.Order) -> orders.Order:
+def _without_reason(order: orders.Order) -> orders.Order:
     """Return an order as it is whatever it is given for.
 
     :param order: the order.
--- a/standins/scriptedrunner.py
+++ b/standins/scriptedrunner.py
@@ -408,6 +408,13 @@
             )
         return False
 
+    def _restarts_unframed_in_a_pause(self, sock, fields) -> bool:
+        self.runs += 1
+        head = self._head(fields, extra="Connection: close\r\n")
+        sock.sendall(head + b"answer")
+        unframedstreams.stand_still(sock)
+        return False
+
     def _crashes(self, sock, fields) -> bool:
         self.runs += 1
         self.close()
--- a/standins/unframedstreams.py
+++ b/standins/unframedstreams.py
@@ -2,10 +2,27 @@
 
 import eventlet
 from eventlet.green import socket
+from eventlet import patcher
 
 from standins import answerparts
 
 
+# The monkey-patched modules would let others go on meanwhile.
+_time = patcher.original("time")
+
+#: Seconds for which the whole process stands still.
+_STANDSTILL = 0.6
+
+
+def stand_still(sock) -> None:
+    """End a connection in a standstill of its process, peers included.
+
+    :param sock: the connection.
+    """
+    sock.shutdown(socket.SHUT_RDWR)
+    _time.sleep(_STANDSTILL)
+
+
 class UnframedStreams:
     """Streams that end with their connection; the runner makes the heads."""
 
@@ -66,6 +83,12 @@
         self.close()
         return False
 
+    def _unframed_restarts_in_a_pause(self, sock, fields) -> bool:
+        """Crash in the middle, and be back when its caller goes on."""
+        self._unframed_events(sock, fields, until=3)
+        stand_still(sock)
+        return False
+
     def _unframed_resets(self, sock, fields) -> bool:
         self._unframed_events(sock, fields, until=3)
         eventlet.sleep(0.05)
--- a/tests/forward/relaying.feature
+++ b/tests/forward/relaying.feature
@@ -42,6 +42,7 @@
       | unframed              | 200    | 1    |
       | crashes_unframed      | 502    | 1    |
       | resets_unframed       | 502    | 1    |
+      | restarts_unframed_in_a_pause | 502 | 1 |
 
   Scenario: the relay is lost in a response without a length
     Guards against a part that looks complete: such a response ends with its
--- a/tests/forward/resets.feature
+++ b/tests/forward/resets.feature
@@ -70,6 +70,27 @@
       | early_unframed        | directly            | 200    |
       | early_unframed        | through other daemons | 200    |
 
+  Scenario Outline: a runner <first>, and the daemon stands still meanwhile
+    Guards against a part that ends as complete: by the time that the daemon
+    looks the runner has started again.
+
+    Given runners of which the first "<first>" and the next "<second>"
+    When its kind of request is sent
+    Then within 2 s it has a whole answer
+    And each runner got at most one request, and no load is left
+
+    Examples:
+      | first                        | second |
+      | unframed_restarts_in_a_pause | stream |
+      | restarts_unframed_in_a_pause | whole  |
+
+  Scenario: the same, and the request may run once only
+    Guards against the same where no other runner may be asked.
+
+    Given a daemon in front of a plain runner that "restarts_unframed_in_a_pause"
+    When a caller calls /once/thing
+    Then it gets 502, and 1 runs were made
+
   Scenario Outline: a response to <method> <path> is <how> at each byte of its head
     Guards against an empty response that passes for the whole, where nothing
     is to follow the head.
--- a/tests/forward/rig.py
+++ b/tests/forward/rig.py
@@ -3,6 +3,8 @@
 import random
 import socket
 
+import eventlet
+
 from citronvalve.forward import acceptor
 from citronvalve.forward import admission
 from citronvalve.forward import connectionpool
@@ -150,12 +152,14 @@
             most,
         )
         self.acceptor.start()
+        self._pauses = eventlet.spawn(self.env.pauses.run)
 
     @property
     def address(self):
         return self.acceptor.address
 
     def close(self):
+        self._pauses.kill()
         self.acceptor.close()
         for one in self.runners.values():
             one.close()
