--- a/src/citronvalve/connections/response.py
+++ b/src/citronvalve/connections/response.py
@@ -3,6 +3,7 @@
 import http.client
 from typing import Any
 from typing import BinaryIO
+from typing import cast
 
 
 class _WholeLines:
@@ -42,4 +43,4 @@
 
     def __init__(self, *arguments, **options) -> None:
         super().__init__(*arguments, **options)
-        self.fp = _WholeLines(self.fp)
+        self.fp = cast(Any, _WholeLines(self.fp))
--- a/src/citronvalve/replicas/reservations.py
+++ b/src/citronvalve/replicas/reservations.py
@@ -188,8 +188,10 @@
         :param replica: the group.
         :param now: monotonic ms.
         """
-        self._released.add(replica.key)
-        self._order_to_leave([replica.head], replica.key, now)
+        head = replica.head
+        if head is not None:
+            self._released.add(replica.key)
+            self._order_to_leave([head], replica.key, now)
 
     def is_released(self, key: membership.GroupKey) -> bool:
         """Return whether members of a group may still be leaving it.
@@ -296,6 +298,8 @@
         :param result: the runner's response.
         :param now: monotonic ms.
         """
+        if order.key is None:
+            return
         unanswered = result is orders.OrderResult.SILENT
         if order.kind is _Kind.JOIN and unanswered:
             self.record_join(order.runner, order.key, now)
@@ -310,17 +314,20 @@
         if order.kind is _Kind.OPEN and not unanswered:
             self._open_answered_at_by_key[order.key] = now
         if order.kind is _Kind.CUT and not unanswered:
-            if self._is_after_opening(order):
+            if self._is_after_opening(order, order.key):
                 self._cut_answered.add(order.key)
 
-    def _is_after_opening(self, cut: orders.Order) -> bool:
+    def _is_after_opening(
+        self, cut: orders.Order, key: membership.GroupKey
+    ) -> bool:
         """Return whether an order to cut found no head that was opening.
 
         A head that is opening accepts the order, and opens all the same.
 
         :param cut: an order that was answered.
+        :param key: its group.
         """
-        opened_at = self._open_answered_at_by_key.get(cut.key)
+        opened_at = self._open_answered_at_by_key.get(key)
         sent_at = self._outbox.sent_at(cut)
         if opened_at is None or sent_at is None:
             return True
