Log each broken run that is not counted as a crash, and why accused requests pass

Callers saw one request crash nine runners. The logs could not tell three hypotheses apart: a run whose upstream was not found lost left no line, nothing said what explained the losses of a request that was let pass, and the line of a loss did not name the caller.

No decision changes: whole requests are assessed by the same rule as before, in one method that also names the explaining contents.

tests/forward/crashes: three new rows, which failed before as there was neither line nor counter. tests/policy/crashes and beginnings pass as before.

--- a/src/citronvalve/forward/attempt.py
+++ b/src/citronvalve/forward/attempt.py
@@ -127,6 +127,7 @@
         exchange = self._exchange
         if exchange is not None:
             self._record_failure()
+            self._record_unchecked(_Failure.SILENT)
             self._leave()
             exchange.connection.close()
 
@@ -224,6 +225,11 @@
     def _check_upstream(self) -> None:
         self._deps.crash_detector.check_upstream(self._routed, self._run)
 
+    def _record_unchecked(self, failure: _Failure) -> None:
+        self._deps.crash_detector.record_unchecked(
+            self._routed, self._run, failure
+        )
+
     def _send_and_read(
         self, exchange: exchanges.Exchange
     ) -> attemptresult.AttemptResult:
@@ -324,6 +330,8 @@
                 self._record_failure()
                 return _Result(_Ending.NOT_RUN, why)
         self._record_failure()
+        if error.failure is not _Failure.BROKEN:
+            self._record_unchecked(error.failure)
         return _Result(_Ending.BROKEN, why)
 
     def _record_rest(self, error: exchangeerror.ExchangeError) -> None:
--- a/src/citronvalve/forward/crashdetector.py
+++ b/src/citronvalve/forward/crashdetector.py
@@ -1,6 +1,7 @@
 """Detection of requests that crash their upstreams."""
 
 from collections.abc import Callable
+import enum
 from typing import NamedTuple
 
 import xxhash
@@ -30,6 +31,25 @@
 _MAX_SHOWN = 32
 
 
+class CrashCheck(enum.StrEnum):
+    """What is found of an upstream after a run on it broke."""
+
+    LOST = "lost"
+    LISTENING = "listening"
+    #: No daemon can tell whether the upstream or the link is lost.
+    NO_LINK = "no link"
+    #: No link, and the daemons with one are to leave the upstream alone.
+    RESTING = "resting"
+    #: It ended in a way that a crash does not explain.
+    UNCHECKED = "unchecked"
+
+
+_CHECK_BY_FAILURE = {
+    exchangeerror.ExchangeFailure.NO_LINK: CrashCheck.NO_LINK,
+    exchangeerror.ExchangeFailure.RESTING: CrashCheck.RESTING,
+}
+
+
 class Run(NamedTuple):
     """A request's run at an upstream.
 
@@ -90,7 +110,10 @@
         """
         self.wait_known(routed.deadline)
         verdict = self._find(routed)
-        if verdict is None or self._begin_trial(verdict, routed.id):
+        if verdict is None:
+            self._log_accused(routed)
+            return None
+        if self._begin_trial(verdict, routed.id):
             return None
         return self._refuse(routed, verdict)
 
@@ -116,13 +139,27 @@
         :param run: its run.
         """
         broke_at = self._env.clock.now()
-        try:
-            self._pool.check_listening(run.target)
-        except exchangeerror.ExchangeError as error:
-            if error.failure is exchangeerror.ExchangeFailure.NO_LINK:
-                # The connection may have broken with the link.
-                return
-            self._record_loss(routed, run, broke_at, str(error))
+        found, why = self._check(run.target)
+        self._env.metrics.record_crash_check(found)
+        if found in {CrashCheck.LISTENING, CrashCheck.NO_LINK}:
+            # The connection may have broken with the link.
+            self._log_run("broken run not counted", routed, run, found, why)
+            return
+        self._record_loss(routed, run, broke_at, why)
+
+    def record_unchecked(
+        self, routed: routedrequest.RoutedRequest, run: Run, why: str
+    ) -> None:
+        """Record a run that was given up without a broken connection.
+
+        :param routed: the request.
+        :param run: its run.
+        :param why: how it ended.
+        """
+        found = CrashCheck.UNCHECKED
+        self._env.metrics.record_crash_check(found)
+        if self.suspects:
+            self._log_run("broken run not counted", routed, run, found, why)
 
     def record_data(
         self, routed: routedrequest.RoutedRequest, run: Run
@@ -158,6 +195,60 @@
             self._contents(routed), model_digest(routed.model)
         )
 
+    def _log_accused(self, routed: routedrequest.RoutedRequest) -> None:
+        """Log why a request that was lost often enough is not refused."""
+        if not self.suspects:
+            return
+        accused = self.suspects.assess(
+            self._contents(routed), model_digest(routed.model)
+        )
+        if accused is None:
+            return
+        self._env.log.note(
+            "accused request let pass",
+            routed.id,
+            content=_shown_digest(accused.content),
+            losses=accused.losses,
+            unexplained=len(accused.unexplained),
+            explained_by=[
+                _shown_digest(content) for content in accused.explaining
+            ],
+        )
+
+    def _check(self, target: connectors.Target) -> tuple[CrashCheck, str]:
+        """Return what is found of an upstream, and why.
+
+        :param target: the upstream.
+        """
+        try:
+            self._pool.check_listening(target)
+        except exchangeerror.ExchangeError as error:
+            found = _CHECK_BY_FAILURE.get(error.failure, CrashCheck.LOST)
+            return found, str(error)
+        return CrashCheck.LISTENING, "the upstream accepts connections"
+
+    def _log_run(
+        self,
+        event: str,
+        routed: routedrequest.RoutedRequest,
+        run: Run,
+        found: CrashCheck,
+        why: str,
+    ) -> None:
+        self._env.log.change(
+            event,
+            request=routed.id,
+            upstream=run.target.upstream,
+            start_id=run.start_id,
+            contents=[
+                _shown_digest(content)
+                for content in self._contents(routed).all()
+            ],
+            team=routed.key_holder.name if routed.key_holder else "",
+            found=found,
+            why=why,
+        )
+
     def _begin_trial(
         self, verdict: crashsuspects.Verdict, request_id: str
     ) -> bool:
@@ -175,7 +266,7 @@
         self._env.log.change(
             "fenced content tried",
             request=request_id,
-            content=f"{verdict.content:016x}",
+            content=_shown_digest(verdict.content),
             losses=verdict.losses,
         )
         return True
@@ -218,7 +309,8 @@
             request=routed.id,
             upstream=run.target.upstream,
             start_id=run.start_id,
-            contents=[f"{content:016x}" for content in accused],
+            contents=[_shown_digest(content) for content in accused],
+            team=routed.key_holder.name if routed.key_holder else "",
             parts=[_shown(part) for part in routed.shared_parts],
             answered_ms=_age(run.answered_at, broke_at),
             writing_ms=_age(writing, broke_at),
@@ -283,6 +375,10 @@
     return None if at is None else now - at
 
 
+def _shown_digest(content: int) -> str:
+    return f"{content:016x}"
+
+
 def _shown(part: bytes) -> str:
     """Return a part as it is logged; ids from callers may be long."""
     return part[:_MAX_SHOWN].decode("latin-1")
--- a/src/citronvalve/forward/metrics.py
+++ b/src/citronvalve/forward/metrics.py
@@ -43,6 +43,9 @@
         self._need_refusals = self._counter(
             "need_refusals_total", "Refused as upstreams asked, by team."
         )
+        self._crash_checks = self._counter(
+            "crash_checks_total", "Runs given up, by what their upstream did."
+        )
         self._teams: set[str] = set()
         self._malformed = self._counter(
             "malformed_total", "Bytes that were no request, by status."
@@ -96,6 +99,13 @@
         """
         self._relayings.inc({"result": result})
 
+    def record_crash_check(self, found: str) -> None:
+        """Count a run that broke or was given up.
+
+        :param found: what was found of its upstream, from a closed set.
+        """
+        self._crash_checks.inc({"found": found})
+
     def record_team_refusal(self, team: str) -> None:
         """Count a request that a replica pool had no room for.
 
--- a/src/citronvalve/policy/crashsuspects.py
+++ b/src/citronvalve/policy/crashsuspects.py
@@ -53,6 +53,19 @@
     trial_at: clock.Ms
 
 
+class Assessment(NamedTuple):
+    """What speaks for and against a whole request.
+
+    ``losses`` is the number of its losses, ``unexplained`` the times of those
+    that no content in ``explaining`` explains, in monotonic ms.
+    """
+
+    content: int
+    losses: int
+    unexplained: tuple[clock.Ms, ...]
+    explaining: tuple[int, ...]
+
+
 class CrashSuspects:
     """Finds out which contents crash upstreams, from losses and proofs.
 
@@ -135,6 +148,34 @@
             verdict = verdict or self._find_part(part, contents, model)
         return verdict
 
+    def assess(
+        self, contents: crashevidence.Contents, model: int
+    ) -> Assessment | None:
+        """Return what is known of a whole request, None with few losses.
+
+        :param contents: of the request.
+        :param model: digest of its model's name.
+        """
+        suspect = self._accused(contents.whole)
+        if suspect is None:
+            return None
+        losses = suspect.losses(model)
+        if len(losses) < _MAX_REQUEST_LOSSES:
+            return None
+        accusation = crashsuspect.Accusation(len(losses), None)
+        explaining = {
+            loss.start: self._explaining(
+                loss, accusation, contents.all(), model
+            )
+            for loss in losses
+        }
+        return Assessment(
+            contents.whole,
+            len(losses),
+            tuple(loss.at for loss in losses if not explaining[loss.start]),
+            tuple(sorted(set().union(*explaining.values()))),
+        )
+
     def snapshot(self) -> crashevidence.Evidence:
         """Return the evidence to give to other daemons."""
         chosen = [
@@ -186,12 +227,10 @@
     def _find_whole(
         self, contents: crashevidence.Contents, model: int
     ) -> Verdict | None:
-        suspect = self._accused(contents.whole)
-        if suspect is None:
+        assessment = self.assess(contents, model)
+        if assessment is None:
             return None
-        losses = suspect.losses(model)
-        accusation = crashsuspect.Accusation(len(losses), None)
-        own = self._unexplained(losses, accusation, contents, model)
+        own = list(assessment.unexplained)
         return self._verdict(
             contents.whole, own, len(own), _MAX_REQUEST_LOSSES
         )
@@ -246,18 +285,19 @@
         return [
             loss.at
             for loss in losses
-            if not self._is_explained(loss, accusation, own, model)
+            if not self._explaining(loss, accusation, own, model)
         ]
 
-    def _is_explained(
+    def _explaining(
         self,
         loss: crashevidence.Loss,
         accusation: crashsuspect.Accusation,
         own: tuple[int, ...],
         model: int,
-    ) -> bool:
-        """Return whether a content outside a request explains a loss."""
+    ) -> set[int]:
+        """Return the contents outside a request that explain a loss."""
         enough = accusation.fewest_explaining
+        found = set()
         for other in self._contents_by_start[loss.start]:
             suspect = self._suspect_by_content[other]
             # Most of what runs on a lost upstream is not lost again.
@@ -266,8 +306,8 @@
                 and other not in own
                 and suspect.explains(loss, accusation, model)
             ):
-                return True
-        return False
+                found.add(other)
+        return found
 
     def _drop_weakest(self) -> None:
         """Make room; what is held to crash upstreams is dropped last."""
--- a/tests/forward/crashes.feature
+++ b/tests/forward/crashes.feature
@@ -52,3 +52,24 @@
       | when      | status | runs | next |
       | at once   | 503    | 0    | 503  |
       | 1 s later | 200    | 1    | 200  |
+
+  Scenario Outline: a run that <how> is logged with what was found of its upstream
+    Guards against a run that broke, was not counted as a crash, and of which
+    no log or metric tells why.
+    Given two heads, of which both "<way>"
+    When a caller asks for a stream with the parts F, P and one of its own
+    Then the log and the metrics say of <runs> broken runs that their upstream was found "<found>"
+
+    Examples:
+      | how                       | way     | runs | found     |
+      | breaks off                | closes  | 2    | listening |
+      | crashes                   | crashes | 2    | lost      |
+
+  Scenario: a request that was lost three times beside another one is let pass
+    Guards against a request that crashes upstreams and is sent on, and of
+    which no log tells what explains its losses.
+    Given two heads, of which both "stream"
+    And 3 upstreams were lost with the request and as often with another one
+    When a caller asks for a stream with no parts
+    Then it gets 200, and 1 runs were made
+    And the log says that 3 losses of it were explained
--- a/tests/forward/steps/crashes_steps.py
+++ b/tests/forward/steps/crashes_steps.py
@@ -3,6 +3,7 @@
 import behave
 import eventlet
 
+from citronvalve.forward import callerrequest
 from citronvalve.forward import crashdetector
 from citronvalve.policy import crashevidence
 
@@ -77,3 +78,53 @@
 def step_next(context, status):
     got = _ask(context.rig, "P:20,own:5")
     assert got.startswith(b"HTTP/1.1 %d" % status), got
+
+
+_EVENT_BY_FOUND = {"lost": "upstream lost with a request"}
+
+
+@behave.then(
+    "the log and the metrics say of {runs:d} broken runs that their upstream "
+    'was found "{found}"'
+)
+def step_found(context, runs, found):
+    event = _EVENT_BY_FOUND.get(found, "broken run not counted")
+    lines = [
+        line
+        for kind, line in context.rig.log.lines
+        if kind == event and line.get("found", found) == found
+    ]
+    assert len(lines) == runs, context.rig.log.lines
+    assert all(line["team"] == "team-1" for line in lines), lines
+    counted = f'crash_checks_total{{found="{found}"}} {runs}'
+    assert counted in context.rig.env.metrics.render().decode()
+
+
+@behave.given(
+    "{count:d} upstreams were lost with the request and as often with another "
+    "one"
+)
+def step_lost_whole(context, count):
+    rig = context.rig
+    detector, now = rig.crash_detector, rig.env.clock.now()
+    whole = crashdetector.fingerprint(
+        callerrequest.CallerRequest(
+            b"POST", b"/stream/a", [(b"x-key", b"secret")], b"prompt", now
+        ),
+        b"x-key",
+    )
+    model = crashdetector.model_digest("large")
+    for start in range(count):
+        for digest in (whole, 7):
+            loss = crashevidence.Loss(digest, start, model, now - 100 * start)
+            detector.suspects.record_loss(loss)
+
+
+@behave.then("the log says that {count:d} losses of it were explained")
+def step_explained(context, count):
+    lines = [
+        line
+        for kind, line in context.rig.log.lines
+        if kind == "accused request let pass"
+    ]
+    assert [line["losses"] - line["unexplained"] for line in lines] == [count]
