Test that one request that crashes runners is refused, and nothing beside it

Six daemons, the soak's runners and 20 callers of sound requests; from 6 s on the same request (path, body, caller, prompt; a new id each time) comes again and ends each runner that begins it 0.03 to 0.12 s later, before any byte. Six rows: two in a second, one in 1.5 s, the same while daemons are killed in turn, with another key of its team each time, and twice beside heads of replicas that crash each 1.2 s by chance.

--- a/standins/soak/crashing.py
+++ b/standins/soak/crashing.py
@@ -1,5 +1,6 @@
-"""Parts of prompts that crash runners, and callers that send them."""
+"""Contents of requests that crash runners, and callers that send them."""
 
+from collections.abc import Callable
 import http.client
 import random
 from typing import NamedTuple
@@ -15,33 +16,42 @@
 _DEADLINE = 6.0
 
 #: Requests reach runners at most this often from ``GRACE`` seconds after the
-#: ``COUNTED``th crash.
-MOST_LATE, GRACE, COUNTED = 3, 3.0, 5
+#: ``COUNTED``th crash by a part, or ``COUNTED_WHOLE``th by a whole request.
+MOST_LATE, GRACE, COUNTED, COUNTED_WHOLE = 3, 3.0, 5, 3
 
 
 class Plan(NamedTuple):
     """Requests that crash runners.
 
-    :param part: id of the part that crashes them.
+    :param part: id of the part that crashes them, or of the whole request.
     :param teams: whose keys the requests bear.
     :param is_first: whether it is the first part, or else the second one.
     :param interval: seconds between two requests.
+    :param is_whole: whether the same request comes again each time.
     """
 
     part: str
     teams: tuple[str, ...]
     is_first: bool = False
     interval: float = 0.2
+    is_whole: bool = False
+
+    @property
+    def counted(self) -> int:
+        """Return the crash from which requests are counted."""
+        return COUNTED_WHOLE if self.is_whole else COUNTED
 
 
 class CrashingCaller:
-    """Sends requests with a part that crashes runners, no two alike.
+    """Sends requests that crash runners, which share a part or are the same.
 
     :param fleet: the daemons.
     :param book: the accounts.
     :param chance: source of chance.
     :param plan: what is sent.
+    :param key_of: returns the key of a team that is used now.
     :ivar sent: times of the requests, in seconds.
+    :ivar ids: ids of the requests.
     """
 
     def __init__(
@@ -50,10 +60,13 @@
         book: ledgers.Ledger,
         chance: random.Random,
         plan: Plan,
+        key_of: Callable[[str], str] = operators.TEAMS.__getitem__,
     ) -> None:
         self._fleet, self._book, self._chance = fleet, book, chance
+        self._key_of = key_of
         self.plan = plan
         self.sent: list[float] = []
+        self.ids: set[str] = set()
         self._seen = 0
         self._late = 0
 
@@ -65,6 +78,8 @@
             that reach runners are not counted.
         """
         self._book.parts.crashing.add(self.plan.part)
+        if self.plan.is_whole:
+            self._book.parts.whole.add(self.plan.part)
         until = self._book.now + seconds
         while self._book.now < until:
             eventlet.spawn(self._send)
@@ -76,11 +91,13 @@
         """Count the requests that have reached runners since the last time."""
         arrivals = self._book.parts.arrivals
         new, self._seen = arrivals[self._seen :], len(arrivals)
-        fifth = self._book.parts.counted_crash(self.plan.part, COUNTED)
-        if fifth is None or not self._book.is_calm_but_for(fault):
+        counted = self._book.parts.counted_crash(
+            self.plan.part, self.plan.counted
+        )
+        if counted is None or not self._book.is_calm_but_for(fault):
             return
         self._late += sum(
-            arrival.part == self.plan.part and arrival.at > fifth + GRACE
+            arrival.part == self.plan.part and arrival.at > counted + GRACE
             for arrival in new
         )
 
@@ -90,45 +107,31 @@
             for crash in self._book.parts.crashes
             if crash.part == self.plan.part
         ]
-        if len(crashes) >= COUNTED:
+        if len(crashes) >= self.plan.counted:
             self._book.look(
-                "a part that crashes runners reaches three more at most, "
+                "what crashes runners reaches three more at most, "
                 "unless faults hide it",
                 self._late <= MOST_LATE,
                 f"{self.plan}: {self._late} late, {len(crashes)} crashes",
             )
 
     def _send(self) -> None:
-        chance, plan = self._chance, self.plan
-        number = uuid.UUID(int=chance.getrandbits(128)).hex
-        team = chance.choice(plan.teams)
-        own = f"{number[:8]}:50"
-        others = f"b{chance.randrange(12):x}:30,{own}"
-        parts = f"{plan.part}:20,{others}"
-        if not plan.is_first:
-            parts = f"a0:20,{parts}"
-        asked = ledgers.Asked(
-            number,
-            True,
-            f"/stream/{chance.randint(3, 25)}",
-            chance.randbytes(20),
-            team,
-            operators.TEAMS[team],
-            parts,
-        )
+        asked = self._make()
+        number = asked.id
         self._book.ask(asked)
         self.sent.append(self._book.now)
+        self.ids.add(number)
         head = {
             "Host": operators.HOST,
             "X-Attempt-Id": number,
             "X-Api-Key": asked.key,
             "X-Deadline-Ms": "%d" % (_DEADLINE * 1_000),
-            "X-Model": chance.choice(list(operators.SIZE_BY_MODEL)),
+            "X-Model": self._chance.choice(list(operators.SIZE_BY_MODEL)),
             "X-Token-Usage": "100,60",
-            "X-Prompt-Prefix": parts,
+            "X-Prompt-Prefix": asked.parts,
         }
         connection = http.client.HTTPConnection(
-            chance.choice(self._fleet).front, timeout=_DEADLINE
+            self._chance.choice(self._fleet).front, timeout=_DEADLINE
         )
         try:
             connection.request("POST", asked.path, asked.body, head)
@@ -141,6 +144,35 @@
         finally:
             connection.close()
 
+    def _make(self) -> ledgers.Asked:
+        chance, plan = self._chance, self.plan
+        number = uuid.UUID(int=chance.getrandbits(128)).hex
+        team = chance.choice(plan.teams)
+        if plan.is_whole:
+            return ledgers.Asked(
+                number,
+                True,
+                "/stream/9",
+                b"%b crashes" % plan.part.encode(),
+                team,
+                self._key_of(team),
+                f"a0:20,b3:30,{plan.part}:50",
+            )
+        own = f"{number[:8]}:50"
+        others = f"b{chance.randrange(12):x}:30,{own}"
+        parts = f"{plan.part}:20,{others}"
+        if not plan.is_first:
+            parts = f"a0:20,{parts}"
+        return ledgers.Asked(
+            number,
+            True,
+            f"/stream/{chance.randint(3, 25)}",
+            chance.randbytes(20),
+            team,
+            self._key_of(team),
+            parts,
+        )
+
     def _judge(self, number: str, status: int) -> None:
         if status in (408, 421, 429, 503):
             self._book.refused(number, status)
--- a/standins/soak/ledger.py
+++ b/standins/soak/ledger.py
@@ -68,23 +68,29 @@
 
 
 class Parts:
-    """The parts that crash runners, and what requests with them did.
+    """The contents that crash runners, and what requests with them did.
 
-    :ivar crashing: their ids.
+    :ivar crashing: ids of parts and of whole requests.
+    :ivar whole: those of whole requests, which begin their bodies.
     :ivar arrivals: the requests that reached runners.
     :ivar crashes: the runners that crashed.
     """
 
     def __init__(self) -> None:
         self.crashing: set[str] = set()
+        self.whole: set[str] = set()
         self.arrivals: list[PartEvent] = []
         self.crashes: list[PartEvent] = []
 
-    def find(self, parts: str) -> str:
-        """Return the crashing part among those of a prompt, or nothing.
+    def find(self, parts: str, body: bytes) -> str:
+        """Return the crashing content of a request, or nothing.
 
-        :param parts: as in the request.
+        :param parts: of its prompt, as in the request.
+        :param body: its body.
         """
+        begin = body.partition(b" ")[0].decode("latin-1")
+        if begin in self.whole:
+            return begin
         ids = [entry.partition(":")[0] for entry in parts.split(",")[:-1]]
         return next((one for one in ids if one in self.crashing), "")
 
--- a/standins/soak/operator.py
+++ b/standins/soak/operator.py
@@ -80,6 +80,13 @@
         self._spare_key = f"spare-{self._version}"
         self._store.put("op", "config", self._declared())
 
+    def spare_key(self, team: str) -> str:
+        """Return the second key of a team, which each version replaces.
+
+        :param team: its name.
+        """
+        return f"{TEAMS[team]}-{self._spare_key}"
+
     def check(self, up: list[daemons.Daemon]) -> None:
         """Look whether the newest version is in force everywhere.
 
@@ -172,7 +179,7 @@
             ],
             "Limits": {},
             "Tenants": [
-                {"Name": name, "ApiKeys": [key, f"{key}-{self._spare_key}"]}
+                {"Name": name, "ApiKeys": [key, self.spare_key(name)]}
                 for name, key in TEAMS.items()
             ],
         }
--- a/standins/soak/runner.py
+++ b/standins/soak/runner.py
@@ -265,7 +265,7 @@
         number = environ.get("HTTP_X_ATTEMPT_ID", "")
         parts = environ.get("HTTP_X_PROMPT_PREFIX", "")
         daemon = self._book.reached(number, self.name)
-        part = self._book.parts.find(parts)
+        part = self._book.parts.find(parts, body)
         if part:
             now = self._book.now
             self._book.parts.arrivals.append(
@@ -298,6 +298,10 @@
         if part:
             delay = self._chance.uniform(*_CRASH_AFTER)
             eventlet.spawn_after(delay, self._crash_by, part, self._life)
+            if part in self._book.parts.whole:
+                # It ends before the first byte of an answer.
+                eventlet.sleep(delay + _GAP)
+                return self._hang_up(environ)
         if self._sizes:
             return self._stream(environ, start_response, number, body)
         eventlet.sleep(_WORK)
--- a/tests/processes/processes.feature
+++ b/tests/processes/processes.feature
@@ -108,6 +108,26 @@
       | two parts               | a team each                              | 476  |
       | one part                | while all daemons are killed at once     | 479  |
 
+  Scenario Outline: one request crashes runners each <interval> s, <more>
+    Guards against a request that crashes one runner after the other while its
+    caller sends it again, and against the refusal of what only ran beside it.
+
+    Given a soak of seed <seed> for 26 s with 6 daemons, 20 callers and no faults
+    And from 6 s on one request crashes runners each <interval> s, <more>
+    When it has run <beside>
+    Then no promise was broken
+    And the crashing request reaches runners at most 3 times later than 3 s after its third crash
+    And no other request was refused for crashes
+
+    Examples: whole requests
+      | interval | more                                     | beside                                  | seed |
+      | 0.5      | at any daemon                            | alone                                   | 481  |
+      | 1.5      | at any daemon                            | alone                                   | 482  |
+      | 1.5      | while daemons are killed and start again | alone                                   | 483  |
+      | 1.5      | with another key of its team each time   | alone                                   | 485  |
+      | 1.5      | at any daemon                            | beside heads that crash each 1.2 s      | 484  |
+      | 1.5      | at any daemon                            | beside heads that crash each 1.2 s      | 487  |
+
   Scenario: heads of replicas crash by chance
     Guards against sound requests that are refused since they ran on runners
     that crashed without them.
--- a/tests/processes/steps/crashing_steps.py
+++ b/tests/processes/steps/crashing_steps.py
@@ -7,6 +7,7 @@
 import eventlet
 
 from standins.soak import crashing
+from standins.soak import operator as operators
 
 #: Seconds at which the first request with such a part is sent.
 _FIRST = 6.0
@@ -39,21 +40,47 @@
     "from {first:d} s on requests with {which} crash runners, {more}"
 )
 def step_crashing(context, first, which, more):
-    soak = context.soak
-    fleet = soak.installation.daemons
     context.crashing = [
         crashing.CrashingCaller(
-            fleet, soak.book, random.Random(f"{plan.part}/{first}"), plan
+            context.soak.installation.daemons,
+            context.soak.book,
+            random.Random(f"{plan.part}/{first}"),
+            plan,
         )
         for plan in _plans(which, more)
     ]
+    _send_beside(context, first, _KILL_BY_MORE.get(more, lambda _: None))
+
+
+@behave.given(
+    "from {first:d} s on one request crashes runners each {interval:g} s, "
+    "{more}"
+)
+def step_crashing_request(context, first, interval, more):
+    made = context.soak.installation
+    key_of = operators.TEAMS.__getitem__
+    if more == "with another key of its team each time":
+        key_of = made.operator.spare_key
+    plan = crashing.Plan("w1", _ONE, interval=interval, is_whole=True)
+    chance = random.Random(f"w1/{first}")
+    context.crashing = [
+        crashing.CrashingCaller(
+            made.daemons, context.soak.book, chance, plan, key_of
+        )
+    ]
+    _send_beside(context, first, _KILL_BY_MORE.get(more, lambda _: None))
+
+
+def _send_beside(context, first, kill):
+    soak = context.soak
+    fleet = soak.installation.daemons
 
     def send(_):
         eventlet.sleep(first)
         soak.book.trouble("crashing parts", True)
         for caller in context.crashing:
             eventlet.spawn(caller.run, 60)
-        _KILL_BY_MORE.get(more, lambda _: None)(fleet)
+        kill(fleet)
 
     soak.beside = send
 
@@ -88,12 +115,16 @@
     "at most {most:d} requests with a crashing part reach runners later than "
     "{seconds:d} s after its fifth crash"
 )
+@behave.then(
+    "the crashing request reaches runners at most {most:d} times later than "
+    "{seconds:d} s after its third crash"
+)
 def step_late(context, most, seconds):
     parts = context.soak.book.parts
     for caller in context.crashing:
         part = caller.plan.part
         assert parts.counted_crash(part, 1) is not None, "no runner crashed"
-        since = _since(parts, part, seconds, caller.sent, most + 1)
+        since = _since(parts, caller.plan, seconds, caller.sent, most + 1)
         late = [a for a in parts.arrivals if a.part == part and a.at > since]
         crashes = sum(crash.part == part for crash in parts.crashes)
         assert len(late) <= most, (
@@ -102,14 +133,14 @@
         )
 
 
-def _since(parts, part, seconds, times, fewest):
-    """Return the time some seconds after a part's fifth crash.
+def _since(parts, plan, seconds, times, fewest):
+    """Return the time some seconds after the crash from which is counted.
 
-    Where the fifth one was a trial, after which fewer than ``fewest`` of
-    ``times`` came, it is that of the last earlier crash.
+    Where that one was a trial, after which fewer than ``fewest`` of ``times``
+    came, it is that of the last earlier crash.
     """
-    for number in range(crashing.COUNTED, 0, -1):
-        since = parts.counted_crash(part, number) + seconds
+    for number in range(plan.counted, 0, -1):
+        since = parts.counted_crash(plan.part, number) + seconds
         count = sum(at > since for at in times)
         if count >= fewest:
             return since
@@ -127,8 +158,7 @@
         kin = [f for f in streams if _is_kin(f.asked, caller.plan)]
         before = [f for f in kin if f.at < _FIRST]
         times = [f.at for f in kin]
-        part = caller.plan.part
-        since = _since(book.parts, part, seconds, times, _COMPARED)
+        since = _since(book.parts, caller.plan, seconds, times, _COMPARED)
         after = [f for f in kin if f.at > since]
         assert len(before) >= _COMPARED, f"only {len(before)} before"
         usual = sum(f.served for f in before) / len(before)
@@ -147,14 +177,26 @@
 
 @behave.then("no request was refused for crashes")
 def step_none_fenced(context):
-    refused = [
-        line["why"]
+    refused = [why for _, why in _fenced(context)]
+    assert not refused, (len(refused), refused[:3])
+
+
+@behave.then("no other request was refused for crashes")
+def step_no_other_fenced(context):
+    own = set().union(*(caller.ids for caller in context.crashing))
+    refused = [why for number, why in _fenced(context) if number not in own]
+    assert not refused, (len(refused), refused[:3])
+
+
+def _fenced(context):
+    """Return id and reason of the requests that were refused for crashes."""
+    return [
+        (line["request"], line["why"])
         for daemon in context.soak.installation.daemons
         for line in map(_parse, daemon.output().splitlines())
         if line.get("event") == "refused"
         and "lost while running" in line["why"]
     ]
-    assert not refused, (len(refused), refused[:3])
 
 
 def _parse(line):
--- a/tests/processes/steps/processes_steps.py
+++ b/tests/processes/steps/processes_steps.py
@@ -139,10 +139,10 @@
     ]
 
 
-def _crash_heads(context, soak):
+def _crash_heads(context, soak, apart=_CRASHES_APART):
     soak.book.trouble("heads crash", True)
     while True:
-        eventlet.sleep(_CRASHES_APART)
+        eventlet.sleep(apart)
         heads = [runner for runner, _ in _heads(soak)]
         if heads:
             eventlet.spawn(context.chance.choice(heads).end_process)
@@ -205,6 +205,23 @@
     context.soak.run()
 
 
+@behave.when("it has run alone")
+def step_run_alone(context):
+    context.soak.run()
+
+
+@behave.when("it has run beside heads that crash each {apart:g} s")
+def step_run_beside_crashes(context, apart):
+    other = context.soak.beside
+
+    def act(soak):
+        eventlet.spawn(other, soak)
+        _crash_heads(context, soak, apart)
+
+    context.soak.beside = act
+    context.soak.run()
+
+
 _CUT_OFF_BY_WHICH = {
     "two daemons": lambda fleet: fleet[:2],
     "one zone": lambda fleet: [d for d in fleet if d.zone == fleet[0].zone],
