Refuse a request that crashes upstreams though its neighbours never came again

Callers saw one request end nine runners; it has to be refused from the third. Each lost upstream takes what it ran down. A neighbour that was lost twice, and whose caller then gave up, is never answered, so that nothing clears it: for five minutes it explained up to four losses of the request that went on crashing upstreams, one lost three times six, and so on. A request lost with start after start beside one neighbour was refused at the 5th loss where the neighbour shared 2, at the 6th, 7th, 9th and 11th where it shared 3, 4, 6 and 8. Parts had a bound (five losses); whole requests had none. Class: evidence that can't change any more outweighs evidence that keeps coming.

A content with fewer losses now explains those of a whole request for 1 s after its own last loss: what is sound is tried again and answered, what crashes upstreams is lost again. From five losses only a content with more explains them. Whether an answer had begun decides no tie between a request and its neighbour any more: one that is crashed while it is read has no head.

What three losses prove depends on how often upstreams crash by chance. If more than a tenth of those that take requests were lost without the request in the 10 s before its last loss, and with nothing else that is accused, each such loss asks for one more of the request, two at most. Trials wait as long as before for the third loss and longer for each one above.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -132,7 +132,9 @@
         )
         self._links.attach(self._stall_detector)
         pool = self._links.pool
-        self._crash_detector = crashdetector.CrashDetector(env, pool)
+        self._crash_detector = crashdetector.CrashDetector(
+            env, pool, self.directory
+        )
         self._needs = needs.Needs(env, self.directory)
         self._links.heed(self._needs.rests)
         self._rooms = (
--- a/src/citronvalve/forward/crashdetector.py
+++ b/src/citronvalve/forward/crashdetector.py
@@ -9,6 +9,7 @@
 from citronvalve.forward import callerrequest
 from citronvalve.forward import connectionpool
 from citronvalve.forward import connector as connectors
+from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
 from citronvalve.forward import exchangeerror
 from citronvalve.forward import routedrequest
@@ -76,6 +77,7 @@
 
     :param env: the daemon's environment.
     :param pool: checks whether an upstream still accepts connections.
+    :param directory: the upstreams.
     :ivar suspects: the accused contents.
     :ivar on_crash: called with new losses, to inform other daemons.
     :ivar on_proof: called with proofs that clear losses.
@@ -88,9 +90,11 @@
         self,
         env: environments.Environment,
         pool: connectionpool.ConnectionPool,
+        directory: directories.Directory,
     ) -> None:
         self._env = env
         self._pool = pool
+        self._directory = directory
         self._trial_until_by_content: dict[int, clock.Ms] = {}
         self.suspects = crashsuspects.CrashSuspects()
         self.on_crash: Callable[[_Losses], None] = lambda _: None
@@ -192,7 +196,10 @@
         if not self.suspects:
             return None
         return self.suspects.find(
-            self._contents(routed), model_digest(routed.model)
+            self._contents(routed),
+            model_digest(routed.model),
+            self._env.clock.now(),
+            self._directory.upstream_count(),
         )
 
     def _log_accused(self, routed: routedrequest.RoutedRequest) -> None:
@@ -200,7 +207,10 @@
         if not self.suspects:
             return
         accused = self.suspects.assess(
-            self._contents(routed), model_digest(routed.model)
+            self._contents(routed),
+            model_digest(routed.model),
+            self._env.clock.now(),
+            self._directory.upstream_count(),
         )
         if accused is None:
             return
@@ -210,6 +220,7 @@
             content=_shown_digest(accused.content),
             losses=accused.losses,
             unexplained=len(accused.unexplained),
+            needed=accused.needed,
             explained_by=[
                 _shown_digest(content) for content in accused.explaining
             ],
--- a/src/citronvalve/forward/directory.py
+++ b/src/citronvalve/forward/directory.py
@@ -176,6 +176,16 @@
             for key, candidate_by_id in self._heads_by_model.items()
         ]
 
+    def upstream_count(self) -> int:
+        """Return how many upstreams take requests, replicas as one each."""
+        engines = {service for service, _ in self._heads_by_model}
+        plain = (
+            len(candidate_by_id)
+            for service, candidate_by_id in self._upstreams_by_service.items()
+            if service not in engines
+        )
+        return sum(map(len, self._heads_by_model.values())) + sum(plain)
+
     def slots(self, service: str, runner: runners.Runner) -> int:
         """Return how many requests a replica runs at once.
 
--- a/src/citronvalve/policy/crashbeginnings.py
+++ b/src/citronvalve/policy/crashbeginnings.py
@@ -117,7 +117,7 @@
         :param prefixes: of its prompt.
         :param now: monotonic ms.
         """
-        verdict = self._find(prefixes)
+        verdict = self._find(prefixes, now)
         if verdict is None:
             return True
         tried_at = self._tried_at_by_content.get(verdict.content)
@@ -128,12 +128,13 @@
         self._tried_at_by_content[verdict.content] = now
         return True
 
-    def is_fenced(self, prefixes: tuple[str, ...]) -> bool:
+    def is_fenced(self, prefixes: tuple[str, ...], now: clock.Ms) -> bool:
         """Return whether another attempt at a request is refused.
 
         :param prefixes: of its prompt.
+        :param now: monotonic ms.
         """
-        return self._find(prefixes) is not None
+        return self._find(prefixes, now) is not None
 
     def recent_losses(
         self, now: clock.Ms, span: clock.Ms
@@ -157,13 +158,15 @@
             for upstream, at in lost.items()
         )
 
-    def _find(self, prefixes: tuple[str, ...]) -> crashsuspects.Verdict | None:
+    def _find(
+        self, prefixes: tuple[str, ...], now: clock.Ms
+    ) -> crashsuspects.Verdict | None:
         if not self._suspects:
             return None
         contents = crashevidence.Contents(
             0, tuple(_digest(prefix) for prefix in prefixes)
         )
-        return self._suspects.find(contents, _MODEL)
+        return self._suspects.find(contents, _MODEL, now)
 
     def _accuse(self, prefix: str, upstream: str, at: clock.Ms) -> None:
         self._suspects.record_loss(
--- a/src/citronvalve/policy/crashsuspect.py
+++ b/src/citronvalve/policy/crashsuspect.py
@@ -23,6 +23,14 @@
 _MIN_EXPLAINING_SURVIVED = 3
 _MIN_EXPLAINING_REQUEST = 2
 
+#: Time after its last loss for which a content explains the losses of a whole
+#: request with more.  What is sound is tried again and answered, and what
+#: crashes upstreams is lost again.
+_RETRY_TIME: clock.Ms = 1_000
+
+#: Losses of a whole request from which only a content with more explains them.
+_MAX_TIED_LOSSES = 5
+
 
 class Accusation(NamedTuple):
     """What accuses a content.
@@ -30,10 +38,12 @@
     ``losses`` is the number of its losses.  ``has_survived`` tells whether an
     upstream is known to have survived it; None for a whole request, since one
     that runs beside those that crash upstreams has not been answered either.
+    ``at`` is when it is judged, in monotonic ms.
     """
 
     losses: int
     has_survived: bool | None
+    at: clock.Ms
 
     @property
     def fewest_explaining(self) -> int:
@@ -115,8 +125,8 @@
         """Return whether this content explains a loss that accuses another.
 
         One that upstreams have survived does not, if none has survived the
-        other; nor does one that waited, if the other had begun to be answered
-        and was lost as often.
+        other; nor does one that waited, if the other is a part, had begun to
+        be answered and was lost as often.
 
         :param loss: of the other content, with a start that this one shares.
         :param accusation: of the other content.
@@ -129,19 +139,40 @@
         if count > accusation.losses:
             return True
         begun = self.loss_by_start[loss.start].begun
+        if survived is None:
+            return self._explains_request(count, begun, accusation)
         if loss.begun and not begun:
             return False
         if count == accusation.losses:
             return True
-        enough = _MIN_EXPLAINING_LOSSES
-        if survived is None:
-            enough = _MIN_EXPLAINING_REQUEST
-        return (
-            begun
-            and count >= enough
-            and _BEGUN_WEIGHT * count >= accusation.losses
+        return begun and self._outweighs(
+            count, accusation, _MIN_EXPLAINING_LOSSES
         )
 
+    def _explains_request(
+        self, count: int, begun: bool, accusation: Accusation
+    ) -> bool:
+        """Return whether this content explains a loss of a whole request.
+
+        :param count: losses of this content, not more than the request's.
+        :param begun: whether its answer had begun there.
+        :param accusation: of the request.
+        """
+        if accusation.losses >= _MAX_TIED_LOSSES:
+            return False
+        if count == accusation.losses:
+            return True
+        if accusation.at - self.last_lost_at >= _RETRY_TIME:
+            return False
+        return begun and self._outweighs(
+            count, accusation, _MIN_EXPLAINING_REQUEST
+        )
+
+    def _outweighs(
+        self, count: int, accusation: Accusation, enough: int
+    ) -> bool:
+        return count >= enough and _BEGUN_WEIGHT * count >= accusation.losses
+
     def add(self, loss: crashevidence.Loss) -> bool:
         """Add a loss; return whether it is new.
 
--- a/src/citronvalve/policy/crashsuspects.py
+++ b/src/citronvalve/policy/crashsuspects.py
@@ -12,6 +12,16 @@
 _MAX_REQUEST_LOSSES = 3
 _MAX_PART_LOSSES = 4
 
+#: Time before the last loss of a whole request in which upstreams that were
+#: lost without it show how often they crash by chance.
+_CHANCE_TIME: clock.Ms = 10_000
+
+#: Part of the upstreams, as a divisor, that has to be lost by chance in that
+#: time until a sound request may have all its attempts there, and how many
+#: more losses a whole request needs then.
+_CHANCE_DIVISOR = 10
+_MAX_CHANCE_LOSSES = 2
+
 #: Losses from which a part that no upstream has survived is held to crash
 #: them although other contents explain all but some of its losses: two parts
 #: that crash upstreams may be lost together.
@@ -57,13 +67,15 @@
     """What speaks for and against a whole request.
 
     ``losses`` is the number of its losses, ``unexplained`` the times of those
-    that no content in ``explaining`` explains, in monotonic ms.
+    that no content in ``explaining`` explains, in monotonic ms.  It is held
+    to crash upstreams with ``needed`` of them.
     """
 
     content: int
     losses: int
     unexplained: tuple[clock.Ms, ...]
     explaining: tuple[int, ...]
+    needed: int
 
 
 class CrashSuspects:
@@ -75,7 +87,8 @@
     losses of its own: those that another content explains as well, which was
     lost about as often, do not count against a request without that one.
     Requests with either of two contents that were always lost together are
-    let through, and show which one it is.
+    let through, and show which one it is.  Where upstreams crash by chance, a
+    whole request needs more losses.
 
     :param first_trial_after: ms from the loss that fences a content until it
         may be tried.
@@ -92,6 +105,7 @@
         self._unproven_burst = unproven_burst
         self._suspect_by_content: dict[int, crashsuspect.CrashSuspect] = {}
         self._contents_by_start: dict[int, set[int]] = {}
+        self._lost_at_by_start: dict[int, clock.Ms] = {}
 
     def __len__(self) -> int:
         return len(self._suspect_by_content)
@@ -111,6 +125,7 @@
         if not suspect.add(loss):
             return False
         self._contents_by_start.setdefault(loss.start, set()).add(loss.content)
+        self._lost_at_by_start.setdefault(loss.start, loss.at)
         if len(suspect.loss_by_start) > _MAX_STARTS:
             dropped = suspect.drop_oldest()
             self._forget(dropped, loss.content)
@@ -136,25 +151,37 @@
             self.record_proof(proof)
 
     def find(
-        self, contents: crashevidence.Contents, model: int
+        self,
+        contents: crashevidence.Contents,
+        model: int,
+        now: clock.Ms,
+        upstreams: int = 0,
     ) -> Verdict | None:
         """Return the verdict on a request that crashes upstreams, or None.
 
         :param contents: of the request.
         :param model: digest of its model's name.
+        :param now: monotonic ms.
+        :param upstreams: how many run requests.
         """
-        verdict = self._find_whole(contents, model)
+        verdict = self._find_whole(contents, model, now, upstreams)
         for part in contents.parts:
-            verdict = verdict or self._find_part(part, contents, model)
+            verdict = verdict or self._find_part(part, contents, model, now)
         return verdict
 
     def assess(
-        self, contents: crashevidence.Contents, model: int
+        self,
+        contents: crashevidence.Contents,
+        model: int,
+        now: clock.Ms,
+        upstreams: int = 0,
     ) -> Assessment | None:
         """Return what is known of a whole request, None with few losses.
 
         :param contents: of the request.
         :param model: digest of its model's name.
+        :param now: monotonic ms.
+        :param upstreams: how many run requests.
         """
         suspect = self._accused(contents.whole)
         if suspect is None:
@@ -162,7 +189,7 @@
         losses = suspect.losses(model)
         if len(losses) < _MAX_REQUEST_LOSSES:
             return None
-        accusation = crashsuspect.Accusation(len(losses), None)
+        accusation = crashsuspect.Accusation(len(losses), None, now)
         explaining = {
             loss.start: self._explaining(
                 loss, accusation, contents.all(), model
@@ -174,6 +201,8 @@
             len(losses),
             tuple(loss.at for loss in losses if not explaining[loss.start]),
             tuple(sorted(set().union(*explaining.values()))),
+            _MAX_REQUEST_LOSSES
+            + self._chance_losses(suspect, losses, upstreams),
         )
 
     def snapshot(self) -> crashevidence.Evidence:
@@ -225,24 +254,74 @@
         )
 
     def _find_whole(
-        self, contents: crashevidence.Contents, model: int
+        self,
+        contents: crashevidence.Contents,
+        model: int,
+        now: clock.Ms,
+        upstreams: int,
     ) -> Verdict | None:
-        assessment = self.assess(contents, model)
+        assessment = self.assess(contents, model, now, upstreams)
         if assessment is None:
             return None
         own = list(assessment.unexplained)
+        if len(own) < assessment.needed:
+            return None
         return self._verdict(
             contents.whole, own, len(own), _MAX_REQUEST_LOSSES
         )
 
+    def _chance_losses(
+        self,
+        suspect: crashsuspect.CrashSuspect,
+        losses: list[crashevidence.Loss],
+        upstreams: int,
+    ) -> int:
+        """Return how many losses of a whole request may be by chance.
+
+        Upstreams that were lost with another content that is accused as well
+        were not lost by chance.
+
+        :param suspect: the whole request.
+        :param losses: that count against it.
+        :param upstreams: how many run requests.
+        """
+        last = max(loss.at for loss in losses)
+        since = min(last - _CHANCE_TIME, *(loss.at for loss in losses))
+        count = 0
+        for start in reversed(self._lost_at_by_start):
+            at = self._lost_at_by_start[start]
+            if not since <= at <= last or start in suspect.loss_by_start:
+                continue
+            count += not self._has_accused(start)
+            if count >= _MAX_CHANCE_LOSSES and (
+                count * _CHANCE_DIVISOR > upstreams
+            ):
+                return _MAX_CHANCE_LOSSES
+        return count if count * _CHANCE_DIVISOR > upstreams else 0
+
+    def _has_accused(self, start: int) -> bool:
+        """Return whether a content that was lost with a start is accused."""
+        return any(
+            suspect.most_losses() >= _MAX_REQUEST_LOSSES
+            for content in self._contents_by_start[start]
+            if len(
+                (suspect := self._suspect_by_content[content]).loss_by_start
+            )
+            >= _MAX_REQUEST_LOSSES
+        )
+
     def _find_part(
-        self, part: int, contents: crashevidence.Contents, model: int
+        self,
+        part: int,
+        contents: crashevidence.Contents,
+        model: int,
+        now: clock.Ms,
     ) -> Verdict | None:
         suspect = self._accused(part)
         if suspect is None:
             return None
         count, losses = suspect.count(model), suspect.losses(model)
-        accusation = crashsuspect.Accusation(count, suspect.has_survived)
+        accusation = crashsuspect.Accusation(count, suspect.has_survived, now)
         own = self._unexplained(losses, accusation, contents, model)
         own_count = suspect.count_apart(own)
         if own_count >= _MAX_PART_LOSSES:
@@ -329,6 +408,7 @@
         contents.discard(content)
         if not contents:
             del self._contents_by_start[start]
+            del self._lost_at_by_start[start]
 
 
 def _trial_interval(failed_trials: int) -> clock.Ms:
--- a/src/citronvalve/policy/health.py
+++ b/src/citronvalve/policy/health.py
@@ -175,7 +175,8 @@
         """
         item = entry.work
         return self._is_whole_fenced(item.fingerprint, now) or (
-            entry.attempts > 0 and self.beginnings.is_fenced(item.prefixes)
+            entry.attempts > 0
+            and self.beginnings.is_fenced(item.prefixes, now)
         )
 
     def is_suspect(self, fingerprint: str, now: clock.Ms) -> bool:
--- a/tests/daemon/steps/crashes_steps.py
+++ b/tests/daemon/steps/crashes_steps.py
@@ -104,10 +104,9 @@
             self.exchange.send_proofs([proof])
 
     def refuses(self, content):
-        return (
-            self.suspects.find(crashevidence.Contents(0, (content,)), _MODEL)
-            is not None
-        )
+        contents = crashevidence.Contents(0, (content,))
+        now = self.env.clock.now()
+        return self.suspects.find(contents, _MODEL, now) is not None
 
 
 def _start(context, count, known):
@@ -349,7 +348,8 @@
 @behave.then("it {does} the content {content:d}")
 def step_does(context, does, content):
     contents = crashevidence.Contents(0, (content,))
-    is_refused = context.started.find(contents, _MODEL) is not None
+    now = clock.SystemClock().now()
+    is_refused = context.started.find(contents, _MODEL, now) is not None
     assert is_refused == (does == "refuses")
 
 
--- a/tests/forward/rig.py
+++ b/tests/forward/rig.py
@@ -136,7 +136,7 @@
             ),
             self.retry_budgets,
             self.stall_detector,
-            crashdetector.CrashDetector(self.env, pool),
+            crashdetector.CrashDetector(self.env, pool, self.directory),
             self.needs,
         )
         self.crash_detector = deps.crash_detector
--- a/tests/policy/crashes.feature
+++ b/tests/policy/crashes.feature
@@ -3,7 +3,7 @@
   which comes 100 ms after the one before, "x1:FPa+Gb" is the loss of start 1
   with a request of the contents F, P and a that it had begun to answer, and
   with one of G and b that waited; a small letter is the whole request; "=" before an event lets it come at once;
-  "p:F" is an answer on F; "/s" behind it names a model other than "l".
+  "t:900" lets 900 ms pass; "n:30" makes it a fleet of 30 upstreams and not of 8; "p:F" is an answer on F; "/s" behind it names a model other than "l".
 
   Scenario Outline: <case>
     Guards against upstreams that crash one after the other, and against the
@@ -46,6 +46,26 @@
       | one of two parts, in a soak of seed 32    | x1:FPBakl x2:FQBCcdefgh x3:FQBCcdefgh x4:FPBakl p:BCF x5:FQCijm x6:FQCijmnor | FQz Qz | Fz Bz Cz FBz |
       | both of them, lost together later on      | x1:FPBakl x2:FQBCcdefgh x3:FQBCcdefgh x4:FPBakl p:BCF x5:FQCijm x6:FQCijmnor x7:FPQst x8:FPQstu+C x9:FPQvxy | FPz Pz FQz Qz | Fz Bz Cz |
 
+    Examples: a whole request comes again by itself
+      | case                                          | events                                               | refused | served |
+      | its neighbour was lost twice beside it, and never came again | x1:v+w x2:v+w t:1000 x3:w             | w       | v z    |
+      | new neighbours are lost twice each            | x1:v+w x2:vu+w x3:u+w t:1000                         | w       | u v z  |
+      | neighbours that were just lost are tried again | x1:v+w x2:vu+w x3:u+w                               |         | u v w z |
+      | a neighbour was lost with the first three     | x1:v+w x2:v+w x3:v+w t:1000 x4:w                     | w       | z      |
+      | a neighbour is lost beside it each time       | x1:v+w x2:v+w x3:v+w x4:v+w x5:v+w                   | w v     | z      |
+      | the neighbour is answered in between          | x1:v+w p:v x2:v+w p:v x3:v+w p:v                     | w       | v z    |
+      | it is answered in between                     | x1:w x2:w p:w x3:w t:1000 x4:w                       |         | w      |
+
+    Examples: upstreams crash by chance
+      | case                                          | events                                               | refused | served |
+      | one was lost without the request              | x1:a x2:w x3:w x4:w t:1000                           |         | w      |
+      | one was lost without it, of many              | n:30 x1:a x2:w x3:w x4:w t:1000                      | w       | a      |
+      | the fourth loss after one without it          | x1:a x2:w x3:w x4:w x5:w t:1000                      | w       | a      |
+      | as many without it as with it                 | x1:a x2:w x3:b x4:w x5:c x6:w x7:d x8:w t:1000       |         | w      |
+      | the fifth loss, whatever is lost besides      | x1:a x2:w x3:b x4:w x5:c x6:w x7:d x8:w x9:w t:1000  | w       | a b    |
+      | those without it were lost long before        | x1:a x2:b x3:c t:11000 x4:w x5:w x6:w                | w       | z      |
+      | those without it were lost with another crashing request | x1:v x2:v x3:v x4:w x5:w x6:w              | w v     | z      |
+
   Scenario Outline: a fenced content is tried <when>
     Guards against a content that stays refused once its upstreams are mended.
     Given a content with <losses> losses, the last at 10000 ms
--- a/tests/policy/steps/crashes_steps.py
+++ b/tests/policy/steps/crashes_steps.py
@@ -6,6 +6,9 @@
 from citronvalve.policy import crashsuspects
 
 _STEP = 100
+#: Upstreams that take requests.
+_UPSTREAMS = 8
+
 _MODEL_BY_NAME = {"l": 1, "s": 2}
 
 
@@ -21,12 +24,19 @@
     def __init__(self):
         self.suspects = crashsuspects.CrashSuspects()
         self.now = 1_000
+        self.upstreams = _UPSTREAMS
 
     def play(self, events):
         for event in events.split():
             if not event.startswith("="):
                 self.now += _STEP
             kind, _, what = event.lstrip("=").partition(":")
+            if kind == "t":
+                self.now += int(what) - _STEP
+                continue
+            if kind == "n":
+                self.upstreams = int(what)
+                continue
             what, _, model = what.partition("/")
             if kind == "p":
                 self._prove(what, _model(model))
@@ -52,7 +62,10 @@
         whole = [_content(letter) for letter in contents if letter.islower()]
         parts = [_content(letter) for letter in contents if letter.isupper()]
         found = self.suspects.find(
-            crashevidence.Contents(*whole, tuple(parts)), _model(model)
+            crashevidence.Contents(*whole, tuple(parts)),
+            _model(model),
+            self.now,
+            self.upstreams,
         )
         return found is not None
 
@@ -79,7 +92,8 @@
 
 @behave.then("it may be tried from {at:d} ms on")
 def step_trial(context, at):
-    found = context.crashes.suspects.find(crashevidence.Contents(0, (7,)), 1)
+    contents = crashevidence.Contents(0, (7,))
+    found = context.crashes.suspects.find(contents, 1, at)
     assert found.trial_at == at, found
 
 
