Take a request for the same one whichever key its team uses

Callers saw one request end nine runners while versions of the configuration changed tenants. The digest of a whole request held the key as the caller sent it; the rule says the same caller. With each key its count began anew. Class: an identity is made of what may change while the thing stays the same.

The digest now holds the team that the key belongs to, none on public routes. The own interface has no such digest: its fingerprints are of the body.

--- a/src/citronvalve/forward/crashdetector.py
+++ b/src/citronvalve/forward/crashdetector.py
@@ -255,7 +255,7 @@
                 _shown_digest(content)
                 for content in self._contents(routed).all()
             ],
-            team=routed.key_holder.name if routed.key_holder else "",
+            team=_team(routed),
             found=found,
             why=why,
         )
@@ -321,7 +321,7 @@
             upstream=run.target.upstream,
             start_id=run.start_id,
             contents=[_shown_digest(content) for content in accused],
-            team=routed.key_holder.name if routed.key_holder else "",
+            team=_team(routed),
             parts=[_shown(part) for part in routed.shared_parts],
             answered_ms=_age(run.answered_at, broke_at),
             writing_ms=_age(writing, broke_at),
@@ -349,8 +349,7 @@
         self, routed: routedrequest.RoutedRequest
     ) -> crashevidence.Contents:
         return crashevidence.Contents(
-            fingerprint(routed.request, self._env.header_names.api_key),
-            _parts(routed),
+            fingerprint(routed.request, _team(routed)), _parts(routed)
         )
 
 
@@ -377,6 +376,10 @@
     return tuple(part_digest(service, part) for part in routed.shared_parts)
 
 
+def _team(routed: routedrequest.RoutedRequest) -> str:
+    return routed.key_holder.name if routed.key_holder else ""
+
+
 def _start_digest(run: Run) -> int:
     start = f"{run.target.upstream}/{run.start_id}"
     return xxhash.xxh3_64_intdigest(start.encode())
@@ -395,19 +398,19 @@
     return part[:_MAX_SHOWN].decode("latin-1")
 
 
-def fingerprint(
-    request: callerrequest.CallerRequest, key_header: bytes
-) -> int:
+def fingerprint(request: callerrequest.CallerRequest, team: str) -> int:
     """Return a digest that is the same for each retry by a caller.
 
+    A team's keys are replaced while it goes on sending the request.
+
     :param request: the caller's.
-    :param key_header: name of the header with the caller's key.
+    :param team: name of the caller's team, empty on public routes.
     """
     digest = xxhash.xxh3_64()
     for part in (
         request.method,
         request.target,
-        request.header(key_header),
+        team.encode(),
         request.body,
     ):
         digest.update(b"%d:" % len(part))
--- a/tests/forward/crashes.feature
+++ b/tests/forward/crashes.feature
@@ -73,3 +73,17 @@
     When a caller asks for a stream with no parts
     Then it gets 200, and 1 runs were made
     And the log says that 3 losses of it were explained
+
+  Scenario Outline: a request that crashed three upstreams comes again with <which>
+    Guards against a request that crashes upstreams again after each change of
+    its team's keys.
+    Given two heads, of which both "crashes"
+    And a request crashed both, and a third upstream was lost with it
+    When it comes again with <which>
+    Then it <does> refused for crashes
+
+    Examples:
+      | which                   | does   |
+      | the same key            | is     |
+      | another key of its team | is     |
+      | the key of another team | is not |
--- a/tests/forward/rig.py
+++ b/tests/forward/rig.py
@@ -164,10 +164,18 @@
         for one in self.runners.values():
             one.close()
 
-    def send(self, path, headers="", method="POST", body=b"", seconds=3.0):
+    def send(
+        self,
+        path,
+        headers="",
+        method="POST",
+        body=b"",
+        seconds=3.0,
+        key="secret",
+    ):
         """Send a request on a new connection; return all that is received."""
         head = (
-            f"{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Key: secret\r\n"
+            f"{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Key: {key}\r\n"
             f"X-Request-Id: req-1\r\nConnection: close\r\n"
             f"Content-Length: {len(body)}\r\n{headers}\r\n"
         ).encode()
@@ -237,7 +245,11 @@
         1,
         {(r.host, r.prefix): r for r in routes},
         services,
-        {"secret": keyholder.KeyHolder("team-1")},
+        {
+            "secret": keyholder.KeyHolder("team-1"),
+            "second": keyholder.KeyHolder("team-1"),
+            "other": keyholder.KeyHolder("team-2"),
+        },
         LIMITS,
         needs_key=True,
     )
--- a/tests/forward/steps/crashes_steps.py
+++ b/tests/forward/steps/crashes_steps.py
@@ -18,11 +18,11 @@
 _SECONDS_BY_WHEN = {"at once": 0.0, "1 s later": 1.1}
 
 
-def _ask(rig, parts):
+def _ask(rig, parts, key="secret"):
     head = "X-Model: large\r\nX-Tokens: 100,60\r\n"
     if parts:
         head += f"X-Prompt-Parts: {parts}\r\n"
-    return rig.send("/stream/a", head, body=b"prompt")
+    return rig.send("/stream/a", head, body=b"prompt", key=key)
 
 
 @behave.when("a caller asks for a stream with {which}")
@@ -108,10 +108,8 @@
     rig = context.rig
     detector, now = rig.crash_detector, rig.env.clock.now()
     whole = crashdetector.fingerprint(
-        callerrequest.CallerRequest(
-            b"POST", b"/stream/a", [(b"x-key", b"secret")], b"prompt", now
-        ),
-        b"x-key",
+        callerrequest.CallerRequest(b"POST", b"/stream/a", [], b"prompt", now),
+        "team-1",
     )
     model = crashdetector.model_digest("large")
     for start in range(count):
@@ -120,6 +118,36 @@
             detector.suspects.record_loss(loss)
 
 
+_KEY_BY_WHICH = {
+    "the same key": "secret",
+    "another key of its team": "second",
+    "the key of another team": "other",
+}
+
+
+@behave.given("a request crashed both, and a third upstream was lost with it")
+def step_crashed(context):
+    step_ask(context, "no parts")
+    detector = context.rig.crash_detector
+    detector.suspects.record_loss(context.losses[0]._replace(start=99))
+
+
+@behave.when("it comes again with {which}")
+def step_other_key(context, which):
+    context.got = _ask(context.rig, "", _KEY_BY_WHICH[which])
+
+
+@behave.then("it {does} refused for crashes")
+def step_refused(context, does):
+    reasons = [
+        line["why"]
+        for kind, line in context.rig.log.lines
+        if kind == "refused"
+    ]
+    is_refused = "lost while running this request" in reasons[-1]
+    assert is_refused == (does == "is"), reasons
+
+
 @behave.then("the log says that {count:d} losses of it were explained")
 def step_explained(context, count):
     lines = [
