Count a broken run once another request or daemon proves its upstream lost

Callers saw one request end nine runners. After a connection broke, its daemon asked whether the upstream still listens; where neither it nor those that relay could tell (the runner that was tried for comparison had just crashed as well), the run was dropped as a lost link. Class: what can't be judged at once is thrown away, and what one daemon knows is not joined to what another one knows.

A broken run whose upstream was not found lost is now kept for 5 s. It counts as soon as any request or daemon reports the loss of the same start within 0.5 s of the break, or the list shows a later start; or at once, if that loss is known. A cut breaks connections without such a proof. An upstream that could only be asked by daemons that it wants to rest from counted as lost without being asked; it is doubted now as well.

--- a/src/citronvalve/daemon/crashexchange.py
+++ b/src/citronvalve/daemon/crashexchange.py
@@ -51,6 +51,7 @@
     :param suspects: the evidence.
     :param broadcast: sends a message to all daemons.
     :param send: sends a message to an address.
+    :ivar merge: called with what another daemon knows.
     :ivar record: called with the losses of fenced contents, to store them.
     """
 
@@ -73,6 +74,7 @@
         self._proof_by_key: dict[tuple[int, int], crashevidence.Proof] = {}
         self._heard_at = env.clock.now()
         self._known = False
+        self.merge: Callable[[crashevidence.Evidence], None] = suspects.merge
         self.record: Callable[[frozenset[crashevidence.Loss]], None] = (
             lambda _: None
         )
@@ -140,7 +142,7 @@
                 for content, model, age in message.proofs
             ),
         )
-        self._suspects.merge(evidence)
+        self.merge(evidence)
         for proof in evidence.proofs:
             self._proof_by_key.pop((proof.content, proof.model), None)
         if message.is_answer:
--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -222,6 +222,7 @@
     def _exchange_crashes(self) -> None:
         detector = self._crash_detector
         exchange = self._messages.exchange_crashes(detector.suspects)
+        exchange.merge = detector.merge
         detector.on_crash = exchange.send_losses
         detector.on_proof = exchange.send_proofs
         detector.may_try = lambda: bool(
@@ -273,6 +274,7 @@
             self.env, self.directory, self._loads, self._platform.decode_runner
         )
         runner_listener.schedule = _schedule
+        runner_listener.on_start = self._crash_detector.record_restart
         runner_listener.on_restart = self._needs.record_restart
         configuration_listener = configurationlistener.ConfigurationListener(
             self.env, self.directory, self._platform
--- a/src/citronvalve/daemon/runnerlistener.py
+++ b/src/citronvalve/daemon/runnerlistener.py
@@ -29,6 +29,7 @@
     :param loads: the load of each upstream.
     :param decode: decodes an entry; returns None if it names no usable
         upstream.
+    :ivar on_start: called with id and start id of each start that is listed.
     :ivar on_restart: called with the id of an upstream that has started again.
     :ivar store_failed_at: returns when a call to the store last failed, or
         None.
@@ -47,6 +48,7 @@
         self._loads = loads
         self._decode = decode
         self._missing_since: dict[str, clock.Ms] = {}
+        self.on_start: Callable[[str, int], None] = lambda *_: None
         self.on_restart: Callable[[str], None] = lambda _: None
         self.store_failed_at: Callable[[], clock.Ms | None] = lambda: None
         self.schedule: Callable[[clock.Ms, Callable[[], None]], None] = (
@@ -116,6 +118,8 @@
         self._directory.record_membership(
             previous, runner, self._env.clock.now()
         )
+        if previous is None or previous.start_id != runner.start_id:
+            self.on_start(runner.id, runner.start_id)
         if previous is not None and previous.start_id != runner.start_id:
             self.on_restart(runner.id)
         group = runner.membership
--- a/src/citronvalve/forward/crashdetector.py
+++ b/src/citronvalve/forward/crashdetector.py
@@ -15,6 +15,7 @@
 from citronvalve.forward import routedrequest
 from citronvalve.model import clock
 from citronvalve.model import refusal
+from citronvalve.policy import crashdoubts
 from citronvalve.policy import crashevidence
 from citronvalve.policy import crashsuspects
 
@@ -96,6 +97,7 @@
         self._pool = pool
         self._directory = directory
         self._trial_until_by_content: dict[int, clock.Ms] = {}
+        self._doubts = crashdoubts.CrashDoubts()
         self.suspects = crashsuspects.CrashSuspects()
         self.on_crash: Callable[[_Losses], None] = lambda _: None
         self.on_proof: Callable[[_Proofs], None] = lambda _: None
@@ -145,11 +147,39 @@
         broke_at = self._env.clock.now()
         found, why = self._check(run.target)
         self._env.metrics.record_crash_check(found)
-        if found in {CrashCheck.LISTENING, CrashCheck.NO_LINK}:
+        lost_at = self.suspects.lost_at(_start_of(run))
+        if found is CrashCheck.LOST:
+            self._record_loss(routed, run, broke_at, why)
+        elif lost_at is not None and crashdoubts.is_same_time(
+            broke_at, lost_at
+        ):
+            self._record_loss(routed, run, broke_at, "lost with others")
+        else:
             # The connection may have broken with the link.
             self._log_run("broken run not counted", routed, run, found, why)
-            return
-        self._record_loss(routed, run, broke_at, why)
+            losses = self._losses(routed, run, broke_at)
+            self._doubts.add(run.target.upstream, losses)
+
+    def merge(self, evidence: crashevidence.Evidence) -> None:
+        """Record what another daemon knows.
+
+        :param evidence: its losses and proofs.
+        """
+        self.suspects.merge(evidence)
+        lost_at_by_start = {loss.start: loss.at for loss in evidence.losses}
+        for start, at in lost_at_by_start.items():
+            self._confirm(self._doubts.confirm(start, at), "lost with others")
+
+    def record_restart(self, upstream: str, start_id: int) -> None:
+        """Record that the list shows a later start of an upstream.
+
+        :param upstream: its id.
+        :param start_id: of the later start.
+        """
+        start = start_digest(upstream, start_id)
+        now = self._env.clock.now()
+        losses = self._doubts.confirm_restart(upstream, start, now)
+        self._confirm(losses, "started again")
 
     def record_unchecked(
         self, routed: routedrequest.RoutedRequest, run: Run, why: str
@@ -297,36 +327,60 @@
             "change the request before sending it again",
         )
 
-    def _record_loss(
+    def _losses(
         self,
         routed: routedrequest.RoutedRequest,
         run: Run,
         broke_at: clock.Ms,
-        why: str,
-    ) -> None:
+    ) -> _Losses:
+        """Return what a run accuses if its upstream was lost."""
         writing = run.writing_since
         is_cleared = writing is not None and broke_at - writing >= _PROOF_TIME
         contents = self._contents(routed)
         accused = (contents.whole,) if is_cleared else contents.all()
-        start = _start_digest(run)
-        model = model_digest(routed.model)
+        start, model = _start_of(run), model_digest(routed.model)
         begun = run.answered_at is not None
-        losses = [
+        return [
             crashevidence.Loss(content, start, model, broke_at, begun)
             for content in accused
         ]
+
+    def _record_loss(
+        self,
+        routed: routedrequest.RoutedRequest,
+        run: Run,
+        broke_at: clock.Ms,
+        why: str,
+    ) -> None:
+        losses = self._losses(routed, run, broke_at)
         self._env.log.change(
             "upstream lost with a request",
             request=routed.id,
             upstream=run.target.upstream,
             start_id=run.start_id,
-            contents=[_shown_digest(content) for content in accused],
+            contents=[_shown_digest(loss.content) for loss in losses],
             team=_team(routed),
             parts=[_shown(part) for part in routed.shared_parts],
             answered_ms=_age(run.answered_at, broke_at),
-            writing_ms=_age(writing, broke_at),
+            writing_ms=_age(run.writing_since, broke_at),
             why=why,
         )
+        self._accuse(losses)
+        doubted = self._doubts.confirm(_start_of(run), broke_at)
+        self._confirm(doubted, "lost with others")
+
+    def _confirm(self, losses: _Losses, why: str) -> None:
+        """Accuse what broken runs accuse, as their upstream was lost."""
+        if not losses:
+            return
+        self._env.log.change(
+            "broken runs confirmed",
+            contents=[_shown_digest(loss.content) for loss in losses],
+            why=why,
+        )
+        self._accuse(losses)
+
+    def _accuse(self, losses: _Losses) -> None:
         new = [loss for loss in losses if self.suspects.record_loss(loss)]
         if new:
             self.on_crash(new)
@@ -380,9 +434,17 @@
     return routed.key_holder.name if routed.key_holder else ""
 
 
-def _start_digest(run: Run) -> int:
-    start = f"{run.target.upstream}/{run.start_id}"
-    return xxhash.xxh3_64_intdigest(start.encode())
+def start_digest(upstream: str, start_id: int) -> int:
+    """Return the digest of a start of an upstream.
+
+    :param upstream: its id.
+    :param start_id: of the start.
+    """
+    return xxhash.xxh3_64_intdigest(f"{upstream}/{start_id}".encode())
+
+
+def _start_of(run: Run) -> int:
+    return start_digest(run.target.upstream, run.start_id)
 
 
 def _age(at: clock.Ms | None, now: clock.Ms) -> clock.Ms | None:
--- a/src/citronvalve/policy/crashsuspects.py
+++ b/src/citronvalve/policy/crashsuspects.py
@@ -140,6 +140,13 @@
         suspect = self._suspect_by_content.get(proof.content)
         return 0 if suspect is None else suspect.clear(proof.model, proof.at)
 
+    def lost_at(self, start: int) -> clock.Ms | None:
+        """Return when a start of an upstream was lost, None if unknown.
+
+        :param start: digest of the upstream and its start.
+        """
+        return self._lost_at_by_start.get(start)
+
     def merge(self, evidence: crashevidence.Evidence) -> None:
         """Record what another daemon knows.
 
--- a/tests/forward/crashes.feature
+++ b/tests/forward/crashes.feature
@@ -87,3 +87,23 @@
       | the same key            | is     |
       | another key of its team | is     |
       | the key of another team | is not |
+
+  Scenario Outline: a run breaks whose upstream is found <found>, and <proof>
+    Guards against a crash that is not counted, since this daemon can't tell
+    the upstream from its link while another one knows that it was lost.
+    Given two heads, of which both "closes"
+    And a daemon whose upstreams are found <found> after a run broke
+    When <proof>, as a caller asks for a stream with the parts F, P and one of its own
+    Then <contents> contents are accused of the loss of <upstreams> upstreams
+
+    Examples:
+      | found     | proof                                               | contents | upstreams |
+      | no link   | nobody knows more                                   | 0        | 0         |
+      | no link   | another daemon then reports the loss of both        | 3        | 2         |
+      | no link   | another daemon has reported the loss of both        | 3        | 2         |
+      | no link   | another daemon then reports a loss of 2 s before    | 0        | 0         |
+      | no link   | the list then shows a later start of both           | 3        | 2         |
+      | no link   | the list then shows the same start of both          | 0        | 0         |
+      | listening | another daemon then reports the loss of both        | 3        | 2         |
+      | resting   | nobody knows more                                   | 0        | 0         |
+      | resting   | another daemon then reports the loss of both        | 3        | 2         |
--- a/tests/forward/rig.py
+++ b/tests/forward/rig.py
@@ -108,7 +108,9 @@
         limits = retrybudget.RetryLimits(0.2, 100, 10_000)
         self.stall_detector = stalldetector.StallDetector(self.env, loads)
         self.connector = CuttableConnector(self.env, links.Links("zone-0"))
-        pool = connectionpool.ConnectionPool(self.env.clock, self.connector)
+        self.pool = pool = connectionpool.ConnectionPool(
+            self.env.clock, self.connector
+        )
         self.link_checker = linkchecker.LinkChecker(
             self.env, self.directory, self.connector, pool
         )
--- a/tests/forward/steps/crashes_steps.py
+++ b/tests/forward/steps/crashes_steps.py
@@ -5,6 +5,7 @@
 
 from citronvalve.forward import callerrequest
 from citronvalve.forward import crashdetector
+from citronvalve.forward import exchangeerror
 from citronvalve.policy import crashevidence
 
 _PARTS_BY_WHICH = {
@@ -148,6 +149,60 @@
     assert is_refused == (does == "is"), reasons
 
 
+_FAILURE_BY_FOUND = {
+    "no link": exchangeerror.ExchangeFailure.NO_LINK,
+    "resting": exchangeerror.ExchangeFailure.RESTING,
+}
+
+
+@behave.given("a daemon whose upstreams are found {found} after a run broke")
+def step_not_found_lost(context, found):
+    failure = _FAILURE_BY_FOUND.get(found)
+
+    def check(_):
+        if failure is not None:
+            raise exchangeerror.ExchangeError(failure, found)
+
+    context.rig.pool.check_listening = check
+
+
+def _report(rig, before=0):
+    """Record that another daemon lost both upstreams, with another request."""
+    now, model = rig.env.clock.now(), crashdetector.model_digest("large")
+    starts = [crashdetector.start_digest(name, 0) for name in rig.runners]
+    losses = [
+        crashevidence.Loss(77, start, model, now - before) for start in starts
+    ]
+    rig.crash_detector.merge(crashevidence.Evidence(tuple(losses)))
+
+
+def _list(rig, start_id):
+    for name in rig.runners:
+        rig.crash_detector.record_restart(name, start_id)
+
+
+_BEFORE_BY_PROOF = {"another daemon has reported the loss of both": _report}
+_AFTER_BY_PROOF = {
+    "another daemon then reports the loss of both": _report,
+    "another daemon then reports a loss of 2 s before": (
+        lambda rig: _report(rig, 2_000)
+    ),
+    "the list then shows a later start of both": lambda rig: _list(rig, 5),
+    "the list then shows the same start of both": lambda rig: _list(rig, 0),
+}
+
+
+@behave.when(
+    "{proof}, as a caller asks for a stream with the parts F, P and one of "
+    "its own"
+)
+def step_proof(context, proof):
+    rig = context.rig
+    _BEFORE_BY_PROOF.get(proof, lambda _: None)(rig)
+    step_ask(context, "the parts F, P and one of its own")
+    _AFTER_BY_PROOF.get(proof, lambda _: None)(rig)
+
+
 @behave.then("the log says that {count:d} losses of it were explained")
 def step_explained(context, count):
     lines = [
