Ask for more losses of a part, too, where upstreams crash by chance

Same cause as for whole requests: four losses prove little while a third of the upstreams is lost by chance in ten seconds.

Parts need up to as many more losses as whole requests do. What counts as by chance is stricter and cheaper: a quarter of the upstreams in 10 s for two more losses, all of them for three; a loss that is shared with another content does not count if enough losses speak against that one, by the same measure (three had been enough for any popular part to hide chance); 256 starts are looked at.

Evidence: tests/policy/crashes: the rows 'a part, after three without it' and 'two of eight were lost without it' failed before, 55 of 55 scenarios pass.

--- a/src/citronvalve/policy/crashsuspects.py
+++ b/src/citronvalve/policy/crashsuspects.py
@@ -1,6 +1,7 @@
 """Contents of requests that may crash the upstreams they run on."""
 
 from collections.abc import Iterable
+import itertools
 from typing import NamedTuple
 
 from citronvalve.model import clock
@@ -12,15 +13,16 @@
 _MAX_REQUEST_LOSSES = 3
 _MAX_PART_LOSSES = 4
 
-#: Time before the last loss of a whole request in which upstreams that were
-#: lost without it show how often they crash by chance.
+#: Time before the last loss of a content in which upstreams that were lost
+#: without it show how often they crash by chance.
 _CHANCE_TIME: clock.Ms = 10_000
 
-#: Part of the upstreams, as a divisor, that has to be lost by chance in that
-#: time until a sound request may have all its attempts there, and how many
-#: more losses a whole request needs then.
-_CHANCE_DIVISOR = 10
-_MAX_CHANCE_LOSSES = 2
+#: Starts of upstreams that are looked at for it, the newest ones.
+_MAX_CHANCE_STARTS = 256
+
+#: Part of the upstreams that was lost by chance in that time, from the most to
+#: the least, and how many more losses a content needs then at most.
+_CHANCE_TABLE = ((1.0, 3), (0.25, 2))
 
 #: Losses from which a part that no upstream has survived is held to crash
 #: them although other contents explain all but some of its losses: two parts
@@ -87,8 +89,8 @@
     losses of its own: those that another content explains as well, which was
     lost about as often, do not count against a request without that one.
     Requests with either of two contents that were always lost together are
-    let through, and show which one it is.  Where upstreams crash by chance, a
-    whole request needs more losses.
+    let through, and show which one it is.  Where upstreams crash by chance,
+    each content needs more losses.
 
     :param first_trial_after: ms from the loss that fences a content until it
         may be tried.
@@ -173,7 +175,9 @@
         """
         verdict = self._find_whole(contents, model, now, upstreams)
         for part in contents.parts:
-            verdict = verdict or self._find_part(part, contents, model, now)
+            verdict = verdict or self._find_part(
+                part, contents, model, now, upstreams
+            )
         return verdict
 
     def assess(
@@ -283,39 +287,61 @@
         losses: list[crashevidence.Loss],
         upstreams: int,
     ) -> int:
-        """Return how many losses of a whole request may be by chance.
+        """Return how many losses of a content may be by chance.
 
-        Upstreams that were lost with another content that is accused as well
-        were not lost by chance.
+        Upstreams that were lost with another content that is held to crash
+        them were not lost by chance.
 
-        :param suspect: the whole request.
+        :param suspect: the content.
         :param losses: that count against it.
         :param upstreams: how many run requests.
         """
-        last = max(loss.at for loss in losses)
-        since = min(last - _CHANCE_TIME, *(loss.at for loss in losses))
-        count = 0
-        for start in reversed(self._lost_at_by_start):
-            at = self._lost_at_by_start[start]
-            if not since <= at <= last or start in suspect.loss_by_start:
-                continue
-            count += not self._has_accused(start)
-            if count >= _MAX_CHANCE_LOSSES and (
-                count * _CHANCE_DIVISOR > upstreams
-            ):
-                return _MAX_CHANCE_LOSSES
-        return count if count * _CHANCE_DIVISOR > upstreams else 0
-
-    def _has_accused(self, start: int) -> bool:
-        """Return whether a content that was lost with a start is accused."""
-        return any(
-            suspect.most_losses() >= _MAX_REQUEST_LOSSES
-            for content in self._contents_by_start[start]
-            if len(
-                (suspect := self._suspect_by_content[content]).loss_by_start
-            )
-            >= _MAX_REQUEST_LOSSES
+        lost = sum(
+            not self._has_held(start, upstreams)
+            for start in self._lost_without(suspect, losses)
+        )
+        return min(lost, _most_by_chance(lost, upstreams))
+
+    def _lost_without(
+        self,
+        suspect: crashsuspect.CrashSuspect,
+        losses: list[crashevidence.Loss],
+    ) -> list[int]:
+        """Return the starts that were lost without a content, around it."""
+        times = [loss.at for loss in losses]
+        last = max(times)
+        since = min(last - _CHANCE_TIME, *times)
+        newest = itertools.islice(
+            reversed(self._lost_at_by_start.items()), _MAX_CHANCE_STARTS
+        )
+        return [
+            start
+            for start, at in newest
+            if since <= at <= last and start not in suspect.loss_by_start
+        ]
+
+    def _has_held(self, start: int, upstreams: int) -> bool:
+        """Return whether a content was lost that many losses speak against.
+
+        :param start: of the lost upstream.
+        :param upstreams: how many run requests.
+        """
+        suspects = map(
+            self._suspect_by_content.__getitem__,
+            self._contents_by_start[start],
         )
+        return any(self._is_held(suspect, upstreams) for suspect in suspects)
+
+    def _is_held(
+        self, suspect: crashsuspect.CrashSuspect, upstreams: int
+    ) -> bool:
+        count = suspect.most_losses()
+        if count < _MAX_REQUEST_LOSSES:
+            return False
+        losses = list(suspect.loss_by_start.values())
+        lost = len(self._lost_without(suspect, losses))
+        by_chance = min(lost, _most_by_chance(lost, upstreams))
+        return count >= _MAX_REQUEST_LOSSES + by_chance
 
     def _find_part(
         self,
@@ -323,18 +349,24 @@
         contents: crashevidence.Contents,
         model: int,
         now: clock.Ms,
+        upstreams: int,
     ) -> Verdict | None:
         suspect = self._accused(part)
         if suspect is None:
             return None
         count, losses = suspect.count(model), suspect.losses(model)
+        if count < _MAX_REQUEST_LOSSES:
+            return None
         accusation = crashsuspect.Accusation(count, suspect.has_survived, now)
         own = self._unexplained(losses, accusation, contents, model)
         own_count = suspect.count_apart(own)
-        if own_count >= _MAX_PART_LOSSES:
+        by_chance = self._chance_losses(suspect, losses, upstreams)
+        if own_count >= _MAX_PART_LOSSES + by_chance:
             return self._verdict(part, own, own_count, _MAX_PART_LOSSES)
         if suspect.has_survived or own_count < _MIN_UNEXPLAINED_LOSSES:
             return None
+        if count < _MAX_UNPROVEN_LOSSES + by_chance:
+            return None
         times = [loss.at for loss in losses]
         return self._verdict(part, times, count, _MAX_UNPROVEN_LOSSES)
 
@@ -418,6 +450,17 @@
             del self._lost_at_by_start[start]
 
 
+def _most_by_chance(lost: int, upstreams: int) -> int:
+    """Return how many losses of a content may be by chance at most.
+
+    :param lost: upstreams that were lost without it.
+    :param upstreams: how many run requests.
+    """
+    return next(
+        (most for part, most in _CHANCE_TABLE if lost > part * upstreams), 0
+    )
+
+
 def _trial_interval(failed_trials: int) -> clock.Ms:
     return min(_TRIAL_INTERVAL << (failed_trials - 1), _MAX_TRIAL_INTERVAL)
 
