Count losses after a survived beginning apart, for whole requests

The longer a run lasts, the likelier it is lost by chance; what crashes upstreams as they begin does not get that far. Parts are not accused after 250 ms of writing; the whole request was, like any other loss.

Such losses now accuse a digest of their own. A whole request is refused from three losses as upstreams begin it, or from four in all, and up to three more where upstreams crash by chance. Messages between daemons stay as they are. The starts of lost upstreams have a module of their own.

Evidence: tests/policy/crashes: 'three upstreams' (after their beginning) failed before; 59 of 59 pass.

--- a/src/citronvalve/forward/crashdetector.py
+++ b/src/citronvalve/forward/crashdetector.py
@@ -147,7 +147,7 @@
         broke_at = self._env.clock.now()
         found, why = self._check(run.target)
         self._env.metrics.record_crash_check(found)
-        lost_at = self.suspects.lost_at(_start_of(run))
+        lost_at = self.suspects.lost_starts.lost_at(_start_of(run))
         if found is CrashCheck.LOST:
             self._record_loss(routed, run, broke_at, why)
         elif lost_at is not None and crashdoubts.is_same_time(
@@ -337,7 +337,7 @@
         writing = run.writing_since
         is_cleared = writing is not None and broke_at - writing >= _PROOF_TIME
         contents = self._contents(routed)
-        accused = (contents.whole,) if is_cleared else contents.all()
+        accused = (contents.late,) if is_cleared else contents.begun()
         start, model = _start_of(run), model_digest(routed.model)
         begun = run.answered_at is not None
         return [
@@ -402,8 +402,9 @@
     def _contents(
         self, routed: routedrequest.RoutedRequest
     ) -> crashevidence.Contents:
+        whole = fingerprint(routed.request, _team(routed))
         return crashevidence.Contents(
-            fingerprint(routed.request, _team(routed)), _parts(routed)
+            whole, _parts(routed), late_digest(whole)
         )
 
 
@@ -430,6 +431,14 @@
     return tuple(part_digest(service, part) for part in routed.shared_parts)
 
 
+def late_digest(whole: int) -> int:
+    """Return the digest for losses after a request's beginning was survived.
+
+    :param whole: digest of the whole request.
+    """
+    return xxhash.xxh3_64_intdigest(b"late:%d" % whole)
+
+
 def _team(routed: routedrequest.RoutedRequest) -> str:
     return routed.key_holder.name if routed.key_holder else ""
 
--- a/src/citronvalve/policy/crashevidence.py
+++ b/src/citronvalve/policy/crashevidence.py
@@ -6,13 +6,22 @@
 
 
 class Contents(NamedTuple):
-    """Digests of a whole request and of the shared parts of its prompt."""
+    """Digests of a whole request and of the shared parts of its prompt.
+
+    ``late`` is that of the whole request for upstreams that were lost after
+    they had survived its beginning.
+    """
 
     whole: int
     parts: tuple[int, ...] = ()
+    late: int = 0
 
     def all(self) -> tuple[int, ...]:
         """Return all digests."""
+        return self.whole, self.late, *self.parts
+
+    def begun(self) -> tuple[int, ...]:
+        """Return those that an upstream is lost with as it begins."""
         return self.whole, *self.parts
 
 
--- a/src/citronvalve/policy/crashsuspects.py
+++ b/src/citronvalve/policy/crashsuspects.py
@@ -1,29 +1,20 @@
 """Contents of requests that may crash the upstreams they run on."""
 
 from collections.abc import Iterable
-import itertools
 from typing import NamedTuple
 
 from citronvalve.model import clock
 from citronvalve.policy import crashevidence
 from citronvalve.policy import crashsuspect
+from citronvalve.policy import loststarts
 
 #: Losses since its last proof from which a content is held to crash upstreams:
-#: a whole request, and a part, which sound requests may share.
+#: a whole request as it begins; one at any time, since the longer a run lasts
+#: the likelier it is lost by chance; and a part, which sound requests share.
 _MAX_REQUEST_LOSSES = 3
+_MAX_LATE_LOSSES = 4
 _MAX_PART_LOSSES = 4
 
-#: Time before the last loss of a content in which upstreams that were lost
-#: without it show how often they crash by chance.
-_CHANCE_TIME: clock.Ms = 10_000
-
-#: Starts of upstreams that are looked at for it, the newest ones.
-_MAX_CHANCE_STARTS = 256
-
-#: Part of the upstreams that was lost by chance in that time, from the most to
-#: the least, and how many more losses a content needs then at most.
-_CHANCE_TABLE = ((1.0, 3), (0.25, 2))
-
 #: Losses from which a part that no upstream has survived is held to crash
 #: them although other contents explain all but some of its losses: two parts
 #: that crash upstreams may be lost together.
@@ -70,7 +61,8 @@
 
     ``losses`` is the number of its losses, ``unexplained`` the times of those
     that no content in ``explaining`` explains, in monotonic ms.  It is held
-    to crash upstreams with ``needed`` of them.
+    to crash upstreams with ``needed`` of them, ``fewest`` of which would do if
+    no upstream crashed by chance.
     """
 
     content: int
@@ -78,6 +70,12 @@
     unexplained: tuple[clock.Ms, ...]
     explaining: tuple[int, ...]
     needed: int
+    fewest: int
+
+    @property
+    def is_held(self) -> bool:
+        """Return whether the request is held to crash upstreams."""
+        return len(self.unexplained) >= self.needed
 
 
 class CrashSuspects:
@@ -96,6 +94,7 @@
         may be tried.
     :param unproven_burst: ms within which losses of a part count as one as
         long as no upstream has survived it.
+    :ivar lost_starts: the upstreams that were lost, and what ran there.
     """
 
     def __init__(
@@ -106,8 +105,7 @@
         self._first_trial_after = first_trial_after
         self._unproven_burst = unproven_burst
         self._suspect_by_content: dict[int, crashsuspect.CrashSuspect] = {}
-        self._contents_by_start: dict[int, set[int]] = {}
-        self._lost_at_by_start: dict[int, clock.Ms] = {}
+        self.lost_starts = loststarts.LostStarts()
 
     def __len__(self) -> int:
         return len(self._suspect_by_content)
@@ -126,11 +124,10 @@
             )
         if not suspect.add(loss):
             return False
-        self._contents_by_start.setdefault(loss.start, set()).add(loss.content)
-        self._lost_at_by_start.setdefault(loss.start, loss.at)
+        self.lost_starts.add(loss)
         if len(suspect.loss_by_start) > _MAX_STARTS:
             dropped = suspect.drop_oldest()
-            self._forget(dropped, loss.content)
+            self.lost_starts.forget(dropped, loss.content)
             return dropped != loss.start
         return True
 
@@ -142,13 +139,6 @@
         suspect = self._suspect_by_content.get(proof.content)
         return 0 if suspect is None else suspect.clear(proof.model, proof.at)
 
-    def lost_at(self, start: int) -> clock.Ms | None:
-        """Return when a start of an upstream was lost, None if unknown.
-
-        :param start: digest of the upstream and its start.
-        """
-        return self._lost_at_by_start.get(start)
-
     def merge(self, evidence: crashevidence.Evidence) -> None:
         """Record what another daemon knows.
 
@@ -173,11 +163,22 @@
         :param now: monotonic ms.
         :param upstreams: how many run requests.
         """
-        verdict = self._find_whole(contents, model, now, upstreams)
+        where = contents, model, now, upstreams
+        verdict = next(
+            (
+                self._verdict(
+                    contents.whole,
+                    list(found.unexplained),
+                    len(found.unexplained),
+                    found.fewest,
+                )
+                for found in self._assess_whole(*where)
+                if found.is_held
+            ),
+            None,
+        )
         for part in contents.parts:
-            verdict = verdict or self._find_part(
-                part, contents, model, now, upstreams
-            )
+            verdict = verdict or self._find_part(part, *where)
         return verdict
 
     def assess(
@@ -194,27 +195,8 @@
         :param now: monotonic ms.
         :param upstreams: how many run requests.
         """
-        suspect = self._accused(contents.whole)
-        if suspect is None:
-            return None
-        losses = suspect.losses(model)
-        if len(losses) < _MAX_REQUEST_LOSSES:
-            return None
-        accusation = crashsuspect.Accusation(len(losses), None, now)
-        explaining = {
-            loss.start: self._explaining(
-                loss, accusation, contents.all(), model
-            )
-            for loss in losses
-        }
-        return Assessment(
-            contents.whole,
-            len(losses),
-            tuple(loss.at for loss in losses if not explaining[loss.start]),
-            tuple(sorted(set().union(*explaining.values()))),
-            _MAX_REQUEST_LOSSES
-            + self._chance_losses(suspect, losses, upstreams),
-        )
+        found = self._assess_whole(contents, model, now, upstreams)
+        return max(found, key=lambda one: one.losses, default=None)
 
     def snapshot(self) -> crashevidence.Evidence:
         """Return the evidence to give to other daemons."""
@@ -264,26 +246,66 @@
             if now - suspect.last_lost_at >= _retention(suspect)
         )
 
-    def _find_whole(
+    def _assess_whole(
         self,
         contents: crashevidence.Contents,
         model: int,
         now: clock.Ms,
         upstreams: int,
-    ) -> Verdict | None:
-        assessment = self.assess(contents, model, now, upstreams)
-        if assessment is None:
-            return None
-        own = list(assessment.unexplained)
-        if len(own) < assessment.needed:
-            return None
-        return self._verdict(
-            contents.whole, own, len(own), _MAX_REQUEST_LOSSES
+    ) -> list[Assessment]:
+        """Return what its losses say of a whole request, if there are enough.
+
+        First those as it begins, then all.
+        """
+        early = self._losses_of(contents.whole, model)
+        starts = {loss.start for loss in early}
+        late = [
+            loss
+            for loss in self._losses_of(contents.late, model)
+            if loss.start not in starts
+        ]
+        kinds = (early, _MAX_REQUEST_LOSSES), (early + late, _MAX_LATE_LOSSES)
+        return [
+            self._assess(losses, fewest, contents, model, now, upstreams)
+            for losses, fewest in kinds
+            if len(losses) >= fewest
+        ]
+
+    def _losses_of(self, content: int, model: int) -> list[crashevidence.Loss]:
+        suspect = self._suspect_by_content.get(content)
+        return [] if suspect is None else suspect.losses(model)
+
+    def _assess(
+        self,
+        losses: list[crashevidence.Loss],
+        fewest: int,
+        contents: crashevidence.Contents,
+        model: int,
+        now: clock.Ms,
+        upstreams: int,
+    ) -> Assessment:
+        """Return what some losses say of a whole request.
+
+        ``fewest`` of them are needed if none is by chance.
+        """
+        accusation = crashsuspect.Accusation(len(losses), None, now)
+        explaining = {
+            loss.start: self._explaining(
+                loss, accusation, contents.all(), model
+            )
+            for loss in losses
+        }
+        return Assessment(
+            contents.whole,
+            len(losses),
+            tuple(loss.at for loss in losses if not explaining[loss.start]),
+            tuple(sorted(set().union(*explaining.values()))),
+            fewest + self._chance_losses(losses, upstreams),
+            fewest,
         )
 
     def _chance_losses(
         self,
-        suspect: crashsuspect.CrashSuspect,
         losses: list[crashevidence.Loss],
         upstreams: int,
     ) -> int:
@@ -292,33 +314,14 @@
         Upstreams that were lost with another content that is held to crash
         them were not lost by chance.
 
-        :param suspect: the content.
         :param losses: that count against it.
         :param upstreams: how many run requests.
         """
         lost = sum(
             not self._has_held(start, upstreams)
-            for start in self._lost_without(suspect, losses)
+            for start in self.lost_starts.lost_without(losses)
         )
-        return min(lost, _most_by_chance(lost, upstreams))
-
-    def _lost_without(
-        self,
-        suspect: crashsuspect.CrashSuspect,
-        losses: list[crashevidence.Loss],
-    ) -> list[int]:
-        """Return the starts that were lost without a content, around it."""
-        times = [loss.at for loss in losses]
-        last = max(times)
-        since = min(last - _CHANCE_TIME, *times)
-        newest = itertools.islice(
-            reversed(self._lost_at_by_start.items()), _MAX_CHANCE_STARTS
-        )
-        return [
-            start
-            for start, at in newest
-            if since <= at <= last and start not in suspect.loss_by_start
-        ]
+        return loststarts.losses_by_chance(lost, upstreams)
 
     def _has_held(self, start: int, upstreams: int) -> bool:
         """Return whether a content was lost that many losses speak against.
@@ -328,19 +331,26 @@
         """
         suspects = map(
             self._suspect_by_content.__getitem__,
-            self._contents_by_start[start],
+            self.lost_starts.contents(start),
         )
         return any(self._is_held(suspect, upstreams) for suspect in suspects)
 
     def _is_held(
         self, suspect: crashsuspect.CrashSuspect, upstreams: int
     ) -> bool:
+        """Return whether upstreams were not lost by chance with a content.
+
+        One that upstreams have survived is often one that many requests
+        share, which most losses by chance take.
+        """
         count = suspect.most_losses()
-        if count < _MAX_REQUEST_LOSSES:
+        if suspect.has_survived or count < _MAX_REQUEST_LOSSES:
             return False
+        if count >= _MAX_PART_LOSSES:
+            return True
         losses = list(suspect.loss_by_start.values())
-        lost = len(self._lost_without(suspect, losses))
-        by_chance = min(lost, _most_by_chance(lost, upstreams))
+        lost = len(self.lost_starts.lost_without(losses))
+        by_chance = loststarts.losses_by_chance(lost, upstreams)
         return count >= _MAX_REQUEST_LOSSES + by_chance
 
     def _find_part(
@@ -360,7 +370,7 @@
         accusation = crashsuspect.Accusation(count, suspect.has_survived, now)
         own = self._unexplained(losses, accusation, contents, model)
         own_count = suspect.count_apart(own)
-        by_chance = self._chance_losses(suspect, losses, upstreams)
+        by_chance = self._chance_losses(losses, upstreams)
         if own_count >= _MAX_PART_LOSSES + by_chance:
             return self._verdict(part, own, own_count, _MAX_PART_LOSSES)
         if suspect.has_survived or own_count < _MIN_UNEXPLAINED_LOSSES:
@@ -416,7 +426,7 @@
         """Return the contents outside a request that explain a loss."""
         enough = accusation.fewest_explaining
         found = set()
-        for other in self._contents_by_start[loss.start]:
+        for other in self.lost_starts.contents(loss.start):
             suspect = self._suspect_by_content[other]
             # Most of what runs on a lost upstream is not lost again.
             if (
@@ -440,25 +450,7 @@
         for content in contents:
             suspect = self._suspect_by_content.pop(content)
             for start in suspect.loss_by_start:
-                self._forget(start, content)
-
-    def _forget(self, start: int, content: int) -> None:
-        contents = self._contents_by_start[start]
-        contents.discard(content)
-        if not contents:
-            del self._contents_by_start[start]
-            del self._lost_at_by_start[start]
-
-
-def _most_by_chance(lost: int, upstreams: int) -> int:
-    """Return how many losses of a content may be by chance at most.
-
-    :param lost: upstreams that were lost without it.
-    :param upstreams: how many run requests.
-    """
-    return next(
-        (most for part, most in _CHANCE_TABLE if lost > part * upstreams), 0
-    )
+                self.lost_starts.forget(start, content)
 
 
 def _trial_interval(failed_trials: int) -> clock.Ms:
--- a/tests/policy/crashes.feature
+++ b/tests/policy/crashes.feature
@@ -2,7 +2,8 @@
   A lost upstream takes down all requests that it ran. In the events, each of
   which comes 100 ms after the one before, "x1:FPa+Gb" is the loss of start 1
   with a request of the contents F, P and a that it had begun to answer, and
-  with one of G and b that waited; a small letter is the whole request; "=" before an event lets it come at once;
+  with one of G and b that waited; a small letter is the whole request, "~a" one
+  whose beginning the upstream had survived; "=" before an event lets it come at once;
   "t:900" lets 900 ms pass; "n:30" makes it a fleet of 30 upstreams and not of 8; "p:F" is an answer on F; "/s" behind it names a model other than "l".
 
   Scenario Outline: <case>
@@ -56,6 +57,13 @@
       | the neighbour is answered in between          | x1:v+w p:v x2:v+w p:v x3:v+w p:v                     | w       | v z    |
       | it is answered in between                     | x1:w x2:w p:w x3:w t:1000 x4:w                       |         | w      |
 
+    Examples: upstreams crash after they have survived the beginning
+      | case                                          | events                                               | refused | served |
+      | three upstreams                               | x1:~w x2:~w x3:~w t:1000                             |         | w      |
+      | four upstreams                                | x1:~w x2:~w x3:~w x4:~w t:1000                       | w       | z      |
+      | four, two of them as it began                 | x1:w x2:~w x3:w x4:~w t:1000                         | w       | z      |
+      | three as it began, and one later              | x1:w x2:w x3:~w x4:w t:1000                          | w       | z      |
+
     Examples: upstreams crash by chance
       | case                                          | events                                               | refused | served |
       | one of three was lost without the request     | n:3 x1:a x2:w x3:w x4:w t:1000                       |         | w      |
--- a/tests/policy/steps/crashes_steps.py
+++ b/tests/policy/steps/crashes_steps.py
@@ -1,5 +1,7 @@
 """Steps about contents of requests that crash upstreams."""
 
+import re
+
 import behave
 
 from citronvalve.policy import crashevidence
@@ -12,10 +14,19 @@
 _MODEL_BY_NAME = {"l": 1, "s": 2}
 
 
+#: Lies between the digest of a whole request, and that of its losses after
+#: its beginning was survived.
+_LATE = 1_000
+
+
 def _content(letter):
     return ord(letter)
 
 
+def _late(match):
+    return chr(ord(match[1]) + _LATE)
+
+
 def _model(name):
     return _MODEL_BY_NAME[name or "l"]
 
@@ -37,7 +48,7 @@
             if kind == "n":
                 self.upstreams = int(what)
                 continue
-            what, _, model = what.partition("/")
+            what, _, model = re.sub("~(.)", _late, what).partition("/")
             if kind == "p":
                 self._prove(what, _model(model))
             else:
@@ -62,7 +73,7 @@
         whole = [_content(letter) for letter in contents if letter.islower()]
         parts = [_content(letter) for letter in contents if letter.isupper()]
         found = self.suspects.find(
-            crashevidence.Contents(*whole, tuple(parts)),
+            crashevidence.Contents(*whole, tuple(parts), whole[0] + _LATE),
             _model(model),
             self.now,
             self.upstreams,
