Leave out one odd entry of another writer, and follow the others

Other operators saw one entry among the runners' end the machines that read the list, or stop them following it: nested very deeply, with a number too large, or with a port out of range. It happened here. Deep nesting raises RecursionError, which is no error of the decoder's own tree: every daemon's task that reads the list ended, and one that started was never ready. Ports of 99999, of 5,000 digits or '²' and a host with a NUL byte passed the decoder and failed in the task that connected; numbers beyond 64 bits could not be told to other daemons. In the own interface one such VM or row hid the whole list or table. Class: a value is checked for its form and not for what is done with it, and one row decides over all.

- All decoders of what others wrote catch the same errors (model/decoding.py).
- Addresses are parsed where they are read (model/hostport.py), also those of daemons; numbers and texts of entries and reports have bounds; ids must be fit for headers.
- A row's value that daemons can't tell each other becomes one that says why (storage/rowvalue.py).
Of an answer that is nested too deeply as a whole only what is too deep is cut (storage/shallow.py).
- The list of VMs is decoded entry by entry.
- An entry that is left out is logged once with its key and reason, until it can be read or is gone, and counted (entries_left_out_total).
- Tasks that follow what others write go on after any error, which is logged once and counted (task failed, task_failures_total).
The soak looks for them as it does for tracebacks.
Records of keyed requests keep their own loop.

--- a/src/citronvalve/cli/daemons.py
+++ b/src/citronvalve/cli/daemons.py
@@ -11,6 +11,7 @@
 
 from citronvalve.cli import exitcode
 from citronvalve.connections import pool
+from citronvalve.model import decoding
 from citronvalve.model import errors
 from citronvalve.model import missing
 
@@ -89,7 +90,7 @@
             "GET", url, retries=False, timeout=_TIMEOUT_SECONDS
         )
         status: Any = msgspec.json.decode(response.data, type=DaemonStatus)
-    except (urllib3.exceptions.HTTPError, msgspec.MsgspecError) as error:
+    except (urllib3.exceptions.HTTPError, *decoding.ERRORS) as error:
         status = missing.Unavailable(str(error), url)
     return QueryResult(address, status)
 
--- a/src/citronvalve/cli/explaining.py
+++ b/src/citronvalve/cli/explaining.py
@@ -9,6 +9,7 @@
 from citronvalve.cli import exitcode
 from citronvalve.cli import report
 from citronvalve.model import clock
+from citronvalve.model import decoding
 
 #: Changes at an upstream are shown from this long before the request's first
 #: line, as they may be the cause of its outcome: a stalled replica is reported
@@ -75,7 +76,7 @@
                 continue
             try:
                 line = msgspec.json.decode(text[start:])
-            except msgspec.DecodeError:
+            except decoding.ERRORS:
                 continue
             if isinstance(line, dict) and "event" in line:
                 yield line
--- a/src/citronvalve/daemon/crashexchange.py
+++ b/src/citronvalve/daemon/crashexchange.py
@@ -4,6 +4,7 @@
 
 import eventlet
 
+from citronvalve.daemon import supervision
 from citronvalve.forward import environment as environments
 from citronvalve.model import clock
 from citronvalve.peers import messages
@@ -81,8 +82,8 @@
 
     def start(self) -> None:
         """Start the tasks."""
-        eventlet.spawn(self._learn)
-        eventlet.spawn(self._repeat)
+        supervision.spawn(self._env, "crash learning", self._learn)
+        supervision.spawn(self._env, "crash exchange", self._repeat)
 
     def send_losses(self, losses: list[crashevidence.Loss]) -> None:
         """Inform the other daemons of new losses.
--- a/src/citronvalve/daemon/daemon.py
+++ b/src/citronvalve/daemon/daemon.py
@@ -1,5 +1,6 @@
 """Creates the tasks of a daemon and stops them in order."""
 
+from collections.abc import Callable
 import os
 import random
 import signal
@@ -19,6 +20,7 @@
 from citronvalve.daemon import policysync
 from citronvalve.daemon import recordtask
 from citronvalve.daemon import settings as settings_
+from citronvalve.daemon import supervision
 from citronvalve.daemon import sweeptask
 from citronvalve.daemon import tabletask
 from citronvalve.entry import app
@@ -99,14 +101,26 @@
         signal.signal(signal.SIGTERM, self._on_signal)
         signal.signal(signal.SIGINT, self._on_signal)
         self._peer_task.start()
+        # A batch whose outcome is unknown is not repeated by a restart.
+        eventlet.spawn(self._record_task.run)
         for task in self._tasks:
-            eventlet.spawn(task.run)
+            eventlet.spawn(self._supervise, type(task).__name__, task.run)
         self._operator_listener.start()
         self._caller_listener.start()
         self._env.log.info("serving", extra={"at": self._settings.callers})
         self._stop.wait()
         self._drain()
 
+    def _supervise(self, name: str, run: Callable[[], None]) -> None:
+        def log(why: str, where: str) -> None:
+            extra = {"task": name, "why": why, "where": where}
+            self._env.log.error("task failed", extra=extra)
+
+        def count() -> None:
+            self._env.metrics.record_task_failure(name)
+
+        supervision.supervise(run, log, count)
+
     def _on_signal(self, *_: object) -> None:
         # A signal handler must not switch tasks.
         eventlet.hubs.get_hub().schedule_call_global(0, self._request_stop)
@@ -150,19 +164,31 @@
             self._view,
             self._settings,
             table,
-            httpvms.HttpVms(platform),
+            self._make_vm_list(platform),
         )
         return [
             self._group_task,
             tabletask.TableTask(self._env, self._view, table, self._peer_task),
             loadtask.LoadTask(self._view, loads, self._peer_task),
-            self._record_task,
             sweeptask.SweepTask(
                 self._env, self._view, self._record_task.sweeper
             ),
             self._make_dispatcher_task(),
         ]
 
+    def _make_vm_list(
+        self, platform: platform_client.PlatformClient
+    ) -> httpvms.HttpVms:
+        vms = httpvms.HttpVms(platform)
+
+        def log(key: str, why: str) -> None:
+            self._env.metrics.record_left_out("vms")
+            extra = {"key": key, "why": why}
+            self._env.log.warning("entry left out", extra=extra)
+
+        vms.on_left_out = log
+        return vms
+
     def _make_dispatcher_task(self) -> dispatchertask.DispatcherTask:
         task = dispatchertask.DispatcherTask(
             self._env,
--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -23,6 +23,7 @@
 from citronvalve.daemon import platforminterface as ports_
 from citronvalve.daemon import roomreport
 from citronvalve.daemon import runnerlistener
+from citronvalve.daemon import supervision
 from citronvalve.forward import acceptor
 from citronvalve.forward import admission
 from citronvalve.forward import crashdetector
@@ -115,9 +116,9 @@
         )
         self._crash_exchange.start()
         self._need_exchange.start()
-        eventlet.spawn(self._renew_lease)
-        eventlet.spawn(self._planner_task.run)
-        eventlet.spawn(self._clean_up)
+        supervision.spawn(self.env, "lease", self._renew_lease)
+        supervision.spawn(self.env, "planner", self._planner_task.run)
+        supervision.spawn(self.env, "cleanup", self._clean_up)
         self._operator_listener.start()
         self._acceptor.start()
         self._links.start()
@@ -310,7 +311,7 @@
                     t.outage.failed_at
                 )
                 self._lease.is_store_away = tail_.is_store_away
-            eventlet.spawn(tail_.run)
+            supervision.spawn(self.env, f"table {table}", tail_.run)
 
     def _peers_wait(self) -> clock.Ms:
         """Return the ms for which other daemons may send the first rows."""
--- a/src/citronvalve/daemon/loadbroadcaster.py
+++ b/src/citronvalve/daemon/loadbroadcaster.py
@@ -5,6 +5,7 @@
 
 import eventlet
 
+from citronvalve.daemon import supervision
 from citronvalve.forward import environment as environments
 from citronvalve.model import clock
 from citronvalve.peers import distributor as distributors
@@ -59,8 +60,8 @@
 
     def start(self) -> None:
         """Start the tasks."""
-        eventlet.spawn(self._send_own)
-        eventlet.spawn(self._send_sums)
+        supervision.spawn(self._env, "own loads", self._send_own)
+        supervision.spawn(self._env, "load sums", self._send_sums)
 
     def report_age(self) -> clock.Ms:
         """Return the age that a report has when the next one comes.
--- a/src/citronvalve/daemon/messagetask.py
+++ b/src/citronvalve/daemon/messagetask.py
@@ -8,6 +8,7 @@
 from citronvalve.daemon import crashexchange
 from citronvalve.daemon import loadbroadcaster
 from citronvalve.daemon import newcomers
+from citronvalve.daemon import supervision
 from citronvalve.daemon import tablemessages
 from citronvalve.forward import environment as environments
 from citronvalve.model import clock
@@ -129,9 +130,11 @@
         self._sockets.bind()
         self._newcomers.is_restart = is_restart
         self._newcomers.expect_tables(tables_wait)
-        eventlet.spawn(self._receive)
-        eventlet.spawn(self._send_heartbeats)
-        eventlet.spawn(self._newcomers.request_tables)
+        supervision.spawn(self._env, "messages", self._receive)
+        supervision.spawn(self._env, "heartbeats", self._send_heartbeats)
+        supervision.spawn(
+            self._env, "newcomers", self._newcomers.request_tables
+        )
         self.load_broadcaster.start()
 
     def close(self) -> None:
--- a/src/citronvalve/daemon/platforminterface.py
+++ b/src/citronvalve/daemon/platforminterface.py
@@ -28,7 +28,7 @@
     open_table: Callable[[], tableservice.TableService]
     runners_table: str
     operators_table: str
-    decode_runner: Callable[[rows.Row], runner.Runner | None]
+    decode_runner: Callable[[rows.Row], runner.Runner | missing.Missing]
     decode_catalogue: Callable[
         [rows.Row], catalogue.Catalogue | missing.Missing
     ]
--- a/src/citronvalve/daemon/repeatedexchange.py
+++ b/src/citronvalve/daemon/repeatedexchange.py
@@ -5,6 +5,7 @@
 
 import eventlet
 
+from citronvalve.daemon import supervision
 from citronvalve.forward import environment as environments
 from citronvalve.model import clock
 from citronvalve.peers import messages
@@ -61,7 +62,7 @@
 
     def start(self) -> None:
         """Start the task that repeats what is known."""
-        eventlet.spawn(self._run)
+        supervision.spawn(self._env, "needs", self._run)
 
     def send_change(self, upstream: str) -> None:
         """Inform the other daemons of a change, unless one of them does first.
--- a/src/citronvalve/daemon/runnerlistener.py
+++ b/src/citronvalve/daemon/runnerlistener.py
@@ -5,6 +5,7 @@
 from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
 from citronvalve.model import clock
+from citronvalve.model import missing
 from citronvalve.policy import upstreamchoice
 from citronvalve.replicas import runner as runners
 from citronvalve.storage import rows
@@ -18,7 +19,10 @@
 #: seconds after the store has removed it.
 _MAX_RETENTION: clock.Ms = 1_500
 
-Decode = Callable[[rows.Row], runners.Runner | None]
+#: Characters of a reason that are logged.
+_MAX_REASON = 200
+
+Decode = Callable[[rows.Row], runners.Runner | missing.Missing]
 
 
 class RunnerListener(tablelistener.TableListener):
@@ -27,7 +31,7 @@
     :param env: the daemon's environment.
     :param directory: receives the upstreams.
     :param loads: the load of each upstream.
-    :param decode: decodes an entry; returns None if it names no usable
+    :param decode: decodes an entry, or returns why it names no usable
         upstream.
     :ivar on_start: called with id and start id of each start that is listed.
     :ivar on_restart: called with the id of an upstream that has started again.
@@ -48,6 +52,7 @@
         self._loads = loads
         self._decode = decode
         self._missing_since: dict[str, clock.Ms] = {}
+        self._left_out: set[str] = set()
         self.on_start: Callable[[str, int], None] = lambda *_: None
         self.on_restart: Callable[[str], None] = lambda _: None
         self.store_failed_at: Callable[[], clock.Ms | None] = lambda: None
@@ -60,6 +65,7 @@
         self.apply_changes(
             found, tuple(self._directory.runner_by_id.keys() - listed)
         )
+        self._left_out &= listed
         self._directory.list_known = True
 
     def apply_changes(
@@ -69,12 +75,11 @@
             if self._is_known(row):
                 self._missing_since.pop(row.key, None)
                 continue
-            runner = self._decode(row)
-            if runner is None:
-                self._remove(row.key, "unreadable entry")
-                continue
-            self._missing_since.pop(row.key, None)
-            self._update(runner)
+            try:
+                self._apply(row)
+            except Exception as error:  # noqa: H201 - the others are applied
+                self._leave_out(row.key, f"{type(error).__name__}: {error}")
+        self._left_out -= set(gone)
         for key in gone:
             if key in self._directory.runner_by_id:
                 now = self._env.clock.now()
@@ -104,6 +109,25 @@
             del self._missing_since[key]
             self._remove(key, "left the list")
 
+    def _apply(self, row: rows.Row) -> None:
+        runner = self._decode(row)
+        if isinstance(runner, missing.Missing):
+            self._leave_out(row.key, runner.reason)
+            return
+        self._left_out.discard(row.key)
+        self._missing_since.pop(row.key, None)
+        self._update(runner)
+
+    def _leave_out(self, key: str, why: str) -> None:
+        """Use an entry no longer; log it once until it changes back."""
+        if key not in self._left_out:
+            self._left_out.add(key)
+            self._env.metrics.record_left_out("runners")
+            self._env.log.change(
+                "entry left out", key=key, why=why[:_MAX_REASON]
+            )
+        self._remove(key, "unreadable entry")
+
     def _is_known(self, row: rows.Row) -> bool:
         known = self._directory.runner_by_id.get(row.key)
         return known is not None and known.list_version >= row.version
--- a/src/citronvalve/entry/chatbody.py
+++ b/src/citronvalve/entry/chatbody.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from citronvalve.entry import call as calls
+from citronvalve.model import decoding
 from citronvalve.model import refusal
 from citronvalve.upstreams import order
 
@@ -44,7 +45,7 @@
     """
     try:
         return _DECODER.decode(raw)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except decoding.ERRORS as error:
         return calls.malformed(f"the body is not a chat request: {error}")
 
 
--- a/src/citronvalve/entry/metrics.py
+++ b/src/citronvalve/entry/metrics.py
@@ -53,6 +53,31 @@
             registry=self.registry,
         )
 
+        self._task_failures = aioprometheus.Counter(
+            "citronvalve_task_failures_total",
+            "Errors after which a task went on, by task.",
+            registry=self.registry,
+        )
+        self._left_out = aioprometheus.Counter(
+            "citronvalve_entries_left_out_total",
+            "Entries of others that can't be used.",
+            registry=self.registry,
+        )
+
+    def record_task_failure(self, task: str) -> None:
+        """Count an error after which a task went on.
+
+        :param task: its name, from a closed set.
+        """
+        self._task_failures.inc({"task": task})
+
+    def record_left_out(self, table: str) -> None:
+        """Count an entry of another writer that is left out.
+
+        :param table: its table, from a closed set.
+        """
+        self._left_out.inc({"table": table})
+
     def record_request(self, path: str, outcome: str, took: clock.Ms) -> None:
         """Record a request that ended.
 
--- a/src/citronvalve/forward/metrics.py
+++ b/src/citronvalve/forward/metrics.py
@@ -46,6 +46,13 @@
         self._crash_checks = self._counter(
             "crash_checks_total", "Runs given up, by what their upstream did."
         )
+        self._task_failures = self._counter(
+            "task_failures_total",
+            "Errors after which a task went on, by task.",
+        )
+        self._left_out = self._counter(
+            "entries_left_out_total", "Entries of others that can't be used."
+        )
         self._teams: set[str] = set()
         self._malformed = self._counter(
             "malformed_total", "Bytes that were no request, by status."
@@ -106,6 +113,20 @@
         """
         self._crash_checks.inc({"found": found})
 
+    def record_task_failure(self, task: str) -> None:
+        """Count an error after which a task went on.
+
+        :param task: its name, from a closed set.
+        """
+        self._task_failures.inc({"task": task})
+
+    def record_left_out(self, table: str) -> None:
+        """Count an entry of another writer that is left out.
+
+        :param table: its table, from a closed set.
+        """
+        self._left_out.inc({"table": table})
+
     def record_team_refusal(self, team: str) -> None:
         """Count a request that a replica pool had no room for.
 
--- a/src/citronvalve/forward/relayframe.py
+++ b/src/citronvalve/forward/relayframe.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from citronvalve.model import decoding
 from citronvalve.model import errors
 
 _HEADER = struct.Struct("!BI")
@@ -139,7 +140,7 @@
     """
     try:
         return msgspec.msgpack.decode(content, type=Opening)
-    except msgspec.MsgspecError as error:
+    except decoding.ERRORS as error:
         raise FrameError(str(error)[:200]) from error
 
 
--- a/src/citronvalve/groups/httpengines.py
+++ b/src/citronvalve/groups/httpengines.py
@@ -14,6 +14,7 @@
 from citronvalve.groups import refused
 from citronvalve.groups import wire
 from citronvalve.model import clock
+from citronvalve.model import decoding
 from citronvalve.model import missing
 
 #: Two read-backs that time out in a row, one poll of 1 s apart, stay within
@@ -135,7 +136,7 @@
             if len(content) > _MAX_ANSWER_BYTES:
                 raise _BadAnswerError(f"more than {_MAX_ANSWER_BYTES} bytes")
             return decode(response.status, content)
-        except (*_UNCERTAIN_ERRORS, msgspec.MsgspecError) as error:
+        except (*_UNCERTAIN_ERRORS, *decoding.ERRORS) as error:
             if _is_refused(error):
                 return missing.Unavailable(str(error), url)
             return missing.AnswerLost(str(error), url)
--- a/src/citronvalve/groups/rowcache.py
+++ b/src/citronvalve/groups/rowcache.py
@@ -8,6 +8,7 @@
 from citronvalve.groups import lease
 from citronvalve.groups import owner
 from citronvalve.groups import record
+from citronvalve.model import decoding
 from citronvalve.model import errors
 from citronvalve.model import invariant
 from citronvalve.storage import rows
@@ -51,7 +52,7 @@
     """
     try:
         return msgspec.convert([row.value[f] for f in kind._fields], kind)
-    except (KeyError, msgspec.ValidationError) as error:
+    except (KeyError, *decoding.ERRORS) as error:
         raise errors.TableError(
             f"not a {kind.__name__}: {error}",
             where=f"{row.table}/{row.key}",
--- a/src/citronvalve/once/outcome.py
+++ b/src/citronvalve/once/outcome.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from citronvalve.model import decoding
 from citronvalve.once import response as responses
 
 
@@ -81,5 +82,5 @@
 def _reports_not_run(body: bytes) -> bool:
     try:
         return msgspec.json.decode(body, type=_ErrorBody).ran == "no"
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except decoding.ERRORS:
         return False
--- a/src/citronvalve/peers/codec.py
+++ b/src/citronvalve/peers/codec.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from citronvalve.model import decoding
 from citronvalve.peers import envelope
 from citronvalve.peers import gossip
 from citronvalve.peers import invalidmessage
@@ -82,14 +83,14 @@
             return self._drop("too large")
         try:
             decoded = self._envelope_decoder.decode(data)
-        except (msgspec.MsgspecError, ValueError, RecursionError):
+        except (*decoding.ERRORS, ValueError):
             return self._drop("no envelope")
         if decoded.protocol != envelope.PROTOCOL:
             return self._drop("other protocol version")
         try:
             decoder = self._decoder_by_kind[decoded.kind]
             body = decoder.decode(decoded.body)
-        except (msgspec.MsgspecError, ValueError, RecursionError):
+        except (*decoding.ERRORS, ValueError):
             return self._drop(f"bad {decoded.kind.name.lower()}")
         return ReceivedMessage(decoded.sender, body)
 
--- a/src/citronvalve/peers/messagecodec.py
+++ b/src/citronvalve/peers/messagecodec.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from citronvalve.model import decoding
 from citronvalve.model import missing
 from citronvalve.peers import messages
 
@@ -51,5 +52,5 @@
                 if not decompressor.eof:
                     return missing.Unavailable("it is truncated or too long")
             return self._decoder.decode(body)
-        except (msgspec.MsgspecError, zlib.error) as error:
+        except (*decoding.ERRORS, zlib.error) as error:
             return missing.Unavailable(str(error)[:200])
--- a/src/citronvalve/replicas/crashrecord.py
+++ b/src/citronvalve/replicas/crashrecord.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from citronvalve.model import clock
+from citronvalve.model import decoding
 from citronvalve.policy import crashevidence
 from citronvalve.replicas import lease as leases
 from citronvalve.storage import rows
@@ -76,7 +77,7 @@
     """
     try:
         found = msgspec.convert(value.get(_FIELD), _Losses)
-    except msgspec.ValidationError:
+    except decoding.ERRORS:
         return crashevidence.Evidence()
     return crashevidence.Evidence(
         tuple(
--- a/src/citronvalve/replicas/lease.py
+++ b/src/citronvalve/replicas/lease.py
@@ -7,6 +7,7 @@
 
 from citronvalve.model import clock
 from citronvalve.model import decisionlog
+from citronvalve.model import hostport
 from citronvalve.model import missing
 from citronvalve.storage import rows
 from citronvalve.storage import tableservice
@@ -114,6 +115,7 @@
         self._row_changed_at: clock.Ms = 0
         self._write_count = 0
         self._registered = False
+        self._left_out: set[str] = set()
         self.own_peer = own_peer
         self._leader_heard_at: clock.Ms | None = None
         self._scanned_at: clock.Ms | None = None
@@ -289,14 +291,19 @@
         :param name: the daemon.
         :param peer: its address.
         """
-        self.peer_by_name[name] = peer
+        if _is_usable(peer):
+            self.peer_by_name[name] = peer
 
     def add_peers(self, peer_by_name: dict[str, Peer]) -> None:
         """Record the daemons that the leader knows.
 
         :param peer_by_name: their addresses.
         """
-        others = {n: p for n, p in peer_by_name.items() if n != self._name}
+        others = {
+            name: peer
+            for name, peer in peer_by_name.items()
+            if name != self._name and _is_usable(peer)
+        }
         self.peer_by_name.update(others)
         self._lacking_since = None
 
@@ -329,7 +336,7 @@
         if self.held:
             return
         row = row_by_key.get(_LEADER_KEY)
-        self.leader = row.value.get("holder", "") if row else ""
+        self.leader = str(row.value.get("holder", "")) if row else ""
         known = self._row.version if self._row else None
         if row is None or row.version != known:
             self._row_changed_at = now
@@ -342,8 +349,15 @@
             row.value.get("relay", ""),
         )
         # The row of this daemon may be from an earlier start.
-        if name != self._name and all(isinstance(p, str) for p in peer):
+        if name == self._name:
+            return
+        if all(isinstance(p, str) for p in peer) and _is_usable(Peer(*peer)):
+            self._left_out.discard(name)
             self.peer_by_name[name] = Peer(*peer)
+        elif name not in self._left_out:
+            self._left_out.add(name)
+            why = "it has no address that can be connected to"
+            self._log.change("entry left out", key=row.key, why=why)
 
     def _register(self) -> None:
         key = f"{_DAEMON_PREFIX}{self._name}"
@@ -408,3 +422,12 @@
     def _lose(self, why: str) -> None:
         self._log.change("lead lost", lease=self.held, why=why)
         self.held = 0
+
+
+def _is_usable(peer: Peer) -> bool:
+    """Return whether a daemon's addresses can be connected to.
+
+    :param peer: as another daemon wrote it.
+    """
+    addresses = filter(None, (peer.address, peer.relay))
+    return bool(peer.address) and all(map(hostport.parse, addresses))
--- a/src/citronvalve/storage/client.py
+++ b/src/citronvalve/storage/client.py
@@ -7,6 +7,7 @@
 
 from citronvalve.connections import pool as pools
 from citronvalve.model import clock
+from citronvalve.model import decoding
 from citronvalve.model import missing
 
 #: Larger responses are rejected, so that a broken platform can't exhaust a
@@ -211,7 +212,7 @@
     # a load balancer may answer 503 after the write has taken effect.
     try:
         error = msgspec.json.decode(response.body, type=ErrorBody)
-    except msgspec.MsgspecError:
+    except decoding.ERRORS:
         error = ErrorBody(f"status {response.status}")
     if error.done:
         return missing.AnswerLost(error.reason, where)
--- a/src/citronvalve/storage/httptable.py
+++ b/src/citronvalve/storage/httptable.py
@@ -1,21 +1,52 @@
 """The table service over HTTP."""
 
+from typing import Any
+from typing import NamedTuple
 import urllib.parse
 
 import msgspec
 
+from citronvalve.model import decoding
 from citronvalve.model import missing
 from citronvalve.storage import client
 from citronvalve.storage import rows
+from citronvalve.storage import rowvalue
+from citronvalve.storage import shallow
 from citronvalve.storage import tableservice
 
 
+class StoredRow(NamedTuple):
+    """A row on the wire; its value may be anything."""
+
+    table: str
+    key: str
+    value: Any
+    version: int
+
+    def to_row(self) -> rows.Row:
+        """Return the row, with a value that daemons can tell each other."""
+        return rows.Row(*self)._replace(value=rowvalue.check(self.value))
+
+
+class StoredScan(NamedTuple):
+    """Rows on the wire."""
+
+    revision: int
+    rows: tuple[StoredRow, ...]
+    deleted: tuple[str, ...] = ()
+
+    def to_scan(self) -> rows.Scan:
+        """Return the rows, each with a usable value."""
+        found = tuple(row.to_row() for row in self.rows)
+        return rows.Scan(self.revision, found, self.deleted)
+
+
 class ConflictBody(msgspec.Struct):
     """Response body of a transaction with a failed condition."""
 
     reason: str
     where: str
-    present: tuple[rows.Row, ...] = ()
+    present: tuple[StoredRow, ...] = ()
 
 
 class HttpTable(tableservice.TableService):
@@ -35,7 +66,8 @@
             return response
         if response.status == 404:
             return missing.NotFound("no such row", f"{table}/{key}")
-        return _decode(response, rows.Row)
+        found = _decode(response, StoredRow)
+        return found if missing.is_missing(found) else found.to_row()
 
     def scan(
         self, table: str, after: int = 0
@@ -43,7 +75,8 @@
         response = self._platform.read(f"/rows/{_quote(table)}?after={after}")
         if missing.is_missing(response):
             return response
-        return _decode(response, rows.Scan)
+        found = _decode(response, StoredScan)
+        return found if missing.is_missing(found) else found.to_scan()
 
     def commit(self, transaction: rows.Transaction) -> rows.CommitResult:
         body = msgspec.json.encode(transaction)
@@ -51,10 +84,7 @@
         if missing.is_missing(response):
             return response
         if response.status == 409:
-            conflict = msgspec.json.decode(response.body, type=ConflictBody)
-            return rows.Conflict(
-                conflict.reason, conflict.where, conflict.present
-            )
+            return _to_conflict(response, transaction)
         if response.status != 200:
             # The transaction is malformed or too large and had no effect.
             return missing.Unavailable(
@@ -62,10 +92,21 @@
             )
         try:
             return msgspec.json.decode(response.body, type=rows.Committed)
-        except msgspec.MsgspecError as error:
+        except decoding.ERRORS as error:
             return missing.AnswerLost(str(error), transaction.attempt)
 
 
+def _to_conflict(
+    response: client.Response, transaction: rows.Transaction
+) -> rows.Conflict | missing.Unavailable:
+    """Return the conflict that a response tells; nothing was written."""
+    found = _decode(response._replace(status=200), ConflictBody)
+    if isinstance(found, missing.Missing):
+        return missing.Unavailable(found.reason, transaction.attempt)
+    present = tuple(row.to_row() for row in found.present)
+    return rows.Conflict(found.reason, found.where, present)
+
+
 def _quote(name: str) -> str:
     return urllib.parse.quote(name, safe="")
 
@@ -74,10 +115,18 @@
     return f"{response.status}: {response.body[:200].decode(errors='replace')}"
 
 
-def _decode(response: client.Response, type_: type) -> object:
+def _decode(response: client.Response, type_: type) -> Any:
     if response.status != 200:
         return missing.Unavailable(_describe(response))
     try:
-        return msgspec.json.decode(response.body, type=type_)
-    except msgspec.MsgspecError as error:
+        return _decode_body(response.body, type_)
+    except decoding.ERRORS as error:
         return missing.Unavailable(f"the response can't be decoded: {error}")
+
+
+def _decode_body(body: bytes, type_: type) -> Any:
+    try:
+        return msgspec.json.decode(body, type=type_)
+    except RecursionError:
+        # One row must not hide the others.
+        return msgspec.json.decode(shallow.cut(body), type=type_)
--- a/src/citronvalve/table/columns.py
+++ b/src/citronvalve/table/columns.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from citronvalve.model import decoding
 from citronvalve.table import kinds
 from citronvalve.table import mistake
 
@@ -32,7 +33,7 @@
         # startup.  Only invalid rows are checked column by column.
         values = msgspec.structs.astuple(msgspec.convert(row, kind.struct))
         return CheckResult(kind.record(*values), ())
-    except msgspec.ValidationError:
+    except decoding.ERRORS:
         return _check_columns(kind, key, row)
 
 
@@ -81,7 +82,7 @@
 ) -> tuple[Any, list[mistake.Mistake]]:
     try:
         value = msgspec.convert(given, column.type)
-    except msgspec.ValidationError:
+    except decoding.ERRORS:
         wrong = mistake.Mistake(
             key,
             column.name,
--- a/src/citronvalve/table/snapshot.py
+++ b/src/citronvalve/table/snapshot.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from citronvalve.model import decoding
 from citronvalve.table import layout
 
 
@@ -21,7 +22,7 @@
     """
     try:
         shown = msgspec.json.decode(text, type=_Shown)
-    except msgspec.MsgspecError:
+    except decoding.ERRORS:
         return None
     return {
         layout.key(section, name): row
--- a/src/citronvalve/upstreams/engineclient.py
+++ b/src/citronvalve/upstreams/engineclient.py
@@ -5,6 +5,7 @@
 import urllib3
 
 from citronvalve.model import clock
+from citronvalve.model import decoding
 from citronvalve.upstreams import enginestream
 from citronvalve.upstreams import failure
 from citronvalve.upstreams import httperror
@@ -120,6 +121,6 @@
     """
     try:
         decoded = msgspec.json.decode(body)
-    except msgspec.MsgspecError:
+    except decoding.ERRORS:
         return False
     return isinstance(decoded, dict) and decoded.get("ran") == "no"
--- a/src/citronvalve/upstreams/eventparser.py
+++ b/src/citronvalve/upstreams/eventparser.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from citronvalve.model import decoding
 from citronvalve.upstreams import failure
 from citronvalve.upstreams import heartbeat
 from citronvalve.upstreams import piece as pieces
@@ -57,7 +58,7 @@
             return self._malformed(repr(event[:80]))
         try:
             decoded: Any = self._decode(event[len(_DATA_PREFIX) :])
-        except msgspec.MsgspecError as error:
+        except decoding.ERRORS as error:
             return self._malformed(str(error))
         return pieces.Piece(
             decoded.request, decoded.offset, decoded.text, decoded.finish
--- a/src/citronvalve/upstreams/loadclient.py
+++ b/src/citronvalve/upstreams/loadclient.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from citronvalve.model import clock
+from citronvalve.model import decoding
 from citronvalve.model import load
 from citronvalve.model import missing
 from citronvalve.upstreams import httperror
@@ -45,7 +46,7 @@
         requested_at = self._clock.now()
         try:
             received = self._request(address)
-        except (*httperror.ERRORS, msgspec.MsgspecError) as error:
+        except (*httperror.ERRORS, *decoding.ERRORS) as error:
             self._pools.drop(address)
             return missing.Unavailable(str(error), f"{upstream} {address}")
         # Stamped with the time of the request: the report may have been
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -59,6 +59,16 @@
         self._revision += 1
         self._set(table, key, base64.b64encode(data).decode())
 
+    def put_encoded(self, table: str, key: str, value: str) -> None:
+        """Write a value as it is sent, which may be no base64.
+
+        :param table: name of the table.
+        :param key: the row's key.
+        :param value: as it is sent.
+        """
+        self._revision += 1
+        self._set(table, key, value)
+
     def value(self, table: str, key: str) -> Any:
         """Return the value of a row, None if there is none.
 
--- a/standins/soak/installation.py
+++ b/standins/soak/installation.py
@@ -12,6 +12,7 @@
 from standins.soak import daemon as daemons
 from standins.soak import ledger as ledgers
 from standins.soak import links
+from standins.soak import oddentries
 from standins.soak import operator as operators
 from standins.soak import place as places
 from standins.soak import relay as relays
@@ -108,6 +109,7 @@
             _Fault.RUNNERS_REST: self._rest,
             _Fault.RUNNER_SAYS_IT_LEAVES: self._say_leaving,
             _Fault.LEADER_LATE: self._kill_leader,
+            _Fault.ODD_ENTRY: self._leave_odd_entry,
         }
 
     @property
@@ -403,11 +405,19 @@
             tuple(teams),
             chance.random() < 0.3,
             chance.choice((0.2, 0.5, 1.0)),
+            is_whole=chance.random() < 0.5,
         )
         crashing.CrashingCaller(self.daemons, book, chance, plan).run(
             event.span, event.fault
         )
 
+    def _leave_odd_entry(self, event: schedules.Event) -> None:
+        """Leave an entry that names no runner, and drop it later."""
+        every = list(oddentries.BY_NAME.values())
+        every[event.target % len(every)].put(self.store)
+        eventlet.sleep(event.span)
+        oddentries.drop(self.store)
+
     def _zone_out(self, event: schedules.Event) -> None:
         zone = ZONES[event.target % len(ZONES)]
         self.operator.set_out(zone, True)
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -98,6 +98,14 @@
         for daemon in self.installation.daemons:
             own = "Traceback" not in daemon.output()
             self.book.look("no daemon logs a traceback", own, daemon.name)
+            failed = [
+                line
+                for line in daemon.output().splitlines()
+                if '"event":"task failed"' in line
+            ]
+            self.book.look(
+                "no task of a daemon fails", not failed, f"{failed[:3]}"
+            )
         return self.book.broken
 
     def story(self, broken: ledgers.Broken) -> list[str]:
--- a/standins/soak/schedule.py
+++ b/standins/soak/schedule.py
@@ -35,6 +35,7 @@
     RUNNERS_REST = "runners ask for rest"
     RUNNER_SAYS_IT_LEAVES = "a runner says in answers alone that it leaves"
     LEADER_LATE = "leader killed as orders are late"
+    ODD_ENTRY = "an odd entry among the runners'"
 
 
 #: Work that operators plan; it excuses nothing.
@@ -54,6 +55,7 @@
     Fault.RUNNERS_LIMITED,
     Fault.RUNNERS_REST,
     Fault.RUNNER_SAYS_IT_LEAVES,
+    Fault.ODD_ENTRY,
 }
 
 #: Seconds from the first to the last fault of a series, and of the calm after
@@ -83,6 +85,10 @@
 #: Part of the series in which the leader is killed while orders are late.
 _LEADER_SHARE = 0.5
 
+#: Part of the series in which another writer leaves an odd entry.
+_ODD_SHARE = 0.4
+_ODD = 6.0, 12.0
+
 _NEEDS = [
     Fault.RUNNERS_LIMITED,
     Fault.RUNNERS_REST,
@@ -94,6 +100,7 @@
     Fault.RUNNERS_SILENT,
     Fault.CRASHING_PART,
     Fault.LEADER_LATE,
+    Fault.ODD_ENTRY,
     *_NEEDS,
 )
 _DRAWN = [fault for fault in Fault if fault not in _DRAWN_APART]
@@ -127,6 +134,7 @@
     crashes = random.Random(f"{seed}/crashing parts")
     needs = random.Random(f"{seed}/needs")
     leaders = random.Random(f"{seed}/leaders")
+    odd = random.Random(f"{seed}/odd entries")
     events = []
     began = _FIRST
     while began + _SERIES + _CALM < seconds:
@@ -153,6 +161,10 @@
         if leaders.random() < _LEADER_SHARE:
             at = began + leaders.uniform(0, _SERIES - 3)
             events.append(_one(leaders, at, [Fault.LEADER_LATE]))
+        if odd.random() < _ODD_SHARE:
+            at = began + odd.uniform(0, 2.0)
+            event = _one(odd, at, [Fault.ODD_ENTRY])
+            events.append(event._replace(span=odd.uniform(*_ODD)))
         for need in _NEEDS:
             if needs.random() < _NEED_SHARE:
                 at = began + needs.uniform(0, _SERIES)
--- a/tests/adapter/probefailures.feature
+++ b/tests/adapter/probefailures.feature
@@ -17,6 +17,9 @@
       | closes each connection at once                 | broken     |
       | answers as another runner                      | no report  |
       | answers with what is no report                 | no report  |
+      | answers with a report nested 20000 deep        | no report  |
+      | answers with an epoch of 2 to the 64th         | no report  |
+      | answers with a start below zero                | no report  |
       | sends a body without end                       | broken     |
       | sends a body of a byte each 0.1 s              | silent     |
 
--- a/tests/adapter/steps/adapter_steps.py
+++ b/tests/adapter/steps/adapter_steps.py
@@ -242,7 +242,7 @@
 def step_named(context, named):
     found = context.runner
     if named == "no runner":
-        assert found is None
+        assert isinstance(found, missing.Missing) and found.reason
         return
     assert found.id == "i-1" and found.datacentre == "zone-a"
     assert found.is_open_head == (named == "a head")
--- a/tests/adapter/steps/probefailure_steps.py
+++ b/tests/adapter/steps/probefailure_steps.py
@@ -53,6 +53,17 @@
     "closes each connection at once": _reset,
     "answers as another runner": lambda s: _answer(s, b"421 No", b""),
     "answers with what is no report": lambda s: _answer(s, body=b"[1]"),
+    "answers with a report nested 20000 deep": lambda s: _answer(
+        s, body=b'{"group":' + b"[" * 20_000 + b"]" * 20_000 + b"}"
+    ),
+    "answers with an epoch of 2 to the 64th": lambda s: _answer(
+        s,
+        body=b'{"group":{"Name":"g","epoch":18446744073709551616,"rank":0,'
+        b'"State":"open"}}',
+    ),
+    "answers with a start below zero": lambda s: _answer(
+        s, body=b'{"born":-1}'
+    ),
     "sends a body without end": _flood,
     "sends a body of a byte each 0.1 s": lambda s: _flood(s, b" ", 0.1),
 }
--- a/tests/processes/processes.feature
+++ b/tests/processes/processes.feature
@@ -128,6 +128,26 @@
       | 1.5      | at any daemon                            | beside heads that crash each 1.2 s      | 484  |
       | 1.5      | at any daemon                            | beside heads that crash each 1.2 s      | 487  |
 
+  Scenario Outline: an entry among the runners' is <odd>
+    Guards against daemons that end, stop following the list or never get
+    ready for one entry that another writer has left in it.
+
+    Given a soak of seed <seed> for 20 s with 4 daemons, 20 callers and no faults
+    And from 5 s on an entry among the runners' is <odd>, while a runner and a daemon leave and return
+    When it has run
+    Then no promise was broken
+    And from 14 s on requests are served as often as before 5 s
+    And each daemon has logged the entry once
+
+    Examples: odd entries
+      | odd                        | seed |
+      | nested 20000 deep          | 491  |
+      | nested without an end      | 493  |
+      | at the port 99999          | 494  |
+      | at a host with a NUL byte  | 496  |
+      | of a start beyond 63 bits  | 497  |
+      | of an epoch beyond 63 bits | 499  |
+
   Scenario: heads of replicas crash by chance
     Guards against sound requests that are refused since they ran on runners
     that crashed without them.
