Give the judgement of lost contents and their digests modules of their own

The first keeps the evidence now and crashjudge.py judges it; the digests of requests, models and starts are in crashdigests.py. Nothing else changes.

--- a/src/citronvalve/forward/crashdetector.py
+++ b/src/citronvalve/forward/crashdetector.py
@@ -4,11 +4,9 @@
 import enum
 from typing import NamedTuple
 
-import xxhash
-
-from citronvalve.forward import callerrequest
 from citronvalve.forward import connectionpool
 from citronvalve.forward import connector as connectors
+from citronvalve.forward import crashdigests
 from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
 from citronvalve.forward import exchangeerror
@@ -17,6 +15,7 @@
 from citronvalve.model import refusal
 from citronvalve.policy import crashdoubts
 from citronvalve.policy import crashevidence
+from citronvalve.policy import crashjudge
 from citronvalve.policy import crashsuspects
 
 _Losses = list[crashevidence.Loss]
@@ -176,7 +175,7 @@
         :param upstream: its id.
         :param start_id: of the later start.
         """
-        start = start_digest(upstream, start_id)
+        start = crashdigests.start(upstream, start_id)
         now = self._env.clock.now()
         losses = self._doubts.confirm_restart(upstream, start, now)
         self._confirm(losses, "started again")
@@ -222,12 +221,12 @@
 
     def _find(
         self, routed: routedrequest.RoutedRequest
-    ) -> crashsuspects.Verdict | None:
+    ) -> crashjudge.Verdict | None:
         if not self.suspects:
             return None
         return self.suspects.find(
             self._contents(routed),
-            model_digest(routed.model),
+            crashdigests.model(routed.model),
             self._env.clock.now(),
             self._directory.upstream_count(),
         )
@@ -238,7 +237,7 @@
             return
         accused = self.suspects.assess(
             self._contents(routed),
-            model_digest(routed.model),
+            crashdigests.model(routed.model),
             self._env.clock.now(),
             self._directory.upstream_count(),
         )
@@ -247,12 +246,12 @@
         self._env.log.note(
             "accused request let pass",
             routed.id,
-            content=_shown_digest(accused.content),
+            content=crashdigests.shown(accused.content),
             losses=accused.losses,
             unexplained=len(accused.unexplained),
             needed=accused.needed,
             explained_by=[
-                _shown_digest(content) for content in accused.explaining
+                crashdigests.shown(content) for content in accused.explaining
             ],
         )
 
@@ -282,7 +281,7 @@
             upstream=run.target.upstream,
             start_id=run.start_id,
             contents=[
-                _shown_digest(content)
+                crashdigests.shown(content)
                 for content in self._contents(routed).all()
             ],
             team=_team(routed),
@@ -291,7 +290,7 @@
         )
 
     def _begin_trial(
-        self, verdict: crashsuspects.Verdict, request_id: str
+        self, verdict: crashjudge.Verdict, request_id: str
     ) -> bool:
         """Return whether a request may run though its content is fenced."""
         now = self._env.clock.now()
@@ -307,7 +306,7 @@
         self._env.log.change(
             "fenced content tried",
             request=request_id,
-            content=_shown_digest(verdict.content),
+            content=crashdigests.shown(verdict.content),
             losses=verdict.losses,
         )
         return True
@@ -315,11 +314,11 @@
     def _refuse(
         self,
         routed: routedrequest.RoutedRequest,
-        verdict: crashsuspects.Verdict,
+        verdict: crashjudge.Verdict,
     ) -> refusal.Refusal:
         what = "this request"
         for part in routed.shared_parts:
-            if part_digest(routed.service.name, part) == verdict.content:
+            if crashdigests.part(routed.service.name, part) == verdict.content:
                 what = f"requests with the part {_shown(part)} of its prompt"
         return refusal.Refusal(
             refusal.RefusalKind.NO_UPSTREAM,
@@ -338,7 +337,7 @@
         is_cleared = writing is not None and broke_at - writing >= _PROOF_TIME
         contents = self._contents(routed)
         accused = (contents.late,) if is_cleared else contents.begun()
-        start, model = _start_of(run), model_digest(routed.model)
+        start, model = _start_of(run), crashdigests.model(routed.model)
         begun = run.answered_at is not None
         return [
             crashevidence.Loss(content, start, model, broke_at, begun)
@@ -358,7 +357,7 @@
             request=routed.id,
             upstream=run.target.upstream,
             start_id=run.start_id,
-            contents=[_shown_digest(loss.content) for loss in losses],
+            contents=[crashdigests.shown(loss.content) for loss in losses],
             team=_team(routed),
             parts=[_shown(part) for part in routed.shared_parts],
             answered_ms=_age(run.answered_at, broke_at),
@@ -375,7 +374,7 @@
             return
         self._env.log.change(
             "broken runs confirmed",
-            contents=[_shown_digest(loss.content) for loss in losses],
+            contents=[crashdigests.shown(loss.content) for loss in losses],
             why=why,
         )
         self._accuse(losses)
@@ -389,7 +388,7 @@
         self, routed: routedrequest.RoutedRequest, contents: tuple[int, ...]
     ) -> None:
         now = self._env.clock.now()
-        model = model_digest(routed.model)
+        model = crashdigests.model(routed.model)
         proofs = [
             crashevidence.Proof(content, model, now) for content in contents
         ]
@@ -402,88 +401,31 @@
     def _contents(
         self, routed: routedrequest.RoutedRequest
     ) -> crashevidence.Contents:
-        whole = fingerprint(routed.request, _team(routed))
+        whole = crashdigests.whole(routed.request, _team(routed))
         return crashevidence.Contents(
-            whole, _parts(routed), late_digest(whole)
+            whole, _parts(routed), crashdigests.late(whole)
         )
 
 
-def part_digest(service: str, part: bytes) -> int:
-    """Return the digest of a part; those of two services are different ones.
-
-    :param service: the service's name.
-    :param part: the part's id.
-    """
-    name = service.encode()
-    return xxhash.xxh3_64_intdigest(b"%d:%b%b" % (len(name), name, part))
-
-
-def model_digest(model: str) -> int:
-    """Return the digest of a model's name.
-
-    :param model: the name.
-    """
-    return xxhash.xxh3_64_intdigest(model.encode())
-
-
 def _parts(routed: routedrequest.RoutedRequest) -> tuple[int, ...]:
     service = routed.service.name
-    return tuple(part_digest(service, part) for part in routed.shared_parts)
-
-
-def late_digest(whole: int) -> int:
-    """Return the digest for losses after a request's beginning was survived.
-
-    :param whole: digest of the whole request.
-    """
-    return xxhash.xxh3_64_intdigest(b"late:%d" % whole)
+    return tuple(
+        crashdigests.part(service, part) for part in routed.shared_parts
+    )
 
 
 def _team(routed: routedrequest.RoutedRequest) -> str:
     return routed.key_holder.name if routed.key_holder else ""
 
 
-def start_digest(upstream: str, start_id: int) -> int:
-    """Return the digest of a start of an upstream.
-
-    :param upstream: its id.
-    :param start_id: of the start.
-    """
-    return xxhash.xxh3_64_intdigest(f"{upstream}/{start_id}".encode())
-
-
 def _start_of(run: Run) -> int:
-    return start_digest(run.target.upstream, run.start_id)
+    return crashdigests.start(run.target.upstream, run.start_id)
 
 
 def _age(at: clock.Ms | None, now: clock.Ms) -> clock.Ms | None:
     return None if at is None else now - at
 
 
-def _shown_digest(content: int) -> str:
-    return f"{content:016x}"
-
-
 def _shown(part: bytes) -> str:
     """Return a part as it is logged; ids from callers may be long."""
     return part[:_MAX_SHOWN].decode("latin-1")
-
-
-def fingerprint(request: callerrequest.CallerRequest, team: str) -> int:
-    """Return a digest that is the same for each retry by a caller.
-
-    A team's keys are replaced while it goes on sending the request.
-
-    :param request: the caller's.
-    :param team: name of the caller's team, empty on public routes.
-    """
-    digest = xxhash.xxh3_64()
-    for part in (
-        request.method,
-        request.target,
-        team.encode(),
-        request.body,
-    ):
-        digest.update(b"%d:" % len(part))
-        digest.update(part)
-    return digest.intdigest()
--- a/src/citronvalve/policy/crashbeginnings.py
+++ b/src/citronvalve/policy/crashbeginnings.py
@@ -5,6 +5,7 @@
 from citronvalve.model import clock
 from citronvalve.policy import crashevidence
 from citronvalve.policy import crashfence
+from citronvalve.policy import crashjudge
 from citronvalve.policy import crashsuspects
 
 #: Begins the fingerprint of a beginning in crash reports to peers.
@@ -160,7 +161,7 @@
 
     def _find(
         self, prefixes: tuple[str, ...], now: clock.Ms
-    ) -> crashsuspects.Verdict | None:
+    ) -> crashjudge.Verdict | None:
         if not self._suspects:
             return None
         contents = crashevidence.Contents(
--- a/tests/forward/steps/crashes_steps.py
+++ b/tests/forward/steps/crashes_steps.py
@@ -4,7 +4,7 @@
 import eventlet
 
 from citronvalve.forward import callerrequest
-from citronvalve.forward import crashdetector
+from citronvalve.forward import crashdigests
 from citronvalve.forward import exchangeerror
 from citronvalve.policy import crashevidence
 
@@ -53,10 +53,8 @@
 def step_lost(context, count):
     detector = context.rig.crash_detector
     now = context.rig.env.clock.now()
-    digests = [
-        crashdetector.part_digest("engine", part) for part in (b"F", b"P")
-    ]
-    model = crashdetector.model_digest("large")
+    digests = [crashdigests.part("engine", part) for part in (b"F", b"P")]
+    model = crashdigests.model("large")
     for start in range(count):
         for digest in digests:
             detector.suspects.record_loss(
@@ -108,11 +106,11 @@
 def step_lost_whole(context, count):
     rig = context.rig
     detector, now = rig.crash_detector, rig.env.clock.now()
-    whole = crashdetector.fingerprint(
+    whole = crashdigests.whole(
         callerrequest.CallerRequest(b"POST", b"/stream/a", [], b"prompt", now),
         "team-1",
     )
-    model = crashdetector.model_digest("large")
+    model = crashdigests.model("large")
     for start in range(count):
         for digest in (whole, 7):
             loss = crashevidence.Loss(digest, start, model, now - 100 * start)
@@ -168,8 +166,8 @@
 
 def _report(rig, before=0):
     """Record that another daemon lost both upstreams, with another request."""
-    now, model = rig.env.clock.now(), crashdetector.model_digest("large")
-    starts = [crashdetector.start_digest(name, 0) for name in rig.runners]
+    now, model = rig.env.clock.now(), crashdigests.model("large")
+    starts = [crashdigests.start(name, 0) for name in rig.runners]
     losses = [
         crashevidence.Loss(77, start, model, now - before) for start in starts
     ]
