--- a/src/citronvalve/policy/crashjudge.py
+++ b/src/citronvalve/policy/crashjudge.py
@@ -1,5 +1,6 @@
 """Judgement of requests whose contents were lost with upstreams."""
 
+from collections.abc import Iterator
 from typing import NamedTuple
 
 from citronvalve.model import clock
@@ -176,8 +177,8 @@
         """
         accusation = crashsuspect.Accusation(len(losses), None, now)
         explaining = {
-            loss.start: self._explaining(
-                loss, accusation, contents.all(), model
+            loss.start: set(
+                self._explaining(loss, accusation, contents.all(), model)
             )
             for loss in losses
         }
@@ -256,15 +257,18 @@
         accusation = crashsuspect.Accusation(count, suspect.has_survived, now)
         own = self._unexplained(losses, accusation, contents, model)
         own_count = suspect.count_apart(own)
+        may_be_shared = (
+            not suspect.has_survived and own_count >= _MIN_UNEXPLAINED_LOSSES
+        )
+        if own_count < MAX_PART_LOSSES and not may_be_shared:
+            return None
         by_chance = self._chance_losses(losses, upstreams)
         if own_count >= MAX_PART_LOSSES + by_chance:
             return self._verdict(part, own, own_count, MAX_PART_LOSSES)
-        if suspect.has_survived or own_count < _MIN_UNEXPLAINED_LOSSES:
-            return None
-        if count < _MAX_UNPROVEN_LOSSES + by_chance:
-            return None
-        times = [loss.at for loss in losses]
-        return self._verdict(part, times, count, _MAX_UNPROVEN_LOSSES)
+        if may_be_shared and count >= _MAX_UNPROVEN_LOSSES + by_chance:
+            times = [loss.at for loss in losses]
+            return self._verdict(part, times, count, _MAX_UNPROVEN_LOSSES)
+        return None
 
     def _verdict(
         self, content: int, times: list[clock.Ms], losses: int, most: int
@@ -299,7 +303,8 @@
         return [
             loss.at
             for loss in losses
-            if not self._explaining(loss, accusation, own, model)
+            if next(self._explaining(loss, accusation, own, model), None)
+            is None
         ]
 
     def _explaining(
@@ -308,10 +313,9 @@
         accusation: crashsuspect.Accusation,
         own: tuple[int, ...],
         model: int,
-    ) -> set[int]:
-        """Return the contents outside a request that explain a loss."""
+    ) -> Iterator[int]:
+        """Yield the contents outside a request that explain a loss."""
         enough = accusation.fewest_explaining
-        found = set()
         for other in self._lost_starts.contents(loss.start):
             suspect = self._suspect_by_content[other]
             # Most of what runs on a lost upstream is not lost again.
@@ -320,8 +324,7 @@
                 and other not in own
                 and suspect.explains(loss, accusation, model)
             ):
-                found.add(other)
-        return found
+                yield other
 
 
 def _trial_interval(failed_trials: int) -> clock.Ms:
