Count a broken run once its upstream has left the list, too

A request that is alone on the upstreams that it crashes leaves nobody who could prove them lost, and mostly they come back under another id.

A broken run that is kept counts as well when the entry of its upstream expires within the 5 s for which it is kept. A cut that takes an upstream from the store and from this daemon gives the same picture; what was sound there is answered elsewhere, which clears it.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -276,6 +276,7 @@
         )
         runner_listener.schedule = _schedule
         runner_listener.on_start = self._crash_detector.record_restart
+        runner_listener.on_gone = self._crash_detector.record_gone
         runner_listener.on_restart = self._needs.record_restart
         configuration_listener = configurationlistener.ConfigurationListener(
             self.env, self.directory, self._platform
--- a/src/citronvalve/daemon/runnerlistener.py
+++ b/src/citronvalve/daemon/runnerlistener.py
@@ -34,6 +34,7 @@
     :param decode: decodes an entry, or returns why it names no usable
         upstream.
     :ivar on_start: called with id and start id of each start that is listed.
+    :ivar on_gone: called with the id of an upstream that left the list.
     :ivar on_restart: called with the id of an upstream that has started again.
     :ivar store_failed_at: returns when a call to the store last failed, or
         None.
@@ -54,6 +55,7 @@
         self._missing_since: dict[str, clock.Ms] = {}
         self._left_out: set[str] = set()
         self.on_start: Callable[[str, int], None] = lambda *_: None
+        self.on_gone: Callable[[str], None] = lambda _: None
         self.on_restart: Callable[[str], None] = lambda _: None
         self.store_failed_at: Callable[[], clock.Ms | None] = lambda: None
         self.schedule: Callable[[clock.Ms, Callable[[], None]], None] = (
@@ -108,6 +110,7 @@
                 continue
             del self._missing_since[key]
             self._remove(key, "left the list")
+            self.on_gone(key)
 
     def _apply(self, row: rows.Row) -> None:
         runner = self._decode(row)
--- a/src/citronvalve/forward/crashdetector.py
+++ b/src/citronvalve/forward/crashdetector.py
@@ -177,9 +177,18 @@
         """
         start = crashdigests.start(upstream, start_id)
         now = self._env.clock.now()
-        losses = self._doubts.confirm_restart(upstream, start, now)
+        losses = self._doubts.confirm_earlier(upstream, start, now)
         self._confirm(losses, "started again")
 
+    def record_gone(self, upstream: str) -> None:
+        """Record that the list does not show an upstream any more.
+
+        :param upstream: its id.
+        """
+        now = self._env.clock.now()
+        losses = self._doubts.confirm_earlier(upstream, None, now)
+        self._confirm(losses, "left the list")
+
     def record_unchecked(
         self, routed: routedrequest.RoutedRequest, run: Run, why: str
     ) -> None:
--- a/src/citronvalve/policy/crashdoubts.py
+++ b/src/citronvalve/policy/crashdoubts.py
@@ -21,8 +21,8 @@
     """Keeps what broken runs accuse until their upstream is proved lost.
 
     A daemon can't always tell a lost upstream from a lost link.  Another
-    request or another daemon may, and an upstream that has started again was
-    lost before.
+    request or another daemon may, and an upstream that has started again, or
+    whose entry has expired, was lost before.
     """
 
     def __init__(self) -> None:
@@ -59,13 +59,13 @@
             self._drop(start)
         return found
 
-    def confirm_restart(
-        self, upstream: str, start: int, now: clock.Ms
+    def confirm_earlier(
+        self, upstream: str, start: int | None, now: clock.Ms
     ) -> _Losses:
         """Return what the runs accuse that broke on earlier starts.
 
-        :param upstream: id of the upstream that has started again.
-        :param start: the new one.
+        :param upstream: id of the upstream that has started again or is gone.
+        :param start: the new one, None if it is gone.
         :param now: monotonic ms.
         """
         self._prune(now)
--- a/tests/forward/crashes.feature
+++ b/tests/forward/crashes.feature
@@ -104,6 +104,8 @@
       | no link   | another daemon then reports a loss of 2 s before    | 0        | 0         |
       | no link   | the list then shows a later start of both           | 3        | 2         |
       | no link   | the list then shows the same start of both          | 0        | 0         |
+      | no link   | the list then shows neither of them                 | 3        | 2         |
+      | no link   | the list shows neither of them 6 s later            | 0        | 0         |
       | listening | another daemon then reports the loss of both        | 3        | 2         |
       | resting   | nobody knows more                                   | 0        | 0         |
       | resting   | another daemon then reports the loss of both        | 3        | 2         |
--- a/tests/forward/steps/crashes_steps.py
+++ b/tests/forward/steps/crashes_steps.py
@@ -179,6 +179,12 @@
         rig.crash_detector.record_restart(name, start_id)
 
 
+def _drop(rig, after=0.0):
+    eventlet.sleep(after)
+    for name in rig.runners:
+        rig.crash_detector.record_gone(name)
+
+
 _BEFORE_BY_PROOF = {"another daemon has reported the loss of both": _report}
 _AFTER_BY_PROOF = {
     "another daemon then reports the loss of both": _report,
@@ -187,6 +193,8 @@
     ),
     "the list then shows a later start of both": lambda rig: _list(rig, 5),
     "the list then shows the same start of both": lambda rig: _list(rig, 0),
+    "the list then shows neither of them": _drop,
+    "the list shows neither of them 6 s later": lambda rig: _drop(rig, 6),
 }
 
 
