Judge one case, and read daemons' rows by a function that says what fits

The four values of a judgement travelled through six methods, and CrashSuspects passed two calls on; they are one Case now, and the judge is reached directly. Rows of daemons with odd addresses have a test of their own.

--- a/src/citronvalve/forward/crashdetector.py
+++ b/src/citronvalve/forward/crashdetector.py
@@ -233,7 +233,10 @@
     ) -> crashjudge.Verdict | None:
         if not self.suspects:
             return None
-        return self.suspects.find(
+        return self.suspects.judge.find(self._case(routed))
+
+    def _case(self, routed: routedrequest.RoutedRequest) -> crashjudge.Case:
+        return crashjudge.Case(
             self._contents(routed),
             crashdigests.model(routed.model),
             self._env.clock.now(),
@@ -244,12 +247,7 @@
         """Log why a request that was lost often enough is not refused."""
         if not self.suspects:
             return
-        accused = self.suspects.assess(
-            self._contents(routed),
-            crashdigests.model(routed.model),
-            self._env.clock.now(),
-            self._directory.upstream_count(),
-        )
+        accused = self.suspects.judge.assess(self._case(routed))
         if accused is None:
             return
         self._env.log.note(
--- a/src/citronvalve/policy/crashbeginnings.py
+++ b/src/citronvalve/policy/crashbeginnings.py
@@ -167,7 +167,8 @@
         contents = crashevidence.Contents(
             0, tuple(_digest(prefix) for prefix in prefixes)
         )
-        return self._suspects.find(contents, _MODEL, now)
+        case = crashjudge.Case(contents, _MODEL, now)
+        return self._suspects.judge.find(case)
 
     def _accuse(self, prefix: str, upstream: str, at: clock.Ms) -> None:
         self._suspects.record_loss(
--- a/src/citronvalve/policy/crashjudge.py
+++ b/src/citronvalve/policy/crashjudge.py
@@ -28,6 +28,19 @@
 _MAX_TRIAL_INTERVAL: clock.Ms = 600_000
 
 
+class Case(NamedTuple):
+    """A request that is judged.
+
+    ``model`` is a digest of its model's name, ``now`` monotonic ms, and
+    ``upstreams`` how many run requests, 0 if that is unknown.
+    """
+
+    contents: crashevidence.Contents
+    model: int
+    now: clock.Ms
+    upstreams: int = 0
+
+
 class Verdict(NamedTuple):
     """A content that crashes upstreams; may be tried from ``trial_at`` on."""
 
@@ -84,76 +97,46 @@
         self._lost_starts = lost_starts
         self._first_trial_after = first_trial_after
 
-    def find(
-        self,
-        contents: crashevidence.Contents,
-        model: int,
-        now: clock.Ms,
-        upstreams: int = 0,
-    ) -> Verdict | None:
+    def find(self, case: Case) -> Verdict | None:
         """Return the verdict on a request that crashes upstreams, or None.
 
-        :param contents: of the request.
-        :param model: digest of its model's name.
-        :param now: monotonic ms.
-        :param upstreams: how many run requests, 0 if that is unknown.
+        :param case: the request.
         """
-        where = contents, model, now, upstreams
-        verdict = next(
-            (
-                self._verdict(
-                    contents.whole,
-                    list(found.unexplained),
-                    len(found.unexplained),
-                    found.fewest,
+        for found in self._assess_whole(case):
+            if found.is_held:
+                own = list(found.unexplained)
+                return self._verdict(
+                    found.content, own, len(own), found.fewest
                 )
-                for found in self._assess_whole(*where)
-                if found.is_held
-            ),
-            None,
-        )
-        for part in contents.parts:
-            verdict = verdict or self._find_part(part, *where)
-        return verdict
+        for part in case.contents.parts:
+            verdict = self._find_part(part, case)
+            if verdict is not None:
+                return verdict
+        return None
 
-    def assess(
-        self,
-        contents: crashevidence.Contents,
-        model: int,
-        now: clock.Ms,
-        upstreams: int = 0,
-    ) -> Assessment | None:
+    def assess(self, case: Case) -> Assessment | None:
         """Return what is known of a whole request, None with few losses.
 
-        :param contents: of the request.
-        :param model: digest of its model's name.
-        :param now: monotonic ms.
-        :param upstreams: how many run requests.
+        :param case: the request.
         """
-        found = self._assess_whole(contents, model, now, upstreams)
+        found = self._assess_whole(case)
         return max(found, key=lambda one: one.losses, default=None)
 
-    def _assess_whole(
-        self,
-        contents: crashevidence.Contents,
-        model: int,
-        now: clock.Ms,
-        upstreams: int,
-    ) -> list[Assessment]:
+    def _assess_whole(self, case: Case) -> list[Assessment]:
         """Return what its losses say of a whole request, if there are enough.
 
         First those as it begins, then all.
         """
-        early = self._losses_of(contents.whole, model)
+        early = self._losses_of(case.contents.whole, case.model)
         starts = {loss.start for loss in early}
         late = [
             loss
-            for loss in self._losses_of(contents.late, model)
+            for loss in self._losses_of(case.contents.late, case.model)
             if loss.start not in starts
         ]
         kinds = (early, MAX_REQUEST_LOSSES), (early + late, _MAX_LATE_LOSSES)
         return [
-            self._assess(losses, fewest, contents, model, now, upstreams)
+            self._assess(losses, fewest, case)
             for losses, fewest in kinds
             if len(losses) >= fewest
         ]
@@ -163,31 +146,23 @@
         return [] if suspect is None else suspect.losses(model)
 
     def _assess(
-        self,
-        losses: list[crashevidence.Loss],
-        fewest: int,
-        contents: crashevidence.Contents,
-        model: int,
-        now: clock.Ms,
-        upstreams: int,
+        self, losses: list[crashevidence.Loss], fewest: int, case: Case
     ) -> Assessment:
         """Return what some losses say of a whole request.
 
         ``fewest`` of them are needed if none is by chance.
         """
-        accusation = crashsuspect.Accusation(len(losses), None, now)
+        accusation = crashsuspect.Accusation(len(losses), None, case.now)
         explaining = {
-            loss.start: set(
-                self._explaining(loss, accusation, contents.all(), model)
-            )
+            loss.start: set(self._explaining(loss, accusation, case))
             for loss in losses
         }
         return Assessment(
-            contents.whole,
+            case.contents.whole,
             len(losses),
             tuple(loss.at for loss in losses if not explaining[loss.start]),
             tuple(sorted(set().union(*explaining.values()))),
-            fewest + self._chance_losses(losses, upstreams),
+            fewest + self._chance_losses(losses, case.upstreams),
             fewest,
         )
 
@@ -240,29 +215,24 @@
         by_chance = loststarts.losses_by_chance(lost, upstreams)
         return count >= MAX_REQUEST_LOSSES + by_chance
 
-    def _find_part(
-        self,
-        part: int,
-        contents: crashevidence.Contents,
-        model: int,
-        now: clock.Ms,
-        upstreams: int,
-    ) -> Verdict | None:
+    def _find_part(self, part: int, case: Case) -> Verdict | None:
         suspect = self._accused(part)
         if suspect is None:
             return None
-        count, losses = suspect.count(model), suspect.losses(model)
+        count, losses = suspect.count(case.model), suspect.losses(case.model)
         if count < MAX_REQUEST_LOSSES:
             return None
-        accusation = crashsuspect.Accusation(count, suspect.has_survived, now)
-        own = self._unexplained(losses, accusation, contents, model)
+        accusation = crashsuspect.Accusation(
+            count, suspect.has_survived, case.now
+        )
+        own = self._unexplained(losses, accusation, case)
         own_count = suspect.count_apart(own)
         may_be_shared = (
             not suspect.has_survived and own_count >= _MIN_UNEXPLAINED_LOSSES
         )
         if own_count < MAX_PART_LOSSES and not may_be_shared:
             return None
-        by_chance = self._chance_losses(losses, upstreams)
+        by_chance = self._chance_losses(losses, case.upstreams)
         if own_count >= MAX_PART_LOSSES + by_chance:
             return self._verdict(part, own, own_count, MAX_PART_LOSSES)
         if may_be_shared and count >= _MAX_UNPROVEN_LOSSES + by_chance:
@@ -292,37 +262,34 @@
         self,
         losses: list[crashevidence.Loss],
         accusation: crashsuspect.Accusation,
-        contents: crashevidence.Contents,
-        model: int,
+        case: Case,
     ) -> list[clock.Ms]:
         """Return the times of losses that nothing outside a request explains.
 
         ``losses`` and ``accusation`` are those of one of its contents.
         """
-        own = contents.all()
         return [
             loss.at
             for loss in losses
-            if next(self._explaining(loss, accusation, own, model), None)
-            is None
+            if next(self._explaining(loss, accusation, case), None) is None
         ]
 
     def _explaining(
         self,
         loss: crashevidence.Loss,
         accusation: crashsuspect.Accusation,
-        own: tuple[int, ...],
-        model: int,
+        case: Case,
     ) -> Iterator[int]:
         """Yield the contents outside a request that explain a loss."""
         enough = accusation.fewest_explaining
+        own = case.contents.all()
         for other in self._lost_starts.contents(loss.start):
             suspect = self._suspect_by_content[other]
             # Most of what runs on a lost upstream is not lost again.
             if (
                 len(suspect.loss_by_start) >= enough
                 and other not in own
-                and suspect.explains(loss, accusation, model)
+                and suspect.explains(loss, accusation, case.model)
             ):
                 yield other
 
--- a/src/citronvalve/policy/crashsuspects.py
+++ b/src/citronvalve/policy/crashsuspects.py
@@ -42,6 +42,7 @@
     :param unproven_burst: ms within which losses of a part count as one as
         long as no upstream has survived it.
     :ivar lost_starts: the upstreams that were lost, and what ran there.
+    :ivar judge: tells which requests crash upstreams.
     """
 
     def __init__(
@@ -52,7 +53,7 @@
         self._unproven_burst = unproven_burst
         self._suspect_by_content: dict[int, crashsuspect.CrashSuspect] = {}
         self.lost_starts = loststarts.LostStarts()
-        self._judge = crashjudge.CrashJudge(
+        self.judge = crashjudge.CrashJudge(
             self._suspect_by_content, self.lost_starts, first_trial_after
         )
 
@@ -98,38 +99,6 @@
         for proof in evidence.proofs:
             self.record_proof(proof)
 
-    def find(
-        self,
-        contents: crashevidence.Contents,
-        model: int,
-        now: clock.Ms,
-        upstreams: int = 0,
-    ) -> crashjudge.Verdict | None:
-        """Return the verdict on a request that crashes upstreams, or None.
-
-        :param contents: of the request.
-        :param model: digest of its model's name.
-        :param now: monotonic ms.
-        :param upstreams: how many run requests.
-        """
-        return self._judge.find(contents, model, now, upstreams)
-
-    def assess(
-        self,
-        contents: crashevidence.Contents,
-        model: int,
-        now: clock.Ms,
-        upstreams: int = 0,
-    ) -> crashjudge.Assessment | None:
-        """Return what is known of a whole request, None with few losses.
-
-        :param contents: of the request.
-        :param model: digest of its model's name.
-        :param now: monotonic ms.
-        :param upstreams: how many run requests.
-        """
-        return self._judge.assess(contents, model, now, upstreams)
-
     def snapshot(self) -> crashevidence.Evidence:
         """Return the evidence to give to other daemons."""
         chosen = [
--- a/src/citronvalve/replicas/lease.py
+++ b/src/citronvalve/replicas/lease.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import itertools
+from typing import Any
 from typing import NamedTuple
 
 from citronvalve.model import clock
@@ -343,17 +344,13 @@
         self._row = row
 
     def _record_peer(self, name: str, row: rows.Row) -> None:
-        peer = (
-            row.value.get("address"),
-            row.value.get("datacentre"),
-            row.value.get("relay", ""),
-        )
         # The row of this daemon may be from an earlier start.
         if name == self._name:
             return
-        if all(isinstance(p, str) for p in peer) and _is_usable(Peer(*peer)):
+        peer = _to_peer(row.value)
+        if peer is not None:
             self._left_out.discard(name)
-            self.peer_by_name[name] = Peer(*peer)
+            self.peer_by_name[name] = peer
         elif name not in self._left_out:
             self._left_out.add(name)
             why = "it has no address that can be connected to"
@@ -424,6 +421,19 @@
         self.held = 0
 
 
+def _to_peer(value: dict[str, Any]) -> Peer | None:
+    """Return the daemon that a row names, None if it can't be connected to.
+
+    :param value: the row's.
+    """
+    fields = value | {"relay": value.get("relay", "")}
+    texts = [fields.get(name) for name in Peer._fields]
+    if not all(isinstance(text, str) for text in texts):
+        return None
+    peer = Peer(*map(str, texts))
+    return peer if _is_usable(peer) else None
+
+
 def _is_usable(peer: Peer) -> bool:
     """Return whether a daemon's addresses can be connected to.
 
--- a/src/citronvalve/storage/httptable.py
+++ b/src/citronvalve/storage/httptable.py
@@ -32,12 +32,12 @@
     """Rows on the wire."""
 
     revision: int
-    rows: tuple[StoredRow, ...]
+    stored: tuple[StoredRow, ...]
     deleted: tuple[str, ...] = ()
 
     def to_scan(self) -> rows.Scan:
         """Return the rows, each with a usable value."""
-        found = tuple(row.to_row() for row in self.rows)
+        found = tuple(row.to_row() for row in self.stored)
         return rows.Scan(self.revision, found, self.deleted)
 
 
--- a/tests/adapter/oddentries.feature
+++ b/tests/adapter/oddentries.feature
@@ -67,3 +67,18 @@
     Given a list of runners in which an entry is nested 20000 deep
     When a daemon starts to follow it
     Then the runners that are listed are in use, and no other
+
+  Scenario Outline: the row of a daemon has <what>
+    Guards against a daemon that others can't connect to, and whose address
+    ends the task that tries.
+    Given rows of 3 daemons, of which one has <what>
+    When another daemon reads them twice
+    Then it knows the other two, and logs the odd one once
+
+    Examples:
+      | what                        |
+      | the port 99999              |
+      | a host with a NUL byte      |
+      | a relay at the port 99999   |
+      | a number as address         |
+      | no field at all             |
--- a/tests/adapter/steps/oddentries_steps.py
+++ b/tests/adapter/steps/oddentries_steps.py
@@ -13,6 +13,7 @@
 from citronvalve.forward import headernames
 from citronvalve.model import clock
 from citronvalve.policy import upstreamchoice
+from citronvalve.replicas import lease as leases
 from citronvalve.replicas import runner as runners
 from citronvalve.storage import client
 from citronvalve.storage import tail
@@ -246,3 +247,53 @@
 def step_times(context, count):
     lines = context.reader.left_out()
     assert len(lines) == count, lines
+
+
+_DAEMON = {"address": "10.0.0.1:80", "datacentre": "z", "relay": "h:81"}
+_DAEMON_BY_WHAT = {
+    "the port 99999": _DAEMON | {"address": "10.0.0.1:99999"},
+    "a host with a NUL byte": _DAEMON | {"address": "10.0\0.0.1:80"},
+    "a relay at the port 99999": _DAEMON | {"relay": "h:99999"},
+    "a number as address": _DAEMON | {"address": 7},
+    "no field at all": {},
+}
+
+
+@behave.given("rows of 3 daemons, of which one has {what}")
+def step_daemons(context, what):
+    from adapter import store
+
+    context.store = rowstore.RowStore()
+    value_by_name = {
+        "d-1": _DAEMON,
+        "d-odd": _DAEMON_BY_WHAT[what],
+        "d-2": _DAEMON,
+    }
+    for name, value in value_by_name.items():
+        context.store.put(leases.TABLE, f"daemon/{name}", value)
+    context.log = _Log()
+    context.lease = leases.Lease(
+        store.Store(client.PlatformClient(context.store.address, 700)),
+        "d-own",
+        leases.Peer("10.0.0.9:80", "z"),
+        clock.SystemClock(),
+        context.log,
+    )
+
+
+@behave.when("another daemon reads them twice")
+def step_read_daemons(context):
+    for _ in range(2):
+        context.lease.step()
+        eventlet.sleep(0.05)
+
+
+@behave.then("it knows the other two, and logs the odd one once")
+def step_known_daemons(context):
+    assert set(context.lease.peer_by_name) == {"d-own", "d-1", "d-2"}
+    lines = [
+        line["key"]
+        for event, line in context.log.lines
+        if event == "entry left out"
+    ]
+    assert lines == ["daemon/d-odd"], lines
--- a/tests/daemon/steps/crashes_steps.py
+++ b/tests/daemon/steps/crashes_steps.py
@@ -11,6 +11,7 @@
 from citronvalve.model import clock
 from citronvalve.peers import messages
 from citronvalve.policy import crashevidence
+from citronvalve.policy import crashjudge
 from citronvalve.policy import crashsuspects
 from citronvalve.replicas import crashrecord
 from citronvalve.replicas import lease as leases
@@ -106,7 +107,8 @@
     def refuses(self, content):
         contents = crashevidence.Contents(0, (content,))
         now = self.env.clock.now()
-        return self.suspects.find(contents, _MODEL, now) is not None
+        case = crashjudge.Case(contents, _MODEL, now)
+        return self.suspects.judge.find(case) is not None
 
 
 def _start(context, count, known):
@@ -349,7 +351,8 @@
 def step_does(context, does, content):
     contents = crashevidence.Contents(0, (content,))
     now = clock.SystemClock().now()
-    is_refused = context.started.find(contents, _MODEL, now) is not None
+    case = crashjudge.Case(contents, _MODEL, now)
+    is_refused = context.started.judge.find(case) is not None
     assert is_refused == (does == "refuses")
 
 
--- a/tests/policy/steps/crashes_steps.py
+++ b/tests/policy/steps/crashes_steps.py
@@ -5,6 +5,7 @@
 import behave
 
 from citronvalve.policy import crashevidence
+from citronvalve.policy import crashjudge
 from citronvalve.policy import crashsuspects
 
 _STEP = 100
@@ -72,12 +73,13 @@
         contents, _, model = request.partition("/")
         whole = [_content(letter) for letter in contents if letter.islower()]
         parts = [_content(letter) for letter in contents if letter.isupper()]
-        found = self.suspects.find(
-            crashevidence.Contents(*whole, tuple(parts), whole[0] + _LATE),
-            _model(model),
-            self.now,
-            self.upstreams,
+        contents = crashevidence.Contents(
+            *whole, tuple(parts), whole[0] + _LATE
         )
+        case = crashjudge.Case(
+            contents, _model(model), self.now, self.upstreams
+        )
+        found = self.suspects.judge.find(case)
         return found is not None
 
 
@@ -104,7 +106,8 @@
 @behave.then("it may be tried from {at:d} ms on")
 def step_trial(context, at):
     contents = crashevidence.Contents(0, (7,))
-    found = context.crashes.suspects.find(contents, 1, at)
+    case = crashjudge.Case(contents, 1, at)
+    found = context.crashes.suspects.judge.find(case)
     assert found.trial_at == at, found
 
 
