--- a/tests/policy/crashes.feature
+++ b/tests/policy/crashes.feature
@@ -111,3 +111,14 @@
     When 301000 ms have passed
     Then 1 contents are kept
     And requests of "FPz" are refused, and of "Fz" not
+
+  Scenario: many runs break whose upstreams are not found lost
+    Guards against memory that grows with connections that a cut has broken.
+    Given 5000 broken runs at as many starts of 100 upstreams, 1 ms apart
+    Then 1000 starts are doubted
+    And the loss of the newest one is confirmed, and that of the oldest one not
+
+  Scenario: a run broke long ago
+    Guards against an accusation of a run that broke by itself.
+    Given 5000 broken runs at as many starts of 100 upstreams, 10 ms apart
+    Then 500 starts are doubted
--- a/tests/policy/steps/crashes_steps.py
+++ b/tests/policy/steps/crashes_steps.py
@@ -4,6 +4,7 @@
 
 import behave
 
+from citronvalve.policy import crashdoubts
 from citronvalve.policy import crashevidence
 from citronvalve.policy import crashjudge
 from citronvalve.policy import crashsuspects
@@ -168,3 +169,30 @@
 @behave.then('requests of "" are refused, and of "{served}" not')
 def step_served(context, served):
     _check(context.crashes, "", served)
+
+
+@behave.given(
+    "{count:d} broken runs at as many starts of {upstreams:d} upstreams, "
+    "{apart:d} ms apart"
+)
+def step_doubts(context, count, upstreams, apart):
+    context.doubts = crashdoubts.CrashDoubts()
+    context.times = [number * apart for number in range(count)]
+    for start, at in enumerate(context.times):
+        loss = crashevidence.Loss(7, start, 1, at)
+        context.doubts.add(f"u-{start % upstreams}", [loss])
+
+
+@behave.then("{count:d} starts are doubted")
+def step_doubted(context, count):
+    assert len(context.doubts) == count, len(context.doubts)
+
+
+@behave.then(
+    "the loss of the newest one is confirmed, and that of the oldest one not"
+)
+def step_confirmed(context):
+    newest = len(context.times) - 1
+    assert context.doubts.confirm(newest, context.times[newest])
+    assert not context.doubts.confirm(newest, context.times[newest])
+    assert not context.doubts.confirm(0, context.times[0])
