--- a/src/citronvalve/storage/rowvalue.py
+++ b/src/citronvalve/storage/rowvalue.py
@@ -10,10 +10,10 @@
 #: why.  No decoder accepts it.
 UNREADABLE = "unreadable"
 
-#: Nesting up to which a value can be told in a message of other values.
+#: Nesting up to which a value can be sent in a message of other values.
 _MAX_DEPTH = 200
 
-#: A value that daemons can't tell each other: nested too deeply, or a number
+#: What encoding a message raises: nesting that is too deep, or a number
 #: beyond 64 bits.
 _ENCODING_ERRORS = (*decoding.ERRORS, OverflowError, ValueError, TypeError)
 
