Log and count by what proof a request that must run once is sent on

What callers saw: nothing of this commit; the users' record of requests that ran twice names neither request in a daemon's log, and no line tells by what proof either was sent on. Such a request left a line 'try ended' alone, which is dropped first where lines are many.

Change: each ending that shows that a request has not run carries its proof (forward/notrun.py). A request that may run once and is sent to another upstream leaves a line 'sent again' with the proof, the upstream, address, relay and number of the connection before it; it is logged as a change, never dropped before others, and counted in sent_again_total by proof. An answer to another request that is passed over leaves 'answer left out'. No decision changes.

--- a/src/citronvalve/forward/attempt.py
+++ b/src/citronvalve/forward/attempt.py
@@ -11,6 +11,7 @@
 from citronvalve.forward import dependencies
 from citronvalve.forward import exchange as exchanges
 from citronvalve.forward import exchangeerror
+from citronvalve.forward import notrun
 from citronvalve.forward import reply as replies
 from citronvalve.forward import requesthead
 from citronvalve.forward import responsehead
@@ -22,6 +23,7 @@
 
 _Ending = attemptresult.Ending
 _Failure = exchangeerror.ExchangeFailure
+_Proof = notrun.Proof
 _Result = attemptresult.AttemptResult
 
 _STILL_SILENT = _Result(_Ending.STALLED, "no event arrived in time")
@@ -42,6 +44,7 @@
         upstream.
     :ivar chosen: the same.
     :ivar relay: name of the daemon that relays it, empty if it is direct.
+    :ivar connection: number of the connection, 0 if none was opened.
     :ivar result: how it ended, or that it stalled; None before that.
     """
 
@@ -70,8 +73,14 @@
         self._exchange: exchanges.Exchange | None = None
         self._sent_at: clock.Ms = 0
         self.relay = ""
+        self.connection = 0
         self.result: attemptresult.AttemptResult | None = None
 
+    @property
+    def address(self) -> str:
+        """Return host:port of the upstream, empty if it was not listed."""
+        return self._target.address
+
     @property
     def is_open(self) -> bool:
         """Return whether its connection is kept, since it has stalled."""
@@ -135,8 +144,8 @@
         """Open the connection; return the result if that fails."""
         runner = self._deps.directory.runner_by_id.get(self.chosen.upstream)
         if runner is None:
-            return _Result(
-                _Ending.NOT_RUN, "the upstream is no longer in the list"
+            return attemptresult.not_run(
+                _Proof.UNLISTED, "the upstream is no longer in the list"
             )
         self._target = connectors.target_of(runner)
         self._run = crashdetector.Run(self._target, runner.start_id)
@@ -147,6 +156,7 @@
         except exchangeerror.ExchangeError as error:
             return self._handle_unreached(error)
         self.relay = connection.relay
+        self.connection = connection.number
         self._load.own += 1
         self._load.late += self.chosen.late
         exchange = exchanges.Exchange(
@@ -167,19 +177,19 @@
     ) -> attemptresult.AttemptResult:
         if error.failure is _Failure.RESTING:
             self._record_rest(error)
-            return _Result(_Ending.RESTING, str(error))
+            return attemptresult.not_run(_Proof.RESTING, str(error))
         if error.failure is _Failure.NO_LINK:
             if not self._deps.connector.links.is_cut:
                 # The leader has to learn of a data centre that is cut off.
                 self._deps.stall_detector.record_silence(
                     self.chosen.upstream, checked=True
                 )
-            return _Result(_Ending.UNLINKED, str(error))
+            return attemptresult.not_run(_Proof.NO_LINK, str(error))
         self._load.circuit.record_failure(self._env.clock.now(), fatal=True)
         self._deps.stall_detector.record_silence(
             self.chosen.upstream, checked=True
         )
-        return _Result(_Ending.NOT_RUN, str(error))
+        return attemptresult.not_run(_Proof.UNREACHED, str(error))
 
     def _read(
         self,
@@ -314,10 +324,9 @@
         match error.failure:
             case _Failure.RESTING:
                 self._record_rest(error)
-                return _Result(_Ending.RESTING, why)
+                return attemptresult.not_run(_Proof.RESTING, why)
             case _Failure.NO_LINK:
-                # The relay refused it before it passed anything on.
-                return _Result(_Ending.NOT_RUN, why)
+                return attemptresult.not_run(_Proof.RELAY_REFUSED, why)
             case _Failure.OVERTAKEN:
                 if self.result is not None:
                     self._record_failure()
@@ -328,7 +337,7 @@
                 return _Result(_Ending.STALLED, why)
             case _Failure.UNSENT:
                 self._record_failure()
-                return _Result(_Ending.NOT_RUN, why)
+                return attemptresult.not_run(_Proof.UNSENT, why)
         self._record_failure()
         if error.failure is not _Failure.BROKEN:
             self._record_unchecked(error.failure)
--- a/src/citronvalve/forward/attemptresult.py
+++ b/src/citronvalve/forward/attemptresult.py
@@ -3,6 +3,7 @@
 import enum
 from typing import NamedTuple
 
+from citronvalve.forward import notrun
 from citronvalve.forward import responsehead
 
 
@@ -27,10 +28,31 @@
     OVERTAKEN = enum.auto()
 
 
+#: All other proofs end an attempt as ``NOT_RUN``.
+_ENDING_BY_PROOF = {
+    notrun.Proof.NO_LINK: Ending.UNLINKED,
+    notrun.Proof.RESTING: Ending.RESTING,
+}
+
+
 class AttemptResult(NamedTuple):
-    """The ending, its cause, and an error response with its body, if any."""
+    """The ending, its cause, and an error response with its body, if any.
+
+    ``proof`` is None if the request may have run.
+    """
 
     ending: Ending
     why: str = ""
     response: responsehead.ResponseHead | None = None
     body: bytes = b""
+    proof: notrun.Proof | None = None
+
+
+def not_run(proof: notrun.Proof, why: str) -> AttemptResult:
+    """Return the result of an attempt that did not run the request.
+
+    :param proof: what shows it.
+    :param why: the cause, as text.
+    """
+    ending = _ENDING_BY_PROOF.get(proof, Ending.NOT_RUN)
+    return AttemptResult(ending, why, proof=proof)
--- a/src/citronvalve/forward/dispatch.py
+++ b/src/citronvalve/forward/dispatch.py
@@ -54,6 +54,7 @@
         self._tried: list[str] = []
         self._ending_by_upstream: dict[str, attemptresult.Ending] = {}
         self._parked = parked.ParkedAttempts(self._record_ending)
+        self._last: attempts.Attempt | None = None
         self._runs = 0
         self._uncounted_runs = 0
         self._resumed: attempts.Attempt | None = None
@@ -143,6 +144,7 @@
             self._deps.retry_budgets.spend(self._routed.service.name)
         if not self._tried:
             self._deps.placement.record_start(self._routed)
+        self._record_sent_again(chosen.upstream)
         self._tried.append(chosen.upstream)
         return attempts.Attempt(
             self._deps,
@@ -165,11 +167,36 @@
             result = attempt.run()
         if attempt.is_open:
             self._parked.add(attempt)
+        self._last = attempt
         if is_first:
             self._record_ran(result)
         self._record_ending(attempt)
         return result
 
+    def _record_sent_again(self, upstream: str) -> None:
+        """Log by what proof a request that may run once is sent once more.
+
+        :param upstream: where it is sent.
+        """
+        last = self._last
+        if last is None or self._routed.route.may_repeat:
+            return
+        result = last.result
+        proof = result.proof if result is not None else None
+        self._deps.env.metrics.record_sent_again(proof or "none")
+        # Not a note: what was sent twice has to be traced under load, too.
+        self._deps.env.log.change(
+            "sent again",
+            request=self._routed.id,
+            proof=proof,
+            why=result.why if result is not None else "",
+            upstream=last.chosen.upstream,
+            address=last.address,
+            relay=last.relay,
+            connection=last.connection,
+            next=upstream,
+        )
+
     def _record_ran(self, result: attemptresult.AttemptResult) -> None:
         self._deps.env.metrics.record_attempt(result.ending.name.lower())
         if result.ending in _CERTAINLY_NOT_RUN:
--- a/src/citronvalve/forward/exchange.py
+++ b/src/citronvalve/forward/exchange.py
@@ -11,6 +11,7 @@
 from citronvalve.forward import dependencies
 from citronvalve.forward import exchangeerror
 from citronvalve.forward import headers
+from citronvalve.forward import notrun
 from citronvalve.forward import reply as replies
 from citronvalve.forward import responsehead
 from citronvalve.forward import responsereader
@@ -98,8 +99,8 @@
         :raises exchangeerror.ExchangeError: when the connection is closed.
         """
         if self._env.clock.now() >= self._routed.deadline:
-            self._end(
-                _Ending.NOT_RUN, "the deadline passed before it was sent"
+            self.result = attemptresult.not_run(
+                notrun.Proof.EXPIRED, "the deadline passed before it was sent"
             )
             return
         request = self._routed.request
@@ -163,6 +164,7 @@
             # A late duplicate response to an earlier request; the one to
             # this request follows.
             self._others += 1
+            self._log_left_out(response)
             if self._others > _MAX_OTHERS:
                 raise exchangeerror.ExchangeError(
                     _Failure.GARBLED, "responses to other requests only"
@@ -173,6 +175,19 @@
                 _Failure.GARBLED, "response has no request id"
             )
 
+    def _log_left_out(self, response: responsehead.ResponseHead) -> None:
+        other = headers.value(
+            response.headers, self._env.header_names.request_id
+        )
+        self._env.log.note(
+            "answer left out",
+            self._routed.id,
+            upstream=self._chosen.upstream,
+            connection=self.connection.number,
+            answers=other.decode("latin-1"),
+            status=response.status,
+        )
+
     def _take_response(self, response: responsehead.ResponseHead) -> None:
         self.response = response
         self.on_head(response)
@@ -268,7 +283,9 @@
         if fault and fault != upstream.encode():
             detector.on_stall(upstream)
         # The response is not to be relayed.
-        self._end(_Ending.NOT_RUN, f"{status} {fault.decode('latin-1')}")
+        self.result = attemptresult.not_run(
+            notrun.Proof.REJECTED, f"{status} {fault.decode('latin-1')}"
+        )
 
     def _end_failed(
         self, response: responsehead.ResponseHead, body: bytes
--- a/src/citronvalve/forward/metrics.py
+++ b/src/citronvalve/forward/metrics.py
@@ -28,6 +28,10 @@
         self._attempts = self._counter(
             "tries_total", "Tries at upstreams, by how they ended."
         )
+        self._sent_again = self._counter(
+            "sent_again_total",
+            "Requests that may run once sent to another upstream, by proof.",
+        )
         self._openings = self._counter(
             "openings_total", "New connections to upstreams, by result."
         )
@@ -92,6 +96,13 @@
         """
         self._attempts.inc({"result": result})
 
+    def record_sent_again(self, proof: str) -> None:
+        """Count a request that may run once and is sent once more.
+
+        :param proof: what shows that it has not run.
+        """
+        self._sent_again.inc({"proof": proof})
+
     def record_opening(self, result: str) -> None:
         """Count an attempt to open a connection to an upstream.
 
--- a/src/citronvalve/forward/upstreamconnection.py
+++ b/src/citronvalve/forward/upstreamconnection.py
@@ -1,6 +1,7 @@
 """One connection to an upstream, for one exchange at a time."""
 
 import contextlib
+import itertools
 
 import eventlet
 import h11
@@ -30,12 +31,15 @@
 
 _Failure = exchangeerror.ExchangeFailure
 
+_numbers = itertools.count(1)
+
 
 class UpstreamConnection:
     """An h11 client on one transport.
 
     :param transport: connected to the upstream.
     :param time_source: the clock.
+    :ivar number: tells it from all others of the process, in logs.
     :ivar reusable_until: monotonic ms until which it may be reused.
     :ivar sending_since: monotonic ms at which the sending began.
     :ivar used: whether an exchange on it has completed.
@@ -53,6 +57,7 @@
         self._head_size = 0
         self._parts = 0
         self._preliminary = 0
+        self.number = next(_numbers)
         self.reusable_until: clock.Ms = 0
         self.sending_since: clock.Ms = 0
         self.used = False
--- a/tests/forward/steps/forward_steps.py
+++ b/tests/forward/steps/forward_steps.py
@@ -20,7 +20,7 @@
 @behave.given('two heads, of which the first "{way}"')
 def step_heads(context, way):
     context.rig = rigs.Rig(_script_first(way, ("head-1", "head-2")))
-    _demote(context.rig, "head-2")
+    demote(context.rig, "head-2")
 
 
 @behave.given('two heads, of which both "{way}"')
@@ -31,7 +31,7 @@
 @behave.given('two plain runners, of which the first "{way}"')
 def step_plain(context, way):
     context.rig = rigs.Rig(_script_first(way, ("plain-1", "plain-2")))
-    _demote(context.rig, "plain-2")
+    demote(context.rig, "plain-2")
 
 
 @behave.given('two plain runners, of which both "{way}"')
@@ -50,7 +50,7 @@
 def step_crashing(context):
     scripts = {f"plain-{n}": ["crashes"] for n in range(1, 5)}
     context.rig = rigs.Rig({**scripts, "plain-5": ["whole"]})
-    _demote(context.rig, "plain-5")
+    demote(context.rig, "plain-5")
 
 
 @behave.given("a daemon in front of a plain runner")
@@ -76,7 +76,7 @@
     eventlet.spawn_after(seconds, directory.update_runner, second)
 
 
-def _demote(rig, name):
+def demote(rig, name):
     # Moves the runner to another data centre, so that the other one is tried
     # first.
     for runner in rig.directory.runner_by_id.values():
--- /dev/null
+++ b/tests/forward/steps/sentagain_steps.py
@@ -0,0 +1,32 @@
+"""Steps about requests that must run once and are sent again."""
+
+import behave
+
+from tests.forward import rig as rigs
+from tests.forward.steps import forward_steps
+
+_COUNTER = "citronvalve_forward_sent_again_total"
+
+
+@behave.given("two plain runners, of which the first refuses connections")
+def step_refuses(context):
+    context.rig = rigs.Rig({"plain-1": ["whole"], "plain-2": ["whole"]})
+    forward_steps.demote(context.rig, "plain-2")
+    context.rig.runners["plain-1"].close()
+
+
+@behave.then('the proofs by which it was sent on are "{proofs}"')
+def step_proofs(context, proofs):
+    expected = [proof for proof in proofs.split() if proof != "none"]
+    lines = [
+        line for event, line in context.rig.log.lines if event == "sent again"
+    ]
+    assert [line["proof"] for line in lines] == expected, lines
+    for line in lines:
+        assert line["upstream"] == "plain-1", line
+        assert line["next"] == "plain-2", line
+        assert line["address"], line
+    text = context.rig.env.metrics.render().decode()
+    counted = [line for line in text.splitlines() if _COUNTER + "{" in line]
+    wanted = [f'{_COUNTER}{{proof="{proof}"}} 1' for proof in expected]
+    assert counted == wanted, counted
