Test a request sent twice to a runner that is listed under two ids

Cause, shown by this test: an answer is matched to a request by the request's id alone. A runner that has started again at its address stands in the list under its old id, which has not lapsed, and under its new one. The request is sent to the old id, gets 421, is sent to the new id on the connection that was kept, and runs. A second copy of the 421 comes meanwhile, bears the request's id and says 'not run', so that the request is sent to a third upstream, too.

--- a/standins/scriptedrunner.py
+++ b/standins/scriptedrunner.py
@@ -9,6 +9,7 @@
 from standins import answerparts
 from standins import endlessanswers
 from standins import longanswers
+from standins import repeatedanswers
 from standins import slowreading
 from standins import unframedstreams
 
@@ -26,6 +27,7 @@
     unframedstreams.UnframedStreams,
     endlessanswers.EndlessAnswers,
     longanswers.LongAnswers,
+    repeatedanswers.RepeatedAnswers,
     slowreading.SlowReading,
 ):
     """Serves on a port of its own until it is closed.
--- a/tests/forward/rig.py
+++ b/tests/forward/rig.py
@@ -186,6 +186,14 @@
     def runs(self):
         return sum(one.runs for one in self.runners.values())
 
+    def list_again(self, name, as_name):
+        """List a runner under a second id, as one that started again is.
+
+        The entry of its earlier start has not lapsed yet.
+        """
+        listed = self.directory.runner_by_id[name]
+        self.directory.update_runner(listed._replace(id=as_name))
+
     def _rooms(self):
         return poolrooms.PoolRooms(self.env, self.directory, self.loads)
 
--- a/tests/forward/sentagain.feature
+++ b/tests/forward/sentagain.feature
@@ -25,3 +25,21 @@
     When a caller calls /once/thing
     Then it gets 200 with the complete body of a runner
     And the proofs by which it was sent on are "unreached"
+
+  Scenario Outline: a runner listed under two ids <way>, reached <links>
+    Guards against a request that runs twice: a runner that has started again
+    at its address is listed under its old and its new id, so that a request
+    is sent to it twice, and a second copy of its answer to the first sending,
+    which says "not run", comes while it runs the second.
+
+    Given a plain runner that first "<way>", listed under two ids
+    And another one, reached <links>
+    When a caller calls /once/thing
+    Then it gets 200, and 1 runs were made
+
+    Examples:
+      | way              | links                 |
+      | is_another_twice | directly              |
+      | turns_away_twice | directly              |
+      | is_another_twice | through other daemons |
+      | turns_away_twice | through other daemons |
--- a/tests/forward/steps/relaying_steps.py
+++ b/tests/forward/steps/relaying_steps.py
@@ -55,12 +55,15 @@
     add_relays(context, failure, relays, cut)
 
 
-def add_relays(context, failure="are refused", relays=1, cut=True):
+def add_relays(
+    context, failure="are refused", relays=1, cut=True, apart=False
+):
     """Give the daemon of the scenario other ones that may relay.
 
     :param failure: how its own connections fail.
     :param relays: number of other daemons.
     :param cut: whether its links are lost.
+    :param apart: whether each address that does not answer is another one.
     """
     rig = context.rig
     context.relays = [_Relay(rig, f"daemon-{n}") for n in range(2, 2 + relays)]
@@ -72,9 +75,12 @@
         for one in context.relays
         if one.relay.name == name
     )
-    context.way_out = _ADDRESS_BY_FAILURE[failure]()
+    make_address = _ADDRESS_BY_FAILURE[failure]
+    context.way_out = make_address()
     context.true_by_id = dict(rig.directory.runner_by_id)
-    if cut:
+    if cut and apart:
+        _cut_apart(context, make_address)
+    elif cut:
         _cut(context)
     rig.link_checker.start()
 
@@ -83,6 +89,12 @@
     _lead(context, lambda runner: context.way_out)
 
 
+def _cut_apart(context, make_address):
+    true = {runner.address for runner in context.true_by_id.values()}
+    lost_by_address = {address: make_address() for address in true}
+    _lead(context, lambda runner: lost_by_address[runner.address])
+
+
 def _lead(context, address_of):
     directory = context.rig.directory
     for runner in list(directory.runner_by_id.values()):
--- a/tests/forward/steps/sentagain_steps.py
+++ b/tests/forward/steps/sentagain_steps.py
@@ -4,6 +4,7 @@
 
 from tests.forward import rig as rigs
 from tests.forward.steps import forward_steps
+from tests.forward.steps import relaying_steps
 
 _COUNTER = "citronvalve_forward_sent_again_total"
 
@@ -15,6 +16,31 @@
     context.rig.runners["plain-1"].close()
 
 
+@behave.given('a plain runner that first "{way}", listed under two ids')
+def step_two_ids(context, way):
+    context.rig = rigs.Rig(
+        {"plain-1": [way, "works_a_moment"], "plain-2": ["whole"]}
+    )
+    context.rig.list_again("plain-1", "plain-1-again")
+    forward_steps.demote(context.rig, "plain-2")
+
+
+@behave.given("another one, reached directly")
+def step_directly(context):
+    assert not context.rig.connector.relays()
+
+
+@behave.given("another one, reached through other daemons")
+def step_relayed(context):
+    relaying_steps.add_relays(context, apart=True)
+    links, now = context.rig.connector.links, context.rig.env.clock.now()
+    for runner in context.rig.directory.runner_by_id.values():
+        links.record_lost(
+            runner.id, runner.datacentre, {"zone-0", "zone-1"}, now
+        )
+    assert links.is_cut
+
+
 @behave.then('the proofs by which it was sent on are "{proofs}"')
 def step_proofs(context, proofs):
     expected = [proof for proof in proofs.split() if proof != "none"]
