Send a request on each connection to an upstream at most once

Cause: answers are matched by the request's id, which is unique on a connection only if a request is sent on it once. Where a runner has started again at its address, two ids are listed there, and connections are kept by address: a request that got 421 for the old id went to the new one on the very connection, where a late second copy of the 421 counted as the proof that the second sending had not run.

Change: a connection knows the ids that it has carried. The pool passes over one that has carried the request, and keeps it for others. A connection is closed after 100 requests, so that what it knows is bounded.

Why it works: a proof taken from an answer can now only be an answer to the sending that it ends, since no other sending of the request used the connection.

New rows look that connections are kept for other requests and closed after 100; that for callers with one id opened one connection before, not three.

--- a/src/citronvalve/forward/connectionpool.py
+++ b/src/citronvalve/forward/connectionpool.py
@@ -1,6 +1,7 @@
 """A pool of idle connections to upstreams."""
 
 import collections
+from typing import NamedTuple
 
 from citronvalve.forward import connector as connectors
 from citronvalve.forward import transport as transports
@@ -23,6 +24,13 @@
 _MAX_IDLE_PER_UPSTREAM = 8
 
 
+class _Idle(NamedTuple):
+    """An idle connection, and since when it is idle in monotonic ms."""
+
+    connection: upstreamconnection.UpstreamConnection
+    since: clock.Ms
+
+
 class ConnectionPool:
     """Keeps idle connections by address.
 
@@ -35,38 +43,32 @@
     ) -> None:
         self._clock = time_source
         self._connector = connector
-        self._idle_by_address: dict[str, collections.deque] = {}
+        self._idle_by_address: dict[str, collections.deque[_Idle]] = {}
 
     def acquire(
         self, target: connectors.Target, request_id: str, retryable: bool
     ) -> upstreamconnection.UpstreamConnection:
         """Return a connection that is ready for a request.
 
+        The request has not been sent on it before.
+
         :param target: the upstream.
         :param request_id: the request's id.
         :param retryable: whether the request may be retried.
         :raises exchangeerror.ExchangeError: when the upstream can't be
             connected to; nothing was sent.
         """
-        now = self._clock.now()
-        is_lost = self._connector.links.is_lost(target.upstream, now)
-        idle = self._idle_by_address.get(target.address)
-        while idle:
-            connection, idle_since = idle.pop()
-            # Connections of before a loss may carry nothing any more, and
-            # after it the direct way is the shorter one.
-            is_right_way = bool(connection.relay) is is_lost
-            is_fresh = retryable or now - idle_since <= _MAX_IDLE_NON_RETRYABLE
-            if (
-                is_right_way
-                and is_fresh
-                and now < connection.reusable_until
-                and connection.is_idle()
-                and connection.begin(request_id)
-            ):
-                return connection
-            connection.close()
-        return self._connect(target, request_id)
+        passed_over: list[_Idle] = []
+        try:
+            connection = self._take_idle(
+                target, request_id, retryable, passed_over
+            )
+        finally:
+            self._put_back(target.address, passed_over)
+        if connection is None:
+            connection = self._connect(target, request_id)
+        connection.record_request(request_id)
+        return connection
 
     def release(
         self,
@@ -98,7 +100,7 @@
         connection.reusable_until = now + max(
             lifetime, _KEEP_ALIVE_MARGIN // 2
         )
-        idle.append((connection, now))
+        idle.append(_Idle(connection, now))
 
     def check_listening(self, target: connectors.Target) -> None:
         """Check that an upstream accepts connections, on any way.
@@ -139,6 +141,51 @@
         for connection, _ in self._idle_by_address.pop(address, ()):
             connection.close()
 
+    def _take_idle(
+        self,
+        target: connectors.Target,
+        request_id: str,
+        retryable: bool,
+        passed_over: list[_Idle],
+    ) -> upstreamconnection.UpstreamConnection | None:
+        """Return an idle connection that fits, closing those that don't.
+
+        :param target: the upstream.
+        :param request_id: the request's id.
+        :param retryable: whether the request may be retried.
+        :param passed_over: takes those that fit other requests only.
+        """
+        now = self._clock.now()
+        is_lost = self._connector.links.is_lost(target.upstream, now)
+        idle = self._idle_by_address.get(target.address)
+        while idle:
+            entry = idle.pop()
+            connection, idle_since = entry
+            if connection.has_carried(request_id):
+                passed_over.append(entry)
+                continue
+            # Connections of before a loss may carry nothing any more, and
+            # after it the direct way is the shorter one.
+            is_right_way = bool(connection.relay) is is_lost
+            is_fresh = retryable or now - idle_since <= _MAX_IDLE_NON_RETRYABLE
+            if (
+                is_right_way
+                and is_fresh
+                and now < connection.reusable_until
+                and connection.is_idle()
+                and connection.begin(request_id)
+            ):
+                return connection
+            connection.close()
+        return None
+
+    def _put_back(self, address: str, entries: list[_Idle]) -> None:
+        if entries:
+            idle = self._idle_by_address.setdefault(
+                address, collections.deque()
+            )
+            idle.extend(reversed(entries))
+
     def _connect(
         self, target: connectors.Target, request_id: str
     ) -> upstreamconnection.UpstreamConnection:
@@ -156,4 +203,4 @@
         idle = self._idle_by_address.setdefault(
             target.address, collections.deque()
         )
-        idle.append((connection, now))
+        idle.append(_Idle(connection, now))
--- a/src/citronvalve/forward/upstreamconnection.py
+++ b/src/citronvalve/forward/upstreamconnection.py
@@ -29,6 +29,9 @@
 #: Preliminary responses that may come before the final one.
 _MAX_PRELIMINARY = 16
 
+#: Requests of one connection, whose ids are kept as long as it is open.
+_MAX_REQUESTS = 100
+
 _Failure = exchangeerror.ExchangeFailure
 
 _numbers = itertools.count(1)
@@ -57,6 +60,7 @@
         self._head_size = 0
         self._parts = 0
         self._preliminary = 0
+        self._carried: set[str] = set()
         self.number = next(_numbers)
         self.reusable_until: clock.Ms = 0
         self.sending_since: clock.Ms = 0
@@ -81,6 +85,23 @@
         """Return the name of the daemon that relays, empty if direct."""
         return self._transport.relay
 
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether a request was sent on it before.
+
+        Its answer may come a second time.  The answer to another sending of
+        the request on this connection could not be told from that.
+
+        :param request_id: the request's id.
+        """
+        return request_id in self._carried
+
+    def record_request(self, request_id: str) -> None:
+        """Record a request that is about to be sent on it.
+
+        :param request_id: the request's id.
+        """
+        self._carried.add(request_id)
+
     def begin(self, request_id: str) -> bool:
         """Announce the next request; return False if it must be closed.
 
@@ -201,6 +222,8 @@
         parser = self._parser
         if not sent or parser.trailing_data[0]:
             return False
+        if len(self._carried) >= _MAX_REQUESTS:
+            return False
         if parser.our_state is not h11.DONE:
             return False
         if parser.their_state is not h11.DONE:
--- a/tests/forward/rig.py
+++ b/tests/forward/rig.py
@@ -174,11 +174,12 @@
         body=b"",
         seconds=3.0,
         key="secret",
+        number="req-1",
     ):
         """Send a request on a new connection; return all that is received."""
         head = (
             f"{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Key: {key}\r\n"
-            f"X-Request-Id: req-1\r\nConnection: close\r\n"
+            f"X-Request-Id: {number}\r\nConnection: close\r\n"
             f"Content-Length: {len(body)}\r\n{headers}\r\n"
         ).encode()
         return scriptedrunner.exchange(self.address, head + body, seconds)
--- a/tests/forward/sentagain.feature
+++ b/tests/forward/sentagain.feature
@@ -43,3 +43,34 @@
       | turns_away_twice | directly              |
       | is_another_twice | through other daemons |
       | turns_away_twice | through other daemons |
+
+  Scenario Outline: <calls> on kept connections
+    Guards against answers to an earlier sending of a request, and against ids
+    that a connection keeps without end.
+
+    Given a daemon in front of a plain runner
+    When <calls>
+    Then <opened> connections to the runner were opened
+
+    Examples:
+      | calls                                                   | opened |
+      | callers call /once/thing 100 times, each with an own id | 1      |
+      | callers call /once/thing 101 times, each with an own id | 2      |
+      | 3 callers call /once/thing with the same id             | 3      |
+
+  Scenario Outline: a kept relayed connection is refused since <cause>
+    Guards against a request that runs twice or never: the opening and the
+    request are written at once, and the refusal comes after both.
+
+    Given a daemon without links to two upstreams that "whole", and one with links
+    When a caller has called /once/first, then at the other daemon <cause>
+    And a caller calls /once/thing
+    Then it gets 503, and 1 runs were made
+    And it was sent on first by the proof "relay refused"
+
+    Examples: causes
+      | cause                           |
+      | the upstreams are leaving       |
+      | their data centre is out        |
+      | the upstreams are not listed    |
+      | the process is stopping         |
--- a/tests/forward/steps/relaying_steps.py
+++ b/tests/forward/steps/relaying_steps.py
@@ -189,9 +189,11 @@
         _DO_BY_CAUSE[cause](relay)
 
 
-def _send(context, path):
+def _send(context, path, number="req-1"):
     headers = "X-Model: large\r\nX-Tokens: 100,60\r\nX-Team: other\r\n"
-    context.got = context.rig.send(path, headers, body=b"question")
+    context.got = context.rig.send(
+        path, headers, body=b"question", number=number
+    )
 
 
 @behave.when("a caller sends {path}")
@@ -201,8 +203,8 @@
 
 @behave.when("it gets {count:d} calls of {path}")
 def step_calls(context, path, count):
-    for _ in range(count):
-        _send(context, path)
+    for turn in range(count):
+        _send(context, path, f"req-{turn + 1}")
         assert context.got.startswith(b"HTTP/1.1 200"), context.got
 
 
--- a/tests/forward/steps/sentagain_steps.py
+++ b/tests/forward/steps/sentagain_steps.py
@@ -41,6 +41,41 @@
     assert links.is_cut
 
 
+@behave.when("a caller has called {path}, then at the other daemon {cause}")
+def step_then_cause(context, path, cause):
+    context.got = context.rig.send(path, body=b"first", number="req-0")
+    assert context.got.startswith(b"HTTP/1.1 200"), context.got
+    relaying_steps.step_cause(context, cause)
+
+
+@behave.then('it was sent on first by the proof "{proof}"')
+def step_first_proof(context, proof):
+    lines = [
+        line for event, line in context.rig.log.lines if event == "sent again"
+    ]
+    assert lines and lines[0]["proof"] == proof, lines
+    assert lines[0]["request"] == "req-1", lines
+
+
+@behave.when("callers call {path} {count:d} times, each with an own id")
+def step_calls(context, path, count):
+    for turn in range(count):
+        context.got = context.rig.send(path, number=f"req-{turn}")
+        assert context.got.startswith(b"HTTP/1.1 200"), context.got
+
+
+@behave.when("{count:d} callers call {path} with the same id")
+def step_same_id(context, count, path):
+    for _ in range(count):
+        context.got = context.rig.send(path)
+        assert context.got.startswith(b"HTTP/1.1 200"), context.got
+
+
+@behave.then("{count:d} connections to the runner were opened")
+def step_opened(context, count):
+    assert context.rig.connector.opened == count, context.rig.connector.opened
+
+
 @behave.then('the proofs by which it was sent on are "{proofs}"')
 def step_proofs(context, proofs):
     expected = [proof for proof in proofs.split() if proof != "none"]
