Send a request that must run once on by a proof alone

What callers saw: nothing; this is the same cause looked for elsewhere. A retry of a request that may run once was allowed by three endings, set in two files; that each of them stood for a proof, and that no earlier attempt of the request may have run, held by the order of the code only.

Change: the decision asks for the proof that the result carries, which only attemptresult.not_run() sets, and that no attempt of the request may have run.

--- a/src/citronvalve/forward/dispatch.py
+++ b/src/citronvalve/forward/dispatch.py
@@ -25,7 +25,6 @@
 #: Nothing was sent, so that no retry is spent.
 _UNSENT = frozenset({_Ending.UNLINKED, _Ending.RESTING})
 
-_CERTAINLY_NOT_RUN = _UNSENT | {_Ending.NOT_RUN}
 _Kind = refusal.RefusalKind
 
 #: Statuses which imply that the request did not run.
@@ -199,7 +198,7 @@
 
     def _record_ran(self, result: attemptresult.AttemptResult) -> None:
         self._deps.env.metrics.record_attempt(result.ending.name.lower())
-        if result.ending in _CERTAINLY_NOT_RUN:
+        if result.proof is not None:
             self._rejections += 1
         else:
             self._runs += 1
@@ -258,7 +257,7 @@
         return not attempt.relay and self._deps.connector.links.is_cut
 
     def _may_retry(self, result: attemptresult.AttemptResult) -> bool:
-        if not self._may_attempt_again():
+        if not self._may_attempt_again() or not self._may_run_after(result):
             return False
         if result.ending is _Ending.RESTING:
             # Others may be relayed to.
@@ -266,11 +265,19 @@
         if result.ending is _Ending.UNLINKED:
             # Without any link the other upstreams can't be reached either.
             return not self._deps.connector.links.is_cut
-        may_have_run = result.ending is not _Ending.NOT_RUN
-        if may_have_run and not self._may_run_again(self._runs):
-            return False
         return self._deps.retry_budgets.allows(self._routed.service.name)
 
+    def _may_run_after(self, result: attemptresult.AttemptResult) -> bool:
+        """Return whether a request may run after an attempt.
+
+        One that may run once only needs a proof that no attempt ran it.
+
+        :param result: of the last attempt.
+        """
+        if result.proof is None:
+            return self._may_run_again(self._runs)
+        return self._routed.route.may_repeat or self._ran is ran.Ran.NO
+
     def _may_attempt_again(self) -> bool:
         remaining = self._routed.deadline - self._deps.env.clock.now()
         if remaining < _MIN_ATTEMPT_TIME or self._rejections > _MAX_REJECTIONS:
