--- a/standins/repeatedanswers.py
+++ b/standins/repeatedanswers.py
@@ -23,6 +23,12 @@
         eventlet.spawn_after(_LATE, _send_again, sock, again)
         return self._turns_away(sock, fields)
 
+    def _accepts_an_order_twice(self, sock, fields) -> bool:
+        answer = self._head(fields, 202, "Content-Length: 0\r\n")
+        eventlet.spawn_after(_LATE, _send_again, sock, answer)
+        sock.sendall(answer)
+        return True
+
     def _works_a_moment(self, sock, fields) -> bool:
         self.runs += 1
         body = b"answer of " + self._name.encode()
