Play requests that must run once before runners that are processes

The soak's requests to /once/ had one attempt, its plain runners turned none away but for rest, and came back under the id that they had, so that no request that must run once was ever turned away and sent on there.

Change: a soak of its own (make soak-once). Daemons are killed, stopped in order, paused and lose their links to runners. Operators may give /once/ more attempts, and there is a second plain service.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 export PYTHONPATH := .
 export EVENTLET_NO_GREENDNS := yes
 
-.PHONY: demo experiment test check format bench soak soak-processes clean
+.PHONY: demo experiment test check format bench soak soak-processes soak-once clean
 
 $(VENV)/ready: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -50,5 +50,10 @@
 		--count $(COUNT) --seconds $(SECONDS) --daemons $(DAEMONS) \
 		--keep $(KEEP)
 
+soak-once: $(VENV)/ready
+	$(BIN)/python -W ignore -m standins.soak.oncemain --first $(FIRST) \
+		--count $(COUNT) --seconds $(SECONDS) --daemons $(DAEMONS) \
+		--keep $(KEEP)
+
 clean:
 	rm -rf $(VENV) build .demo
--- a/standins/soak/caller.py
+++ b/standins/soak/caller.py
@@ -1,5 +1,6 @@
 """A caller that checks what it gets."""
 
+import hashlib
 import http.client
 import json
 import random
@@ -25,6 +26,11 @@
 #: kernel holds unread, and the seconds between two reads.
 _EVENT_SIZE, _BUFFER, _READ_PAUSE = 8_000, 8_192, 0.1
 
+#: Paths of requests that must run once, the bytes of their bodies and the ms
+#: that their callers give them.
+_ONCE_PATHS = ("/once/", "/once/a/", "/once/a/b/", "/other/")
+_SIZES, _DEADLINES = (0, 40, 600, 30_000, 200_000), (1_500, 3_000, 6_000)
+
 #: Statuses that say that a request has not run.
 _NOT_RUN = frozenset({408, 421, 429, 503})
 
@@ -94,7 +100,7 @@
         self._book.ask(asked, daemon.name)
         sent = False
         try:
-            connection.request(method, asked.path, asked.body or None, head)
+            self._send(connection, method, asked, head)
             sent = True
             if self._chance.random() < 0.03:
                 return self._leave(connection, asked)
@@ -117,6 +123,9 @@
             eventlet.sleep(min(wait, 2.0))
         return not got.will_close
 
+    def _send(self, connection, method: str, asked, head) -> None:
+        connection.request(method, asked.path, asked.body or None, head)
+
     def _take_needs(self, daemon: daemons.Daemon, got) -> None:
         book = self._book
         runner, _, _ = got.headers.get("X-Runner-Seal", "").partition(".")
@@ -212,6 +221,52 @@
         )
 
 
+class OnceCaller(Caller):
+    """Sends requests that must run once, to two services.
+
+    Their bodies have a length or are sent in chunks; the accounts hold the
+    digest of each.
+    """
+
+    _body = b""
+
+    def _make(self) -> tuple[ledgers.Asked, str, dict[str, str]]:
+        chance = self._chance
+        number = uuid.UUID(int=chance.getrandbits(128)).hex
+        team, key = chance.choice(list(operators.TEAMS.items()))
+        head = {
+            "Host": operators.HOST,
+            "X-Attempt-Id": number,
+            "X-Api-Key": key,
+            "X-Deadline-Ms": "%d" % chance.choice(_DEADLINES),
+        }
+        path = chance.choice(_ONCE_PATHS) + "%d?p=/a/b&n=%d" % (
+            chance.randrange(9),
+            chance.randrange(99),
+        )
+        self._body = chance.randbytes(chance.choice(_SIZES))
+        digest = hashlib.sha256(self._body).hexdigest().encode()
+        return (
+            ledgers.Asked(number, False, path, digest, team, key),
+            "POST",
+            head,
+        )
+
+    def _send(self, connection, method: str, asked, head) -> None:
+        if self._chance.random() < 0.5:
+            connection.request(method, asked.path, self._body, head)
+            return
+        half = len(self._body) // 2
+        chunks = self._body[:half], self._body[half:]
+        connection.request(
+            method,
+            asked.path,
+            iter([part for part in chunks if part]),
+            head | {"Transfer-Encoding": "chunked"},
+            encode_chunked=True,
+        )
+
+
 def _expected(asked: ledgers.Asked, data: bytes) -> bytes:
     if asked.path.startswith("/stream/"):
         count = int(asked.path.rpartition("/")[2])
--- a/standins/soak/operator.py
+++ b/standins/soak/operator.py
@@ -13,6 +13,7 @@
 HOST = "soak.example"
 MODELS = "engines"
 DESK = "desk"
+OTHER = "other"
 SIZE_BY_MODEL = {"large": 3, "small": 2}
 TEAMS = {f"team-{n}": f"key-{n}" for n in range(4)}
 TEAM = "team-0"
@@ -58,6 +59,7 @@
     :param store: takes them.
     :param book: the accounts.
     :param chance: source of chance.
+    :param attempts: most runners that requests to /once/ may be sent to.
     """
 
     def __init__(
@@ -65,8 +67,10 @@
         store: rowstore.RowStore,
         book: ledgers.Ledger,
         chance: random.Random,
+        attempts: int = 1,
     ) -> None:
         self._store, self._book, self._chance = store, book, chance
+        self._attempts = attempts
         self._version = 0
         self._extra: tuple[str, str] = ("", "")
         self._spare_key = ""
@@ -153,7 +157,8 @@
     def _declared(self) -> dict:
         kinds = {
             "/stream/": ("streaming", MODELS, 2),
-            "/once/": ("unsafe", DESK, 1),
+            "/once/": ("unsafe", DESK, self._attempts),
+            "/other/": ("unsafe", OTHER, self._attempts),
             "/again/": ("safe", DESK, 2),
             self._extra[1]: ("safe", DESK, 2),
         }
@@ -176,6 +181,7 @@
             "Services": [
                 {"Name": MODELS, "HealthPath": "/health", "Engine": _ENGINE},
                 {"Name": DESK, "HealthPath": "/health"},
+                {"Name": OTHER, "HealthPath": "/health"},
             ],
             "Limits": {},
             "Tenants": [
--- a/tests/processes/processes.feature
+++ b/tests/processes/processes.feature
@@ -221,3 +221,17 @@
       | an earlier run   | what may not repeat runs once        |
       | an earlier 503   | what was said not to run does not    |
       | a later 503      | what was said not to run has not     |
+
+  Scenario Outline: requests that must run once, as runners <what>
+    Guards against a second run: runners turn requests away and answer twice,
+    start again at their addresses under new ids, are stopped by signals and
+    take each other's addresses; daemons are killed, stopped, and lose links.
+
+    Given a soak of requests that must run once, of seed <seed> for <seconds> s
+    When it has run
+    Then no promise was broken
+    And at least <count> requests that must run once were sent again
+
+    Examples: once
+      | what                     | seed | seconds | count |
+      | come and go in any order | 701  | 20      | 50    |
