Log a request that is sent on with the result that allowed it

The result of the attempt before is at hand where the next one begins; the log line reads its proof from there.

--- a/src/citronvalve/forward/dispatch.py
+++ b/src/citronvalve/forward/dispatch.py
@@ -53,7 +53,7 @@
         self._tried: list[str] = []
         self._ending_by_upstream: dict[str, attemptresult.Ending] = {}
         self._parked = parked.ParkedAttempts(self._record_ending)
-        self._last: attempts.Attempt | None = None
+        self._attempt: attempts.Attempt | None = None
         self._runs = 0
         self._uncounted_runs = 0
         self._resumed: attempts.Attempt | None = None
@@ -143,7 +143,8 @@
             self._deps.retry_budgets.spend(self._routed.service.name)
         if not self._tried:
             self._deps.placement.record_start(self._routed)
-        self._record_sent_again(chosen.upstream)
+        if last is not None and not self._routed.route.may_repeat:
+            self._record_sent_again(last, chosen.upstream)
         self._tried.append(chosen.upstream)
         return attempts.Attempt(
             self._deps,
@@ -166,33 +167,34 @@
             result = attempt.run()
         if attempt.is_open:
             self._parked.add(attempt)
-        self._last = attempt
+        self._attempt = attempt
         if is_first:
             self._record_ran(result)
         self._record_ending(attempt)
         return result
 
-    def _record_sent_again(self, upstream: str) -> None:
+    def _record_sent_again(
+        self, last: attemptresult.AttemptResult, upstream: str
+    ) -> None:
         """Log by what proof a request that may run once is sent once more.
 
+        :param last: the result of the attempt before.
         :param upstream: where it is sent.
         """
-        last = self._last
-        if last is None or self._routed.route.may_repeat:
+        attempt = self._attempt
+        if attempt is None or last.proof is None:
             return
-        result = last.result
-        proof = result.proof if result is not None else None
-        self._deps.env.metrics.record_sent_again(proof or "none")
+        self._deps.env.metrics.record_sent_again(last.proof)
         # Not a note: what was sent twice has to be traced under load, too.
         self._deps.env.log.change(
             "sent again",
             request=self._routed.id,
-            proof=proof,
-            why=result.why if result is not None else "",
-            upstream=last.chosen.upstream,
-            address=last.address,
-            relay=last.relay,
-            connection=last.connection,
+            proof=last.proof,
+            why=last.why,
+            upstream=attempt.chosen.upstream,
+            address=attempt.address,
+            relay=attempt.relay,
+            connection=attempt.connection,
             next=upstream,
         )
 
