Carry requests on a relayed connection for its own upstream only

What callers saw: 503 'none of 1 open upstreams is used: 1 tried' though the runner served, once after it had started again at its address.

Cause: connections are kept by address. One through another daemon announces each request for the upstream that it was opened for; where the address has a new id, the relay is asked for the old one, which has left the list, and refuses.

Change: the pool takes a relayed connection for its own upstream only.

Each upstream has a lost address of its own now, and the row counts the connections opened for the upstreams that it calls: two upstreams, two connections at most for six calls, as before; the look whether links work opens one to a head, which does not count as theirs.

--- a/src/citronvalve/forward/connectionpool.py
+++ b/src/citronvalve/forward/connectionpool.py
@@ -170,6 +170,7 @@
             is_fresh = retryable or now - idle_since <= _MAX_IDLE_NON_RETRYABLE
             if (
                 is_right_way
+                and connection.leads_to(target.upstream)
                 and is_fresh
                 and now < connection.reusable_until
                 and connection.is_idle()
--- a/src/citronvalve/forward/relaytransport.py
+++ b/src/citronvalve/forward/relaytransport.py
@@ -56,6 +56,9 @@
         self._confirmed = False
         self._closed = False
 
+    def leads_to(self, upstream: str) -> bool:
+        return upstream == self._opening.upstream
+
     def begin(self, request_id: str) -> None:
         opening = relayframe.Opening(
             self._opening.daemon, self._opening.upstream, request_id
--- a/src/citronvalve/forward/transport.py
+++ b/src/citronvalve/forward/transport.py
@@ -21,6 +21,15 @@
 
     relay = ""
 
+    def leads_to(self, upstream: str) -> bool:
+        """Return whether it can carry requests for an upstream.
+
+        A direct one carries them for whoever is at its address.
+
+        :param upstream: its id.
+        """
+        return True
+
     def begin(self, request_id: str) -> None:
         """Announce the next request on an open transport.
 
--- a/src/citronvalve/forward/upstreamconnection.py
+++ b/src/citronvalve/forward/upstreamconnection.py
@@ -85,6 +85,13 @@
         """Return the name of the daemon that relays, empty if direct."""
         return self._transport.relay
 
+    def leads_to(self, upstream: str) -> bool:
+        """Return whether it can carry requests for an upstream.
+
+        :param upstream: its id.
+        """
+        return self._transport.leads_to(upstream)
+
     def has_carried(self, request_id: str) -> bool:
         """Return whether a request was sent on it before.
 
--- a/tests/forward/relaying.feature
+++ b/tests/forward/relaying.feature
@@ -114,12 +114,22 @@
       | silent_after_three | /stream/a | after the first event  |
       | silent             | /once/a   | before the first event |
 
+  Scenario: a relayed runner starts again at its address under a new id
+    Guards against a sound runner that a daemon without links can't use: the
+    kept connection was opened for the id that is gone, and the relay refuses
+    that one.
+
+    Given a daemon without links to two upstreams that "whole", and one with links
+    When plain-1 alone answers a call of /once/first, and starts again as plain-3
+    And a caller calls /once/thing
+    Then it gets 200, and 2 runs were made
+
   Scenario: requests on one relayed connection
     Guards against a new connection to an upstream for each request.
 
     Given a daemon without links to two upstreams that "whole", and one with links
     When it gets 6 calls of /once/thing
-    Then the other daemon has opened at most 2 connections
+    Then the other daemon has opened at most 2 connections for them
 
   Scenario Outline: connections break with the links, runner <way>
     Guards against blame for upstreams that work: a stall that is reported to
--- a/tests/forward/steps/relaying_steps.py
+++ b/tests/forward/steps/relaying_steps.py
@@ -42,9 +42,16 @@
             self.rig.connector,
         )
         self.server.rest_left = self.rig.rests.rest_left
+        self.opened_for = []
+        self._open = self.server.open
+        self.server.open = self._count_and_open
         self.server.start()
         self.relay = relaychoice.Relay(name, self.server.address, "zone-0")
 
+    def _count_and_open(self, upstream):
+        self.opened_for.append(upstream)
+        return self._open(upstream)
+
     def close(self):
         self.server.close()
         self.rig.close()
@@ -55,15 +62,12 @@
     add_relays(context, failure, relays, cut)
 
 
-def add_relays(
-    context, failure="are refused", relays=1, cut=True, apart=False
-):
+def add_relays(context, failure="are refused", relays=1, cut=True):
     """Give the daemon of the scenario other ones that may relay.
 
     :param failure: how its own connections fail.
     :param relays: number of other daemons.
     :param cut: whether its links are lost.
-    :param apart: whether each address that does not answer is another one.
     """
     rig = context.rig
     context.relays = [_Relay(rig, f"daemon-{n}") for n in range(2, 2 + relays)]
@@ -75,26 +79,29 @@
         for one in context.relays
         if one.relay.name == name
     )
-    make_address = _ADDRESS_BY_FAILURE[failure]
-    context.way_out = make_address()
+    context.make_lost_address = _ADDRESS_BY_FAILURE[failure]
     context.true_by_id = dict(rig.directory.runner_by_id)
-    if cut and apart:
-        _cut_apart(context, make_address)
-    elif cut:
+    if cut:
         _cut(context)
     rig.link_checker.start()
 
 
 def _cut(context):
-    _lead(context, lambda runner: context.way_out)
-
-
-def _cut_apart(context, make_address):
+    """Lead connections to each address to one that does not answer."""
     true = {runner.address for runner in context.true_by_id.values()}
-    lost_by_address = {address: make_address() for address in true}
+    lost_by_address = {a: context.make_lost_address() for a in true}
     _lead(context, lambda runner: lost_by_address[runner.address])
 
 
+def lose_links(rig):
+    """Let a daemon know that it has no links at all."""
+    links, now = rig.connector.links, rig.env.clock.now()
+    for turn, upstream in enumerate(rig.directory.runner_by_id):
+        zones = ["zone-0", "zone-1"]
+        links.record_lost(upstream, zones[turn % 2], set(zones), now)
+    assert links.is_cut
+
+
 def _lead(context, address_of):
     directory = context.rig.directory
     for runner in list(directory.runner_by_id.values()):
@@ -208,6 +215,25 @@
         assert context.got.startswith(b"HTTP/1.1 200"), context.got
 
 
+@behave.when(
+    "{name} alone answers a call of {path}, and starts again as {new_name}"
+)
+def step_starts_again(context, name, path, new_name):
+    directories = [
+        context.rig.directory,
+        *(relay.rig.directory for relay in context.relays),
+    ]
+    lose_links(context.rig)
+    for directory in directories:
+        for other in set(directory.runner_by_id) - {name}:
+            directory.remove(other)
+    context.got = context.rig.send(path, number="req-0")
+    assert context.got.startswith(b"HTTP/1.1 200"), context.got
+    for directory in directories:
+        listed = directory.remove(name)
+        directory.update_runner(listed._replace(id=new_name))
+
+
 @behave.when("the relay is lost while a caller calls {path}")
 def step_lost(context, path):
     eventlet.spawn_after(0.4, context.relays[0].server.close)
@@ -322,10 +348,17 @@
     ), other
 
 
-@behave.then("the other daemon has opened at most {count:d} connections")
+@behave.then(
+    "the other daemon has opened at most {count:d} connections for them"
+)
 def step_opened(context, count):
-    opened = context.relays[0].rig.connector.opened
-    assert 0 < opened <= count, opened
+    # A look whether links work opens one to an upstream of another service.
+    opened = [
+        upstream
+        for upstream in context.relays[0].opened_for
+        if upstream.startswith("plain")
+    ]
+    assert 0 < len(opened) <= count, context.relays[0].opened_for
 
 
 @behave.then("no upstream is reported as stalled or lost")
--- a/tests/forward/steps/sentagain_steps.py
+++ b/tests/forward/steps/sentagain_steps.py
@@ -32,13 +32,8 @@
 
 @behave.given("another one, reached through other daemons")
 def step_relayed(context):
-    relaying_steps.add_relays(context, apart=True)
-    links, now = context.rig.connector.links, context.rig.env.clock.now()
-    for runner in context.rig.directory.runner_by_id.values():
-        links.record_lost(
-            runner.id, runner.datacentre, {"zone-0", "zone-1"}, now
-        )
-    assert links.is_cut
+    relaying_steps.add_relays(context)
+    relaying_steps.lose_links(context.rig)
 
 
 @behave.when("a caller has called {path}, then at the other daemon {cause}")
