--- a/tests/processes/processes.feature
+++ b/tests/processes/processes.feature
@@ -233,5 +233,6 @@
     And at least <count> requests that must run once were sent again
 
     Examples: once
-      | what                     | seed | seconds | count |
-      | come and go in any order | 701  | 20      | 50    |
+      | what                                 | seed | seconds | count |
+      | come and go in any order             | 701  | 20      | 50    |
+      | start again and take other addresses | 704  | 20      | 50    |
