--- a/standins/soak/once.py
+++ b/standins/soak/once.py
@@ -149,6 +149,7 @@
             self._operator.write()
 
     def _harm_daemons(self) -> None:
+        """Harm one daemon after the other, but never the first."""
         ways = (self._pause, self._kill, self._stop, self._cut, self._cut)
         while True:
             eventlet.sleep(self._chance.uniform(*_HARMS))
