--- a/standins/soak/main.py
+++ b/standins/soak/main.py
@@ -6,9 +6,12 @@
 for log lines by the program, so it is not shifted here.
 """
 
+from collections.abc import Callable
 import pathlib
+import shutil
 import sys
 import tempfile
+from typing import Any
 
 from citronvalve.daemon import green
 
@@ -40,22 +43,49 @@
     :param keep: folder for the output of runs that broke a promise.
     :param plot: folder for a picture of each run.
     """
+
+    def show(seed: int, run: runs.Soak) -> None:
+        _print(seed, seconds, daemons, run)
+        if plot:
+            plots.draw(run, f"{plot}/soak-{seed}.png")
+
+    return play(
+        range(first, first + count),
+        lambda seed, folder: runs.Soak(
+            seed, seconds, daemons, calling, folder
+        ),
+        show,
+        keep,
+    )
+
+
+def play(
+    seeds: range,
+    make: Callable[[int, pathlib.Path], Any],
+    show: Callable[[int, Any], None],
+    keep: str,
+) -> int:
+    """Run soaks one after the other; return 1 when a promise was broken.
+
+    :param seeds: of the soaks.
+    :param make: returns the soak of a seed, whose output goes to a folder.
+    :param show: prints what a soak did.
+    :param keep: folder for the output of runs that broke a promise, if any.
+    """
     bad = 0
-    for seed in range(first, first + count):
+    for seed in seeds:
         with tempfile.TemporaryDirectory() as made:
             folder = pathlib.Path(made)
-            run = runs.Soak(seed, seconds, daemons, calling, folder)
+            run = make(seed, folder)
             broken = run.run()
             bad += bool(broken)
-            _print(seed, seconds, daemons, run)
-            if plot:
-                plots.draw(run, f"{plot}/soak-{seed}.png")
+            show(seed, run)
             if broken and keep:
                 kept = pathlib.Path(keep) / str(seed)
                 kept.mkdir(parents=True, exist_ok=True)
                 for log in folder.glob("*.log"):
-                    (kept / log.name).write_bytes(log.read_bytes())
-    print(f"{count} seeds, {bad} with a promise broken")
+                    shutil.copy(log, kept)
+    print(f"{len(seeds)} seeds, {bad} with a promise broken")
     return 1 if bad else 0
 
 
--- a/standins/soak/oncemain.py
+++ b/standins/soak/oncemain.py
@@ -3,10 +3,7 @@
 make soak-once FIRST=1 COUNT=20 SECONDS=30
 """
 
-import pathlib
-import shutil
 import sys
-import tempfile
 
 from citronvalve.daemon import green
 
@@ -14,6 +11,7 @@
 
 import defopt  # noqa: E402
 
+from standins.soak import main  # noqa: E402
 from standins.soak import once  # noqa: E402
 
 
@@ -35,31 +33,27 @@
     :param calling: callers at a time.
     :param keep: folder for the output of runs that broke a promise.
     """
-    bad = 0
-    for seed in range(first, first + count):
-        with tempfile.TemporaryDirectory() as made:
-            folder = pathlib.Path(made)
-            run = once.OnceSoak(seed, seconds, daemons, calling, folder)
-            broken = run.run()
-            bad += bool(broken)
-            looked = run.book.looked_by_promise
-            print(
-                f"seed {seed}, {seconds:g} s: {run.desk.done}, ends "
-                f"{dict(run.book.ends)}, ran "
-                f"{looked['what may not repeat runs once']}, sent again "
-                f"{run.sent_again}",
-                flush=True,
-            )
-            for one in broken[:10]:
-                print(f"  BROKEN at {one.at:.2f}: {one.promise}")
-                print(f"    {one.detail[:400]}", flush=True)
-            if broken and keep:
-                kept = pathlib.Path(keep) / str(seed)
-                kept.mkdir(parents=True, exist_ok=True)
-                for log in folder.glob("*.log"):
-                    shutil.copy(log, kept)
-    print(f"{count} seeds, {bad} with a promise broken")
-    return 1 if bad else 0
+    return main.play(
+        range(first, first + count),
+        lambda seed, folder: once.OnceSoak(
+            seed, seconds, daemons, calling, folder
+        ),
+        _print,
+        keep,
+    )
+
+
+def _print(seed: int, run: once.OnceSoak) -> None:
+    looked = run.book.looked_by_promise
+    print(
+        f"seed {seed}: {run.desk.done}, ends {dict(run.book.ends)}, ran "
+        f"{looked['what may not repeat runs once']}, sent again "
+        f"{run.sent_again}",
+        flush=True,
+    )
+    for one in run.book.broken[:10]:
+        print(f"  BROKEN at {one.at:.2f}: {one.promise}")
+        print(f"    {one.detail[:400]}", flush=True)
 
 
 if __name__ == "__main__":
