Let a request explain the losses of its part but for those by chance

Cause: the request had five losses and was refused for them; its part had these and one more by chance, that is all six that are needed beside crashes by chance. A content explains losses of another one only with as many of them, or with half of them if it had begun to be answered, which one that crashes at its first byte never has. Nothing else showed that the part was sound: few upstreams were left, and none had answered a request with it for 8 s.

Change: where upstreams crash by chance, a part is not held to crash them if all its losses but those that may be by chance were shared with one content outside the request that no upstream has survived. Without crashes by chance nothing changes. A part that crashes upstreams is held once more of its losses than chance explains come without that content.

Ruled out: that proofs were lost on their way (no request with the part was served between the first loss and the verdict).

Evidence: two of the three new rows of tests/policy/crashes failed before; all 65 scenarios pass. The third (a crashing part, mostly with one request) passed before and does so now.

--- a/src/citronvalve/policy/crashjudge.py
+++ b/src/citronvalve/policy/crashjudge.py
@@ -1,5 +1,6 @@
 """Judgement of requests whose contents were lost with upstreams."""
 
+import collections
 from collections.abc import Iterator
 from typing import NamedTuple
 
@@ -233,6 +234,8 @@
         if own_count < MAX_PART_LOSSES and not may_be_shared:
             return None
         by_chance = self._chance_losses(losses, case.upstreams)
+        if self._is_lost_beside_another(losses, by_chance, case):
+            return None
         if own_count >= MAX_PART_LOSSES + by_chance:
             return self._verdict(part, own, own_count, MAX_PART_LOSSES)
         if may_be_shared and count >= _MAX_UNPROVEN_LOSSES + by_chance:
@@ -240,6 +243,36 @@
             return self._verdict(part, times, count, _MAX_UNPROVEN_LOSSES)
         return None
 
+    def _is_lost_beside_another(
+        self,
+        losses: list[crashevidence.Loss],
+        by_chance: int,
+        case: Case,
+    ) -> bool:
+        """Return whether a part was lost with one content but for chance.
+
+        That content, outside the request, explains the part's other losses
+        unless an upstream has survived it.
+
+        :param losses: of the part.
+        :param by_chance: how many of them may be by chance.
+        :param case: the request.
+        """
+        if not by_chance:
+            return False
+        own = case.contents.all()
+        shared = collections.Counter(
+            other
+            for loss in losses
+            for other in self._lost_starts.contents(loss.start)
+            if other not in own
+        )
+        return any(
+            not self._suspect_by_content[other].has_survived
+            for other, count in shared.items()
+            if count >= len(losses) - by_chance
+        )
+
     def _verdict(
         self, content: int, times: list[clock.Ms], losses: int, most: int
     ) -> Verdict | None:
--- a/tests/policy/crashes.feature
+++ b/tests/policy/crashes.feature
@@ -77,6 +77,9 @@
       | a part, after three without it                | x1:Ga x2:Gb x9:Gc p:G x3:Pc x4:Pd x5:Pe x6:Pf        |         | Pz Gz  |
       | its sixth loss after three without it         | x1:Ga x2:Gb x9:Gc p:G x3:Pc x4:Pd x5:Pe x6:Pf x7:Pg x8:Ph | Pz | Gz     |
       | a part, after three of thirty without it      | n:30 x1:Ga x2:Gb x9:Gc p:G x3:Pc x4:Pd x5:Pe x6:Pf   | Pz      | Gz     |
+      | a part of a crashing request, lost once by chance too | x1:a x2:b x3:c x4:Pd x5:Pe+Pw x6:Pf+Pw x7:+Pw x8:+Pw x9:+Pw | Pw | Pz |
+      | the same, lost twice by chance too            | x1:a x2:b x3:c x4:Pd x5:Pe x6:+Pw x7:+Pw x8:+Pw x9:+Pw | Pw  | Pz w   |
+      | a crashing part, mostly with a request that has it | x1:a x2:b x3:c x4:Pd x5:Pe x6:Pw x7:Pw x8:Pw x9:Pf   | Pz      | z      |
       | those without it were lost long before        | x1:a x2:b x3:c t:11000 x4:w x5:w x6:w                | w       | z      |
       | those without it were lost with another crashing request | x1:v x2:v x3:v x4:w x5:w x6:w              | w v     | z      |
 
