Remember what was answered before it was first lost

Cause: proofs were recorded for accused contents only. A part that was answered until a moment before its first loss counted as one that no upstream has survived, so that a request that crashes upstreams did not explain its losses, and it explained those of the request. Class: what is known is dropped since nobody has asked for it yet.

Change: proofs of the last 30 s are kept for contents without a loss, of 4,096 contents at most, and given to the content when it is first lost. They clear no later loss.

"The same, answered long before" shows that older proofs don't count.

--- a/src/citronvalve/forward/crashdetector.py
+++ b/src/citronvalve/forward/crashdetector.py
@@ -215,7 +215,7 @@
         if run.writing_since is None:
             return run._replace(writing_since=now)
         last = run.writing_since if run.proven_at is None else run.proven_at
-        if not self.suspects or now - last < _PROOF_TIME:
+        if now - last < _PROOF_TIME:
             return run
         self._record_proof(routed, _parts(routed))
         return run._replace(proven_at=now)
@@ -225,8 +225,10 @@
 
         :param routed: the request.
         """
+        proven = _parts(routed)
         if self.suspects:
-            self._record_proof(routed, self._contents(routed).all())
+            proven = self._contents(routed).all()
+        self._record_proof(routed, proven)
 
     def _find(
         self, routed: routedrequest.RoutedRequest
--- a/src/citronvalve/policy/crashsuspects.py
+++ b/src/citronvalve/policy/crashsuspects.py
@@ -6,6 +6,7 @@
 from citronvalve.policy import crashevidence
 from citronvalve.policy import crashjudge
 from citronvalve.policy import crashsuspect
+from citronvalve.policy import earlierproofs
 from citronvalve.policy import loststarts
 
 #: Time after its last loss for which a content is kept, and for which one is
@@ -52,6 +53,7 @@
     ) -> None:
         self._unproven_burst = unproven_burst
         self._suspect_by_content: dict[int, crashsuspect.CrashSuspect] = {}
+        self._earlier_proofs = earlierproofs.EarlierProofs()
         self.lost_starts = loststarts.LostStarts()
         self.judge = crashjudge.CrashJudge(
             self._suspect_by_content, self.lost_starts, first_trial_after
@@ -72,6 +74,8 @@
             suspect = self._suspect_by_content[loss.content] = (
                 crashsuspect.CrashSuspect(self._unproven_burst)
             )
+            for proof in self._earlier_proofs.take(loss.content, loss.at):
+                suspect.clear(proof.model, proof.at)
         if not suspect.add(loss):
             return False
         self.lost_starts.add(loss)
@@ -87,7 +91,10 @@
         :param proof: seen here or by another daemon.
         """
         suspect = self._suspect_by_content.get(proof.content)
-        return 0 if suspect is None else suspect.clear(proof.model, proof.at)
+        if suspect is None:
+            self._earlier_proofs.add(proof)
+            return 0
+        return suspect.clear(proof.model, proof.at)
 
     def merge(self, evidence: crashevidence.Evidence) -> None:
         """Record what another daemon knows.
--- a/tests/forward/crashes.feature
+++ b/tests/forward/crashes.feature
@@ -53,6 +53,15 @@
       | at once   | 503    | 0    | 503  |
       | 1 s later | 200    | 1    | 200  |
 
+  Scenario: a part is answered, and then lost with a request that crashes upstreams
+    Guards against the refusal of sound requests that share a part with one
+    that crashes upstreams, while few upstreams answer anything.
+    Given two heads, of which both "stream"
+    And a caller asks for a stream with the part P and one of its own
+    When 4 upstreams are lost with P, and 3 of them with one other request
+    And a caller asks for a stream with the part P and one of its own
+    Then it gets 200, and 2 runs were made
+
   Scenario Outline: a run that <how> is logged with what was found of its upstream
     Guards against a run that broke, was not counted as a crash, and of which
     no log or metric tells why.
--- a/tests/forward/steps/crashes_steps.py
+++ b/tests/forward/steps/crashes_steps.py
@@ -26,6 +26,7 @@
     return rig.send("/stream/a", head, body=b"prompt", key=key)
 
 
+@behave.given("a caller asks for a stream with {which}")
 @behave.when("a caller asks for a stream with {which}")
 def step_ask(context, which):
     context.losses = []
@@ -63,6 +64,26 @@
     detector.suspects.record_proof(crashevidence.Proof(digests[0], model, now))
 
 
+@behave.when(
+    "{count:d} upstreams are lost with P, and {shared:d} of them with one "
+    "other request"
+)
+def step_lost_beside(context, count, shared):
+    detector = context.rig.crash_detector
+    now = context.rig.env.clock.now()
+    part, model = (
+        crashdigests.part("engine", b"P"),
+        crashdigests.model("large"),
+    )
+    losses = [
+        crashevidence.Loss(content, start, model, now + 100 * start)
+        for content, number in ((part, count), (7, shared))
+        for start in range(number)
+    ]
+    for loss in losses:
+        detector.suspects.record_loss(loss)
+
+
 @behave.when(
     "the daemon may try fenced contents and {when}, a caller asks for a "
     "stream with P"
--- a/tests/policy/crashes.feature
+++ b/tests/policy/crashes.feature
@@ -80,6 +80,8 @@
       | a part of a crashing request, lost once by chance too | x1:a x2:b x3:c x4:Pd x5:Pe+Pw x6:Pf+Pw x7:+Pw x8:+Pw x9:+Pw | Pw | Pz |
       | the same, lost twice by chance too            | x1:a x2:b x3:c x4:Pd x5:Pe x6:+Pw x7:+Pw x8:+Pw x9:+Pw | Pw  | Pz w   |
       | a crashing part, mostly with a request that has it | x1:a x2:b x3:c x4:Pd x5:Pe x6:Pw x7:Pw x8:Pw x9:Pf   | Pz      | z      |
+      | a part that was answered before, with a request that crashes | p:P x1:a x2:b x3:c x4:Pd x5:Pe x6:Pf x7:+Pw x8:+Pw x9:+Pw x10:+Pw x11:+Pw | Pw | Pz |
+      | the same, answered long before                | p:P t:31000 x1:a x2:b x3:c x4:Pd x5:Pe x6:Pf x7:+Pw x8:+Pw x9:+Pw x10:+Pw x11:+Pw | Pz | z |
       | those without it were lost long before        | x1:a x2:b x3:c t:11000 x4:w x5:w x6:w                | w       | z      |
       | those without it were lost with another crashing request | x1:v x2:v x3:v x4:w x5:w x6:w              | w v     | z      |
 
@@ -102,6 +104,11 @@
     Then at most 4096 contents are kept
     And requests of "Pz" are refused, and of "z" not
 
+  Scenario: many contents are answered and never lost
+    Guards against memory that grows with the contents of callers' requests.
+    When 50000 other contents are answered
+    Then proofs of 4096 contents are kept
+
   Scenario: evidence of two daemons is merged in both orders
     Guards against an accusation that comes back, or is lost, with the order
     in which evidence arrives.
--- a/tests/policy/steps/crashes_steps.py
+++ b/tests/policy/steps/crashes_steps.py
@@ -8,6 +8,7 @@
 from citronvalve.policy import crashevidence
 from citronvalve.policy import crashjudge
 from citronvalve.policy import crashsuspects
+from citronvalve.policy import earlierproofs
 
 _STEP = 100
 #: Upstreams that take requests.
@@ -123,6 +124,18 @@
         rig.suspects.record_loss(loss)
 
 
+@behave.when("{count:d} other contents are answered")
+def step_answered(context, count):
+    context.proofs = earlierproofs.EarlierProofs()
+    for number in range(count):
+        context.proofs.add(crashevidence.Proof(number, 1, number))
+
+
+@behave.then("proofs of {count:d} contents are kept")
+def step_proofs(context, count):
+    assert len(context.proofs) == count, len(context.proofs)
+
+
 @behave.then("at most {count:d} contents are kept")
 def step_bound(context, count):
     assert len(context.crashes.suspects) <= count
