Count crashes by chance against the upstreams there were

What callers saw: nothing by itself.

Cause: how many losses may be by chance was taken from the losses around those of the request, but from the number of upstreams at the time of the judgement. While upstreams are away the same losses count as more by chance: 5 losses were needed with all upstreams, 6 with some away. Class: a rate whose two figures are of different times.

Change: each lost start keeps the number of upstreams that ran requests when the loss was recorded, and the last loss of a content tells the number.

--- a/tests/policy/steps/crashes_steps.py
+++ b/tests/policy/steps/crashes_steps.py
@@ -69,7 +69,7 @@
                 loss = crashevidence.Loss(
                     _content(letter), start, model, self.now, contents is begun
                 )
-                self.suspects.record_loss(loss)
+                self.suspects.record_loss(loss, self.upstreams)
 
     def is_refused(self, request):
         contents, _, model = request.partition("/")
@@ -78,9 +78,7 @@
         contents = crashevidence.Contents(
             *whole, tuple(parts), whole[0] + _LATE
         )
-        case = crashjudge.Case(
-            contents, _model(model), self.now, self.upstreams
-        )
+        case = crashjudge.Case(contents, _model(model), self.now)
         found = self.suspects.judge.find(case)
         return found is not None
 
