--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -240,7 +240,7 @@
     def _read_crashes(self, row: rows.Row) -> None:
         if row.key == crashrecord.KEY:
             evidence = crashrecord.parse(row.value, self.env.clock.now())
-            self._crash_detector.merge(evidence)
+            self._crash_detector.suspects.merge(evidence)
 
     def _lead_rank(self) -> int:
         return self._links.lead_rank(self._messages.lead_rank())
--- a/src/citronvalve/forward/crashdetector.py
+++ b/src/citronvalve/forward/crashdetector.py
@@ -164,7 +164,7 @@
 
         :param evidence: its losses and proofs.
         """
-        self.suspects.merge(evidence, self._directory.upstream_count())
+        self.suspects.merge(evidence)
         lost_at_by_start = {loss.start: loss.at for loss in evidence.losses}
         for start, at in lost_at_by_start.items():
             self._confirm(self._doubts.confirm(start, at), "lost with others")
@@ -242,6 +242,7 @@
             self._contents(routed),
             crashdigests.model(routed.model),
             self._env.clock.now(),
+            self._directory.upstream_count(),
         )
 
     def _log_accused(self, routed: routedrequest.RoutedRequest) -> None:
@@ -388,12 +389,7 @@
         self._accuse(losses)
 
     def _accuse(self, losses: _Losses) -> None:
-        upstreams = self._directory.upstream_count()
-        new = [
-            loss
-            for loss in losses
-            if self.suspects.record_loss(loss, upstreams)
-        ]
+        new = [loss for loss in losses if self.suspects.record_loss(loss)]
         if new:
             self.on_crash(new)
 
--- a/src/citronvalve/policy/crashsuspects.py
+++ b/src/citronvalve/policy/crashsuspects.py
@@ -62,13 +62,10 @@
     def __len__(self) -> int:
         return len(self._suspect_by_content)
 
-    def record_loss(
-        self, loss: crashevidence.Loss, upstreams: int = 0
-    ) -> bool:
+    def record_loss(self, loss: crashevidence.Loss) -> bool:
         """Record a loss; return whether it is new.
 
         :param loss: seen here or by another daemon.
-        :param upstreams: how many run requests, 0 if that is unknown.
         """
         suspect = self._suspect_by_content.get(loss.content)
         if suspect is None:
@@ -81,7 +78,7 @@
                 suspect.clear(proof.model, proof.at)
         if not suspect.add(loss):
             return False
-        self.lost_starts.add(loss, upstreams)
+        self.lost_starts.add(loss)
         if len(suspect.loss_by_start) > _MAX_STARTS:
             dropped = suspect.drop_oldest()
             self.lost_starts.forget(dropped, loss.content)
@@ -99,16 +96,13 @@
             return 0
         return suspect.clear(proof.model, proof.at)
 
-    def merge(
-        self, evidence: crashevidence.Evidence, upstreams: int = 0
-    ) -> None:
+    def merge(self, evidence: crashevidence.Evidence) -> None:
         """Record what another daemon knows.
 
         :param evidence: its losses and proofs.
-        :param upstreams: how many run requests, 0 if that is unknown.
         """
         for loss in evidence.losses:
-            self.record_loss(loss, upstreams)
+            self.record_loss(loss)
         for proof in evidence.proofs:
             self.record_proof(proof)
 
--- a/src/citronvalve/policy/loststarts.py
+++ b/src/citronvalve/policy/loststarts.py
@@ -23,17 +23,14 @@
     def __init__(self) -> None:
         self._contents_by_start: dict[int, set[int]] = {}
         self._lost_at_by_start: dict[int, clock.Ms] = {}
-        self._upstreams_by_start: dict[int, int] = {}
 
-    def add(self, loss: crashevidence.Loss, upstreams: int) -> None:
+    def add(self, loss: crashevidence.Loss) -> None:
         """Add a loss.
 
         :param loss: seen here or by another daemon.
-        :param upstreams: how many run requests, 0 if that is unknown.
         """
         self._contents_by_start.setdefault(loss.start, set()).add(loss.content)
         self._lost_at_by_start.setdefault(loss.start, loss.at)
-        self._upstreams_by_start.setdefault(loss.start, upstreams)
 
     def forget(self, start: int, content: int) -> None:
         """Forget that a content was lost with a start.
@@ -46,7 +43,6 @@
         if not contents:
             del self._contents_by_start[start]
             del self._lost_at_by_start[start]
-            del self._upstreams_by_start[start]
 
     def contents(self, start: int) -> set[int]:
         """Return the contents that were lost with a start.
@@ -62,16 +58,6 @@
         """
         return self._lost_at_by_start.get(start)
 
-    def upstreams(self, losses: list[crashevidence.Loss]) -> int:
-        """Return how many upstreams ran requests at the last of some losses.
-
-        0 if that is unknown.
-
-        :param losses: that count against one content.
-        """
-        last = max(losses, key=lambda loss: loss.at)
-        return self._upstreams_by_start[last.start]
-
     def lost_without(self, losses: list[crashevidence.Loss]) -> list[int]:
         """Return the starts that were lost around a content and without it.
 
