Number the requests of the rig, so that connections are used again

Scenarios of tests/forward that send several requests did so with one id ("req-1"), so that each had a connection of its own, and answers on kept connections were tested less than before.

Change: the rig numbers requests that name no id. Scenarios that want one id say so; "3 callers call /once/thing with the same id" passes it.

--- a/tests/forward/rig.py
+++ b/tests/forward/rig.py
@@ -97,6 +97,7 @@
             self.log,
             headernames.HeaderNames(api_key=b"x-key"),
         )
+        self._sent = 0
         self.directory = directories.Directory("zone-0")
         self.runners = {}
         for name, script in scripts.items():
@@ -174,9 +175,15 @@
         body=b"",
         seconds=3.0,
         key="secret",
-        number="req-1",
+        number="",
     ):
-        """Send a request on a new connection; return all that is received."""
+        """Send a request on a new connection; return all that is received.
+
+        Requests without a number are req-1, req-2 and so on.
+        """
+        if not number:
+            self._sent += 1
+            number = f"req-{self._sent}"
         head = (
             f"{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Key: {key}\r\n"
             f"X-Request-Id: {number}\r\nConnection: close\r\n"
--- a/tests/forward/steps/relaying_steps.py
+++ b/tests/forward/steps/relaying_steps.py
@@ -196,7 +196,7 @@
         _DO_BY_CAUSE[cause](relay)
 
 
-def _send(context, path, number="req-1"):
+def _send(context, path, number=""):
     headers = "X-Model: large\r\nX-Tokens: 100,60\r\nX-Team: other\r\n"
     context.got = context.rig.send(
         path, headers, body=b"question", number=number
--- a/tests/forward/steps/sentagain_steps.py
+++ b/tests/forward/steps/sentagain_steps.py
@@ -62,7 +62,7 @@
 @behave.when("{count:d} callers call {path} with the same id")
 def step_same_id(context, count, path):
     for _ in range(count):
-        context.got = context.rig.send(path)
+        context.got = context.rig.send(path, number="req-1")
         assert context.got.startswith(b"HTTP/1.1 200"), context.got
 
 
