Give each order to an engine a connection of its own

What callers saw: nothing that was traced to it.

Cause: answers name no order. A late second copy of an answer was taken for the answer to the next order on the connection, so that an order counted as answered that may still be carried out.

Evidence: an engine that refuses its first order twice and answers no other: both counted as refused (tests/connections/engineorders.feature, failed before with Refused(fence=7) for the second).

Change: each order opens a connection. Read-backs stay on kept ones.

--- a/src/citronvalve/groups/httpengines.py
+++ b/src/citronvalve/groups/httpengines.py
@@ -27,7 +27,7 @@
 _ORDER_TIMEOUT: clock.Ms = 1_500
 #: Several times the size of an answer that names 64 VMs.
 _MAX_ANSWER_BYTES = 65_536
-#: One for read-backs and one for orders, which run concurrently.
+#: Read-backs and queries of the load may run concurrently.
 _CONNECTIONS_PER_ENGINE = 2
 _MAX_POOLS = 2_048
 
@@ -47,6 +47,12 @@
     ) and isinstance(error.__cause__, ConnectionRefusedError)
 
 
+def _make_pools(count: int) -> pool.PoolManager:
+    return pool.PoolManager(
+        num_pools=count, maxsize=_CONNECTIONS_PER_ENGINE, retries=False
+    )
+
+
 class _BadAnswerError(ValueError):
     """The answer does not conform to the interface."""
 
@@ -54,6 +60,10 @@
 class HttpEngines(engines.Engines):
     """Calls engines with ``urllib3``.
 
+    Each order has a connection of its own: answers name no order, and on a
+    kept connection a late second copy of one would be taken for the answer to
+    the next order.
+
     :param map_function: ``map``, or a concurrent replacement for it.
     :param time_source: measures how long read-backs take.
     """
@@ -65,25 +75,27 @@
     ) -> None:
         self._map = map_function
         self._clock = time_source or clock.SystemClock()
-        self._pools = pool.PoolManager(
-            num_pools=_MAX_POOLS,
-            maxsize=_CONNECTIONS_PER_ENGINE,
-            retries=False,
-        )
+        self._pools = _make_pools(_MAX_POOLS)
 
     def send_order(
         self, address: str, new_order: engines.Order
     ) -> engines.Answer:
         url = f"http://{address}/orders"
         body = wire.encode_order(new_order)
-        return self._call(
-            "POST", url, _ORDER_TIMEOUT, self._decode_answer, body
-        )
+        own = _make_pools(1)
+        try:
+            return self._call(
+                "POST", url, _ORDER_TIMEOUT, self._decode_answer, own, body
+            )
+        finally:
+            own.clear()
 
     def read_holding(self, address: str) -> engines.ReadBack:
         url = f"http://{address}/holding"
         sent_at = self._clock.now()
-        answer = self._call("GET", url, _READ_TIMEOUT, self._decode_holding)
+        answer = self._call(
+            "GET", url, _READ_TIMEOUT, self._decode_holding, self._pools
+        )
         took = self._clock.now() - sent_at
         if isinstance(answer, missing.AnswerLost) and took > _MAX_READ_TIME:
             return missing.Stale(f"paused, noticed after {took} ms", url)
@@ -93,7 +105,9 @@
         self, address: str
     ) -> engineload.EngineLoad | missing.Unavailable | missing.AnswerLost:
         url = f"http://{address}/load"
-        return self._call("GET", url, _READ_TIMEOUT, self._decode_load)
+        return self._call(
+            "GET", url, _READ_TIMEOUT, self._decode_load, self._pools
+        )
 
     def read_holdings(
         self, addresses: Iterable[str]
@@ -120,10 +134,11 @@
         url: str,
         timeout: clock.Ms,
         decode: Callable[[int, bytes], Any],
+        pools: pool.PoolManager,
         body: bytes | None = None,
     ) -> Any:
         try:
-            response = self._pools.urlopen(
+            response = pools.urlopen(
                 method,
                 url,
                 body=body,
--- a/standins/repeatedanswers.py
+++ b/standins/repeatedanswers.py
@@ -25,6 +25,14 @@
 
     def _accepts_an_order_twice(self, sock, fields) -> bool:
         answer = self._head(fields, 202, "Content-Length: 0\r\n")
+        return self._send_twice(sock, answer)
+
+    def _refuses_an_order_twice(self, sock, fields) -> bool:
+        body = b'{"accepted":false,"fence":7}'
+        extra = f"Content-Length: {len(body)}\r\n"
+        return self._send_twice(sock, self._head(fields, 409, extra) + body)
+
+    def _send_twice(self, sock, answer: bytes) -> bool:
         eventlet.spawn_after(_LATE, _send_again, sock, answer)
         sock.sendall(answer)
         return True
