Read the list again after a pause before requests are sent by it

Cause, traced before: a daemon that had stood still for seconds took requests some ms before it had read the list again. Meanwhile replicas had been closed and their runners had opened others, and a runner runs what it is sent. Class: what was read before a pause is used as if it were new.

Change: after a pause of 400 ms or more each request waits, before an upstream is chosen, until the list has been read from the store once, at most 1 s; one read serves all of them. What other daemons have sent in the pause does not count, since its age is not known. If the list can't be read, the one that is held is used, as in any outage of the store.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -5,6 +5,7 @@
 import os
 import random
 import signal
+import sys
 
 import eventlet
 import eventlet.event
@@ -31,6 +32,7 @@
 from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
 from citronvalve.forward import forwarder
+from citronvalve.forward import listcheck
 from citronvalve.forward import needs
 from citronvalve.forward import placement
 from citronvalve.forward import poolrooms
@@ -62,6 +64,9 @@
 _FIRST_START_PEERS_WAIT: clock.Ms = 4_000
 _RESTART_PEERS_WAIT: clock.Ms = 400
 
+#: Above all revisions of a table.
+_NEWEST_REVISION = sys.maxsize
+
 
 class EntryDaemon:
     """One process between callers and upstreams; it stores nothing on disk.
@@ -161,6 +166,7 @@
             self._stall_detector,
             self._crash_detector,
             self._needs,
+            listcheck.ListCheck(env),
         )
         self._forwarder = forwarder.Forwarder(
             self._dependencies, admission.Admission(env, self.directory)
@@ -305,9 +311,13 @@
                 self._messages.broadcast_changes, table
             )
             if listener_ is runner_listener:
-                self._planner_task.read_list = functools.partial(
+                read_list = functools.partial(
                     tail_.read_up_to, service=self._platform.open_table()
                 )
+                self._planner_task.read_list = read_list
+                self._dependencies.list_check.read = functools.partial(
+                    read_list, _NEWEST_REVISION
+                )
                 runner_listener.store_failed_at = lambda t=tail_: (
                     t.outage.failed_at
                 )
--- a/src/citronvalve/forward/dependencies.py
+++ b/src/citronvalve/forward/dependencies.py
@@ -7,6 +7,7 @@
 from citronvalve.forward import crashdetector
 from citronvalve.forward import directory as directories
 from citronvalve.forward import environment as environments
+from citronvalve.forward import listcheck
 from citronvalve.forward import needs as needs_
 from citronvalve.forward import placement as placements
 from citronvalve.forward import retrybudgets
@@ -27,3 +28,4 @@
     stall_detector: stalldetector.StallDetector
     crash_detector: crashdetector.CrashDetector
     needs: needs_.Needs
+    list_check: listcheck.ListCheck
--- a/src/citronvalve/forward/dispatch.py
+++ b/src/citronvalve/forward/dispatch.py
@@ -113,6 +113,7 @@
             return attempt
         refused = None
         if last is None or self._may_retry(last):
+            self._deps.list_check.wait(self._routed.deadline)
             chosen = self._deps.placement.place(self._routed, self._tried)
             if not isinstance(chosen, refusal.Refusal):
                 return self._begin(chosen, last)
--- a/src/citronvalve/forward/pausewatch.py
+++ b/src/citronvalve/forward/pausewatch.py
@@ -24,6 +24,7 @@
         self._clock = time_source
         self._beat_at: clock.Ms | None = None
         self._paused_until: clock.Ms | None = None
+        self._resumed_at: clock.Ms = 0
 
     def run(self) -> None:
         """Beat forever."""
@@ -44,8 +45,18 @@
         until = self._paused_until
         return until is not None and now - until < _SETTLE_TIME
 
+    def resumed_at(self) -> clock.Ms:
+        """Return when the last pause ended, in monotonic ms; 0 without one.
+
+        One that ended just now is noticed by this call.
+        """
+        if self._beat_at is not None:
+            self._beat()
+        return self._resumed_at
+
     def _beat(self) -> None:
         now, before = self._clock.boot(), self._beat_at
         self._beat_at = now
         if before is not None and now - before >= _MIN_PAUSE:
             self._paused_until = now
+            self._resumed_at = self._clock.now()
--- a/tests/forward/rig.py
+++ b/tests/forward/rig.py
@@ -16,6 +16,7 @@
 from citronvalve.forward import forwarder
 from citronvalve.forward import headernames
 from citronvalve.forward import linkchecker
+from citronvalve.forward import listcheck
 from citronvalve.forward import needs
 from citronvalve.forward import placement
 from citronvalve.forward import poolrooms
@@ -141,7 +142,9 @@
             self.stall_detector,
             crashdetector.CrashDetector(self.env, pool, self.directory),
             self.needs,
+            listcheck.ListCheck(self.env),
         )
+        self.list_check = deps.list_check
         self.crash_detector = deps.crash_detector
         self.placement = deps.placement
         self.forwarder = forwarder.Forwarder(
