Decode small chunks together, and space the work of bodies

Callers saw: 20 clients that send 1 MiB each in chunks of one byte kept all others from being answered for longer than 30 s, also after they had left. A single body of 4 MiB in chunks of one byte was refused.

Cause: each chunk was an event of the HTTP parser, at 7 us whatever its size, and all that had arrived was parsed before any other task ran: a read of 64 KiB holds 10,900 chunks of one byte.

Change: a decoder of our own takes the framing off (forward/bodydecoder.py); the parser sees heads only, and one is made for each request. A length, or a chunk's size, beyond the limit is refused before its content is read.

--- a/src/citronvalve/forward/admission.py
+++ b/src/citronvalve/forward/admission.py
@@ -134,6 +134,14 @@
     )
 
 
+def size_refusal(why: str) -> refusal.Refusal:
+    """Return the refusal of a request whose body is too large.
+
+    :param why: the cause.
+    """
+    return refusal.Refusal(_Kind.TOO_LARGE, why, "send a shorter body")
+
+
 def _refused(kind: refusal.RefusalKind, why: str) -> refusal.Refusal:
     return refusal.Refusal(
         kind, why, "correct the request or send it again later"
--- a/src/citronvalve/forward/callerconnection.py
+++ b/src/citronvalve/forward/callerconnection.py
@@ -9,6 +9,7 @@
 import h11
 
 from citronvalve.forward import admission
+from citronvalve.forward import bodydecoder
 from citronvalve.forward import callergone
 from citronvalve.forward import callerrequest
 from citronvalve.forward import environment as environments
@@ -18,6 +19,7 @@
 from citronvalve.forward import problem
 from citronvalve.forward import receiving
 from citronvalve.forward import reply
+from citronvalve.forward import requestbody
 from citronvalve.forward import transport
 from citronvalve.model import clock
 from citronvalve.model import refusal
@@ -40,6 +42,11 @@
 
 _VERSIONS = frozenset({b"1.0", b"1.1"})
 
+_REFUSE_BY_ERROR: dict[type, Callable[[str], refusal.Refusal]] = {
+    requestbody.NoMemoryError: lambda _: admission.memory_refusal(),
+    requestbody.TooLargeError: admission.size_refusal,
+}
+
 Handler = Callable[[callerrequest.CallerRequest, reply.Reply], None]
 
 
@@ -70,12 +77,10 @@
         self._handler = handler
         self._output = output.open_output(sock, env, self._interrupt)
         self._task: eventlet.greenlet.greenlet | None = None
-        self._parser = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits().max_header_bytes
-        )
+        self._parser = self._new_parser()
+        self._pending = b""
+        self._body: requestbody.RequestBody | None = None
         self._aborted = False
-        self._pipelined_bytes = 0
-        self._body_bytes = 0
         self._omit_body = False
         # A new connection is not closed as idle before its first request has
         # arrived.  A later request might outlast the grace.
@@ -101,7 +106,8 @@
             self._reset()
         finally:
             self._output.close()
-            self._count_body(-self._body_bytes)
+            self._release_body()
+            self._set_pending(b"")
 
     def close_if_idle(self) -> bool:
         """Close the connection if it waits for a request.
@@ -119,13 +125,13 @@
         # The green thread that watches the caller has not run yet if nothing
         # has blocked since the request was read.
         try:
-            while self._pipelined_bytes < _MAX_PIPELINED_BYTES:
+            while self._may_pipeline():
                 self._receive_pipelined(
                     self._sock.fd.recv(_READ_SIZE, socket.MSG_DONTWAIT)
                 )
         except BlockingIOError:
             return
-        except (OSError, h11.RemoteProtocolError) as error:
+        except OSError as error:
             raise _caller_gone(error) from error
 
     def send_whole(
@@ -184,20 +190,28 @@
         self._aborted = False
         self._omit_body = request.method == b"HEAD"
         self._answer(request)
-        self._count_body(-self._body_bytes)
+        self._release_body()
         if self._aborted:
             raise BrokenPipeError("the response was aborted")
         if self._parser.our_state is not h11.DONE:
             return False
-        if self._parser.their_state is not h11.DONE:
-            return False
         # The end of a connection whose last response began before the stop
         # was not announced.
         if self._env.has_stopped_listening():
             return False
-        self._parser.start_next_cycle()
+        self._parser = self._new_parser()
         return True
 
+    def _new_parser(self) -> h11.Connection:
+        """Return a parser for the next request's head and its response.
+
+        The parser does not see bodies.
+        """
+        return h11.Connection(
+            h11.SERVER,
+            max_incomplete_event_size=self._limits().max_header_bytes,
+        )
+
     def _answer(self, request: callerrequest.CallerRequest) -> None:
         self._task = eventlet.getcurrent()
         watch = eventlet.spawn(self._watch_caller)
@@ -210,11 +224,11 @@
 
     def _watch_caller(self) -> None:
         try:
-            while self._pipelined_bytes < _MAX_PIPELINED_BYTES:
+            while self._may_pipeline():
                 self._receive_pipelined(
                     receiving.receive(self._sock, _READ_SIZE, None)
                 )
-        except (OSError, h11.RemoteProtocolError) as error:
+        except OSError as error:
             self._interrupt(_caller_gone(error))
 
     def _interrupt(self, error: Exception) -> None:
@@ -237,20 +251,30 @@
 
         :param data: as received; empty at the end.
         :raises ConnectionError: at the end.
-        :raises h11.RemoteProtocolError: for data after a request with
-            ``Connection: close``, which ends the connection, too.
         """
         if not data:
             raise ConnectionResetError("the caller closed the connection")
-        self._pipelined_bytes += len(data)
-        self._parser.receive_data(data)
+        self._set_pending(self._pending + data)
+
+    def _may_pipeline(self) -> bool:
+        is_within = len(self._pending) < _MAX_PIPELINED_BYTES
+        return is_within and not self._env.memory.is_full
+
+    def _set_pending(self, data: bytes) -> None:
+        """Keep what has arrived behind a request.
+
+        :param data: in place of what was kept.
+        """
+        more = len(data) - len(self._pending)
+        self._pending = data
+        if more:
+            self._env.memory.add(memoryaccount.Part.REQUESTS, more)
 
     def _read_request(self) -> callerrequest.CallerRequest | None:
         head = self._read_head()
         if not isinstance(head, h11.Request):
             return None
         _check_head(head)
-        limits = self._limits()
         arrived_at = self._env.clock.now()
         if self._parser.they_are_waiting_for_100_continue:
             self._write(
@@ -258,42 +282,76 @@
                     h11.InformationalResponse(status_code=100, headers=[])
                 )
             )
-        body = bytearray()
-        while True:
-            event = self._next_event(limits.header_timeout)
-            if isinstance(event, h11.EndOfMessage):
-                break
-            if not isinstance(event, h11.Data):
-                return None
-            body += event.data
-            self._count_body(len(event.data))
-            if self._env.memory.is_full and len(body) > _READ_SIZE:
-                self._refuse_unread(head)
-                return None
-            if len(body) > limits.max_body_bytes:
-                raise h11.RemoteProtocolError(
-                    f"the body is larger than {limits.max_body_bytes} bytes",
-                    error_status_hint=413,
-                )
-        self._pipelined_bytes = 0
+        body = self._read_body(head)
+        if body is None:
+            return None
         return callerrequest.CallerRequest(
             head.method,
             head.target,
             list(head.headers),
-            bytes(body),
+            body,
             arrived_at,
         )
 
-    def _count_body(self, size: int) -> None:
-        self._body_bytes += size
-        self._env.memory.add(memoryaccount.Part.REQUESTS, size)
+    def _read_body(self, head: h11.Request) -> bytes | None:
+        """Return a request's body, None if it is not read to its end.
+
+        :param head: of the request.
+        """
+        limits = self._limits()
+        decoder = requestbody.decoder_of(head)
+        self._body = requestbody.RequestBody(
+            self._env, decoder, limits.max_body_bytes
+        )
+        try:
+            body = self._body.read(
+                self._parser.trailing_data[0],
+                lambda: self._receive_body(limits.header_timeout),
+            )
+        except requestbody.BodyNotReadError as error:
+            self._refuse_unread(head, error)
+            return None
+        except bodydecoder.BodyError as error:
+            raise h11.RemoteProtocolError(error.reason) from error
+        except TimeoutError as error:
+            self._log_unread(notread.NotRead.TOO_SLOW, str(error))
+            return None
+        self._set_pending(decoder.undecoded)
+        return bytes(body)
+
+    def _release_body(self) -> None:
+        body, self._body = self._body, None
+        if body is not None:
+            body.release()
+
+    def _receive_body(self, timeout: clock.Ms) -> bytes:
+        """Return the next bytes of a body.
 
-    def _refuse_unread(self, head: h11.Request) -> None:
-        """Refuse a request for whose body there is no memory."""
+        :param timeout: ms.
+        :raises TimeoutError: when none come in time.
+        :raises h11.RemoteProtocolError: at the end of the connection.
+        """
+        data = self._receive_in(timeout)
+        if data is None:
+            raise TimeoutError(f"no rest within {timeout} ms")
+        if not data:
+            raise h11.RemoteProtocolError(
+                "the caller closed the connection in a body"
+            )
+        return data
+
+    def _refuse_unread(
+        self, head: h11.Request, error: requestbody.BodyNotReadError
+    ) -> None:
+        """Refuse a request whose body is not read to its end.
+
+        :param head: of the request.
+        :param error: why.
+        """
         request_id = headers.value(
             list(head.headers), self._env.header_names.request_id
         ).decode("latin-1")
-        refused = admission.memory_refusal()
+        refused = _REFUSE_BY_ERROR[type(error)](error.reason)
         self._env.metrics.record_request("unknown", "refused", refused.kind)
         self._env.log.note(
             "turned away", request_id, kind=refused.kind, why=refused.detail
@@ -303,13 +361,16 @@
         self.send_whole(rendered.status, closing, rendered.body)
 
     def _read_head(self):
-        if not self._parser.trailing_data[0]:
+        pending = self._pending
+        if not pending:
             self.idle = True
             data = self._await_request()
             self.idle = False
             if data is None:
                 return None
-            self._parser.receive_data(data)
+            pending = data
+        self._set_pending(b"")
+        self._parser.receive_data(pending)
         return self._next_event(self._limits().header_timeout)
 
     def _await_request(self) -> bytes | None:
@@ -367,7 +428,8 @@
         self._sock.shutdown(socket.SHUT_WR)
         deadline = self._env.clock.now() + _LINGER
         while self._receive_in(deadline - self._env.clock.now()):
-            pass
+            # A caller that sends without end would let no task run.
+            eventlet.sleep(0)
         # What the caller has not read yet is still sent.
         self._sock.close()
 
--- a/src/citronvalve/forward/environment.py
+++ b/src/citronvalve/forward/environment.py
@@ -11,6 +11,7 @@
 from citronvalve.policy import memoryaccount
 from citronvalve.policy import stopschedule
 from citronvalve.policy import unsentbudget
+from citronvalve.policy import workturns
 
 
 class Environment:
@@ -24,6 +25,7 @@
     :param header_names: names of the headers that the daemon reads and sets.
     :ivar body_space: space for the bodies of responses.
     :ivar memory: the account of the memory.
+    :ivar turns: spaces the work that bodies make.
     :ivar unsent: budget for what callers have not read, None if writes wait
         for them.
     :ivar link: bytes per ms of the VM's link, 0 if that is not known.
@@ -50,6 +52,7 @@
         self.metrics = metrics_.Metrics()
         self.memory = memoryaccount.MemoryAccount()
         self.body_space = bodybuffer.BodySpace(account=self.memory)
+        self.turns = workturns.WorkTurns()
         self.unsent: unsentbudget.UnsentBudget | None = None
         self.link = 0.0
         self.stop: stopschedule.StopSchedule | None = None
--- /dev/null
+++ b/src/citronvalve/forward/requestbody.py
@@ -0,0 +1,126 @@
+"""Reads the bodies of callers' requests."""
+
+from collections.abc import Callable
+
+import eventlet
+import h11
+
+from citronvalve.forward import bodydecoder
+from citronvalve.forward import environment as environments
+from citronvalve.model import clock
+from citronvalve.model import errors
+from citronvalve.policy import memoryaccount
+from citronvalve.policy import workturns
+
+_PART = memoryaccount.Part.REQUESTS
+
+#: Bytes of a body that are read also while the memory is used up.
+_UNCOUNTED = 65_536
+
+
+class BodyNotReadError(errors.RequestError):
+    """A body is not read to its end; nothing of its request has run.
+
+    :param why: the cause.
+    """
+
+
+class NoMemoryError(BodyNotReadError):
+    """The daemon has no memory for it."""
+
+
+class TooLargeError(BodyNotReadError):
+    """It is larger than it may be."""
+
+
+class RequestBody:
+    """The body of one request, counted while it is read.
+
+    :param env: the daemon's environment.
+    :param decoder: takes the framing off.
+    :param most: bytes that it may have.
+    """
+
+    def __init__(
+        self,
+        env: environments.Environment,
+        decoder: bodydecoder.BodyDecoder,
+        most: int,
+    ) -> None:
+        self._env = env
+        self._decoder = decoder
+        self._most = most
+        self._content = bytearray()
+        self._counted = 0
+        self._work = 0
+
+    def read(
+        self, first: bytes, receive: Callable[[], bytes]
+    ) -> bytes | bytearray:
+        """Return the body.
+
+        :param first: what has arrived behind the head.
+        :param receive: returns the next bytes.
+        :raises BodyNotReadError: when it has no end that is worth to be
+            waited for.
+        :raises bodydecoder.BodyError: when it is no body.
+        """
+        decoder = self._decoder
+        self._check_size()
+        decoder.feed(first)
+        while not decoder.is_complete:
+            if not self._decode() and not decoder.is_complete:
+                self._count()
+                self._take_turn(workturns.READ)
+                decoder.feed(receive())
+        return self._content
+
+    def release(self) -> None:
+        """Give back the memory that was counted."""
+        self._env.memory.add(_PART, -self._counted)
+        self._counted = 0
+
+    def _decode(self) -> bool:
+        """Decode what has arrived; return whether anything had."""
+        before = self._decoder.pieces
+        self._content += self._decoder.decode(workturns.TURN)
+        self._check_size()
+        done = self._decoder.pieces - before
+        if done and not self._decoder.is_complete:
+            self._take_turn(done)
+        return bool(done)
+
+    def _check_size(self) -> None:
+        if len(self._content) + self._decoder.announced > self._most:
+            raise TooLargeError(f"the body is larger than {self._most} bytes")
+
+    def _count(self) -> None:
+        held = len(self._content)
+        self._env.memory.add(_PART, held - self._counted)
+        self._counted = held
+        if self._env.memory.is_full and held > _UNCOUNTED:
+            raise NoMemoryError("the memory is used up")
+
+    def _take_turn(self, work: int) -> None:
+        """Let others run, once it has done the work of a turn.
+
+        :param work: what it has done, or is about to do.
+        """
+        self._work += work
+        if self._work < workturns.TURN:
+            return
+        self._work = 0
+        wait = self._env.turns.reserve(self._env.clock.now())
+        eventlet.sleep(wait / clock.SECOND)
+
+
+def decoder_of(head: h11.Request) -> bodydecoder.BodyDecoder:
+    """Return the decoder for the framing that a head announces.
+
+    :param head: checked, with one framing at most.
+    """
+    value_by_name = dict(head.headers)
+    if b"transfer-encoding" in value_by_name:
+        return bodydecoder.ChunkedDecoder()
+    length = value_by_name.get(b"content-length", b"0")
+    return bodydecoder.LengthDecoder(int(length))
