Send long bodies without copies of them

Callers saw: requests refused, or a process ended, as many large bodies were forwarded at once.

Cause: a body of 4 MiB was held three times and more: as it grew, as the request, and as the bytes on their way to the upstream, which the request's head was joined with; so was an answer on its way to a caller, and a relay's frames held the whole request once more.

Change: what was read is the request's body, and is sent from there, in parts of 128 KiB at most; a relay's transport copies one part. A head and a short body still go in one call.

--- a/src/citronvalve/forward/bodybuffer.py
+++ b/src/citronvalve/forward/bodybuffer.py
@@ -76,9 +76,9 @@
         self._space.take(len(data))
         self._data += data
 
-    def content(self) -> bytes:
-        """Return the bytes so far."""
-        return bytes(self._data)
+    def content(self) -> bytearray:
+        """Return the bytes so far, which must not be changed."""
+        return self._data
 
     def release(self) -> None:
         """Give back the space that it takes."""
--- a/src/citronvalve/forward/callerconnection.py
+++ b/src/citronvalve/forward/callerconnection.py
@@ -30,6 +30,9 @@
 #: Bytes per read; a usual request fits into one.
 _READ_SIZE = 65_536
 
+#: Bytes of a body that is sent in one call with its head.
+_MAX_JOINED = 16_384
+
 #: Bytes that a caller may pipeline while its request is answered.
 _MAX_PIPELINED_BYTES = 65_536
 
@@ -140,10 +143,17 @@
         length = (b"content-length", b"%d" % len(body))
         self._start(status, [*head, length])
         data = self._out
-        if body and not self._omit_body:
-            data += self._parser.send(h11.Data(body))
-        data += self._parser.send(h11.EndOfMessage())
+        if self._omit_body:
+            body = b""
+        if body:
+            # With a length, a body is sent as it is.
+            self._parser.send_with_data_passthrough(h11.Data(body))
+        self._parser.send(h11.EndOfMessage())
+        if len(body) <= _MAX_JOINED:
+            self._write(data + body)
+            return
         self._write(data)
+        self._write(body)
 
     def start(self, status: int, head: Iterable[headers.Header]) -> None:
         self._start(status, [*head, (b"transfer-encoding", b"chunked")])
@@ -293,7 +303,7 @@
             arrived_at,
         )
 
-    def _read_body(self, head: h11.Request) -> bytes | None:
+    def _read_body(self, head: h11.Request) -> bytes | bytearray | None:
         """Return a request's body, None if it is not read to its end.
 
         :param head: of the request.
@@ -317,7 +327,7 @@
             self._log_unread(notread.NotRead.TOO_SLOW, str(error))
             return None
         self._set_pending(decoder.undecoded)
-        return bytes(body)
+        return body
 
     def _release_body(self) -> None:
         body, self._body = self._body, None
--- a/src/citronvalve/forward/callerrequest.py
+++ b/src/citronvalve/forward/callerrequest.py
@@ -12,7 +12,7 @@
     method: bytes
     target: bytes
     headers: list[headers_.Header]
-    body: bytes
+    body: bytes | bytearray
     arrived_at: clock.Ms
 
     @property
--- a/src/citronvalve/forward/upstreamconnection.py
+++ b/src/citronvalve/forward/upstreamconnection.py
@@ -21,6 +21,9 @@
 #: respond before it has read them.
 _MAX_INLINE_SEND = 16_384
 
+#: Bytes per send.  A relay's transport copies each.
+_MAX_SEND = 131_072
+
 #: Parts of responses that are read before other tasks run, and the parts that
 #: a receive counts as.
 _MAX_PARTS = 100
@@ -125,10 +128,12 @@
         method: bytes,
         target: bytes,
         head: list[headers.Header],
-        body: bytes,
+        body: bytes | bytearray,
     ) -> None:
         """Send a request, framed anew.
 
+        A long body is not copied; it must not change meanwhile.
+
         :param method: as the caller sent it.
         :param target: path and query, as the caller sent them.
         :param head: without framing.
@@ -144,13 +149,17 @@
         self._handed, self._head_size = 0, len(data)
         self.sending_since = self._clock.now()
         if body:
-            data += self._parser.send(h11.Data(body))
-        data += self._parser.send(h11.EndOfMessage())
-        rest = memoryview(data)
-        if len(data) <= _MAX_INLINE_SEND:
+            # With a length, a body is sent as it is.
+            self._parser.send_with_data_passthrough(h11.Data(body))
+        self._parser.send(h11.EndOfMessage())
+        if len(data) + len(body) <= _MAX_INLINE_SEND:
+            rest = memoryview(data + body)
             rest = rest[self._send_some(rest) :]
-        if rest:
-            self._sender = eventlet.spawn(self._send_in_background, rest)
+            parts = [rest] if rest else []
+        else:
+            parts = [memoryview(data), memoryview(body)]
+        if parts:
+            self._sender = eventlet.spawn(self._send_in_background, parts)
 
     def next_event(self, deadline: clock.Ms) -> h11.Event:
         """Return the next part of the response.
@@ -268,14 +277,19 @@
         self._handed -= len(data) - sent
         return sent
 
-    def _send_in_background(self, data: memoryview) -> None:
+    def _send_in_background(self, parts: list[memoryview]) -> None:
         # The transport keeps an error for the reader.
         with contextlib.suppress(exchangeerror.ExchangeError, OSError):
-            while data:
-                sent = self._send_some(data)
-                data = data[sent:]
-                if data:
-                    self._transport.wait_writable()
+            for part in parts:
+                self._send_part(part)
+
+    def _send_part(self, data: memoryview) -> None:
+        while data:
+            part = data[:_MAX_SEND]
+            sent = self._send_some(part)
+            data = data[sent:]
+            if sent < len(part):
+                self._transport.wait_writable()
 
     def _receive(self, deadline: clock.Ms) -> bytes:
         remaining = deadline - self._clock.now()
