Bound what bodies of requests hold, in every deployment

Callers saw: many large bodies at once, whole or unfinished, ended a process: it ran out of memory. Where callers may read slowly, small requests were refused as well while such bodies filled the account.

Cause: the account of the memory had a limit only under the contract on slow readers; it counted the bytes of a body, not what the buffer takes, and nothing of what was not decoded or was pipelined; a body passed up to 64 KiB while it was full. The one who gave way was the next who asked.

A body counts what its buffer takes and what is not decoded, pipelined bytes count, and once half of the account, or the account as a whole, is used up, the body that holds most for longest is refused (503, not run, line `body ended`). A body that was read whole is not ended for it. The budget for what callers have not read works the same way and is now the same class (policy/callerbudget.py).

Why it works: bytes are taken from the budget before the next are read, and the buffer of the one that is ended is dropped at once.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -95,7 +95,12 @@
             self._log,
             platform.header_names,
         )
-        self._memory = memorytask.MemoryTask(self.env, settings)
+        self._memory = memorytask.MemoryTask(
+            self.env,
+            settings.machine.memory,
+            settings.features.slow_peers,
+            settings.machine.link,
+        )
         self.directory = directories.Directory(settings.datacentre)
         self._loads = upstreamchoice.LoadTable()
         self._room_report = roomreport.RoomReport(
--- a/src/citronvalve/daemon/memorytask.py
+++ b/src/citronvalve/daemon/memorytask.py
@@ -3,12 +3,11 @@
 from collections.abc import Callable
 import resource
 
-from citronvalve.daemon import entrysettings
 from citronvalve.forward import bodybuffer
 from citronvalve.forward import environment as environments
+from citronvalve.policy import callerbudget
 from citronvalve.policy import memoryaccount
 from citronvalve.policy import memorylimits
-from citronvalve.policy import unsentbudget
 
 _KIBIBYTE = 1_024
 
@@ -17,27 +16,31 @@
 
 
 class MemoryTask:
-    """Sets what a daemon may hold, where its deployment asks for limits.
+    """Sets what a daemon may hold.
 
     :param env: the daemon's environment.
-    :param settings: checked settings.
+    :param memory: bytes that the process may take, 0 if that is not known.
+    :param slow_peers: whether what callers have not read is buffered.
+    :param link: bytes per ms of the VM's link, 0 if that is not known.
     """
 
     def __init__(
         self,
         env: environments.Environment,
-        settings: entrysettings.EntrySettings,
+        memory: int,
+        slow_peers: bool,
+        link: float = 0.0,
     ) -> None:
         self._env = env
-        if not settings.features.slow_peers:
-            return
-        limits = memorylimits.divide(settings.machine.memory, peak_bytes())
+        limits = memorylimits.divide(memory, peak_bytes())
         account = env.memory
         account.limit = limits.total
         account.on_change = self._log_change
-        env.link = settings.machine.link
-        env.unsent = unsentbudget.UnsentBudget(limits.unsent, account)
+        env.bodies.most = limits.bodies
         env.body_space = bodybuffer.BodySpace(limits.answers, account)
+        if slow_peers:
+            env.link = link
+            env.unsent = callerbudget.CallerBudget(limits.unsent, account)
 
     def count_upstreams(self, count: int) -> None:
         """Count what is known of upstreams.
--- a/src/citronvalve/forward/callerconnection.py
+++ b/src/citronvalve/forward/callerconnection.py
@@ -23,6 +23,7 @@
 from citronvalve.forward import transport
 from citronvalve.model import clock
 from citronvalve.model import refusal
+from citronvalve.policy import callerbudget
 from citronvalve.policy import memoryaccount
 from citronvalve.policy import stopschedule
 from citronvalve.routes import callerlimits
@@ -109,7 +110,7 @@
             self._reset()
         finally:
             self._output.close()
-            self._release_body()
+            self._env.bodies.drop(self)
             self._set_pending(b"")
 
     def close_if_idle(self) -> bool:
@@ -200,7 +201,7 @@
         self._aborted = False
         self._omit_body = request.method == b"HEAD"
         self._answer(request)
-        self._release_body()
+        self._env.bodies.drop(self)
         if self._aborted:
             raise BrokenPipeError("the response was aborted")
         if self._parser.our_state is not h11.DONE:
@@ -311,8 +312,9 @@
         limits = self._limits()
         decoder = requestbody.decoder_of(head)
         self._body = requestbody.RequestBody(
-            self._env, decoder, limits.max_body_bytes
+            self._env, self, decoder, limits.max_body_bytes
         )
+        self._task = eventlet.getcurrent()
         try:
             body = self._body.read(
                 self._parser.trailing_data[0],
@@ -326,14 +328,13 @@
         except TimeoutError as error:
             self._log_unread(notread.NotRead.TOO_SLOW, str(error))
             return None
+        finally:
+            self._task = self._body = None
         self._set_pending(decoder.undecoded)
+        size = body.__alloc__() if isinstance(body, bytearray) else len(body)
+        self._env.bodies.settle(self, size)
         return body
 
-    def _release_body(self) -> None:
-        body, self._body = self._body, None
-        if body is not None:
-            body.release()
-
     def _receive_body(self, timeout: clock.Ms) -> bytes:
         """Return the next bytes of a body.
 
@@ -350,6 +351,24 @@
             )
         return data
 
+    def end_body(self, held: callerbudget.Held) -> None:
+        """Refuse the request that is being read, since memory is needed.
+
+        :param held: what it held.
+        """
+        if self._body is None:
+            return
+        self._body.end()
+        self._env.log.change(
+            "body ended",
+            bytes=held.size,
+            for_ms=self._env.clock.now() - held.since,
+            callers=self._env.bodies.holders,
+            bodies_in_all=self._env.bodies.used,
+        )
+        if self._task is not eventlet.getcurrent():
+            self._interrupt(requestbody.NoMemoryError("memory"))
+
     def _refuse_unread(
         self, head: h11.Request, error: requestbody.BodyNotReadError
     ) -> None:
@@ -358,6 +377,7 @@
         :param head: of the request.
         :param error: why.
         """
+        self._env.bodies.drop(self)
         request_id = headers.value(
             list(head.headers), self._env.header_names.request_id
         ).decode("latin-1")
--- a/src/citronvalve/forward/environment.py
+++ b/src/citronvalve/forward/environment.py
@@ -8,9 +8,10 @@
 from citronvalve.forward import pausewatch
 from citronvalve.model import clock
 from citronvalve.model import decisionlog
+from citronvalve.policy import callerbudget
 from citronvalve.policy import memoryaccount
+from citronvalve.policy import memorylimits
 from citronvalve.policy import stopschedule
-from citronvalve.policy import unsentbudget
 from citronvalve.policy import workturns
 
 
@@ -25,6 +26,7 @@
     :param header_names: names of the headers that the daemon reads and sets.
     :ivar body_space: space for the bodies of responses.
     :ivar memory: the account of the memory.
+    :ivar bodies: budget for the bodies of requests.
     :ivar turns: spaces the work that bodies make.
     :ivar unsent: budget for what callers have not read, None if writes wait
         for them.
@@ -52,8 +54,14 @@
         self.metrics = metrics_.Metrics()
         self.memory = memoryaccount.MemoryAccount()
         self.body_space = bodybuffer.BodySpace(account=self.memory)
+        self.bodies = callerbudget.CallerBudget(
+            memorylimits.BODIES_DEFAULT,
+            self.memory,
+            memoryaccount.Part.REQUESTS,
+            yields=True,
+        )
         self.turns = workturns.WorkTurns()
-        self.unsent: unsentbudget.UnsentBudget | None = None
+        self.unsent: callerbudget.CallerBudget | None = None
         self.link = 0.0
         self.stop: stopschedule.StopSchedule | None = None
         self.pauses = pausewatch.PauseWatch(clock_)
--- a/src/citronvalve/forward/output.py
+++ b/src/citronvalve/forward/output.py
@@ -15,7 +15,7 @@
 from citronvalve.forward import callergone
 from citronvalve.forward import environment as environments
 from citronvalve.model import clock
-from citronvalve.policy import unsentbudget
+from citronvalve.policy import callerbudget
 
 #: A caller that reads nothing for this long is disconnected.
 WRITE_TIMEOUT: clock.Ms = 10_000
@@ -86,7 +86,7 @@
         self,
         sock: green_socket.socket,
         env: environments.Environment,
-        budget: unsentbudget.UnsentBudget,
+        budget: callerbudget.CallerBudget,
         on_ended: Callable[[Exception], None],
     ) -> None:
         self._sock = sock
@@ -118,7 +118,7 @@
         self._stop()
 
     def end(
-        self, why: str, held: unsentbudget.Held
+        self, why: str, held: callerbudget.Held
     ) -> callergone.CallerGoneError:
         """End the caller; return the error for its handler.
 
--- a/src/citronvalve/forward/requestbody.py
+++ b/src/citronvalve/forward/requestbody.py
@@ -9,14 +9,8 @@
 from citronvalve.forward import environment as environments
 from citronvalve.model import clock
 from citronvalve.model import errors
-from citronvalve.policy import memoryaccount
 from citronvalve.policy import workturns
 
-_PART = memoryaccount.Part.REQUESTS
-
-#: Bytes of a body that are read also while the memory is used up.
-_UNCOUNTED = 65_536
-
 
 class BodyNotReadError(errors.RequestError):
     """A body is not read to its end; nothing of its request has run.
@@ -37,6 +31,7 @@
     """The body of one request, counted while it is read.
 
     :param env: the daemon's environment.
+    :param caller: whose body it is, for the budget.
     :param decoder: takes the framing off.
     :param most: bytes that it may have.
     """
@@ -44,15 +39,18 @@
     def __init__(
         self,
         env: environments.Environment,
+        caller: object,
         decoder: bodydecoder.BodyDecoder,
         most: int,
     ) -> None:
         self._env = env
+        self._caller = caller
         self._decoder = decoder
         self._most = most
         self._content = bytearray()
         self._counted = 0
         self._work = 0
+        self._ended: NoMemoryError | None = None
 
     def read(
         self, first: bytes, receive: Callable[[], bytes]
@@ -72,13 +70,15 @@
             if not self._decode() and not decoder.is_complete:
                 self._count()
                 self._take_turn(workturns.READ)
-                decoder.feed(receive())
+                data = receive()
+                self._check_ended()
+                decoder.feed(data)
         return self._content
 
-    def release(self) -> None:
-        """Give back the memory that was counted."""
-        self._env.memory.add(_PART, -self._counted)
-        self._counted = 0
+    def end(self) -> None:
+        """Drop what was read, so that others have the memory."""
+        self._ended = NoMemoryError("the memory is needed for others")
+        self._content = bytearray()
 
     def _decode(self) -> bool:
         """Decode what has arrived; return whether anything had."""
@@ -94,12 +94,21 @@
         if len(self._content) + self._decoder.announced > self._most:
             raise TooLargeError(f"the body is larger than {self._most} bytes")
 
+    def _check_ended(self) -> None:
+        if self._ended is not None:
+            raise self._ended
+
     def _count(self) -> None:
-        held = len(self._content)
-        self._env.memory.add(_PART, held - self._counted)
-        self._counted = held
-        if self._env.memory.is_full and held > _UNCOUNTED:
-            raise NoMemoryError("the memory is used up")
+        """Count what it holds; end those that hold too much for it."""
+        bodies = self._env.bodies
+        held = self._content.__alloc__() + len(self._decoder.undecoded)
+        taken, self._counted = held - self._counted, held
+        if taken < 0:
+            bodies.give(self._caller, -taken)
+            return
+        for ended in bodies.take(self._caller, taken, self._env.clock.now()):
+            ended.caller.end_body(ended.held)
+        self._check_ended()
 
     def _take_turn(self, work: int) -> None:
         """Let others run, once it has done the work of a turn.
@@ -112,6 +121,7 @@
         self._work = 0
         wait = self._env.turns.reserve(self._env.clock.now())
         eventlet.sleep(wait / clock.SECOND)
+        self._check_ended()
 
 
 def decoder_of(head: h11.Request) -> bodydecoder.BodyDecoder:
