Bound the time that the body of a request may take

Callers saw: a client that sends 1 MiB and then a byte each 2 s was never closed, and held its memory and its connection for as long as it liked.

Cause: the time allowed began anew with each piece.

What takes longer is refused with 408, kind `too-slow`, as not run. A refusal of a request with an idempotency key says that an earlier attempt may have run, as other refusals before the key is looked up do.

--- a/src/citronvalve/entry/problem.py
+++ b/src/citronvalve/entry/problem.py
@@ -11,6 +11,7 @@
     400: "Bad Request",
     401: "Unauthorized",
     404: "Not Found",
+    408: "Request Timeout",
     409: "Conflict",
     413: "Content Too Large",
     422: "Unprocessable Content",
--- a/src/citronvalve/forward/admission.py
+++ b/src/citronvalve/forward/admission.py
@@ -134,6 +134,16 @@
     )
 
 
+def late_refusal(why: str) -> refusal.Refusal:
+    """Return the refusal of a request whose body took too long.
+
+    :param why: the cause.
+    """
+    return refusal.Refusal(
+        _Kind.TOO_SLOW, why, "send the body within the time for its answer"
+    )
+
+
 def size_refusal(why: str) -> refusal.Refusal:
     """Return the refusal of a request whose body is too large.
 
--- a/src/citronvalve/forward/bodydecoder.py
+++ b/src/citronvalve/forward/bodydecoder.py
@@ -7,11 +7,13 @@
 
 #: A chunk's size and its extensions, which nothing here reads.
 _SIZE_LINE = re.compile(
-    rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n\0]*)?\r\n", re.DOTALL
+    rb"([0-9A-Fa-f]{1,16})[ \t]{0,16}(?:;[^\r\n\0]{0,16000})?\r\n"
 )
 
 #: A trailer field.  Trailers are dropped.
-_TRAILER = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n\0]*\r\n")
+_TRAILER = re.compile(
+    rb"[!#$%&'*+.^_`|~0-9A-Za-z-]{1,200}:[^\r\n\0]{0,16000}\r\n"
+)
 
 _LINE_END = b"\r\n"
 
--- a/src/citronvalve/forward/callerconnection.py
+++ b/src/citronvalve/forward/callerconnection.py
@@ -22,6 +22,7 @@
 from citronvalve.forward import requestbody
 from citronvalve.forward import transport
 from citronvalve.model import clock
+from citronvalve.model import ran
 from citronvalve.model import refusal
 from citronvalve.policy import callerbudget
 from citronvalve.policy import memoryaccount
@@ -48,6 +49,7 @@
 
 _REFUSE_BY_ERROR: dict[type, Callable[[str], refusal.Refusal]] = {
     requestbody.NoMemoryError: lambda _: admission.memory_refusal(),
+    requestbody.TooLateError: admission.late_refusal,
     requestbody.TooLargeError: admission.size_refusal,
 }
 
@@ -293,7 +295,7 @@
                     h11.InformationalResponse(status_code=100, headers=[])
                 )
             )
-        body = self._read_body(head)
+        body = self._read_body(head, arrived_at)
         if body is None:
             return None
         return callerrequest.CallerRequest(
@@ -304,13 +306,17 @@
             arrived_at,
         )
 
-    def _read_body(self, head: h11.Request) -> bytes | bytearray | None:
+    def _read_body(
+        self, head: h11.Request, arrived_at: clock.Ms
+    ) -> bytes | bytearray | None:
         """Return a request's body, None if it is not read to its end.
 
         :param head: of the request.
+        :param arrived_at: monotonic ms.
         """
         limits = self._limits()
         decoder = requestbody.decoder_of(head)
+        until = arrived_at + self._body_time(head, limits)
         self._body = requestbody.RequestBody(
             self._env, self, decoder, limits.max_body_bytes
         )
@@ -318,16 +324,13 @@
         try:
             body = self._body.read(
                 self._parser.trailing_data[0],
-                lambda: self._receive_body(limits.header_timeout),
+                lambda: self._receive_body(limits.header_timeout, until),
             )
         except requestbody.BodyNotReadError as error:
             self._refuse_unread(head, error)
             return None
         except bodydecoder.BodyError as error:
             raise h11.RemoteProtocolError(error.reason) from error
-        except TimeoutError as error:
-            self._log_unread(notread.NotRead.TOO_SLOW, str(error))
-            return None
         finally:
             self._task = self._body = None
         self._set_pending(decoder.undecoded)
@@ -335,16 +338,39 @@
         self._env.bodies.settle(self, size)
         return body
 
-    def _receive_body(self, timeout: clock.Ms) -> bytes:
+    def _body_time(
+        self, head: h11.Request, limits: callerlimits.CallerLimits
+    ) -> clock.Ms:
+        """Return the ms that a body may take.
+
+        A caller waits no longer than the deadline that it names.
+
+        :param head: of its request.
+        :param limits: in force.
+        """
+        named = headers.parse_number(
+            headers.value(list(head.headers), self._env.header_names.deadline)
+        )
+        if named is None:
+            return limits.body_timeout
+        return min(named, limits.body_timeout)
+
+    def _receive_body(self, timeout: clock.Ms, until: clock.Ms) -> bytes:
         """Return the next bytes of a body.
 
-        :param timeout: ms.
-        :raises TimeoutError: when none come in time.
+        :param timeout: ms without a byte.
+        :param until: monotonic ms by which all must have come.
+        :raises requestbody.BodyNotReadError: when none come in time.
         :raises h11.RemoteProtocolError: at the end of the connection.
         """
-        data = self._receive_in(timeout)
+        left = until - self._env.clock.now()
+        data = self._receive_in(min(timeout, left))
         if data is None:
-            raise TimeoutError(f"no rest within {timeout} ms")
+            raise requestbody.TooLateError(
+                f"no rest within {timeout} ms"
+                if left > timeout
+                else "the body took longer than it may"
+            )
         if not data:
             raise h11.RemoteProtocolError(
                 "the caller closed the connection in a body"
@@ -378,10 +404,17 @@
         :param error: why.
         """
         self._env.bodies.drop(self)
+        if isinstance(error, requestbody.TooLateError):
+            self._log_unread(notread.NotRead.TOO_SLOW, error.reason)
         request_id = headers.value(
             list(head.headers), self._env.header_names.request_id
         ).decode("latin-1")
         refused = _REFUSE_BY_ERROR[type(error)](error.reason)
+        if headers.value(
+            list(head.headers), self._env.header_names.idempotency_key
+        ):
+            # An earlier attempt may have run.
+            refused = refused._replace(ran=ran.Ran.UNKNOWN)
         self._env.metrics.record_request("unknown", "refused", refused.kind)
         self._env.log.note(
             "turned away", request_id, kind=refused.kind, why=refused.detail
--- a/src/citronvalve/forward/headernames.py
+++ b/src/citronvalve/forward/headernames.py
@@ -19,7 +19,8 @@
     tokens) and ``length_hint`` describe the work; ``prompt_parts`` lists the
     parts of the prompt in order as comma-separated ID:TOKENS;
     ``resume_after`` is the last event id that the caller has;
-    ``expected_version`` that of the weights.
+    ``expected_version`` that of the weights; ``idempotency_key`` is the same
+    for all attempts at what may run once.
     """
 
     request_id: bytes = b"x-request-id"
@@ -40,6 +41,7 @@
     prompt_parts: bytes = b"x-prompt-parts"
     resume_after: bytes = b"last-event-id"
     expected_version: bytes = b"x-expect-version"
+    idempotency_key: bytes = b"idempotency-key"
 
     @property
     def system_only(self) -> frozenset[bytes]:
--- a/src/citronvalve/forward/requestbody.py
+++ b/src/citronvalve/forward/requestbody.py
@@ -23,6 +23,10 @@
     """The daemon has no memory for it."""
 
 
+class TooLateError(BodyNotReadError):
+    """It took longer than it may."""
+
+
 class TooLargeError(BodyNotReadError):
     """It is larger than it may be."""
 
--- a/src/citronvalve/model/refusal.py
+++ b/src/citronvalve/model/refusal.py
@@ -12,6 +12,7 @@
 
     MALFORMED = "malformed"
     TOO_LARGE = "too-large"
+    TOO_SLOW = "too-slow"
     UNKNOWN_TOKEN = "unknown-token"
     NOT_FOUND = "not-found"
     KEY_REUSED = "key-reused"
@@ -33,6 +34,7 @@
 STATUS_BY_KIND: dict[RefusalKind, int] = {
     RefusalKind.MALFORMED: 400,
     RefusalKind.TOO_LARGE: 413,
+    RefusalKind.TOO_SLOW: 408,
     RefusalKind.UNKNOWN_TOKEN: 401,
     RefusalKind.NOT_FOUND: 404,
     RefusalKind.KEY_REUSED: 422,
