Make room on each port for the next connection

Callers saw: while 150 clients kept connections open with unfinished bodies, every new one was closed unread. Clients that connect at once made a daemon hold more descriptors than its settings allow.

Cause: connections were counted after a green thread had begun to serve them, so that all of a burst were accepted first; only idle ones gave way. The port for other daemons had no bound, and held a frame of 256 KiB for each.

Change: a port decides before it accepts the next connection. At the limit the connection whose request has been incomplete longest is closed, if that is 0.3 s or more. Where the settings name no number it follows from the process's own limit. Relayed connections are bounded, and the one without a request for longest gives way. Data of a relay's frame is passed on as it arrives; only other frames, of 32 KiB at most, are kept until they are complete.

--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -22,6 +22,7 @@
 from citronvalve.daemon import needexchange
 from citronvalve.daemon import plannertask
 from citronvalve.daemon import platforminterface as ports_
+from citronvalve.daemon import processlimits
 from citronvalve.daemon import roomreport
 from citronvalve.daemon import runnerlistener
 from citronvalve.daemon import supervision
@@ -266,7 +267,7 @@
             self.env,
             self._limits,
             self._forwarder.handle,
-            self._settings.connections,
+            processlimits.callers(self._settings.connections),
         )
         self._operator_listener = listener.Listener(
             self._settings.operators,
--- a/src/citronvalve/daemon/linktask.py
+++ b/src/citronvalve/daemon/linktask.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from citronvalve.daemon import entrysettings
+from citronvalve.daemon import processlimits
 from citronvalve.forward import connectionpool
 from citronvalve.forward import connector as connectors
 from citronvalve.forward import directory as directories
@@ -64,7 +65,11 @@
         self._server: relayserver.RelayServer | None = None
         if settings.relay:
             self._server = relayserver.RelayServer(
-                settings.relay, env, directory, self.connector
+                settings.relay,
+                env,
+                directory,
+                self.connector,
+                processlimits.relayed(settings.connections),
             )
 
     def attach(self, detector: stalldetector.StallDetector) -> None:
--- a/src/citronvalve/forward/acceptor.py
+++ b/src/citronvalve/forward/acceptor.py
@@ -1,6 +1,7 @@
-"""The callers' listening socket and the connections on it."""
+"""A listening port for HTTP and the connections on it."""
 
 from collections.abc import Callable
+import functools
 import socket
 
 import eventlet
@@ -9,6 +10,7 @@
 from citronvalve.forward import environment as environments
 from citronvalve.forward import portlistener
 from citronvalve.policy import memoryaccount
+from citronvalve.policy import stopschedule
 from citronvalve.routes import callerlimits
 
 #: Connections that the kernel queues until they are accepted.  A burst of
@@ -53,7 +55,7 @@
         # Ordered by age.
         self._connections: dict[callerconnection.CallerConnection, None] = {}
         self._listener = portlistener.PortListener(
-            address, _BACKLOG, env, self._serve
+            address, _BACKLOG, env, self._admit
         )
 
     @property
@@ -73,7 +75,7 @@
     def close(self) -> None:
         """Stop accepting, and close the connections that are idle."""
         self._listener.close()
-        # Connections that were accepted last are not counted yet.
+        # Connections that were accepted last have not begun to read.
         eventlet.sleep(0)
         self.close_idle()
 
@@ -83,7 +85,7 @@
             connection.close_if_idle()
 
     def _has_room(self) -> bool:
-        """Return whether another connection fits, after idle ones closed.
+        """Return whether another connection fits, after others were closed.
 
         The files that a process may have open also serve upstreams and other
         daemons.  A caller whose new connection is closed tries another daemon.
@@ -98,24 +100,49 @@
         for connection in list(self._connections):
             if left and connection.close_if_idle():
                 left -= 1
-        # Their tasks end now.
+        if not is_within and left:
+            self._close_longest_waiting()
+        # Their tasks end once the hub has seen that the sockets are closed,
+        # between the two.
+        eventlet.sleep(0)
         eventlet.sleep(0)
         # Without memory a request is refused, which tells its caller more.
         return not self._most or len(self._connections) < self._most
 
-    def _serve(self, sock: socket.socket) -> None:
+    def _close_longest_waiting(self) -> None:
+        """Close the connection whose request has been incomplete longest."""
+        waiting = (
+            connection
+            for connection in self._connections
+            if connection.is_waiting
+        )
+        longest = min(waiting, key=lambda one: one.waiting_since, default=None)
+        if longest is None:
+            return
+        waited = self._env.clock.now() - longest.waiting_since
+        # A caller that has just connected sends its request soon.
+        if waited >= stopschedule.FIRST_REQUEST_TIME:
+            longest.close()
+            self._env.metrics.record_ended_waiting()
+            self._env.log.note(
+                "connection ended", why="room for others", waited_ms=waited
+            )
+
+    def _admit(self, sock: socket.socket) -> portlistener.Serve | None:
         if not self._has_room():
             self._env.log.change(
                 "not accepted", why=f"{len(self._connections)} are open"
             )
-            sock.close()
-            return
+            return None
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = callerconnection.CallerConnection(
             sock, self._env, self._limits, self._handler
         )
         self._connections[connection] = None
         self._env.memory.add(_PART, _CONNECTION_BYTES)
+        return functools.partial(self._serve, connection)
+
+    def _serve(self, connection: callerconnection.CallerConnection) -> None:
         try:
             connection.run()
         finally:
--- a/src/citronvalve/forward/callerconnection.py
+++ b/src/citronvalve/forward/callerconnection.py
@@ -68,6 +68,8 @@
     :param limits: returns the limits in force.
     :param handler: answers a request.
     :ivar idle: whether it waits for a request of which nothing was read.
+    :ivar is_waiting: whether it waits for a request or the rest of one.
+    :ivar waiting_since: monotonic ms since when.
     """
 
     def __init__(
@@ -94,6 +96,8 @@
             env.clock.now() + stopschedule.FIRST_REQUEST_TIME
         )
         self.idle = True
+        self.is_waiting = True
+        self.waiting_since = env.clock.now()
         self.started = False
 
     def run(self) -> None:
@@ -123,9 +127,13 @@
         is_new = self._env.clock.now() < self._first_request_until
         if not self.idle or is_new or not transport.is_quiet(self._sock):
             return False
+        self.close()
+        return True
+
+    def close(self) -> None:
+        """Close the connection; its task ends when it runs next."""
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
-        return True
 
     def check_caller(self) -> None:
         # The green thread that watches the caller has not run yet if nothing
@@ -191,6 +199,8 @@
         self._output.write(data)
 
     def _serve_one(self) -> bool:
+        self.is_waiting = True
+        self.waiting_since = self._env.clock.now()
         try:
             request = self._read_request()
         except h11.RemoteProtocolError as error:
@@ -198,6 +208,7 @@
             return False
         if request is None:
             return False
+        self.is_waiting = False
         self.started = False
         self._first_request_until = 0
         self._aborted = False
@@ -416,6 +427,7 @@
             # An earlier attempt may have run.
             refused = refused._replace(ran=ran.Ran.UNKNOWN)
         self._env.metrics.record_request("unknown", "refused", refused.kind)
+        self._env.metrics.record_body_ended(refused.kind)
         self._env.log.note(
             "turned away", request_id, kind=refused.kind, why=refused.detail
         )
--- a/src/citronvalve/forward/metrics.py
+++ b/src/citronvalve/forward/metrics.py
@@ -61,6 +61,13 @@
         self._malformed = self._counter(
             "malformed_total", "Bytes that were no request, by status."
         )
+        self._ended_waiting = self._counter(
+            "connections_ended_total",
+            "Closed for room while their request was incomplete.",
+        )
+        self._bodies_ended = self._counter(
+            "bodies_ended_total", "Bodies refused unread, by reason."
+        )
         self._orders = self._counter(
             "orders_total", "Orders to engines, by kind and result."
         )
@@ -89,6 +96,17 @@
             {"kind": kind, "outcome": outcome, "reason": reason}
         )
 
+    def record_ended_waiting(self) -> None:
+        """Count a connection that was closed to make room for others."""
+        self._ended_waiting.inc({})
+
+    def record_body_ended(self, reason: str) -> None:
+        """Count a body that was not read to its end.
+
+        :param reason: the kind of the refusal.
+        """
+        self._bodies_ended.inc({"reason": reason})
+
     def record_attempt(self, result: str) -> None:
         """Count an attempt at an upstream.
 
--- a/src/citronvalve/forward/portlistener.py
+++ b/src/citronvalve/forward/portlistener.py
@@ -12,6 +12,9 @@
 #: Time in s after a failure to accept, as with too many open files.
 _FAILURE_PAUSE = 0.05
 
+#: Serves a connection until it ends.
+Serve = Callable[[], None]
+
 
 class PortListener:
     """Accepts connections and serves each on a green thread of its own.
@@ -20,7 +23,8 @@
     :param backlog: connections that the kernel queues until they are
         accepted.
     :param env: the daemon's environment.
-    :param serve: serves a connection until it ends.
+    :param admit: returns how an accepted connection is served, or None if it
+        is to be closed.  It is called before the next one is accepted.
     :raises errors.SettingsError: when the address can't be bound.
     """
 
@@ -29,14 +33,16 @@
         address: str,
         backlog: int,
         env: environments.Environment,
-        serve: Callable[[green_socket.socket], None],
+        admit: Callable[[green_socket.socket], Serve | None],
     ) -> None:
         host, _, port = address.rpartition(":")
         self._env = env
-        self._serve = serve
+        self._admit = admit
         self._task: eventlet.greenthread.GreenThread | None = None
         try:
-            self._socket = eventlet.listen((host, int(port)), backlog=backlog)
+            self._socket = eventlet.listen(
+                (host.strip("[]"), int(port)), backlog=backlog
+            )
         except OSError as error:
             raise errors.SettingsError(
                 str(error),
@@ -70,7 +76,7 @@
         with contextlib.suppress(OSError):
             while True:
                 sock, _ = self._socket.fd.accept()
-                eventlet.spawn(self._serve, green_socket.socket(sock))
+                self._serve(green_socket.socket(sock))
 
     def _accept(self) -> None:
         while True:
@@ -80,4 +86,11 @@
                 self._env.log.change("not accepted", why=str(error))
                 eventlet.sleep(_FAILURE_PAUSE)
                 continue
-            eventlet.spawn(self._serve, sock)
+            self._serve(sock)
+
+    def _serve(self, sock: green_socket.socket) -> None:
+        serve = self._admit(sock)
+        if serve is None:
+            sock.close()
+        else:
+            eventlet.spawn(serve)
--- a/src/citronvalve/forward/relayframe.py
+++ b/src/citronvalve/forward/relayframe.py
@@ -12,8 +12,9 @@
 
 _HEADER = struct.Struct("!BI")
 
-#: Most bytes of a frame's content.
+#: Most bytes of a frame's content: of data, and of any other.
 MAX_CONTENT = 262_144
+MAX_CONTROL = 32_768
 
 
 class FrameKind(enum.IntEnum):
@@ -35,6 +36,9 @@
     DONE = 7
 
 
+_MAX_CONTENT_BY_KIND = {FrameKind.DATA: MAX_CONTENT}
+
+
 class Reason(enum.StrEnum):
     """Why a connection is not relayed."""
 
@@ -145,28 +149,54 @@
 
 
 class Decoder:
-    """Splits received bytes into frames."""
+    """Splits received bytes into frames.
+
+    Data is returned as it arrives, so that a frame of it may come as several;
+    only other frames are kept until they are complete.
+    """
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        self._data_left = 0
 
     def feed(self, data: bytes) -> Iterator[Frame]:
-        """Return the frames that are complete.
+        """Return the frames, and the parts of data, that have arrived.
 
         :param data: as received.
         :raises FrameError: when the bytes are no frames.
         """
         self._buffer += data
-        while len(self._buffer) >= _HEADER.size:
+        while self._buffer:
+            if self._data_left:
+                yield Frame(FrameKind.DATA, self._take(self._data_left))
+                continue
+            if len(self._buffer) < _HEADER.size:
+                return
             kind, size = _HEADER.unpack_from(self._buffer)
-            if size > MAX_CONTENT:
+            if size > _MAX_CONTENT_BY_KIND.get(kind, MAX_CONTROL):
                 raise FrameError(f"a frame of {size} bytes is too long")
-            end = _HEADER.size + size
-            if len(self._buffer) < end:
+            if kind == FrameKind.DATA:
+                del self._buffer[: _HEADER.size]
+                self._data_left = size
+                continue
+            if len(self._buffer) < _HEADER.size + size:
                 return
-            content = bytes(self._buffer[_HEADER.size : end])
-            del self._buffer[:end]
-            try:
-                yield Frame(FrameKind(kind), content)
-            except ValueError as error:
-                raise FrameError(str(error)) from error
+            del self._buffer[: _HEADER.size]
+            yield _frame(kind, self._cut(size))
+
+    def _take(self, most: int) -> bytes:
+        content = self._cut(most)
+        self._data_left -= len(content)
+        return content
+
+    def _cut(self, most: int) -> bytes:
+        content = bytes(self._buffer[:most])
+        del self._buffer[:most]
+        return content
+
+
+def _frame(kind: int, content: bytes) -> Frame:
+    try:
+        return Frame(FrameKind(kind), content)
+    except ValueError as error:
+        raise FrameError(str(error)) from error
--- a/src/citronvalve/forward/relayserver.py
+++ b/src/citronvalve/forward/relayserver.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import contextlib
+import functools
 
 import eventlet
 from eventlet.green import socket as green_socket
@@ -15,15 +16,24 @@
 from citronvalve.forward import relayframe
 from citronvalve.forward import transport
 from citronvalve.model import clock
+from citronvalve.policy import memoryaccount
 from citronvalve.replicas import runner as runners
 
 _BACKLOG = 256
 
 _READ_SIZE = 65_536
 
-#: Relayed connections at a time.  More would take the processor time that
-#: this VM's own callers need.
-_MAX_CONNECTIONS = 128
+#: Requests relayed at a time.  More would take the processor time that this
+#: VM's own callers need.
+_MAX_REQUESTS = 128
+
+#: Connections at a time, with those that other daemons keep.
+_MAX_CONNECTIONS = 256
+
+#: Bytes that a connection takes: two tasks and its sockets.
+_CONNECTION_BYTES = 16 * 1024
+
+_PART = memoryaccount.Part.CONNECTIONS
 
 #: A connection on which nothing moves for this long is closed.
 _IDLE_TIMEOUT: clock.Ms = 30_000
@@ -48,6 +58,7 @@
     :param env: the daemon's environment.
     :param directory: the upstreams.
     :param connector: opens the connections.
+    :param most: connections at a time, with those that are kept.
     :ivar rest_left: returns the ms for which an upstream wants no request
         from this VM.
     :raises errors.SettingsError: when the address can't be bound.
@@ -59,15 +70,18 @@
         env: environments.Environment,
         directory: directories.Directory,
         connector: connectors.Connector,
+        most: int = _MAX_CONNECTIONS,
     ) -> None:
         self._env = env
         self._directory = directory
         self._connector = connector
-        self._connections: set[_Connection] = set()
+        self._most = most
+        # Ordered by age.
+        self._connections: dict[_Connection, None] = {}
         self.rest_left: Callable[[str], clock.Ms] = lambda _: 0
         self._cut_until_by_datacentre: dict[str, clock.Ms] = {}
         self._listener = portlistener.PortListener(
-            address, _BACKLOG, env, self._serve
+            address, _BACKLOG, env, self._admit
         )
 
     @property
@@ -107,7 +121,7 @@
             return _Reason.NO_LINK
         if self.rest_left(upstream):
             return _Reason.RESTING
-        if self.count > _MAX_CONNECTIONS:
+        if self.count > _MAX_REQUESTS:
             return _Reason.BUSY
         return None
 
@@ -146,13 +160,34 @@
             return _Reason.NO_LINK
         return _Reason.UPSTREAM_DOWN
 
-    def _serve(self, sock: green_socket.socket) -> None:
+    def _admit(self, sock: green_socket.socket) -> portlistener.Serve | None:
+        if len(self._connections) >= self._most:
+            self._close_longest_idle()
+        if len(self._connections) >= self._most:
+            self._env.log.change(
+                "not accepted", why=f"{len(self._connections)} relayed"
+            )
+            return None
         connection = _Connection(self, self._env, transport.prepare(sock))
-        self._connections.add(connection)
+        self._connections[connection] = None
+        self._env.memory.add(_PART, _CONNECTION_BYTES)
+        return functools.partial(self._serve, connection)
+
+    def _close_longest_idle(self) -> None:
+        """Close the connection that has been without a request longest."""
+        idle = (one for one in self._connections if not one.is_busy)
+        longest = min(idle, key=lambda one: one.moved_at, default=None)
+        if longest is not None:
+            longest.close()
+            # Its task ends now.
+            eventlet.sleep(0)
+
+    def _serve(self, connection: "_Connection") -> None:
         try:
             connection.run()
         finally:
-            self._connections.discard(connection)
+            del self._connections[connection]
+            self._env.memory.add(_PART, -_CONNECTION_BYTES)
             connection.close()
 
 
@@ -162,6 +197,7 @@
     :param server: decides what is relayed.
     :param env: the daemon's environment.
     :param near: connected to the other daemon.
+    :ivar moved_at: monotonic ms at which bytes last moved.
     """
 
     def __init__(
@@ -179,7 +215,7 @@
         self._write_lock = eventlet.semaphore.Semaphore()
         self._opening: relayframe.Opening | None = None
         self._began_at: clock.Ms = 0
-        self._moved_at: clock.Ms = 0
+        self.moved_at: clock.Ms = env.clock.now()
         self._bytes_back = 0
         self._act_by_kind: dict[_Kind, Callable[[bytes], bool]] = {
             _Kind.OPEN: self._open,
@@ -219,7 +255,7 @@
             try:
                 return self._near.receive(_READ_SIZE, _IDLE_TIMEOUT)
             except TimeoutError:
-                if self._env.clock.now() - self._moved_at >= _IDLE_TIMEOUT:
+                if self._env.clock.now() - self.moved_at >= _IDLE_TIMEOUT:
                     return b""
 
     def _open(self, content: bytes) -> bool:
@@ -227,7 +263,7 @@
         self._end("the next request follows")
         refused = self._server.find_refusal(opening.upstream)
         self._opening = opening
-        self._began_at = self._moved_at = self._env.clock.now()
+        self._began_at = self.moved_at = self._env.clock.now()
         self._bytes_back = 0
         if self._far is not None and opening.upstream != self._upstream:
             raise relayframe.FrameError("a request for another upstream")
@@ -261,14 +297,14 @@
     def _send(self, content: bytes) -> bool:
         if self._far is None:
             raise relayframe.FrameError("data before a request")
-        self._moved_at = self._env.clock.now()
+        self.moved_at = self._env.clock.now()
         self._far.send(content)
         return True
 
     def _pass_back(self, far: transport.SocketTransport) -> None:
         try:
             while data := far.receive(_READ_SIZE, None):
-                self._moved_at = self._env.clock.now()
+                self.moved_at = self._env.clock.now()
                 self._bytes_back += len(data)
                 self._write(_Kind.DATA, data)
                 # An upstream that sends without end would let no task run.
--- a/tests/adapter/steps/program_steps.py
+++ b/tests/adapter/steps/program_steps.py
@@ -298,6 +298,8 @@
     "citronvalve_forward_excess_total",
     "citronvalve_forward_relayings_total",
     "citronvalve_forward_malformed_total",
+    "citronvalve_forward_connections_ended_total",
+    "citronvalve_forward_bodies_ended_total",
     "citronvalve_forward_orders_total",
     "citronvalve_forward_event_gap_seconds",
 }
