Serve all HTTP ports by the same bounded connections

Callers saw: at the project's own interface 300 unfinished bodies of 1 MiB were held for ever, about 1 MB each, with 2,048 connections allowed; operators' ports of both interfaces held any number of heads without an end.

Cause: these ports had a server of their own, without an account, a time for a whole head or body, or a bound on an operators' port; it decoded chunks one by one, without a turn for others.

New setting `memory`, 256 MB if it is left out, as a daemon may take in two years. Operators' ports take 32 connections, heads within 5 s and bodies of 64 KiB. The metrics of the ports are served with the others.

--- a/src/citronvalve/daemon/daemon.py
+++ b/src/citronvalve/daemon/daemon.py
@@ -13,6 +13,8 @@
 from citronvalve.daemon import grouptask
 from citronvalve.daemon import listener
 from citronvalve.daemon import loadtask
+from citronvalve.daemon import logbooklog
+from citronvalve.daemon import memorytask
 from citronvalve.daemon import needlistener
 from citronvalve.daemon import operators
 from citronvalve.daemon import peertask
@@ -31,9 +33,12 @@
 from citronvalve.entry import plain
 from citronvalve.entry import progress as progresses
 from citronvalve.entry import view as views
+from citronvalve.forward import environment as forward_environment
+from citronvalve.forward import headernames
 from citronvalve.model import clock
 from citronvalve.model import invariant
 from citronvalve.policy import dispatcher
+from citronvalve.routes import callerlimits
 from citronvalve.storage import client as platform_client
 from citronvalve.storage import httptable
 from citronvalve.storage import httpvms
@@ -43,7 +48,12 @@
 from citronvalve.upstreams import pools
 
 _DRAIN_POLL_INTERVAL: clock.Ms = 20
-_OPERATORS_TIMEOUT: clock.Ms = 10_000
+
+#: Limits on callers beside those of the settings.  The balancer reconnects
+#: once an idle connection is closed.
+_MAX_HEADER_BYTES = 65_536
+_HEADER_TIMEOUT: clock.Ms = 10_000
+_IDLE_TIMEOUT: clock.Ms = 75_000
 
 #: A store that takes 4.5 s for each response can still be read, as no
 #: request waits for it.
@@ -79,10 +89,16 @@
             self._env, platform, lambda: len(self._peer_task.peer.members())
         )
         self._tasks = self._make_tasks(connections, platform)
+        self._http = _http_environment(self._env)
+        self._memory = memorytask.MemoryTask(
+            self._http, settings.memory, slow_peers=False
+        )
         self._caller_listener = listener.Listener(
             settings.callers,
             self._make_app(connections),
-            settings.write_timeout,
+            self._http,
+            _limits(settings),
+            listener.MAX_CONNECTIONS,
         )
         self._operator_listener = listener.Listener(
             settings.operators,
@@ -92,8 +108,11 @@
                 self._view,
                 self._progress,
                 self._peer_task,
+                self._render_http_metrics,
             ),
-            _OPERATORS_TIMEOUT,
+            self._http,
+            listener.OPERATORS_LIMITS,
+            listener.MAX_OPERATORS,
         )
 
     def run(self) -> None:
@@ -111,6 +130,10 @@
         self._stop.wait()
         self._drain()
 
+    def _render_http_metrics(self) -> bytes:
+        self._memory.set_gauges(self._http.metrics.set_gauge)
+        return self._http.metrics.render()
+
     def _supervise(self, name: str, run: Callable[[], None]) -> None:
         def log(why: str, where: str) -> None:
             extra = {"task": name, "why": why, "where": where}
@@ -220,6 +243,33 @@
         )
 
 
+def _http_environment(
+    env: environments.Environment,
+) -> forward_environment.Environment:
+    """Return the environment of the daemon's ports for HTTP.
+
+    :param env: the daemon's environment.
+    """
+    return forward_environment.Environment(
+        env.name,
+        env.datacentre,
+        env.clock,
+        env.rng,
+        logbooklog.LogbookLog(env.log),
+        headernames.HeaderNames(),
+    )
+
+
+def _limits(settings: settings_.Settings) -> callerlimits.CallerLimits:
+    return callerlimits.CallerLimits(
+        max_header_bytes=_MAX_HEADER_BYTES,
+        max_body_bytes=settings.body,
+        header_timeout=_HEADER_TIMEOUT,
+        idle_timeout=_IDLE_TIMEOUT,
+        write_timeout=settings.write_timeout,
+    )
+
+
 def _environment(settings: settings_.Settings) -> environments.Environment:
     return environments.Environment(
         settings.name,
--- a/src/citronvalve/daemon/entrydaemon.py
+++ b/src/citronvalve/daemon/entrydaemon.py
@@ -52,8 +52,6 @@
 from citronvalve.storage import rows
 from citronvalve.storage import tail
 
-_OPERATORS_TIMEOUT: clock.Ms = 5_000
-
 _DRAIN_POLL_INTERVAL: clock.Ms = 20
 
 #: Interval at which loads of removed upstreams are dropped and gauges set.
@@ -272,7 +270,9 @@
         self._operator_listener = listener.Listener(
             self._settings.operators,
             health.Health(self.env, self.directory, self._platform.ready_path),
-            _OPERATORS_TIMEOUT,
+            self.env,
+            listener.OPERATORS_LIMITS,
+            listener.MAX_OPERATORS,
         )
 
     def _limits(self) -> callerlimits.CallerLimits:
--- a/src/citronvalve/daemon/operators.py
+++ b/src/citronvalve/daemon/operators.py
@@ -25,6 +25,7 @@
     :param view: holds the table and the loads.
     :param progress: counts requests in progress.
     :param peer_task: the daemon as a member of the fleet.
+    :param render_http: returns the metrics of the ports.
     """
 
     def __init__(
@@ -34,7 +35,9 @@
         view: views.View,
         progress: progresses.Progress,
         peer_task: peertask.PeerTask,
+        render_http: Callable[[], bytes],
     ) -> None:
+        self._render_http = render_http
         self._peer_task = peer_task
         self._settings = settings
         self._env = env
@@ -131,7 +134,8 @@
             "Messages of peers dropped, in and out.",
             sum(self._peer_task.dropped_by_reason().values()),
         )
-        return "200 OK", _TEXT, self._env.metrics.render()
+        text = self._env.metrics.render() + self._render_http()
+        return "200 OK", _TEXT, text
 
     def _not_found(self) -> tuple[str, str, bytes]:
         paths = b", ".join(path.encode() for path in self._handler_by_path)
--- a/src/citronvalve/daemon/settings.py
+++ b/src/citronvalve/daemon/settings.py
@@ -24,7 +24,8 @@
     three or none.  ``daemons_here`` is the expected number of daemons in the
     data centre, or 0.  With it, loans during a partition are bounded to a
     part of each limit, and a daemon that is expected to be alone lends cold
-    upstreams without waiting for others.
+    upstreams without waiting for others.  ``memory`` is what the process may
+    take, in bytes.
     """
 
     name: str
@@ -42,6 +43,7 @@
     fleet_public_keys: tuple[str, ...] = ()
     daemons_here: int = 0
     log_level: str = "INFO"
+    memory: int = 256_000_000
 
 
 class Field(NamedTuple):
@@ -56,6 +58,8 @@
 _KEY_LENGTH = 40
 _LEVELS = ("TRACE", "DEBUG", "INFO", "NOTICE", "WARNING", "ERROR")
 _MAX_BODY_BYTES = 64 * 1024 * 1024
+_MIN_MEMORY = 64_000_000
+_MAX_MEMORY = 1_000_000_000_000
 _MAX_PORT = 65_535
 _MAX_DAEMONS_HERE = 256
 
@@ -110,6 +114,10 @@
     "daemons_here": Field(
         _in_range(0, _MAX_DAEMONS_HERE), f"give 0 to {_MAX_DAEMONS_HERE}"
     ),
+    "memory": Field(
+        _in_range(_MIN_MEMORY, _MAX_MEMORY),
+        f"give bytes from {_MIN_MEMORY} to {_MAX_MEMORY}",
+    ),
     "log_level": Field(_LEVELS.__contains__, f"give one of {_LEVELS}"),
 }
 
--- a/src/citronvalve/forward/acceptor.py
+++ b/src/citronvalve/forward/acceptor.py
@@ -37,6 +37,9 @@
     :param limits: returns the callers' limits in force.
     :param handler: answers a request.
     :param most: connections at a time; 0 if there is no bound.
+    :param watches: whether a handler is interrupted once its caller leaves.
+    :param send_buffer: bytes that the kernel holds unread for a caller, 0
+        for its choice.
     :raises errors.SettingsError: when the address can't be bound.
     """
 
@@ -47,15 +50,18 @@
         limits: Callable[[], callerlimits.CallerLimits],
         handler: callerconnection.Handler,
         most: int = 0,
+        watches: bool = True,
+        send_buffer: int = 0,
     ) -> None:
         self._env = env
         self._limits = limits
         self._handler = handler
         self._most = most
+        self._watches = watches
         # Ordered by age.
         self._connections: dict[callerconnection.CallerConnection, None] = {}
         self._listener = portlistener.PortListener(
-            address, _BACKLOG, env, self._admit
+            address, _BACKLOG, env, self._admit, send_buffer
         )
 
     @property
@@ -136,7 +142,7 @@
             return None
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = callerconnection.CallerConnection(
-            sock, self._env, self._limits, self._handler
+            sock, self._env, self._limits, self._handler, self._watches
         )
         self._connections[connection] = None
         self._env.memory.add(_PART, _CONNECTION_BYTES)
--- a/src/citronvalve/forward/callerconnection.py
+++ b/src/citronvalve/forward/callerconnection.py
@@ -67,6 +67,7 @@
     :param env: the daemon's environment.
     :param limits: returns the limits in force.
     :param handler: answers a request.
+    :param watches: whether the handler is interrupted once the caller leaves.
     :ivar idle: whether it waits for a request of which nothing was read.
     :ivar is_waiting: whether it waits for a request or the rest of one.
     :ivar waiting_since: monotonic ms since when.
@@ -78,12 +79,16 @@
         env: environments.Environment,
         limits: Callable[[], callerlimits.CallerLimits],
         handler: Handler,
+        watches: bool = True,
     ) -> None:
         self._sock = sock
         self._env = env
         self._limits = limits
         self._handler = handler
-        self._output = output.open_output(sock, env, self._interrupt)
+        self._watches = watches
+        self._output = output.open_output(
+            sock, env, self._interrupt, limits().write_timeout
+        )
         self._task: eventlet.greenlet.greenlet | None = None
         self._parser = self._new_parser()
         self._pending = b""
@@ -100,6 +105,10 @@
         self.waiting_since = env.clock.now()
         self.started = False
 
+    @property
+    def socket(self) -> socket.socket:
+        return self._sock
+
     def run(self) -> None:
         """Serve until the connection ends."""
         try:
@@ -238,13 +247,14 @@
 
     def _answer(self, request: callerrequest.CallerRequest) -> None:
         self._task = eventlet.getcurrent()
-        watch = eventlet.spawn(self._watch_caller)
+        watch = eventlet.spawn(self._watch_caller) if self._watches else None
         try:
             self._handler(request, self)
             self.wait_written()
         finally:
             self._task = None
-            watch.kill()
+            if watch is not None:
+                watch.kill()
 
     def _watch_caller(self) -> None:
         try:
--- a/src/citronvalve/forward/output.py
+++ b/src/citronvalve/forward/output.py
@@ -16,6 +16,7 @@
 from citronvalve.forward import environment as environments
 from citronvalve.model import clock
 from citronvalve.policy import callerbudget
+from citronvalve.policy import memoryaccount
 
 #: A caller that reads nothing for this long is disconnected.
 WRITE_TIMEOUT: clock.Ms = 10_000
@@ -28,6 +29,8 @@
 #: socket as writable only once a third of its buffer is free.
 _POLL_INTERVAL: clock.Ms = 1_000
 
+_PART = memoryaccount.Part.UNSENT
+
 #: Bytes per call.
 _MAX_SEND = 131_072
 
@@ -59,14 +62,27 @@
     """Waits for the caller in each write.
 
     :param sock: a green socket.
+    :param account: counts what is being written.
+    :param timeout: ms in which a caller must read some.
     """
 
-    def __init__(self, sock: green_socket.socket) -> None:
+    def __init__(
+        self,
+        sock: green_socket.socket,
+        account: memoryaccount.MemoryAccount,
+        timeout: clock.Ms,
+    ) -> None:
         self._sock = sock
+        self._account = account
+        self._timeout = timeout
 
     def write(self, data: bytes) -> None:
-        self._sock.settimeout(WRITE_TIMEOUT / clock.SECOND)
-        self._sock.sendall(data)
+        self._sock.settimeout(self._timeout / clock.SECOND)
+        self._account.add(_PART, len(data))
+        try:
+            self._sock.sendall(data)
+        finally:
+            self._account.add(_PART, -len(data))
 
 
 class BufferedOutput(Output):
@@ -236,13 +252,15 @@
     sock: green_socket.socket,
     env: environments.Environment,
     on_ended: Callable[[Exception], None],
+    timeout: clock.Ms = WRITE_TIMEOUT,
 ) -> Output:
     """Return the output of an accepted connection.
 
     :param sock: a green socket.
     :param env: the daemon's environment.
     :param on_ended: see :class:`BufferedOutput`.
+    :param timeout: see :class:`BlockingOutput`.
     """
     if env.unsent is None:
-        return BlockingOutput(sock)
+        return BlockingOutput(sock, env.memory, timeout)
     return BufferedOutput(sock, env, env.unsent, on_ended)
--- a/src/citronvalve/forward/portlistener.py
+++ b/src/citronvalve/forward/portlistener.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import contextlib
+import socket
 
 import eventlet
 from eventlet.green import socket as green_socket
@@ -25,6 +26,8 @@
     :param env: the daemon's environment.
     :param admit: returns how an accepted connection is served, or None if it
         is to be closed.  It is called before the next one is accepted.
+    :param send_buffer: bytes that the kernel holds unread for each, 0 for its
+        choice.
     :raises errors.SettingsError: when the address can't be bound.
     """
 
@@ -34,6 +37,7 @@
         backlog: int,
         env: environments.Environment,
         admit: Callable[[green_socket.socket], Serve | None],
+        send_buffer: int = 0,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._env = env
@@ -49,6 +53,11 @@
                 where=address,
                 remedy="free the address or give another one",
             ) from error
+        if send_buffer:
+            # Accepted connections inherit it.
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer
+            )
 
     @property
     def address(self) -> str:
--- a/src/citronvalve/forward/reply.py
+++ b/src/citronvalve/forward/reply.py
@@ -2,6 +2,7 @@
 
 import abc
 from collections.abc import Iterable
+import socket as socket_
 
 from citronvalve.forward import headers
 from citronvalve.model import refusal
@@ -15,6 +16,11 @@
 
     started = False
 
+    @property
+    def socket(self) -> socket_.socket | None:
+        """Return the caller's connection, None if there is none."""
+        return None
+
     @abc.abstractmethod
     def check_caller(self) -> None:
         """Check that the caller is still connected.
--- a/src/citronvalve/routes/callerlimits.py
+++ b/src/citronvalve/routes/callerlimits.py
@@ -10,7 +10,8 @@
 
     ``header_timeout`` is the maximum ms until a header is complete,
     ``idle_timeout`` between two requests.  ``body_timeout`` is the maximum ms
-    from there until the body is complete.
+    from there until the body is complete, ``write_timeout`` until a caller
+    has read some of a response.
     """
 
     max_header_bytes: int = 16_384
@@ -18,3 +19,4 @@
     header_timeout: clock.Ms = 3_000
     idle_timeout: clock.Ms = 15_000
     body_timeout: clock.Ms = 60_000
+    write_timeout: clock.Ms = 10_000
