Hold what arrives once, and give freed blocks back

Callers saw: the same crowd made a daemon take 499 MB or 1,737 MB, and what it took stayed after the crowd had left.

Cause: three copies that nothing counted: the parser kept what had arrived behind a head, and names in two functions kept the first and the latest bytes of a body while the next were waited for. And the C library raises the size from which a block is mapped on its own to that of the largest one freed, so that after a first body of 4 MiB all bodies lay in the heap, in pieces, and it gave nothing back.

Change: the parser is fed with heads only (forward/headfeed.py), an incomplete head and what is pipelined count, no name outlives the bytes' use, and daemon/allocator.py fixes the two sizes at the start, where the C library has them.

No test of its own failed before this commit: the rows of tests/crowds passed already.

--- a/src/citronvalve/daemon/main.py
+++ b/src/citronvalve/daemon/main.py
@@ -4,6 +4,7 @@
 
 import defopt
 
+from citronvalve.daemon import allocator
 from citronvalve.daemon import collector
 from citronvalve.daemon import green
 from citronvalve.model import errors
@@ -40,6 +41,7 @@
 def main() -> None:
     """Run the program; the exit code is 0 after SIGTERM."""
     collector.pause()
+    allocator.return_large_blocks()
     green.patch()
     defopt.run(serve)
 
--- a/src/citronvalve/forward/callerconnection.py
+++ b/src/citronvalve/forward/callerconnection.py
@@ -14,6 +14,7 @@
 from citronvalve.forward import callerrequest
 from citronvalve.forward import environment as environments
 from citronvalve.forward import headers
+from citronvalve.forward import headfeed
 from citronvalve.forward import notread
 from citronvalve.forward import output
 from citronvalve.forward import problem
@@ -92,6 +93,7 @@
         self._task: eventlet.greenlet.greenlet | None = None
         self._parser = self._new_parser()
         self._pending = b""
+        self._kept = 0
         self._body: requestbody.RequestBody | None = None
         self._aborted = False
         self._omit_body = False
@@ -126,7 +128,7 @@
         finally:
             self._output.close()
             self._env.bodies.drop(self)
-            self._set_pending(b"")
+            self._keep(b"")
 
     def close_if_idle(self) -> bool:
         """Close the connection if it waits for a request.
@@ -288,20 +290,22 @@
         """
         if not data:
             raise ConnectionResetError("the caller closed the connection")
-        self._set_pending(self._pending + data)
+        self._keep(self._pending + data)
 
     def _may_pipeline(self) -> bool:
         is_within = len(self._pending) < _MAX_PIPELINED_BYTES
         return is_within and not self._env.memory.is_full
 
-    def _set_pending(self, data: bytes) -> None:
-        """Keep what has arrived behind a request.
+    def _keep(self, pending: bytes, head_size: int = 0) -> None:
+        """Keep what has arrived and is not parsed, and count it.
 
-        :param data: in place of what was kept.
+        :param pending: in place of what was kept.
+        :param head_size: bytes of an incomplete head that the parser has.
         """
-        more = len(data) - len(self._pending)
-        self._pending = data
+        self._pending = pending
+        more = len(pending) + head_size - self._kept
         if more:
+            self._kept += more
             self._env.memory.add(memoryaccount.Part.REQUESTS, more)
 
     def _read_request(self) -> callerrequest.CallerRequest | None:
@@ -341,11 +345,12 @@
         self._body = requestbody.RequestBody(
             self._env, self, decoder, limits.max_body_bytes
         )
+        decoder.feed(self._parser.trailing_data[0] + self._pending)
+        self._keep(b"")
         self._task = eventlet.getcurrent()
         try:
             body = self._body.read(
-                self._parser.trailing_data[0],
-                lambda: self._receive_body(limits.header_timeout, until),
+                lambda: self._receive_body(limits.header_timeout, until)
             )
         except requestbody.BodyNotReadError as error:
             self._refuse_unread(head, error)
@@ -354,7 +359,7 @@
             raise h11.RemoteProtocolError(error.reason) from error
         finally:
             self._task = self._body = None
-        self._set_pending(decoder.undecoded)
+        self._keep(decoder.undecoded)
         self._env.bodies.settle(self, len(body))
         return body
 
@@ -445,17 +450,14 @@
         self.send_whole(rendered.status, closing, rendered.body)
 
     def _read_head(self):
-        pending = self._pending
-        if not pending:
+        data: bytes | None = self._pending
+        if not data:
             self.idle = True
             data = self._await_request()
             self.idle = False
-            if data is None:
-                return None
-            pending = data
-        self._set_pending(b"")
-        self._parser.receive_data(pending)
-        return self._next_event(self._limits().header_timeout)
+        if data is None:
+            return None
+        return self._parse_head(data, self._limits().header_timeout)
 
     def _await_request(self) -> bytes | None:
         """Return the first bytes of a request, or None if none come in time.
@@ -470,17 +472,32 @@
             if data is not None or remaining <= 0:
                 return data
 
-    def _next_event(self, timeout: clock.Ms):
+    def _parse_head(self, data: bytes, timeout: clock.Ms):
+        """Return the event of a head, or of the connection's end.
+
+        :param data: the first bytes.
+        :param timeout: ms until the head is complete.
+        """
         deadline = self._env.clock.now() + timeout
-        while (event := self._parser.next_event()) is h11.NEED_DATA:
-            data = self._receive_in(deadline - self._env.clock.now())
-            if data is None:
+        feed = headfeed.HeadFeed(self._parser)
+        while True:
+            rest = feed.feed(data)
+            # The parser has a copy.
+            data = b""
+            event = self._parser.next_event()
+            if event is not h11.NEED_DATA:
+                self._keep(rest, 0)
+                return event
+            self._keep(rest, feed.size)
+            following = rest or self._receive_in(
+                deadline - self._env.clock.now()
+            )
+            if following is None:
                 self._log_unread(
                     notread.NotRead.TOO_SLOW, f"no rest within {timeout} ms"
                 )
                 return None
-            self._parser.receive_data(data)
-        return event
+            data = following
 
     def _log_unread(self, why: notread.NotRead, detail: str) -> None:
         self._env.log.note("request not read", why=why, detail=detail)
--- a/src/citronvalve/forward/requestbody.py
+++ b/src/citronvalve/forward/requestbody.py
@@ -36,7 +36,7 @@
 
     :param env: the daemon's environment.
     :param caller: whose body it is, for the budget.
-    :param decoder: takes the framing off.
+    :param decoder: takes the framing off; fed with what has arrived.
     :param most: bytes that it may have.
     """
 
@@ -56,10 +56,9 @@
         self._work = 0
         self._ended: NoMemoryError | None = None
 
-    def read(self, first: bytes, receive: Callable[[], bytes]) -> bytes:
+    def read(self, receive: Callable[[], bytes]) -> bytes:
         """Return the body.
 
-        :param first: what has arrived behind the head.
         :param receive: returns the next bytes.
         :raises BodyNotReadError: when it has no end that is worth to be
             waited for.
@@ -67,14 +66,13 @@
         """
         decoder = self._decoder
         self._check_size()
-        decoder.feed(first)
         while not decoder.is_complete:
             if not self._decode() and not decoder.is_complete:
                 self._count()
                 self._take_turn(workturns.READ)
-                data = receive()
+                # No name here: it would keep the bytes until the next come.
+                decoder.feed(receive())
                 self._check_ended()
-                decoder.feed(data)
         content = bytes(self._content)
         self._content = bytearray()
         return content
