Split refusals of unread bodies from connections, and soak with such clients

What would stop a reader: a connection's module also chose refusals and times of bodies. They stand in forward/unread.py and forward/requestbody.py now; nothing changes for callers. A WSGI answer is closed in one place.

No test failed before: it is a check by hand of what the users' trials had not tried.

--- a/src/citronvalve/forward/callerconnection.py
+++ b/src/citronvalve/forward/callerconnection.py
@@ -8,7 +8,6 @@
 import eventlet
 import h11
 
-from citronvalve.forward import admission
 from citronvalve.forward import bodydecoder
 from citronvalve.forward import callergone
 from citronvalve.forward import callerrequest
@@ -22,8 +21,8 @@
 from citronvalve.forward import reply
 from citronvalve.forward import requestbody
 from citronvalve.forward import transport
+from citronvalve.forward import unread
 from citronvalve.model import clock
-from citronvalve.model import ran
 from citronvalve.model import refusal
 from citronvalve.policy import callerbudget
 from citronvalve.policy import memoryaccount
@@ -48,12 +47,6 @@
 
 _VERSIONS = frozenset({b"1.0", b"1.1"})
 
-_REFUSE_BY_ERROR: dict[type, Callable[[str], refusal.Refusal]] = {
-    requestbody.NoMemoryError: lambda _: admission.memory_refusal(),
-    requestbody.TooLateError: admission.late_refusal,
-    requestbody.TooLargeError: admission.size_refusal,
-}
-
 Handler = Callable[[callerrequest.CallerRequest, reply.Reply], None]
 
 
@@ -341,7 +334,9 @@
         """
         limits = self._limits()
         decoder = requestbody.decoder_of(head)
-        until = arrived_at + self._body_time(head, limits)
+        until = arrived_at + requestbody.time_allowed(
+            head, self._env.header_names, limits
+        )
         self._body = requestbody.RequestBody(
             self._env, self, decoder, limits.max_body_bytes
         )
@@ -363,23 +358,6 @@
         self._env.bodies.settle(self, len(body))
         return body
 
-    def _body_time(
-        self, head: h11.Request, limits: callerlimits.CallerLimits
-    ) -> clock.Ms:
-        """Return the ms that a body may take.
-
-        A caller waits no longer than the deadline that it names.
-
-        :param head: of its request.
-        :param limits: in force.
-        """
-        named = headers.parse_number(
-            headers.value(list(head.headers), self._env.header_names.deadline)
-        )
-        if named is None:
-            return limits.body_timeout
-        return min(named, limits.body_timeout)
-
     def _receive_body(self, timeout: clock.Ms, until: clock.Ms) -> bytes:
         """Return the next bytes of a body.
 
@@ -431,23 +409,8 @@
         self._env.bodies.drop(self)
         if isinstance(error, requestbody.TooLateError):
             self._log_unread(notread.NotRead.TOO_SLOW, error.reason)
-        request_id = headers.value(
-            list(head.headers), self._env.header_names.request_id
-        ).decode("latin-1")
-        refused = _REFUSE_BY_ERROR[type(error)](error.reason)
-        if headers.value(
-            list(head.headers), self._env.header_names.idempotency_key
-        ):
-            # An earlier attempt may have run.
-            refused = refused._replace(ran=ran.Ran.UNKNOWN)
-        self._env.metrics.record_request("unknown", "refused", refused.kind)
-        self._env.metrics.record_body_ended(refused.kind)
-        self._env.log.note(
-            "turned away", request_id, kind=refused.kind, why=refused.detail
-        )
-        rendered = problem.render(refused, request_id)
-        closing = [*rendered.headers, (b"connection", b"close")]
-        self.send_whole(rendered.status, closing, rendered.body)
+        rendered = unread.refuse(self._env, head, error)
+        self.send_whole(rendered.status, rendered.headers, rendered.body)
 
     def _read_head(self):
         data: bytes | None = self._pending
--- a/src/citronvalve/forward/requestbody.py
+++ b/src/citronvalve/forward/requestbody.py
@@ -7,9 +7,12 @@
 
 from citronvalve.forward import bodydecoder
 from citronvalve.forward import environment as environments
+from citronvalve.forward import headernames
+from citronvalve.forward import headers
 from citronvalve.model import clock
 from citronvalve.model import errors
 from citronvalve.policy import workturns
+from citronvalve.routes import callerlimits
 
 
 class BodyNotReadError(errors.RequestError):
@@ -136,3 +139,24 @@
         return bodydecoder.ChunkedDecoder()
     length = value_by_name.get(b"content-length", b"0")
     return bodydecoder.LengthDecoder(int(length))
+
+
+def time_allowed(
+    head: h11.Request,
+    names: headernames.HeaderNames,
+    limits: callerlimits.CallerLimits,
+) -> clock.Ms:
+    """Return the ms that the body of a request may take.
+
+    A caller waits no longer than the deadline that it names.
+
+    :param head: of the request.
+    :param names: the header names.
+    :param limits: in force.
+    """
+    named = headers.parse_number(
+        headers.value(list(head.headers), names.deadline)
+    )
+    if named is None:
+        return limits.body_timeout
+    return min(named, limits.body_timeout)
--- a/src/citronvalve/forward/wsgihandler.py
+++ b/src/citronvalve/forward/wsgihandler.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import contextlib
 import io
 import socket
 import traceback
@@ -89,17 +88,21 @@
     ) -> None:
         started = _Started()
         chunks = self._app(_environ(request, reply.socket), started)
-        with contextlib.closing(_Closing(chunks)):
-            names = {name for name, _ in started.headers}
-            if _LENGTH in names or isinstance(chunks, list):
-                head = [h for h in started.headers if h[0] != _LENGTH]
-                reply.send_whole(started.status, head, b"".join(chunks))
-                return
-            self._stream(started, chunks, reply)
-
-    def _stream(
+        try:
+            self._send(started, chunks, reply)
+        finally:
+            close = getattr(chunks, "close", None)
+            if close is not None:
+                close()
+
+    def _send(
         self, started: _Started, chunks: Iterable[bytes], reply: replies.Reply
     ) -> None:
+        names = {name for name, _ in started.headers}
+        if _LENGTH in names or isinstance(chunks, list):
+            head = [h for h in started.headers if h[0] != _LENGTH]
+            reply.send_whole(started.status, head, b"".join(chunks))
+            return
         reply.start(started.status, started.headers)
         for chunk in chunks:
             if chunk:
@@ -107,21 +110,6 @@
         reply.finish()
 
 
-class _Closing:
-    """Closes what an application returned, if that can be closed.
-
-    :param chunks: the body.
-    """
-
-    def __init__(self, chunks: Iterable[bytes]) -> None:
-        self._chunks = chunks
-
-    def close(self) -> None:
-        close = getattr(self._chunks, "close", None)
-        if close is not None:
-            close()
-
-
 def _environ(
     request: callerrequest.CallerRequest, sock: socket.socket
 ) -> dict[str, Any]:
--- a/standins/soak/main.py
+++ b/standins/soak/main.py
@@ -7,7 +7,9 @@
 """
 
 from collections.abc import Callable
+import functools
 import pathlib
+import random
 import shutil
 import sys
 import tempfile
@@ -19,6 +21,7 @@
 
 import defopt  # noqa: E402
 
+from standins.soak import hostile as clients  # noqa: E402
 from standins.soak import plot as plots  # noqa: E402
 from standins.soak import run as runs  # noqa: E402
 
@@ -32,6 +35,7 @@
     calling: int = 30,
     keep: str = "",
     plot: str = "",
+    hostile: bool = False,
 ) -> int:
     """Run soaks one after the other; return 1 when a promise was broken.
 
@@ -42,8 +46,16 @@
     :param calling: callers at a time.
     :param keep: folder for the output of runs that broke a promise.
     :param plot: folder for a picture of each run.
+    :param hostile: whether clients that break the limits come, too.
     """
 
+    def make(seed: int, folder: pathlib.Path) -> runs.Soak:
+        made = runs.Soak(seed, seconds, daemons, calling, folder)
+        if hostile:
+            chance = random.Random(f"hostile {seed}")
+            made.beside = functools.partial(clients.send, chance=chance)
+        return made
+
     def show(seed: int, run: runs.Soak) -> None:
         _print(seed, seconds, daemons, run)
         if plot:
@@ -51,9 +63,7 @@
 
     return play(
         range(first, first + count),
-        lambda seed, folder: runs.Soak(
-            seed, seconds, daemons, calling, folder
-        ),
+        make,
         show,
         keep,
     )
