Close a connection for room only while its request is incomplete

What a reader found: at the limit, one connection more than needed was closed if some idle ones had been, and an idle one whose request had just arrived could be chosen; that is for the check of idle connections, which looks at the socket. No caller has been seen to meet it, and no test failed before.

Change: a connection tells since when it reads a request; one of those is closed only if no idle one was.

--- a/src/citronvalve/forward/acceptor.py
+++ b/src/citronvalve/forward/acceptor.py
@@ -102,12 +102,13 @@
         most = min(
             self._most or len(self._connections), len(self._connections)
         )
-        left = max(1, most // _CLOSED_PART)
+        wanted = max(1, most // _CLOSED_PART)
+        closed = 0
         for connection in list(self._connections):
-            if left and connection.close_if_idle():
-                left -= 1
-        if not is_within and left:
-            self._close_longest_waiting()
+            if closed < wanted and connection.close_if_idle():
+                closed += 1
+        if not is_within and not closed:
+            self._close_longest_reading()
         # Their tasks end once the hub has seen that the sockets are closed,
         # between the two.
         eventlet.sleep(0)
@@ -115,21 +116,21 @@
         # Without memory a request is refused, which tells its caller more.
         return not self._most or len(self._connections) < self._most
 
-    def _close_longest_waiting(self) -> None:
+    def _close_longest_reading(self) -> None:
         """Close the connection whose request has been incomplete longest."""
-        waiting = (
-            connection
+        since_by_connection = {
+            connection: connection.reading_since
             for connection in self._connections
-            if connection.is_waiting
-        )
-        longest = min(waiting, key=lambda one: one.waiting_since, default=None)
-        if longest is None:
+            if connection.reading_since is not None
+        }
+        if not since_by_connection:
             return
-        waited = self._env.clock.now() - longest.waiting_since
-        # A caller that has just connected sends its request soon.
+        longest = min(since_by_connection, key=since_by_connection.__getitem__)
+        waited = self._env.clock.now() - since_by_connection[longest]
+        # The rest of an ordinary request comes soon.
         if waited >= stopschedule.FIRST_REQUEST_TIME:
             longest.close()
-            self._env.metrics.record_ended_waiting()
+            self._env.metrics.record_ended_reading()
             self._env.log.note(
                 "connection ended", why="room for others", waited_ms=waited
             )
--- a/src/citronvalve/forward/callerconnection.py
+++ b/src/citronvalve/forward/callerconnection.py
@@ -63,8 +63,8 @@
     :param handler: answers a request.
     :param watches: whether the handler is interrupted once the caller leaves.
     :ivar idle: whether it waits for a request of which nothing was read.
-    :ivar is_waiting: whether it waits for a request or the rest of one.
-    :ivar waiting_since: monotonic ms since when.
+    :ivar reading_since: monotonic ms since when a request is read that is not
+        complete, None if there is none.
     """
 
     def __init__(
@@ -96,8 +96,7 @@
             env.clock.now() + stopschedule.FIRST_REQUEST_TIME
         )
         self.idle = True
-        self.is_waiting = True
-        self.waiting_since = env.clock.now()
+        self.reading_since: clock.Ms | None = None
         self.started = False
 
     @property
@@ -203,8 +202,6 @@
         self._output.write(data)
 
     def _serve_one(self) -> bool:
-        self.is_waiting = True
-        self.waiting_since = self._env.clock.now()
         try:
             request = self._read_request()
         except h11.RemoteProtocolError as error:
@@ -212,7 +209,7 @@
             return False
         if request is None:
             return False
-        self.is_waiting = False
+        self.reading_since = None
         self.started = False
         self._first_request_until = 0
         self._aborted = False
@@ -420,6 +417,7 @@
             self.idle = False
         if data is None:
             return None
+        self.reading_since = self._env.clock.now()
         return self._parse_head(data, self._limits().header_timeout)
 
     def _await_request(self) -> bytes | None:
--- a/src/citronvalve/forward/metrics.py
+++ b/src/citronvalve/forward/metrics.py
@@ -61,7 +61,7 @@
         self._malformed = self._counter(
             "malformed_total", "Bytes that were no request, by status."
         )
-        self._ended_waiting = self._counter(
+        self._ended_reading = self._counter(
             "connections_ended_total",
             "Closed for room while their request was incomplete.",
         )
@@ -96,9 +96,9 @@
             {"kind": kind, "outcome": outcome, "reason": reason}
         )
 
-    def record_ended_waiting(self) -> None:
+    def record_ended_reading(self) -> None:
         """Count a connection that was closed to make room for others."""
-        self._ended_waiting.inc({})
+        self._ended_reading.inc({})
 
     def record_body_ended(self, reason: str) -> None:
         """Count a body that was not read to its end.
