--- a/src/citronvalve/forward/bodybuffer.py
+++ b/src/citronvalve/forward/bodybuffer.py
@@ -59,6 +59,7 @@
         self._left = most
         self._is_kept = is_kept
         self._data = bytearray()
+        self._taken = 0
 
     def add(self, data: bytes) -> None:
         """Add the next bytes.
@@ -74,15 +75,19 @@
         if len(data) > self._space.free:
             raise _too_large("bodies of responses take too much memory")
         self._space.take(len(data))
+        self._taken += len(data)
         self._data += data
 
-    def content(self) -> bytearray:
-        """Return the bytes so far, which must not be changed."""
-        return self._data
+    def content(self) -> bytes:
+        """Return the bytes, once all were added; they still take space."""
+        content = bytes(self._data)
+        self._data = bytearray()
+        return content
 
     def release(self) -> None:
         """Give back the space that it takes."""
-        self._space.take(-len(self._data))
+        self._space.take(-self._taken)
+        self._taken = 0
         self._data = bytearray()
 
 
--- a/src/citronvalve/forward/bodydecoder.py
+++ b/src/citronvalve/forward/bodydecoder.py
@@ -1,6 +1,7 @@
 """Decoders that take the framing off a request's body."""
 
 import abc
+from collections.abc import Callable
 import re
 
 from citronvalve.model import errors
@@ -29,6 +30,10 @@
 _MIN_RUN = 512
 
 
+#: Decodes one piece of a framing; returns whether it was there.
+_Step = Callable[[list[bytes], int], bool]
+
+
 class BodyError(errors.RequestError):
     """The bytes are no body in the framing that the head announced.
 
@@ -125,7 +130,7 @@
         self._left_of_chunk = 0
         self._trailers = 0
         self._is_fed = False
-        self._step = self._decode_size
+        self._step: _Step = self._decode_size
 
     @property
     def announced(self) -> int:
@@ -176,9 +181,10 @@
         :param found: takes the content.
         """
         line = _SIZE_LINE.match(self._data, self._at)
-        size = int(line[1], 16) if line else 0
-        has_many = len(self._data) - self._at >= _MIN_RUN
-        if not has_many or not 0 < size <= _MAX_RUN_CHUNK:
+        if line is None or len(self._data) - self._at < _MIN_RUN:
+            return
+        size = int(line[1], 16)
+        if not 0 < size <= _MAX_RUN_CHUNK:
             return
         content_at = len(line[0])
         frame = content_at + size + len(_LINE_END)
--- a/src/citronvalve/forward/wsgihandler.py
+++ b/src/citronvalve/forward/wsgihandler.py
@@ -26,12 +26,12 @@
     :param sock: the caller's.
     """
 
-    def __init__(self, body: bytes, sock: socket.socket) -> None:
+    def __init__(self, body: bytes, sock: socket.socket | None) -> None:
         super().__init__(body)
         self._sock = sock
 
-    def get_socket(self) -> socket.socket:
-        """Return the caller's socket."""
+    def get_socket(self) -> socket.socket | None:
+        """Return the caller's socket, None if there is none."""
         return self._sock
 
 
@@ -111,7 +111,7 @@
 
 
 def _environ(
-    request: callerrequest.CallerRequest, sock: socket.socket
+    request: callerrequest.CallerRequest, sock: socket.socket | None
 ) -> dict[str, Any]:
     target = request.target.decode("latin-1")
     path, _, query = target.partition("?")
