Keep a port open whose peer is gone before its socket is set up

Callers saw: nothing; found in reading the diff.

Evidence: "a connection breaks as it is accepted" failed before this (the second caller got no answer).

Change: such a connection is closed and logged as `not accepted`. Beside it, a handler's line tells only of faults: a streamed answer that broke off has a line of its own, and an error of the operating system before an answer has begun is logged instead of passing for a caller that left.

--- a/src/citronvalve/forward/portlistener.py
+++ b/src/citronvalve/forward/portlistener.py
@@ -98,7 +98,12 @@
             self._serve(sock)
 
     def _serve(self, sock: green_socket.socket) -> None:
-        serve = self._admit(sock)
+        serve = None
+        try:
+            serve = self._admit(sock)
+        except OSError as error:
+            # A peer that has closed already may refuse options.
+            self._env.log.change("not accepted", why=str(error))
         if serve is None:
             sock.close()
         else:
--- a/src/citronvalve/forward/wsgihandler.py
+++ b/src/citronvalve/forward/wsgihandler.py
@@ -8,6 +8,7 @@
 from typing import Any
 import urllib.parse
 
+from citronvalve.entry import broken
 from citronvalve.forward import callerrequest
 from citronvalve.forward import environment as environments
 from citronvalve.forward import headers as headers_
@@ -68,21 +69,29 @@
     ) -> None:
         try:
             self._answer(request, reply)
-        except OSError:
-            # The caller has left.
+        except broken.AnswerBroken:
+            # The line of the request tells of it.
+            reply.abort()
+        except OSError as error:
+            # Once it has begun, it is the caller that has left.
+            if not reply.started:
+                self._log_failure(error)
             reply.abort()
         except Exception as error:
-            where = traceback.extract_tb(error.__traceback__)[-1]
-            self._env.log.change(
-                "handler failed",
-                why=repr(error)[:300],
-                where=f"{where.filename}:{where.lineno}",
-            )
+            self._log_failure(error)
             if reply.started:
                 reply.abort()
             else:
                 reply.send_whole(500, [], b"internal error")
 
+    def _log_failure(self, error: Exception) -> None:
+        where = traceback.extract_tb(error.__traceback__)[-1]
+        self._env.log.change(
+            "handler failed",
+            why=repr(error)[:300],
+            where=f"{where.filename}:{where.lineno}",
+        )
+
     def _answer(
         self, request: callerrequest.CallerRequest, reply: replies.Reply
     ) -> None:
--- a/tests/forward/crowding.feature
+++ b/tests/forward/crowding.feature
@@ -15,3 +15,11 @@
     When a caller connects and sends a request
     Then its connection is closed and its request has not run
     And the 20 callers get whole answers
+
+  Scenario: a connection breaks as it is accepted
+    Guards against a port that accepts nothing any more, since one peer has
+    closed before its socket was set up.
+    Given a port whose first connection refuses its options
+    When two callers connect
+    Then the first is closed, and the second is served
+    And one line tells that a connection was not accepted
--- a/tests/forward/steps/crowding_steps.py
+++ b/tests/forward/steps/crowding_steps.py
@@ -4,6 +4,7 @@
 import eventlet
 from eventlet.green import socket
 
+from citronvalve.forward import portlistener
 from tests.forward import rig as rigs
 
 _REQUEST = (
@@ -91,3 +92,40 @@
     got = [task.wait() for task in context.busy]
     assert all(b"answer of" in answer for answer in got), got
     assert context.rig.runs() == count, context.rig.runs()
+
+
+@behave.given("a port whose first connection refuses its options")
+def step_port(context):
+    context.rig = rigs.Rig({})
+    admitted = []
+
+    def admit(sock):
+        admitted.append(sock)
+        if len(admitted) == 1:
+            raise OSError("invalid argument")
+        return lambda: sock.sendall(b"served")
+
+    context.port = portlistener.PortListener(
+        "127.0.0.1:0", 8, context.rig.env, admit
+    )
+    context.port.start()
+    context.add_cleanup(context.port.close)
+
+
+@behave.when("two callers connect")
+def step_two(context):
+    context.got = []
+    for _ in range(2):
+        sock = _connect(context.port)
+        context.got.append(sock.recv(100))
+
+
+@behave.then("the first is closed, and the second is served")
+def step_second(context):
+    assert context.got == [b"", b"served"], context.got
+
+
+@behave.then("one line tells that a connection was not accepted")
+def step_line(context):
+    lines = [one for one, _ in context.rig.log.lines if one == "not accepted"]
+    assert len(lines) == 1, context.rig.log.lines
