--- a/review/common-2/bed.py
+++ b/review/common-2/bed.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -51,10 +52,17 @@
 
 
 def free_port() -> int:
-    """Return a port that nothing listens at."""
-    with contextlib.closing(socket.socket()) as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Return a port that nothing listens at.
+
+    It lies below those that the kernel gives to connections, which could
+    take it while a daemon is down.
+    """
+    while True:
+        port = random.randrange(10_000, 32_000)
+        with contextlib.closing(socket.socket()) as probe:
+            with contextlib.suppress(OSError):
+                probe.bind((HOST, port))
+                return port
 
 
 async def read_head(
