Show that a head's late entry of before tears its group

The store performs a write of a runner 5.5 s after it was sent and not answered, over the entries that the runner wrote since. The runner is the head of a group that serves; its entry of before names no group, and has a lower Sequence of the same start.

Seen: within 0.1 s the leader orders the members, the head as well, to join another group while the head is open; its streams are cut.

At fault: Entry in platform/adapter/entries.py does not decode Sequence, and RunnerListener._is_known and Directory.update_runner order entries by the version of the row alone; dissolve_headless then gives up the members.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,6 +6,6 @@
 cd "$(dirname "$0")/.."
 test -d target/deps
 python3 -c 'import sys; assert sys.version_info >= (3, 11)'
-for file in review/common-2/*.py review/6/*.py review/7/*.py; do
+for file in review/common-2/*.py review/6/*.py review/7/*.py review/8/*.py; do
     python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
 done
--- a/review/common-2/link.py
+++ b/review/common-2/link.py
@@ -50,7 +50,7 @@
         far.close()
 
     async def _pass(self, source, sink) -> None:
-        with contextlib.suppress(ConnectionError):
+        with contextlib.suppress(OSError):
             while data := await source.read(65_536):
                 await self._sound.wait()
                 sink.write(data)
