Read TROUBLE and name the record in each case of the second review

Nothing in the folders of the cases did either: the common file read TROUBLE and placed record.txt. A case that meets an unexpected error now ends with 2, not with 1, and SIGTERM ends what a script has started.

--- a/review/common-2/bed.py
+++ b/review/common-2/bed.py
@@ -27,11 +27,11 @@
 class Record:
     """The file with what was sent, answered and run.
 
-    :param folder: of the case.
+    :param path: of the file, which is written anew.
     """
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        self._file = (folder / "record.txt").open("w", encoding="utf-8")
+    def __init__(self, path: pathlib.Path) -> None:
+        self._file = path.open("w", encoding="utf-8")
         self._zero = time.monotonic()
         self.broken: list[str] = []
 
@@ -341,27 +341,30 @@
     return False
 
 
-def run(folder: pathlib.Path, play, seconds: float = 110) -> None:
+def run(record: Record, play, trouble: bool, seconds: float = 110) -> None:
     """Play a case, and exit with 1, 0 or 2.
 
-    :param folder: of the case; its record goes there.
+    :param record: of the case.
     :param play: coroutine function of record, temporary folder and whether
         there is trouble; returns whether the case could run.
+    :param trouble: whether the disruption comes.
     :param seconds: longest time.
     """
-    record = Record(folder)
-    trouble = os.environ.get("TROUBLE") != "0"
-    record.write(f"trouble: {trouble}")
+    record.write(f"with the disruption: {trouble}")
     with tempfile.TemporaryDirectory() as temporary:
 
         async def bounded() -> bool:
+            # Whoever ends the script ends what it started, too.
+            own = asyncio.current_task()
+            loop = asyncio.get_running_loop()
+            loop.add_signal_handler(signal.SIGTERM, own.cancel)
             return await asyncio.wait_for(
                 play(record, pathlib.Path(temporary), trouble), seconds
             )
 
         try:
             could_run = asyncio.run(bounded())
-        except (OSError, TimeoutError) as error:
+        except (Exception, asyncio.CancelledError) as error:
             record.write(f"COULD NOT RUN: {error!r}")
             could_run = False
     if not could_run:
--- a/review/common-2/runners.py
+++ b/review/common-2/runners.py
@@ -120,6 +120,8 @@
             writer.write(self._not_run(421, head))
         elif target == "/v1/report":
             counts = {"Busy": False, "Sequence": self._sequence, "pace": 1}
+            counts |= {"Queued": 0, "Running": len(self.running)}
+            counts |= {"KvUsed": 0, "KvTotal": 1235000, "Handles": 0}
             writer.write(bed.as_json(200, self._about() | counts))
         elif target == "/v1/order":
             order = json.loads(body)
