--- a/review/common-2/bed.py
+++ b/review/common-2/bed.py
@@ -51,18 +51,29 @@
         self.write(f"RULE BROKEN: {text}")
 
 
+#: Sockets that keep the ports that this process was given.
+_KEPT: list[socket.socket] = []
+
+
 def free_port() -> int:
-    """Return a port that nothing listens at.
+    """Return a port that nothing listens at, and keep it for this process.
 
     It lies below those that the kernel gives to connections, which could
-    take it while a daemon is down.
+    take it while a daemon is down. A socket that is bound to it and does not
+    listen keeps scripts that run side by side from taking the same.
     """
     while True:
         port = random.randrange(10_000, 32_000)
-        with contextlib.closing(socket.socket()) as probe:
-            with contextlib.suppress(OSError):
-                probe.bind((HOST, port))
-                return port
+        kept = socket.socket()
+        try:
+            kept.bind((HOST, port))
+        except OSError:
+            kept.close()
+            continue
+        # Now whoever asks for the reuse of addresses may listen there.
+        kept.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        _KEPT.append(kept)
+        return port
 
 
 async def read_head(
@@ -92,6 +103,22 @@
     return method, target, found[1], body
 
 
+async def read_body(
+    reader: asyncio.StreamReader, head: dict[str, str]
+) -> tuple[bytes, bool]:
+    """Return the body of a response, and whether it came to its end."""
+    body = b""
+    try:
+        if "content-length" in head:
+            return await reader.readexactly(int(head["content-length"])), True
+        while size := int((await reader.readuntil(b"\r\n")), 16):
+            body += (await reader.readexactly(size + 2))[:-2]
+        await reader.readexactly(2)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return body, False
+    return body, True
+
+
 def response(status: int, body: bytes, head: dict[str, str] | None = None):
     """Return the bytes of a response."""
     fields = {"Content-Length": str(len(body))} | (head or {})
@@ -321,6 +348,11 @@
         """Return all that it wrote."""
         return (self._folder / f"{self.name}.log").read_text(errors="replace")
 
+    def describe(self, record: Record) -> None:
+        """Record whether it runs, and the end of what it wrote."""
+        code = self.process.returncode if self.process else None
+        record.write(f"{self.name}: exit code {code}, {self.output()[-500:]}")
+
     async def end(self) -> None:
         """End the process."""
         if self.process is not None and self.process.returncode is None:
--- a/review/common-2/runners.py
+++ b/review/common-2/runners.py
@@ -253,13 +253,19 @@
         fields += f"X-Runner-Seal: {self.name}.{request}\r\n"
         fields += "Transfer-Encoding: chunked\r\n"
         writer.write(f"HTTP/1.1 200 OK\r\n{fields}\r\n".encode())
-        for number in range(first, int(target.rpartition("/")[2]) + 1):
-            await asyncio.sleep(_GAP)
-            await self._wait_whole(held)
-            if self.running.get(request) is not writer:
-                return
-            event = f"id: {number}\ndata: {request}-{number}\n\n".encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
-            await writer.drain()
-        del self.running[request]
-        writer.write(b"0\r\n\r\n")
+        try:
+            for number in range(first, int(target.rpartition("/")[2]) + 1):
+                await asyncio.sleep(_GAP)
+                await self._wait_whole(held)
+                if self.running.get(request) is not writer:
+                    return
+                event = f"id: {number}\ndata: {request}-{number}\n\n".encode()
+                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                await writer.drain()
+        finally:
+            # Its channel may have closed.
+            is_own = self.running.get(request) is writer
+            if is_own:
+                del self.running[request]
+        if is_own:
+            writer.write(b"0\r\n\r\n")
